Set down the shape: folders, core types and the decision side

Cause: nothing stood yet; everything else needs the folders, the shared nouns and the seam between decisions and encodings.

A flow decides one request; a test drives it from admission over claim, cut, resume and continuation to the recorded answer without a socket.

--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,230 @@
+// Package backend holds what a node knows of the live backend servers: an
+// immutable snapshot that the request path reads through an atomic pointer,
+// and counters of each server that are atomics.
+//
+// One writer rebuilds the snapshot from the platform's lagging list and from
+// evidence that a server is leaving. Evidence of leaving is kept for the life
+// of the server's id, so an older list that still shows the server as live
+// never brings it back.
+package backend
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"sapphirehead/internal/clock"
+)
+
+// Server is one backend server. Its identity is fixed; its counters are
+// updated from many goroutines.
+type Server struct {
+	id         string
+	address    string
+	dataCentre string
+	hostClass  string
+	pool       string
+	leaving    atomic.Bool
+	inFlight   atomic.Int64
+	failures   atomic.Int64
+	load       atomic.Pointer[Load]
+}
+
+// NewServer returns a live backend server without load. The address is a host
+// and port over TCP.
+func NewServer(id, address, dataCentre, hostClass, pool string) *Server {
+	return &Server{id: id, address: address, dataCentre: dataCentre, hostClass: hostClass, pool: pool}
+}
+
+// ID returns the identity of the server; a replaced host gets a new one.
+func (server *Server) ID() string { return server.id }
+
+// Address returns the server's host and port.
+func (server *Server) Address() string { return server.address }
+
+// DataCentre returns the data centre in which the server runs.
+func (server *Server) DataCentre() string { return server.dataCentre }
+
+// HostClass returns the class of the server's host.
+func (server *Server) HostClass() string { return server.hostClass }
+
+// Pool returns the name of the pool that the server belongs to.
+func (server *Server) Pool() string { return server.pool }
+
+// Leaving reports whether the server must get no new work.
+func (server *Server) Leaving() bool { return server.leaving.Load() }
+
+// MarkLeaving records that the server is leaving. It is never undone. It
+// reports whether this was the first evidence.
+func (server *Server) MarkLeaving() bool { return !server.leaving.Swap(true) }
+
+// InFlight returns the number of attempts of this node at the server.
+func (server *Server) InFlight() int64 { return server.inFlight.Load() }
+
+// Begin counts an attempt and returns the function that ends it.
+func (server *Server) Begin() (end func()) {
+	server.inFlight.Add(1)
+	var ended atomic.Bool
+	return func() {
+		if !ended.Swap(true) {
+			server.inFlight.Add(-1)
+		}
+	}
+}
+
+// Succeeded clears the run of failures.
+func (server *Server) Succeeded() { server.failures.Store(0) }
+
+// Failed counts one more failure in a row and returns their number.
+func (server *Server) Failed() int64 { return server.failures.Add(1) }
+
+// Failures returns the number of failures in a row.
+func (server *Server) Failures() int64 { return server.failures.Load() }
+
+// Load returns the latest load report, or nil before the first.
+func (server *Server) Load() *Load { return server.load.Load() }
+
+// Report stores a load report unless a later one is known.
+func (server *Server) Report(load *Load) {
+	for {
+		known := server.load.Load()
+		if known != nil && known.at > load.at {
+			return
+		}
+		if server.load.CompareAndSwap(known, load) {
+			return
+		}
+	}
+}
+
+// Load is one report of a backend server about itself.
+type Load struct {
+	at      clock.Millis
+	running int
+	queued  int
+	tokens  int
+}
+
+// NewLoad returns a report received at the given time: requests running and
+// queued, and prompt tokens waiting for prefill.
+func NewLoad(at clock.Millis, running, queued, tokens int) *Load {
+	return &Load{at: at, running: running, queued: queued, tokens: tokens}
+}
+
+// At returns when the report was received.
+func (load *Load) At() clock.Millis { return load.at }
+
+// Running returns the number of requests in the batch.
+func (load *Load) Running() int { return load.running }
+
+// Queued returns the number of requests waiting for a slot.
+func (load *Load) Queued() int { return load.queued }
+
+// Tokens returns the number of prompt tokens waiting for prefill.
+func (load *Load) Tokens() int { return load.tokens }
+
+// Snapshot is an immutable set of servers, by pool.
+type Snapshot struct {
+	byPool map[string][]*Server
+	byID   map[string]*Server
+}
+
+func newSnapshot(servers []*Server) *Snapshot {
+	snapshot := &Snapshot{byPool: map[string][]*Server{}, byID: map[string]*Server{}}
+	for _, server := range servers {
+		snapshot.byPool[server.pool] = append(snapshot.byPool[server.pool], server)
+		snapshot.byID[server.id] = server
+	}
+	for _, list := range snapshot.byPool {
+		slices.SortFunc(list, func(a, b *Server) int {
+			switch {
+			case a.id < b.id:
+				return -1
+			case a.id > b.id:
+				return 1
+			default:
+				return 0
+			}
+		})
+	}
+	return snapshot
+}
+
+// Pool returns the servers of a pool in order of id. Callers must not change
+// the slice.
+func (snapshot *Snapshot) Pool(name string) []*Server { return snapshot.byPool[name] }
+
+// Server returns the server with the id, or nil.
+func (snapshot *Snapshot) Server(id string) *Server { return snapshot.byID[id] }
+
+// Servers returns every server in no particular order.
+func (snapshot *Snapshot) Servers() []*Server {
+	servers := make([]*Server, 0, len(snapshot.byID))
+	for _, server := range snapshot.byID {
+		servers = append(servers, server)
+	}
+	return servers
+}
+
+// Listed is one entry of the platform's lagging list of hosts.
+type Listed struct {
+	server  *Server
+	leaving bool
+}
+
+// NewListed returns an entry of the list.
+func NewListed(server *Server, leaving bool) Listed {
+	return Listed{server: server, leaving: leaving}
+}
+
+// Server returns the listed server.
+func (listed Listed) Server() *Server { return listed.server }
+
+// Leaving reports whether the list shows the server as leaving.
+func (listed Listed) Leaving() bool { return listed.leaving }
+
+// Fleet publishes snapshots of the live servers. Update and MarkLeaving may
+// be called from one writer at a time; Current from any goroutine.
+type Fleet struct {
+	current atomic.Pointer[Snapshot]
+	left    map[string]bool
+}
+
+// NewFleet returns an empty fleet.
+func NewFleet() *Fleet {
+	fleet := &Fleet{left: map[string]bool{}}
+	fleet.current.Store(newSnapshot(nil))
+	return fleet
+}
+
+// Current returns the snapshot in force.
+func (fleet *Fleet) Current() *Snapshot { return fleet.current.Load() }
+
+// Update puts the listed servers in force. A known server keeps its counters
+// and its leaving mark.
+func (fleet *Fleet) Update(list []Listed) {
+	known := fleet.current.Load()
+	servers := make([]*Server, 0, len(list))
+	for _, listed := range list {
+		server := known.Server(listed.server.id)
+		if server == nil || server.address != listed.server.address {
+			server = listed.server
+		}
+		if listed.leaving || fleet.left[server.id] {
+			fleet.left[server.id] = true
+			server.MarkLeaving()
+		}
+		servers = append(servers, server)
+	}
+	fleet.current.Store(newSnapshot(servers))
+}
+
+// MarkLeaving records evidence that a server is leaving, even one that the
+// list does not show yet. It reports whether this was the first evidence.
+func (fleet *Fleet) MarkLeaving(id string) bool {
+	first := !fleet.left[id]
+	fleet.left[id] = true
+	if server := fleet.current.Load().Server(id); server != nil {
+		server.MarkLeaving()
+	}
+	return first
+}
--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,95 @@
+// Package caller holds what the system knows and decides about callers: which
+// client account a key belongs to, and whether a request is admitted.
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync/atomic"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+)
+
+// Account is one client account.
+type Account struct {
+	name     string
+	inFlight *atomic.Int64
+	limit    int
+}
+
+// NewAccount returns a client account that may have limit requests in flight
+// at this node, or any number if limit is 0.
+func NewAccount(name string, limit int) *Account {
+	return &Account{name: name, inFlight: &atomic.Int64{}, limit: limit}
+}
+
+// Name returns the name of the account.
+func (account *Account) Name() string { return account.name }
+
+// InFlight returns the number of the account's requests in progress here.
+func (account *Account) InFlight() int64 { return account.inFlight.Load() }
+
+// Accounts finds client accounts by their keys. Only hashes of keys are kept.
+type Accounts struct {
+	byHash map[string]*Account
+}
+
+// NewAccounts returns the accounts by the hash of their keys.
+func NewAccounts(byHash map[string]*Account) *Accounts { return &Accounts{byHash: byHash} }
+
+// HashKey returns the form in which keys are kept.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// ByKey returns the account of the key.
+func (accounts *Accounts) ByKey(key string) (*Account, bool) {
+	account, ok := accounts.byHash[HashKey(key)]
+	return account, ok
+}
+
+// retryAfterLimit is the wait told to an account over its limit.
+const retryAfterLimit = 1 * clock.Second
+
+// Admission decides which requests this node accepts. Its counters are
+// atomics; it may be used from any goroutine.
+type Admission struct {
+	maxInFlight int64
+	inFlight    atomic.Int64
+	closed      atomic.Bool
+}
+
+// NewAdmission returns an admission with a bound for the whole node.
+func NewAdmission(maxInFlight int64) *Admission { return &Admission{maxInFlight: maxInFlight} }
+
+// Close refuses everything from now on.
+func (admission *Admission) Close() { admission.closed.Store(true) }
+
+// InFlight returns the number of admitted requests in progress.
+func (admission *Admission) InFlight() int64 { return admission.inFlight.Load() }
+
+// Admit accepts a request of the account, and returns the function to call
+// when it has ended, or a *request.NotRunError.
+func (admission *Admission) Admit(account *Account) (release func(), err error) {
+	if admission.closed.Load() {
+		return nil, request.NewNotRunError("this entry host is stopping", retryAfterLimit)
+	}
+	if admission.inFlight.Add(1) > admission.maxInFlight {
+		admission.inFlight.Add(-1)
+		return nil, request.NewNotRunError("this entry host has no room", retryAfterLimit)
+	}
+	if account.inFlight.Add(1) > int64(account.limit) && account.limit > 0 {
+		account.inFlight.Add(-1)
+		admission.inFlight.Add(-1)
+		return nil, request.NewOverLimitError("the client account has too many requests in flight", retryAfterLimit)
+	}
+	var released atomic.Bool
+	return func() {
+		if !released.Swap(true) {
+			account.inFlight.Add(-1)
+			admission.inFlight.Add(-1)
+		}
+	}, nil
+}
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,116 @@
+// Package clock holds the system's one representation of time: whole
+// milliseconds.
+//
+// Two clocks are read through it. Now is monotonic and keeps counting while
+// the machine is suspended, so a deadline that passed during a pause is seen
+// as passed by the first check after it. Wall is the time of day and is used
+// only for values that outlive a process, such as the expiry of a claim.
+//
+// Example: a deadline is a plain sum, checked again at the moment of acting.
+//
+//	deadline := clock.Now() + 1900*clock.Millisecond
+//	if clock.Now() >= deadline { ... }
+package clock
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Millis is an instant or a duration in milliseconds.
+type Millis int64
+
+// Common durations in milliseconds.
+const (
+	Millisecond Millis = 1
+	Second             = 1000 * Millisecond
+	Minute             = 60 * Second
+	Hour               = 60 * Minute
+)
+
+// Duration converts the value to a standard library duration.
+func (millis Millis) Duration() time.Duration {
+	return time.Duration(millis) * time.Millisecond
+}
+
+// FromDuration converts a standard library duration, rounding towards zero.
+func FromDuration(duration time.Duration) Millis {
+	return Millis(duration / time.Millisecond)
+}
+
+// Clock reads time and sets timers through function fields.
+type Clock struct {
+	now   func() Millis
+	wall  func() Millis
+	after func(delay Millis, fire func()) (stop func() bool)
+}
+
+// New returns a clock over the given seams. The function now is monotonic,
+// wall is the time of day, and after calls fire once the delay has passed
+// unless the returned stop function is called first.
+func New(now, wall func() Millis, after func(Millis, func()) func() bool) *Clock {
+	return &Clock{now: now, wall: wall, after: after}
+}
+
+// System returns the clock of the operating system.
+func System() *Clock {
+	return New(bootTime, wallTime, afterFunc)
+}
+
+// Now returns the monotonic time, which includes suspended time.
+func (clock *Clock) Now() Millis {
+	return clock.now()
+}
+
+// Wall returns the time of day since the Unix epoch.
+func (clock *Clock) Wall() Millis {
+	return clock.wall()
+}
+
+// AfterFunc calls fire after the delay. Stop reports whether it prevented
+// the call.
+func (clock *Clock) AfterFunc(delay Millis, fire func()) (stop func() bool) {
+	return clock.after(delay, fire)
+}
+
+// Wait blocks until the delay has passed or the context ends, and returns the
+// context's error in the second case.
+func (clock *Clock) Wait(ctx context.Context, delay Millis) error {
+	done := make(chan struct{})
+	stop := clock.after(delay, func() { close(done) })
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		stop()
+		return ctx.Err()
+	}
+}
+
+// WithTimeout returns a context that is cancelled after the delay.
+func (clock *Clock) WithTimeout(ctx context.Context, delay Millis) (context.Context, context.CancelFunc) {
+	timed, cancel := context.WithCancelCause(ctx)
+	stop := clock.after(delay, func() { cancel(context.DeadlineExceeded) })
+	return timed, func() {
+		stop()
+		cancel(context.Canceled)
+	}
+}
+
+func bootTime() Millis {
+	var spec unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &spec); err != nil {
+		return wallTime()
+	}
+	return Millis(spec.Nano() / int64(time.Millisecond))
+}
+
+func wallTime() Millis {
+	return Millis(time.Now().UnixMilli())
+}
+
+func afterFunc(delay Millis, fire func()) func() bool {
+	return time.AfterFunc(delay.Duration(), fire).Stop
+}
--- /dev/null
+++ b/internal/clock/manual.go
@@ -0,0 +1,108 @@
+package clock
+
+import (
+	"sort"
+	"sync"
+)
+
+// Manual is a clock that stands still until Advance is called. Tests and the
+// policy measurement use it as virtual time. Timers fire in order of time on
+// the goroutine that advances the clock.
+type Manual struct {
+	mutex  sync.Mutex
+	now    Millis
+	serial int64
+	timers []*manualTimer
+}
+
+type manualTimer struct {
+	at     Millis
+	serial int64
+	fire   func()
+}
+
+// NewManual returns a manual clock that stands at start.
+func NewManual(start Millis) *Manual {
+	return &Manual{now: start}
+}
+
+// Clock returns the clock that reads this manual time, both as monotonic time
+// and as time of day.
+func (manual *Manual) Clock() *Clock {
+	return New(manual.Now, manual.Now, manual.AfterFunc)
+}
+
+// Now returns the current manual time.
+func (manual *Manual) Now() Millis {
+	manual.mutex.Lock()
+	defer manual.mutex.Unlock()
+	return manual.now
+}
+
+// AfterFunc registers a timer.
+func (manual *Manual) AfterFunc(delay Millis, fire func()) func() bool {
+	manual.mutex.Lock()
+	defer manual.mutex.Unlock()
+	manual.serial++
+	timer := &manualTimer{at: manual.now + max(delay, 0), serial: manual.serial, fire: fire}
+	manual.timers = append(manual.timers, timer)
+	return func() bool { return manual.remove(timer) }
+}
+
+// Advance moves the time forward and fires the timers that become due.
+func (manual *Manual) Advance(delta Millis) {
+	target := manual.Now() + delta
+	for {
+		timer := manual.takeDue(target)
+		if timer == nil {
+			return
+		}
+		timer.fire()
+	}
+}
+
+// Next returns the time of the earliest timer, and false if there is none.
+func (manual *Manual) Next() (Millis, bool) {
+	manual.mutex.Lock()
+	defer manual.mutex.Unlock()
+	manual.sort()
+	if len(manual.timers) == 0 {
+		return 0, false
+	}
+	return manual.timers[0].at, true
+}
+
+func (manual *Manual) takeDue(target Millis) *manualTimer {
+	manual.mutex.Lock()
+	defer manual.mutex.Unlock()
+	manual.sort()
+	if len(manual.timers) == 0 || manual.timers[0].at > target {
+		manual.now = max(manual.now, target)
+		return nil
+	}
+	timer := manual.timers[0]
+	manual.timers = manual.timers[1:]
+	manual.now = max(manual.now, timer.at)
+	return timer
+}
+
+func (manual *Manual) sort() {
+	sort.Slice(manual.timers, func(i, j int) bool {
+		if manual.timers[i].at != manual.timers[j].at {
+			return manual.timers[i].at < manual.timers[j].at
+		}
+		return manual.timers[i].serial < manual.timers[j].serial
+	})
+}
+
+func (manual *Manual) remove(timer *manualTimer) bool {
+	manual.mutex.Lock()
+	defer manual.mutex.Unlock()
+	for i, candidate := range manual.timers {
+		if candidate == timer {
+			manual.timers = append(manual.timers[:i], manual.timers[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,74 @@
+package operator
+
+import "sapphirehead/internal/node"
+
+// Status is what one node reports to operators.
+type Status struct {
+	self    node.Member
+	members []node.Member
+	servers []ServerStatus
+}
+
+// NewStatus returns the report of a node about itself, its live fellow nodes
+// and the backend servers.
+func NewStatus(self node.Member, members []node.Member, servers []ServerStatus) Status {
+	return Status{self: self, members: members, servers: servers}
+}
+
+// Self returns the reporting node.
+func (status Status) Self() node.Member { return status.self }
+
+// Members returns the live fellow nodes.
+func (status Status) Members() []node.Member { return status.members }
+
+// Servers returns the backend servers.
+func (status Status) Servers() []ServerStatus { return status.servers }
+
+// InForce returns how many live nodes, out of how many, have at least the
+// version of the tables in force.
+func (status Status) InForce(version int64) (have, all int) {
+	for _, member := range append([]node.Member{status.self}, status.members...) {
+		all++
+		if member.TablesVersion() >= version {
+			have++
+		}
+	}
+	return have, all
+}
+
+// ServerStatus is the report about one backend server.
+type ServerStatus struct {
+	id         string
+	address    string
+	dataCentre string
+	pool       string
+	leaving    bool
+	inFlight   int64
+	failures   int64
+}
+
+// NewServerStatus returns the report about a backend server.
+func NewServerStatus(id, address, dataCentre, pool string, leaving bool, inFlight, failures int64) ServerStatus {
+	return ServerStatus{id: id, address: address, dataCentre: dataCentre, pool: pool, leaving: leaving, inFlight: inFlight, failures: failures}
+}
+
+// ID returns the identity of the server.
+func (status ServerStatus) ID() string { return status.id }
+
+// Address returns the server's host and port.
+func (status ServerStatus) Address() string { return status.address }
+
+// DataCentre returns the server's data centre.
+func (status ServerStatus) DataCentre() string { return status.dataCentre }
+
+// Pool returns the server's pool.
+func (status ServerStatus) Pool() string { return status.pool }
+
+// Leaving reports whether the server gets no new work.
+func (status ServerStatus) Leaving() bool { return status.leaving }
+
+// InFlight returns the number of attempts of the reporting node.
+func (status ServerStatus) InFlight() int64 { return status.inFlight }
+
+// Failures returns the number of failures in a row.
+func (status ServerStatus) Failures() int64 { return status.failures }
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,132 @@
+// Package platform is the object API of the platform as the system uses it:
+// versioned objects, conditional writes and watches.
+//
+// A conditional write has three results, and the third is not an error that a
+// caller may treat as failure: it committed, it was refused because the
+// version moved (ConflictError), or nobody knows (UnavailableError with
+// Unknown set), because the answer was lost after the write may have taken
+// effect. Whoever gets the third result reads back before acting.
+package platform
+
+import (
+	"context"
+	"fmt"
+)
+
+// Kinds of objects that the system keeps.
+const (
+	KindTables = "tables"
+	KindClaims = "claims"
+	KindLeases = "leases"
+)
+
+// TablesName is the name of the one object that holds both tables.
+const TablesName = "current"
+
+// VersionNone is the condition that an object must not exist yet.
+const VersionNone int64 = 0
+
+// Object is one stored object at one version.
+type Object struct {
+	version int64
+	body    []byte
+}
+
+// NewObject returns an object with the body at the version.
+func NewObject(version int64, body []byte) Object { return Object{version: version, body: body} }
+
+// Version returns the version, which rises with each write of the object.
+func (object Object) Version() int64 { return object.version }
+
+// Body returns the stored bytes.
+func (object Object) Body() []byte { return object.body }
+
+// Store calls the object API through function fields.
+type Store struct {
+	get   func(ctx context.Context, kind, name string) (Object, error)
+	put   func(ctx context.Context, kind, name string, body []byte, condition int64) (int64, error)
+	watch func(ctx context.Context, kind, name string, after int64) (Object, error)
+}
+
+// NewStore returns a store over the given calls. See Get, Put and Watch for
+// what each must do.
+func NewStore(
+	get func(ctx context.Context, kind, name string) (Object, error),
+	put func(ctx context.Context, kind, name string, body []byte, condition int64) (int64, error),
+	watch func(ctx context.Context, kind, name string, after int64) (Object, error),
+) *Store {
+	return &Store{get: get, put: put, watch: watch}
+}
+
+// Get reads an object. Errors: *NotFoundError, *UnavailableError.
+func (store *Store) Get(ctx context.Context, kind, name string) (Object, error) {
+	return store.get(ctx, kind, name)
+}
+
+// Put writes an object if its version still is the condition, and returns the
+// new version. Errors: *ConflictError, *UnavailableError.
+func (store *Store) Put(ctx context.Context, kind, name string, body []byte, condition int64) (int64, error) {
+	return store.put(ctx, kind, name, body, condition)
+}
+
+// Watch waits until the object's version differs from after and returns it.
+// It may return the unchanged object when the platform ends the wait.
+func (store *Store) Watch(ctx context.Context, kind, name string, after int64) (Object, error) {
+	return store.watch(ctx, kind, name, after)
+}
+
+// NotFoundError says that there is no such object.
+type NotFoundError struct {
+	kind string
+	name string
+}
+
+// NewNotFoundError returns an error for the object.
+func NewNotFoundError(kind, name string) *NotFoundError {
+	return &NotFoundError{kind: kind, name: name}
+}
+
+func (err *NotFoundError) Error() string {
+	return fmt.Sprintf("object %s/%s does not exist", err.kind, err.name)
+}
+
+// ConflictError says that a conditional write was refused.
+type ConflictError struct {
+	kind      string
+	name      string
+	condition int64
+}
+
+// NewConflictError returns an error for the write under the condition.
+func NewConflictError(kind, name string, condition int64) *ConflictError {
+	return &ConflictError{kind: kind, name: name, condition: condition}
+}
+
+func (err *ConflictError) Error() string {
+	return fmt.Sprintf("object %s/%s is no longer at version %d", err.kind, err.name, err.condition)
+}
+
+// UnavailableError says that the platform gave no usable answer.
+type UnavailableError struct {
+	unknown bool
+	cause   error
+}
+
+// NewUnavailableError returns an error with its cause. Unknown is set if a
+// write may have taken effect.
+func NewUnavailableError(unknown bool, cause error) *UnavailableError {
+	return &UnavailableError{unknown: unknown, cause: cause}
+}
+
+// Unknown reports whether a write may have taken effect.
+func (err *UnavailableError) Unknown() bool { return err.unknown }
+
+// Unwrap returns the cause.
+func (err *UnavailableError) Unwrap() error { return err.cause }
+
+func (err *UnavailableError) Error() string {
+	if err.unknown {
+		return fmt.Sprintf("platform gave no answer, the write may have taken effect: %v", err.cause)
+	}
+	return fmt.Sprintf("platform is unavailable: %v", err.cause)
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,184 @@
+// Package pool describes one row of the table of pools: which models,
+// adapters and versions serve there, on which class of host, how many hosts
+// are wanted, and what its backend servers promise about orders and repeated
+// keys.
+//
+//	runners := pool.New("runners", pool.KindRunner).
+//		WithModels(pool.NewModel("desk-small", "v1")).WithHosts("gpu-small", 2, 10)
+package pool
+
+import "slices"
+
+// Kind tells what the backend servers of a pool are.
+type Kind int
+
+// The kinds of pool.
+const (
+	// KindRunner pools hold model runners.
+	KindRunner Kind = iota + 1
+	// KindService pools hold application services.
+	KindService
+)
+
+const (
+	kindNameRunner  = "runner"
+	kindNameService = "service"
+)
+
+// String returns the name of the kind as the tables write it.
+func (kind Kind) String() string {
+	switch kind {
+	case KindRunner:
+		return kindNameRunner
+	case KindService:
+		return kindNameService
+	default:
+		return "unknown"
+	}
+}
+
+// ParseKind returns the kind with the given name, and false if there is none.
+func ParseKind(name string) (Kind, bool) {
+	switch name {
+	case kindNameRunner:
+		return KindRunner, true
+	case kindNameService:
+		return KindService, true
+	default:
+		return 0, false
+	}
+}
+
+// Model names weights that the runners of a pool serve.
+type Model struct {
+	name     string
+	version  string
+	adapters []string
+}
+
+// NewModel returns a model with the given adapters.
+func NewModel(name, version string, adapters ...string) Model {
+	return Model{name: name, version: version, adapters: slices.Clone(adapters)}
+}
+
+// Name returns the name that callers ask for.
+func (model Model) Name() string { return model.name }
+
+// Version returns the version of the weights.
+func (model Model) Version() string { return model.version }
+
+// Adapters returns the names of the adapters served beside the model.
+func (model Model) Adapters() []string { return slices.Clone(model.adapters) }
+
+// Equal reports whether both name the same weights and adapters.
+func (model Model) Equal(other Model) bool {
+	return model.name == other.name && model.version == other.version && slices.Equal(model.adapters, other.adapters)
+}
+
+// Pool is one row of the table of pools.
+type Pool struct {
+	name          string
+	kind          Kind
+	models        []Model
+	hostClass     string
+	minHosts      int
+	maxHosts      int
+	slots         int
+	ignoresFence  bool
+	refusesRepeat bool
+	revision      int64
+}
+
+// DefaultSlots is the number of requests that one backend server works on at
+// the same time.
+const DefaultSlots = 8
+
+// New returns a pool without models or hosts.
+func New(name string, kind Kind) Pool {
+	return Pool{name: name, kind: kind, slots: DefaultSlots}
+}
+
+// Name returns the name of the row.
+func (pool Pool) Name() string { return pool.name }
+
+// Kind returns the kind of backend server in the pool.
+func (pool Pool) Kind() Kind { return pool.kind }
+
+// Models returns the models served by the pool.
+func (pool Pool) Models() []Model { return slices.Clone(pool.models) }
+
+// HostClass returns the class of host that the pool runs on.
+func (pool Pool) HostClass() string { return pool.hostClass }
+
+// MinHosts returns the least number of hosts wanted.
+func (pool Pool) MinHosts() int { return pool.minHosts }
+
+// MaxHosts returns the greatest number of hosts allowed.
+func (pool Pool) MaxHosts() int { return pool.maxHosts }
+
+// Slots returns the number of requests that one backend server works on at
+// the same time.
+func (pool Pool) Slots() int { return pool.slots }
+
+// IgnoresFence reports whether the runners ignore fencing numbers of orders.
+func (pool Pool) IgnoresFence() bool { return pool.ignoresFence }
+
+// RefusesRepeat reports whether the service itself refuses repeated
+// idempotency keys.
+func (pool Pool) RefusesRepeat() bool { return pool.refusesRepeat }
+
+// Revision returns the version of the tables that last changed the row.
+func (pool Pool) Revision() int64 { return pool.revision }
+
+// Serves reports whether the pool serves the model or adapter.
+func (pool Pool) Serves(name string) bool {
+	return slices.ContainsFunc(pool.models, func(model Model) bool {
+		return model.name == name || slices.Contains(model.adapters, name)
+	})
+}
+
+// Equal reports whether both rows say the same, leaving the revision aside.
+func (pool Pool) Equal(other Pool) bool {
+	same := slices.EqualFunc(pool.models, other.models, Model.Equal)
+	return same && pool.name == other.name && pool.kind == other.kind && pool.hostClass == other.hostClass &&
+		pool.minHosts == other.minHosts && pool.maxHosts == other.maxHosts && pool.slots == other.slots &&
+		pool.ignoresFence == other.ignoresFence && pool.refusesRepeat == other.refusesRepeat
+}
+
+// WithModels returns a copy that serves the given models.
+func (pool Pool) WithModels(models ...Model) Pool {
+	pool.models = slices.Clone(models)
+	return pool
+}
+
+// WithHosts returns a copy with the given host class and bounds.
+func (pool Pool) WithHosts(hostClass string, minHosts, maxHosts int) Pool {
+	pool.hostClass = hostClass
+	pool.minHosts = minHosts
+	pool.maxHosts = maxHosts
+	return pool
+}
+
+// WithSlots returns a copy with the given slots for each backend server.
+func (pool Pool) WithSlots(slots int) Pool {
+	pool.slots = slots
+	return pool
+}
+
+// WithIgnoresFence returns a copy whose runners ignore fencing numbers or not.
+func (pool Pool) WithIgnoresFence(ignoresFence bool) Pool {
+	pool.ignoresFence = ignoresFence
+	return pool
+}
+
+// WithRefusesRepeat returns a copy whose service refuses repeated keys or not.
+func (pool Pool) WithRefusesRepeat(refusesRepeat bool) Pool {
+	pool.refusesRepeat = refusesRepeat
+	return pool
+}
+
+// WithRevision returns a copy that was last changed at the given version.
+func (pool Pool) WithRevision(revision int64) Pool {
+	pool.revision = revision
+	return pool
+}
--- /dev/null
+++ b/internal/request/action.go
@@ -0,0 +1,119 @@
+package request
+
+import "sapphirehead/internal/backend"
+
+// ActionKind tells the driver what to do next.
+type ActionKind int
+
+// The kinds of action.
+const (
+	// ActionClaim asks for the right to run.
+	ActionClaim ActionKind = iota + 1
+	// ActionAttempt asks for an attempt at a backend server.
+	ActionAttempt
+	// ActionRead asks to go on reading the current attempt.
+	ActionRead
+	// ActionFinish says that the answer is whole.
+	ActionFinish
+	// ActionReplay says that the recorded answer is to be given again.
+	ActionReplay
+	// ActionFail ends the request with the action's error.
+	ActionFail
+)
+
+// AttemptMode tells how an attempt begins.
+type AttemptMode int
+
+// The modes of an attempt.
+const (
+	// AttemptFresh sends the request from its beginning.
+	AttemptFresh AttemptMode = iota + 1
+	// AttemptResume asks the same server for its stream from an offset.
+	AttemptResume
+	// AttemptContinue sends prompt and tokens so far to another server.
+	AttemptContinue
+)
+
+// Action is one instruction of a flow to its driver.
+type Action struct {
+	kind    ActionKind
+	attempt Attempt
+	err     error
+}
+
+// Kind returns what to do.
+func (action Action) Kind() ActionKind { return action.kind }
+
+// Attempt returns the attempt to make; only for ActionAttempt.
+func (action Action) Attempt() Attempt { return action.attempt }
+
+// Err returns why the request failed; only for ActionFail. It is a
+// *NotRunError, an *OutcomeUnknownError or an *IncompleteError.
+func (action Action) Err() error { return action.err }
+
+// Attempt is one try to get the answer, or the rest of it, from one server.
+type Attempt struct {
+	number   int
+	mode     AttemptMode
+	server   *backend.Server
+	offset   int
+	streamID string
+	tokens   []string
+}
+
+// Number returns the attempt's number within the request, from 1.
+func (attempt Attempt) Number() int { return attempt.number }
+
+// Mode returns how the attempt begins.
+func (attempt Attempt) Mode() AttemptMode { return attempt.mode }
+
+// Server returns the backend server to use.
+func (attempt Attempt) Server() *backend.Server { return attempt.server }
+
+// Offset returns the number of tokens already accepted.
+func (attempt Attempt) Offset() int { return attempt.offset }
+
+// StreamID returns the id of the server's stream; only for AttemptResume.
+func (attempt Attempt) StreamID() string { return attempt.streamID }
+
+// Tokens returns the tokens accepted so far. Callers must not change them.
+func (attempt Attempt) Tokens() []string { return attempt.tokens }
+
+// Cause tells why an attempt broke off.
+type Cause int
+
+// The causes of a broken attempt.
+const (
+	// CauseNotSent means that no byte can have reached the server.
+	CauseNotSent Cause = iota + 1
+	// CauseRefused means that the server said it did not run the request.
+	CauseRefused
+	// CauseCut means that the connection broke after bytes were sent.
+	CauseCut
+	// CauseSilent means that the progress timer ran out.
+	CauseSilent
+	// CauseLeaving means that the server is leaving and the stream must move.
+	CauseLeaving
+	// CauseGone means that the server no longer knows the stream.
+	CauseGone
+)
+
+// String returns the name of the cause for logs.
+func (cause Cause) String() string {
+	switch cause {
+	case CauseNotSent:
+		return "notSent"
+	case CauseRefused:
+		return "refused"
+	case CauseCut:
+		return "cut"
+	case CauseSilent:
+		return "silent"
+	case CauseLeaving:
+		return "leaving"
+	case CauseGone:
+		return "gone"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/internal/request/errors.go
@@ -0,0 +1,74 @@
+package request
+
+import (
+	"fmt"
+
+	"sapphirehead/internal/clock"
+)
+
+// NotRunError says that the request was not run: no byte of it can have
+// reached a backend server, or the server itself said that it did not run it.
+type NotRunError struct {
+	reason     string
+	retryAfter clock.Millis
+	overLimit  bool
+}
+
+// NewNotRunError returns an error for a lack of capacity.
+func NewNotRunError(reason string, retryAfter clock.Millis) *NotRunError {
+	return &NotRunError{reason: reason, retryAfter: retryAfter}
+}
+
+// NewOverLimitError returns an error for a client account over its limit.
+func NewOverLimitError(reason string, retryAfter clock.Millis) *NotRunError {
+	return &NotRunError{reason: reason, retryAfter: retryAfter, overLimit: true}
+}
+
+// Reason returns why the request was refused.
+func (err *NotRunError) Reason() string { return err.reason }
+
+// RetryAfter returns when a repeat may be accepted.
+func (err *NotRunError) RetryAfter() clock.Millis { return err.retryAfter }
+
+// OverLimit reports whether the client account's own limit was the reason.
+func (err *NotRunError) OverLimit() bool { return err.overLimit }
+
+func (err *NotRunError) Error() string { return "request was not run: " + err.reason }
+
+// OutcomeUnknownError says that the request may have run and must not be sent
+// again under another key.
+type OutcomeUnknownError struct {
+	id     string
+	reason string
+}
+
+// NewOutcomeUnknownError returns an error for the request.
+func NewOutcomeUnknownError(id, reason string) *OutcomeUnknownError {
+	return &OutcomeUnknownError{id: id, reason: reason}
+}
+
+// ID returns the id of the request.
+func (err *OutcomeUnknownError) ID() string { return err.id }
+
+func (err *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("outcome of request %s is unknown: %s", err.id, err.reason)
+}
+
+// IncompleteError says that an idempotent request got no whole answer in
+// time. It may be repeated.
+type IncompleteError struct {
+	id     string
+	reason string
+}
+
+// NewIncompleteError returns an error for the request.
+func NewIncompleteError(id, reason string) *IncompleteError {
+	return &IncompleteError{id: id, reason: reason}
+}
+
+// ID returns the id of the request.
+func (err *IncompleteError) ID() string { return err.id }
+
+func (err *IncompleteError) Error() string {
+	return fmt.Sprintf("request %s got no whole answer: %s", err.id, err.reason)
+}
--- /dev/null
+++ b/internal/request/request.go
@@ -0,0 +1,100 @@
+// Package request decides what happens to one request from its acceptance to
+// its whole answer. It performs no input or output: a driver reports each
+// event to a Flow and carries out the Action that the flow returns.
+//
+//	driver                         flow
+//	Start()                     -> ActionClaim
+//	Claimed(granted)            -> ActionAttempt (attempt 1 at runner A, offset 0)
+//	Chunk(1, 0, "The", " log")  -> ActionRead, deliver "The log"
+//	Broken(1, CauseCut)         -> ActionAttempt (attempt 2 at runner B, offset 2)
+//	Chunk(1, 2, "!")            -> ActionRead, nothing: attempt 1 was abandoned
+//	Chunk(2, 2, " is clean")    -> ActionRead, deliver " is clean"
+//	Ended(2, 3)                 -> ActionFinish
+package request
+
+import (
+	"slices"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/route"
+)
+
+// Prompt is what a model runner is asked to answer.
+type Prompt struct {
+	model     string
+	messages  []Message
+	maxTokens int
+	seed      int64
+}
+
+// Message is one turn of a conversation.
+type Message struct {
+	role    string
+	content string
+}
+
+// NewMessage returns a turn by the role, as in "user".
+func NewMessage(role, content string) Message { return Message{role: role, content: content} }
+
+// Role returns who speaks.
+func (message Message) Role() string { return message.role }
+
+// Content returns what is said.
+func (message Message) Content() string { return message.content }
+
+// NewPrompt returns a prompt. MaxTokens 0 leaves the length to the runner.
+func NewPrompt(model string, messages []Message, maxTokens int, seed int64) Prompt {
+	return Prompt{model: model, messages: slices.Clone(messages), maxTokens: maxTokens, seed: seed}
+}
+
+// Model returns the model or adapter that is asked for.
+func (prompt Prompt) Model() string { return prompt.model }
+
+// Messages returns the conversation. Callers must not change the slice.
+func (prompt Prompt) Messages() []Message { return prompt.messages }
+
+// MaxTokens returns the bound on generated tokens, or 0.
+func (prompt Prompt) MaxTokens() int { return prompt.maxTokens }
+
+// Seed returns the sampling seed.
+func (prompt Prompt) Seed() int64 { return prompt.seed }
+
+// Request is one request of a caller. It does not change.
+type Request struct {
+	id       string
+	account  string
+	route    route.Route
+	key      string
+	prompt   Prompt
+	received clock.Millis
+}
+
+// New returns a request of the client account on the route. The key is the
+// caller's idempotency key or empty.
+func New(id, account string, on route.Route, key string, prompt Prompt, received clock.Millis) *Request {
+	return &Request{id: id, account: account, route: on, key: key, prompt: prompt, received: received}
+}
+
+// ID returns the system's identity of the request.
+func (request *Request) ID() string { return request.id }
+
+// Account returns the name of the client account.
+func (request *Request) Account() string { return request.account }
+
+// Route returns the route as it was when the request was accepted.
+func (request *Request) Route() route.Route { return request.route }
+
+// Key returns the caller's idempotency key, or empty.
+func (request *Request) Key() string { return request.key }
+
+// Prompt returns the prompt of a chat request.
+func (request *Request) Prompt() Prompt { return request.prompt }
+
+// Received returns when the request arrived.
+func (request *Request) Received() clock.Millis { return request.received }
+
+// Deadline returns when the whole answer is due.
+func (request *Request) Deadline() clock.Millis { return request.received + request.route.Deadline() }
+
+// NeedsClaim reports whether the right to run must be claimed first.
+func (request *Request) NeedsClaim() bool { return request.route.NonIdempotent() && request.key != "" }
--- /dev/null
+++ b/internal/request/whole_test.go
@@ -0,0 +1,176 @@
+package request_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/caller"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/platform"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
+	"sapphirehead/internal/runner"
+	"sapphirehead/internal/service"
+)
+
+// decisionSide is the whole decision side of a node, built in one process
+// without a socket. Its platform is a map.
+type decisionSide struct {
+	manual    *clock.Manual
+	fleet     *backend.Fleet
+	admission *caller.Admission
+	ledger    *service.Ledger
+	chooser   *runner.Chooser
+}
+
+func newDecisionSide() *decisionSide {
+	manual := clock.NewManual(1000)
+	fleet := backend.NewFleet()
+	shards := map[int]service.Shard{}
+	versions := map[int]int64{}
+	load := func(_ context.Context, shard int) (service.Shard, int64, error) {
+		return shards[shard], versions[shard], nil
+	}
+	commit := func(_ context.Context, shard int, claims service.Shard, condition int64) error {
+		if versions[shard] != condition {
+			return platform.NewConflictError(platform.KindClaims, "", condition)
+		}
+		shards[shard], versions[shard] = claims, condition+1
+		return nil
+	}
+	return &decisionSide{
+		manual:    manual,
+		fleet:     fleet,
+		admission: caller.NewAdmission(10),
+		ledger:    service.NewLedger(manual.Clock(), service.DefaultWindow, load, commit),
+		chooser:   runner.NewChooser(fleet, "lj-a", func(int) int { return 0 }),
+	}
+}
+
+func (side *decisionSide) list(ids ...string) {
+	var list []backend.Listed
+	for _, id := range ids {
+		list = append(list, backend.NewListed(backend.NewServer(id, id+":1", "lj-a", "gpu-small", "runners"), false))
+	}
+	side.fleet.Update(list)
+}
+
+func (side *decisionSide) flow(to *request.Request) *request.Flow {
+	choose := func(to *request.Request, exclude []string) (*backend.Server, bool) {
+		return side.chooser.Choose(to.Route().Pool(), exclude)
+	}
+	return request.NewFlow(to, side.manual.Clock(), choose, func(*request.Request) bool { return true })
+}
+
+func expectAttempt(t *testing.T, action request.Action, mode request.AttemptMode, server string, offset int) request.Attempt {
+	t.Helper()
+	require.Equal(t, request.ActionAttempt, action.Kind(), "error: %v", action.Err())
+	attempt := action.Attempt()
+	require.Equal(t, mode, attempt.Mode())
+	require.Equal(t, server, attempt.Server().ID())
+	require.Equal(t, offset, attempt.Offset())
+	return attempt
+}
+
+// TestWholeRequest drives a request from admission to its whole answer: it is
+// claimed, runs at a runner that is cut and cannot be resumed, continues at
+// another while chunks of the first still arrive, and is recorded. A repeat of
+// the same key gets the recorded answer.
+func TestWholeRequest(t *testing.T) {
+	side := newDecisionSide()
+	side.list("runner-1", "runner-2")
+	ctx := context.Background()
+	on := route.New("reports", route.KindChat, "runners").WithModel("desk-small").WithNonIdempotent(false)
+
+	account := caller.NewAccount("garage-north", 1)
+	release, err := side.admission.Admit(account)
+	require.NoError(t, err)
+	_, err = side.admission.Admit(account)
+	var notRun *request.NotRunError
+	require.ErrorAs(t, err, &notRun)
+	require.True(t, notRun.OverLimit())
+
+	to := request.New("req-1", account.Name(), on, "key-1", request.Prompt{}, side.manual.Now())
+	claim, _ := side.ledger.Claim(ctx, to.Account(), to.Key(), to.ID())
+	require.Equal(t, request.ClaimGranted, claim)
+
+	flow := side.flow(to)
+	first := expectAttempt(t, flow.Start(), request.AttemptFresh, "runner-1", 0)
+	flow.Sent(first.Number())
+	flow.Stream(first.Number(), "stream-1")
+	ready, _ := flow.Chunk(first.Number(), 0, []string{"The", " log"})
+	require.Equal(t, []string{"The", " log"}, ready)
+
+	resume := expectAttempt(t, flow.Broken(first.Number(), request.CauseCut), request.AttemptResume, "runner-1", 2)
+	require.Equal(t, "stream-1", resume.StreamID())
+	side.fleet.MarkLeaving("runner-1")
+	second := expectAttempt(t, flow.Broken(resume.Number(), request.CauseGone), request.AttemptContinue, "runner-2", 2)
+	require.Equal(t, []string{"The", " log"}, second.Tokens())
+
+	flow.Sent(second.Number())
+	ready, action := flow.Chunk(first.Number(), 2, []string{" lies"})
+	require.Empty(t, ready)
+	require.Equal(t, request.ActionRead, action.Kind())
+	ready, _ = flow.Chunk(second.Number(), 3, []string{" clean"})
+	require.Empty(t, ready)
+	ready, _ = flow.Chunk(second.Number(), 2, []string{" is"})
+	require.Equal(t, []string{" is", " clean"}, ready)
+	require.Equal(t, request.ActionFinish, flow.Ended(second.Number(), 4).Kind())
+
+	text := strings.Join(flow.Tokens(), "")
+	require.Equal(t, "The log is clean", text)
+	answer := service.NewAnswer(200, "text/plain", []byte(text))
+	require.NoError(t, side.ledger.Record(ctx, to.Account(), to.Key(), to.ID(), answer))
+	release()
+	require.Zero(t, side.admission.InFlight())
+
+	claim, recorded := side.ledger.Claim(ctx, "garage-north", "key-1", "req-2")
+	require.Equal(t, request.ClaimRecorded, claim)
+	require.Equal(t, text, string(recorded.Body()))
+}
+
+func expectFailure[E error](t *testing.T, action request.Action) {
+	t.Helper()
+	require.Equal(t, request.ActionFail, action.Kind())
+	var wanted E
+	require.ErrorAs(t, action.Err(), &wanted)
+}
+
+// TestNonIdempotentBreak checks what a broken attempt of a call with side
+// effects becomes, by what is known of its bytes.
+func TestNonIdempotentBreak(t *testing.T) {
+	booking := route.New("bookings", route.KindService, "runners").WithPath("/bookings").WithNonIdempotent(true)
+	begin := func() (*request.Flow, request.Attempt) {
+		side := newDecisionSide()
+		side.list("booking-1", "booking-2")
+		flow := side.flow(request.New("req-1", "garage-north", booking, "", request.Prompt{}, side.manual.Now()))
+		return flow, expectAttempt(t, flow.Start(), request.AttemptFresh, "booking-1", 0)
+	}
+	t.Run("not sent: tried at another server", func(t *testing.T) {
+		flow, attempt := begin()
+		expectAttempt(t, flow.Broken(attempt.Number(), request.CauseNotSent), request.AttemptFresh, "booking-2", 0)
+	})
+	t.Run("refused by the server: tried at another server", func(t *testing.T) {
+		flow, attempt := begin()
+		expectAttempt(t, flow.Broken(attempt.Number(), request.CauseRefused), request.AttemptFresh, "booking-2", 0)
+	})
+	t.Run("cut after sending: outcome unknown", func(t *testing.T) {
+		flow, attempt := begin()
+		flow.Sent(attempt.Number())
+		expectFailure[*request.OutcomeUnknownError](t, flow.Broken(attempt.Number(), request.CauseCut))
+	})
+	t.Run("silent after sending: outcome unknown", func(t *testing.T) {
+		flow, attempt := begin()
+		flow.Sent(attempt.Number())
+		expectFailure[*request.OutcomeUnknownError](t, flow.Broken(attempt.Number(), request.CauseSilent))
+	})
+	t.Run("no server left and nothing sent: not run", func(t *testing.T) {
+		flow, attempt := begin()
+		second := expectAttempt(t, flow.Broken(attempt.Number(), request.CauseNotSent), request.AttemptFresh, "booking-2", 0)
+		expectFailure[*request.NotRunError](t, flow.Broken(second.Number(), request.CauseNotSent))
+	})
+}
--- /dev/null
+++ b/internal/runner/chooser.go
@@ -0,0 +1,63 @@
+// Package runner holds what the system knows and decides about model runners.
+package runner
+
+import (
+	"slices"
+
+	"sapphirehead/internal/backend"
+)
+
+// Chooser picks the backend server for an attempt.
+type Chooser struct {
+	fleet    *backend.Fleet
+	dc       string
+	random   func(n int) int
+	breakAt  int64
+	remoteMs float64
+}
+
+// failuresToAvoid is the run of failures after which a server is used only if
+// there is no other.
+const failuresToAvoid = 3
+
+// NewChooser returns a chooser for a node in the data centre. The function
+// random returns a number from 0 to n-1.
+func NewChooser(fleet *backend.Fleet, dataCentre string, random func(n int) int) *Chooser {
+	return &Chooser{fleet: fleet, dc: dataCentre, random: random, breakAt: failuresToAvoid, remoteMs: 1}
+}
+
+// Choose returns the server of the pool with the least work of which this node
+// knows, leaving out excluded and leaving ones.
+func (chooser *Chooser) Choose(pool string, exclude []string) (*backend.Server, bool) {
+	servers := chooser.fleet.Current().Pool(pool)
+	var best *backend.Server
+	bestScore := 0.0
+	if len(servers) == 0 {
+		return nil, false
+	}
+	start := chooser.random(len(servers))
+	for i := range servers {
+		server := servers[(start+i)%len(servers)]
+		if server.Leaving() || slices.Contains(exclude, server.ID()) {
+			continue
+		}
+		if score := chooser.score(server); best == nil || score < bestScore {
+			best, bestScore = server, score
+		}
+	}
+	return best, best != nil
+}
+
+func (chooser *Chooser) score(server *backend.Server) float64 {
+	score := float64(server.InFlight())
+	if load := server.Load(); load != nil {
+		score = max(score, float64(load.Running()+load.Queued()))
+	}
+	if server.DataCentre() != chooser.dc {
+		score += chooser.remoteMs
+	}
+	if server.Failures() >= chooser.breakAt {
+		score += 1000
+	}
+	return score
+}
--- /dev/null
+++ b/internal/table/difference.go
@@ -0,0 +1,34 @@
+package table
+
+// Difference returns the edit that makes these tables say what the wanted ones
+// say. Rows that the wanted tables lack are removed.
+func (tables *Tables) Difference(id string, wanted *Tables) *Edit {
+	edit := NewEdit(id)
+	for _, row := range wanted.Routes() {
+		stored, ok := tables.Route(row.Name())
+		if !ok || stored.WithRevision(0) != row.WithRevision(0) {
+			edit.SetRoute(row, stored.Revision())
+		}
+	}
+	for _, row := range wanted.Pools() {
+		stored, ok := tables.Pool(row.Name())
+		if !ok || !stored.Equal(row) {
+			edit.SetPool(row, stored.Revision())
+		}
+	}
+	tables.removeMissing(edit, wanted)
+	return edit
+}
+
+func (tables *Tables) removeMissing(edit *Edit, wanted *Tables) {
+	for _, row := range tables.Routes() {
+		if _, ok := wanted.Route(row.Name()); !ok {
+			edit.Remove(RouteRow(row.Name()), row.Revision())
+		}
+	}
+	for _, row := range tables.Pools() {
+		if _, ok := wanted.Pool(row.Name()); !ok {
+			edit.Remove(PoolRow(row.Name()), row.Revision())
+		}
+	}
+}
