--- /dev/null
+++ b/cmd/sapphire-entry/main.go
@@ -0,0 +1,66 @@
+// Command sapphire-entry runs everything on the path of a request on one
+// entry host.
+package main
+
+import (
+	"expvar"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/entry"
+	"sapphirehead/internal/logging"
+	"sapphirehead/internal/program"
+	"sapphirehead/internal/settings"
+)
+
+type runCommand struct {
+	Settings string `help:"Settings file." required:"" type:"path"`
+}
+
+type checkCommand struct {
+	Settings string `help:"Settings file." required:"" type:"path"`
+}
+
+type commandLine struct {
+	Run     runCommand       `cmd:"" default:"withargs" help:"Serve callers, operators and fellow nodes."`
+	Check   checkCommand     `cmd:"" help:"Check the settings file and exit."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// Run serves until it is told to stop.
+func (command *runCommand) Run() error {
+	loaded, err := settings.LoadEntry(command.Settings)
+	if err != nil {
+		return err
+	}
+	log := logging.New(os.Stderr, "sapphire-entry", loaded.Host(), loaded.DataCentre())
+	host, err := entry.New(loaded, clock.System(), log)
+	if err != nil {
+		return err
+	}
+	expvar.Publish("sapphire", host.Counters())
+	program.PrintListening(map[string]string{
+		"caller": host.CallerAddress(), "operator": host.OperatorAddress(), "node": host.NodeAddress(),
+	})
+	stop, kill := program.Signals()
+	return host.Run(stop, kill)
+}
+
+// Run checks the settings.
+func (command *checkCommand) Run() error {
+	if _, err := settings.LoadEntry(command.Settings); err != nil {
+		return err
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
+
+func main() {
+	var line commandLine
+	context := kong.Parse(&line, kong.Name("sapphire-entry"), kong.Vars{"version": program.Version},
+		kong.Description("Serves callers, operators and fellow nodes on one entry host."))
+	context.FatalIfErrorf(context.Run())
+}
--- /dev/null
+++ b/cmd/sapphire-steward/main.go
@@ -0,0 +1,59 @@
+// Command sapphire-steward controls the fleet of backend servers from one
+// entry host, as far as it holds the leases to do so.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/logging"
+	"sapphirehead/internal/program"
+	"sapphirehead/internal/settings"
+	"sapphirehead/internal/steward"
+)
+
+type runCommand struct {
+	Settings string `help:"Settings file." required:"" type:"path"`
+}
+
+type checkCommand struct {
+	Settings string `help:"Settings file." required:"" type:"path"`
+}
+
+type commandLine struct {
+	Run     runCommand       `cmd:"" default:"withargs" help:"Control the fleet."`
+	Check   checkCommand     `cmd:"" help:"Check the settings file and exit."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// Run controls until it is told to stop.
+func (command *runCommand) Run() error {
+	loaded, err := settings.LoadSteward(command.Settings)
+	if err != nil {
+		return err
+	}
+	log := logging.New(os.Stderr, "sapphire-steward", loaded.Host(), loaded.DataCentre())
+	program.PrintListening(map[string]string{})
+	stop, _ := program.Signals()
+	steward.New(loaded, clock.System(), log).Run(stop)
+	return nil
+}
+
+// Run checks the settings.
+func (command *checkCommand) Run() error {
+	if _, err := settings.LoadSteward(command.Settings); err != nil {
+		return err
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
+
+func main() {
+	var line commandLine
+	context := kong.Parse(&line, kong.Name("sapphire-steward"), kong.Vars{"version": program.Version},
+		kong.Description("Controls the fleet of backend servers from one entry host."))
+	context.FatalIfErrorf(context.Run())
+}
--- /dev/null
+++ b/internal/caller/callerhttp/chat.go
@@ -0,0 +1,277 @@
+package callerhttp
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+)
+
+type statusForm struct {
+	Status string `json:"status"`
+}
+
+type modelForm struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelsForm struct {
+	Object string      `json:"object"`
+	Data   []modelForm `json:"data"`
+}
+
+type messageForm struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content,omitempty"`
+}
+
+type streamOptionsForm struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatForm struct {
+	Model               string             `json:"model"`
+	Messages            []messageForm      `json:"messages"`
+	MaxTokens           int                `json:"max_tokens"`
+	MaxCompletionTokens int                `json:"max_completion_tokens"`
+	Seed                int64              `json:"seed"`
+	Stream              bool               `json:"stream"`
+	StreamOptions       *streamOptionsForm `json:"stream_options"`
+	N                   int                `json:"n"`
+	contents            []string
+}
+
+type contentPartForm struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// decodeChat reads a call. Fields that the system does not use are allowed,
+// as stock client libraries send them. Errors are *CallError.
+func decodeChat(body []byte) (chatForm, error) {
+	var form chatForm
+	if err := json.Unmarshal(body, &form); err != nil {
+		return form, newCallError(http.StatusBadRequest, "badRequest", "the body is not a chat request: "+err.Error())
+	}
+	switch {
+	case form.Model == "":
+		return form, newCallError(http.StatusBadRequest, "badRequest", "model: missing")
+	case len(form.Messages) == 0:
+		return form, newCallError(http.StatusBadRequest, "badRequest", "messages: at least one is needed")
+	case form.MaxTokens < 0 || form.MaxCompletionTokens < 0:
+		return form, newCallError(http.StatusBadRequest, "badRequest", "max_tokens: allowed is 0 or more")
+	case form.N > 1:
+		return form, newCallError(http.StatusBadRequest, "badRequest", "n: only one answer is given for each request")
+	}
+	for i, message := range form.Messages {
+		content, err := decodeContent(message.Content)
+		if err != nil {
+			return form, newCallError(http.StatusBadRequest, "badRequest", fmt.Sprintf("messages[%d].content: allowed are a string or parts of type text", i))
+		}
+		form.contents = append(form.contents, content)
+	}
+	return form, nil
+}
+
+func decodeContent(raw json.RawMessage) (string, error) {
+	if len(raw) == 0 {
+		return "", nil
+	}
+	var text string
+	if err := json.Unmarshal(raw, &text); err == nil {
+		return text, nil
+	}
+	var parts []contentPartForm
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", err
+	}
+	var joined strings.Builder
+	for _, part := range parts {
+		if part.Type != "text" {
+			return "", fmt.Errorf("part of type %q", part.Type)
+		}
+		joined.WriteString(part.Text)
+	}
+	return joined.String(), nil
+}
+
+func (form chatForm) prompt() request.Prompt {
+	messages := make([]request.Message, 0, len(form.Messages))
+	for i, message := range form.Messages {
+		messages = append(messages, request.NewMessage(message.Role, form.contents[i]))
+	}
+	return request.NewPrompt(form.Model, messages, max(form.MaxTokens, form.MaxCompletionTokens), form.Seed)
+}
+
+type answerMessageForm struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type choiceForm struct {
+	Index        int               `json:"index"`
+	Message      answerMessageForm `json:"message"`
+	FinishReason string            `json:"finish_reason"`
+}
+
+type usageForm struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type completionForm struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []choiceForm `json:"choices"`
+	Usage   usageForm    `json:"usage"`
+}
+
+type deltaForm struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type chunkChoiceForm struct {
+	Index        int       `json:"index"`
+	Delta        deltaForm `json:"delta"`
+	FinishReason *string   `json:"finish_reason"`
+}
+
+type chunkForm struct {
+	ID      string            `json:"id"`
+	Object  string            `json:"object"`
+	Created int64             `json:"created"`
+	Model   string            `json:"model"`
+	Choices []chunkChoiceForm `json:"choices"`
+	Usage   *usageForm        `json:"usage,omitempty"`
+}
+
+const finishReasonStop = "stop"
+
+func (handler *Handler) wholeChat(writer http.ResponseWriter, message *http.Request, to *request.Request) {
+	var text strings.Builder
+	count := 0
+	err := handler.chat(message.Context(), to, func(_ int, tokens []string) error {
+		for _, token := range tokens {
+			text.WriteString(token)
+		}
+		count += len(tokens)
+		return nil
+	})
+	if err != nil {
+		writeError(writer, to.ID(), err)
+		return
+	}
+	writeJSON(writer, http.StatusOK, completionForm{
+		ID: to.ID(), Object: "chat.completion", Created: handler.seconds(), Model: to.Prompt().Model(),
+		Choices: []choiceForm{{Message: answerMessageForm{Role: "assistant", Content: text.String()}, FinishReason: finishReasonStop}},
+		Usage:   usageOf(to, count),
+	})
+}
+
+func (handler *Handler) streamChat(writer http.ResponseWriter, message *http.Request, to *request.Request, form chatForm) {
+	stream := newEventWriter(writer, to, handler.seconds())
+	err := handler.chat(message.Context(), to, stream.deliver)
+	if err != nil {
+		stream.fail(err)
+		return
+	}
+	stream.finish(form.StreamOptions != nil && form.StreamOptions.IncludeUsage)
+}
+
+func (handler *Handler) seconds() int64 { return int64(handler.clock.Wall() / clock.Second) }
+
+func usageOf(to *request.Request, completion int) usageForm {
+	prompt := 0
+	for _, turn := range to.Prompt().Messages() {
+		prompt += len(strings.Fields(turn.Content()))
+	}
+	return usageForm{PromptTokens: prompt, CompletionTokens: completion, TotalTokens: prompt + completion}
+}
+
+// eventWriter writes an answer as server-sent events. The id of an event is
+// the request id and the number of tokens up to and including the event's, so
+// a caller that returns with Last-Event-ID says what it has.
+type eventWriter struct {
+	writer  http.ResponseWriter
+	flusher *http.ResponseController
+	to      *request.Request
+	created int64
+	begun   bool
+	count   int
+}
+
+func newEventWriter(writer http.ResponseWriter, to *request.Request, created int64) *eventWriter {
+	return &eventWriter{writer: writer, flusher: http.NewResponseController(writer), to: to, created: created}
+}
+
+func (stream *eventWriter) begin() {
+	if stream.begun {
+		return
+	}
+	stream.begun = true
+	stream.writer.Header().Set("Content-Type", "text/event-stream")
+	stream.writer.Header().Set("Cache-Control", "no-cache")
+	stream.writer.WriteHeader(http.StatusOK)
+}
+
+func (stream *eventWriter) deliver(offset int, tokens []string) error {
+	stream.begin()
+	delta := deltaForm{Content: strings.Join(tokens, "")}
+	if offset == 0 {
+		delta.Role = "assistant"
+	}
+	stream.count = offset + len(tokens)
+	return stream.write([]chunkChoiceForm{{Delta: delta}}, nil)
+}
+
+func (stream *eventWriter) write(choices []chunkChoiceForm, usage *usageForm) error {
+	data, err := json.Marshal(chunkForm{
+		ID: stream.to.ID(), Object: "chat.completion.chunk", Created: stream.created, Model: stream.to.Prompt().Model(), Choices: choices, Usage: usage,
+	})
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(stream.writer, "id: %s\ndata: %s\n\n", stream.to.ID()+":"+strconv.Itoa(stream.count), data); err != nil {
+		return err
+	}
+	return stream.flusher.Flush()
+}
+
+func (stream *eventWriter) finish(includeUsage bool) {
+	stream.begin()
+	reason := finishReasonStop
+	if err := stream.write([]chunkChoiceForm{{FinishReason: &reason}}, nil); err != nil {
+		return
+	}
+	if includeUsage {
+		usage := usageOf(stream.to, stream.count)
+		if err := stream.write([]chunkChoiceForm{}, &usage); err != nil {
+			return
+		}
+	}
+	fmt.Fprint(stream.writer, "data: [DONE]\n\n")
+	stream.flusher.Flush()
+}
+
+// fail ends the stream without its end mark, after an event of type error.
+func (stream *eventWriter) fail(err error) {
+	if !stream.begun {
+		writeError(stream.writer, stream.to.ID(), err)
+		return
+	}
+	_, form := errorOf(stream.to.ID(), err)
+	data, _ := json.Marshal(form)
+	fmt.Fprintf(stream.writer, "event: error\ndata: %s\n\n", data)
+	stream.flusher.Flush()
+}
--- /dev/null
+++ b/internal/caller/callerhttp/handler.go
@@ -0,0 +1,204 @@
+// Package callerhttp serves callers over HTTP: the published chat-completions
+// form, the list of models, application services by path, and the two health
+// checks of the balancer.
+//
+// It decodes a call, hands it to the node through function fields, and
+// encodes the answer. Every error is a JSON object:
+//
+//	{"error": {"type": "notRun", "message": "...", "requestId": "..."}}
+package callerhttp
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/caller"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
+	"sapphirehead/internal/service"
+	"sapphirehead/internal/table"
+)
+
+// MaxBodyBytes is the largest body of a call.
+const MaxBodyBytes = 1 << 20
+
+// Header names of callers.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderKey       = "Idempotency-Key"
+)
+
+// Handler serves callers.
+type Handler struct {
+	clock    *clock.Clock
+	tables   func() *table.Tables
+	accounts func() *caller.Accounts
+	admit    func(account *caller.Account) (release func(), err error)
+	ready    func() bool
+	newID    func() string
+	chat     func(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error
+	call     func(ctx context.Context, to *request.Request, call service.Call) (service.Answer, error)
+}
+
+// New returns a handler over the seams of a node. Chat delivers tokens in
+// order and returns nil once the answer is whole.
+func New(
+	clock *clock.Clock,
+	tables func() *table.Tables,
+	accounts func() *caller.Accounts,
+	admit func(account *caller.Account) (release func(), err error),
+	ready func() bool,
+	newID func() string,
+	chat func(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error,
+	call func(ctx context.Context, to *request.Request, call service.Call) (service.Answer, error),
+) *Handler {
+	return &Handler{clock: clock, tables: tables, accounts: accounts, admit: admit, ready: ready, newID: newID, chat: chat, call: call}
+}
+
+// Router returns the HTTP routes of the handler.
+func (handler *Handler) Router() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/healthz", handler.serveHealth).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", handler.serveReady).Methods(http.MethodGet)
+	router.HandleFunc("/v1/models", handler.serveModels).Methods(http.MethodGet)
+	router.HandleFunc("/v1/chat/completions", handler.serveChat).Methods(http.MethodPost)
+	router.PathPrefix("/").HandlerFunc(handler.serveService)
+	return router
+}
+
+func (handler *Handler) serveHealth(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, statusForm{Status: "ok"})
+}
+
+func (handler *Handler) serveReady(writer http.ResponseWriter, _ *http.Request) {
+	if !handler.ready() {
+		writeJSON(writer, http.StatusServiceUnavailable, statusForm{Status: "notReady"})
+		return
+	}
+	writeJSON(writer, http.StatusOK, statusForm{Status: "ready"})
+}
+
+func (handler *Handler) serveModels(writer http.ResponseWriter, message *http.Request) {
+	if _, err := handler.account(message); err != nil {
+		writeError(writer, "", err)
+		return
+	}
+	form := modelsForm{Object: "list", Data: []modelForm{}}
+	for _, row := range handler.tables().Routes() {
+		if row.Kind() == route.KindChat {
+			form.Data = append(form.Data, modelForm{ID: row.Model(), Object: "model", OwnedBy: row.Pool()})
+		}
+	}
+	writeJSON(writer, http.StatusOK, form)
+}
+
+func (handler *Handler) serveChat(writer http.ResponseWriter, message *http.Request) {
+	id := handler.newID()
+	writer.Header().Set(HeaderRequestID, id)
+	account, err := handler.account(message)
+	if err != nil {
+		writeError(writer, id, err)
+		return
+	}
+	body, err := readBody(writer, message)
+	if err != nil {
+		writeError(writer, id, err)
+		return
+	}
+	form, err := decodeChat(body)
+	if err != nil {
+		writeError(writer, id, err)
+		return
+	}
+	on, ok := handler.tables().RouteForModel(form.Model)
+	if !ok {
+		writeError(writer, id, newCallError(http.StatusNotFound, "modelNotFound", "there is no model "+strconv.Quote(form.Model)+": GET /v1/models lists them"))
+		return
+	}
+	release, err := handler.admit(account)
+	if err != nil {
+		writeError(writer, id, err)
+		return
+	}
+	defer release()
+	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), form.prompt(), handler.clock.Now())
+	if form.Stream {
+		handler.streamChat(writer, message, to, form)
+		return
+	}
+	handler.wholeChat(writer, message, to)
+}
+
+func (handler *Handler) serveService(writer http.ResponseWriter, message *http.Request) {
+	id := handler.newID()
+	writer.Header().Set(HeaderRequestID, id)
+	account, err := handler.account(message)
+	if err != nil {
+		writeError(writer, id, err)
+		return
+	}
+	on, ok := handler.tables().RouteForPath(message.URL.Path)
+	if !ok {
+		writeError(writer, id, newCallError(http.StatusNotFound, "routeNotFound", "no route serves the path "+strconv.Quote(message.URL.Path)))
+		return
+	}
+	body, err := readBody(writer, message)
+	if err != nil {
+		writeError(writer, id, err)
+		return
+	}
+	release, err := handler.admit(account)
+	if err != nil {
+		writeError(writer, id, err)
+		return
+	}
+	defer release()
+	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), request.Prompt{}, handler.clock.Now())
+	call := service.NewCall(message.Method, message.URL.RequestURI(), message.Header.Get("Content-Type"), body)
+	answer, err := handler.call(message.Context(), to, call)
+	if err != nil {
+		writeError(writer, id, err)
+		return
+	}
+	writer.Header().Set("Content-Type", answer.ContentType())
+	writer.WriteHeader(answer.Status())
+	writer.Write(answer.Body())
+}
+
+func (handler *Handler) account(message *http.Request) (*caller.Account, error) {
+	key, ok := strings.CutPrefix(message.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return nil, newCallError(http.StatusUnauthorized, "unauthorized", "the Authorization header must be \"Bearer\" and a key")
+	}
+	account, ok := handler.accounts().ByKey(key)
+	if !ok {
+		return nil, newCallError(http.StatusUnauthorized, "unauthorized", "the key belongs to no client account")
+	}
+	return account, nil
+}
+
+func readBody(writer http.ResponseWriter, message *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, message.Body, MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, newCallError(http.StatusRequestEntityTooLarge, "bodyTooLarge", "the body has more than "+strconv.Itoa(MaxBodyBytes)+" bytes")
+	}
+	if err != nil {
+		return nil, newCallError(http.StatusBadRequest, "badRequest", "the body could not be read")
+	}
+	return body, nil
+}
+
+func writeJSON(writer http.ResponseWriter, status int, form any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	json.NewEncoder(writer).Encode(form)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,293 @@
+// Package entry assembles one entry host: it joins the decisions of the peer
+// packages to the connections that carry them, and owns the goroutines.
+//
+// Writers and readers are apart. The request path reads the tables in force,
+// the backend servers and the fellow nodes from immutable snapshots. Three
+// loops write them: tables (watch of the platform), servers (list of hosts,
+// notices and evidence from requests, one goroutine) and fellows (heartbeats).
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"expvar"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/caller"
+	"sapphirehead/internal/caller/callerhttp"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/cloud/cloudhttp"
+	"sapphirehead/internal/logging"
+	"sapphirehead/internal/node"
+	"sapphirehead/internal/node/nodelink"
+	"sapphirehead/internal/operator"
+	"sapphirehead/internal/operator/operatorhttp"
+	"sapphirehead/internal/platform"
+	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/runner"
+	"sapphirehead/internal/runner/runnerhttp"
+	"sapphirehead/internal/service"
+	"sapphirehead/internal/service/servicehttp"
+	"sapphirehead/internal/settings"
+	"sapphirehead/internal/table"
+)
+
+// connectTimeout bounds the opening of a connection to a backend server.
+const connectTimeout = 500 * clock.Millisecond
+
+// Entry is one entry host.
+type Entry struct {
+	settings    *settings.Entry
+	clock       *clock.Clock
+	log         zerolog.Logger
+	counters    *expvar.Map
+	incarnation int64
+	sequence    atomic.Int64
+	ready       atomic.Bool
+	stopping    atomic.Bool
+	inForce     *table.InForce
+	fleet       *backend.Fleet
+	evidence    chan string
+	members     *node.Members
+	accounts    *caller.Accounts
+	admission   *caller.Admission
+	platform    *platformhttp.Client
+	store       *platform.Store
+	cloud       *cloudhttp.Client
+	ledger      *service.Ledger
+	editor      *operator.Editor
+	links       *nodelink.Links
+	driver      *Driver
+	listeners   listeners
+}
+
+type listeners struct {
+	caller   net.Listener
+	operator net.Listener
+	node     net.Listener
+}
+
+// maxEvidence bounds the news of leaving servers that wait for their writer.
+const maxEvidence = 1024
+
+// New returns an entry host that listens but does not serve yet.
+func New(settings *settings.Entry, clock *clock.Clock, log zerolog.Logger) (*Entry, error) {
+	entry := &Entry{
+		settings:    settings,
+		clock:       clock,
+		log:         log,
+		counters:    new(expvar.Map).Init(),
+		incarnation: int64(clock.Wall()),
+		inForce:     table.NewInForce(),
+		fleet:       backend.NewFleet(),
+		evidence:    make(chan string, maxEvidence),
+		members:     node.NewMembers(clock, settings.Host(), node.DefaultSilence),
+		accounts:    accountsOf(settings),
+		admission:   caller.NewAdmission(settings.MaxInFlight()),
+		platform:    platformhttp.New(settings.Platform().Address(), clock, settings.Platform().Timeout()),
+	}
+	entry.store = entry.platform.Store()
+	if settings.Cloud().Address() != "" {
+		entry.cloud = cloudhttp.New(settings.Cloud().Address(), clock, settings.Cloud().Timeout())
+	}
+	entry.ledger = service.NewLedger(clock, service.DefaultWindow, entry.loadShard, entry.commitShard)
+	entry.editor = operator.NewEditor(entry.loadTables, entry.commitTables)
+	entry.links = nodelink.New(clock, entry.answerCall)
+	entry.driver = entry.newDriver()
+	return entry, entry.listen()
+}
+
+func accountsOf(settings *settings.Entry) *caller.Accounts {
+	byHash := map[string]*caller.Account{}
+	for _, account := range settings.Accounts() {
+		byHash[caller.HashKey(account.Key())] = caller.NewAccount(account.Name(), account.MaxInFlight())
+	}
+	return caller.NewAccounts(byHash)
+}
+
+func (entry *Entry) newDriver() *Driver {
+	chooser := runner.NewChooser(entry.fleet, entry.settings.DataCentre(), mathrand.IntN)
+	choose := func(to *request.Request, exclude []string) (*backend.Server, bool) {
+		return chooser.Choose(to.Route().Pool(), exclude)
+	}
+	runners := runnerhttp.New(entry.clock, connectTimeout)
+	services := servicehttp.New(connectTimeout)
+	return NewDriver(entry.clock, choose, func(*request.Request) bool { return true }, entry.claim, entry.record,
+		runners.Open, runners.Cancel, services.Call, entry.noteLeaving, entry.countAttempt)
+}
+
+func (entry *Entry) listen() error {
+	var err error
+	open := func(address string) net.Listener {
+		if err != nil {
+			return nil
+		}
+		var listener net.Listener
+		listener, err = net.Listen("tcp", address)
+		return listener
+	}
+	entry.listeners.caller = open(entry.settings.CallerListen())
+	entry.listeners.operator = open(entry.settings.OperatorListen())
+	entry.listeners.node = open(entry.settings.NodeListen())
+	return errors.Wrap(err, "listen")
+}
+
+// Counters returns the node's metrics.
+func (entry *Entry) Counters() *expvar.Map { return entry.counters }
+
+// CallerAddress returns the address on which callers are served.
+func (entry *Entry) CallerAddress() string { return entry.listeners.caller.Addr().String() }
+
+// OperatorAddress returns the address on which operators are served.
+func (entry *Entry) OperatorAddress() string { return entry.listeners.operator.Addr().String() }
+
+// NodeAddress returns the address on which fellow nodes are served.
+func (entry *Entry) NodeAddress() string { return entry.listeners.node.Addr().String() }
+
+// Run serves until stop ends, then stops gracefully: readiness goes off
+// first, requests in progress are finished, and new ones are refused. When
+// kill ends, it returns at once.
+func (entry *Entry) Run(stop, kill context.Context) error {
+	loops, cancel := context.WithCancel(kill)
+	defer cancel()
+	group, loops := errgroup.WithContext(loops)
+	callers := &http.Server{Handler: entry.callerHandler()}
+	operators := &http.Server{Handler: entry.operatorHandler()}
+	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
+	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
+	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
+	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat} {
+		group.Go(func() error {
+			loop(loops)
+			return nil
+		})
+	}
+	group.Go(func() error {
+		entry.waitForStop(stop, loops)
+		entry.drain(kill, callers)
+		cancel()
+		operators.Close()
+		entry.links.Close()
+		entry.listeners.node.Close()
+		return nil
+	})
+	return group.Wait()
+}
+
+func (entry *Entry) waitForStop(stop, loops context.Context) {
+	select {
+	case <-stop.Done():
+	case <-loops.Done():
+	}
+}
+
+// drain ends the service of callers without cutting a request.
+func (entry *Entry) drain(kill context.Context, callers *http.Server) {
+	entry.log.Info().Int64("inFlight", entry.admission.InFlight()).Msg("stopping: no longer ready")
+	entry.stopping.Store(true)
+	entry.clock.Wait(kill, entry.settings.ReadyOff())
+	entry.admission.Close()
+	ctx, cancel := entry.clock.WithTimeout(kill, entry.settings.Grace())
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		entry.log.Error().Err(err).Int64("inFlight", entry.admission.InFlight()).Msg("stopping: requests in progress were cut")
+		callers.Close()
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+func (entry *Entry) callerHandler() http.Handler {
+	handler := callerhttp.New(entry.clock, entry.inForce.Current, func() *caller.Accounts { return entry.accounts },
+		entry.admission.Admit, entry.isReady, newID, entry.driver.Chat, entry.driver.Call)
+	return handler.Router()
+}
+
+func (entry *Entry) operatorHandler() http.Handler {
+	stored := func(ctx context.Context) (*table.Tables, error) {
+		tables, _, err := entry.loadTables(ctx)
+		return tables, err
+	}
+	refuse := func(remote, reason string) {
+		entry.log.Warn().Str("remote", remote).Str("reason", reason).Msg("operator refused")
+	}
+	return operatorhttp.New(entry.settings.OperatorToken(), entry.commitEdit, stored, entry.status, refuse).Router()
+}
+
+func (entry *Entry) isReady() bool { return entry.ready.Load() && !entry.stopping.Load() }
+
+// newID returns a new identity of a request.
+func newID() string {
+	var bytes [12]byte
+	rand.Read(bytes[:])
+	return "req-" + hex.EncodeToString(bytes[:])
+}
+
+func (entry *Entry) claim(ctx context.Context, to *request.Request) (request.Claim, service.Answer) {
+	return entry.ledger.Claim(ctx, to.Account(), to.Key(), to.ID())
+}
+
+func (entry *Entry) record(ctx context.Context, to *request.Request, answer service.Answer) error {
+	err := entry.ledger.Record(ctx, to.Account(), to.Key(), to.ID(), answer)
+	if err != nil {
+		entry.log.Warn().Err(err).Str(logging.FieldRequestID, to.ID()).Msg("outcome not recorded")
+	}
+	return err
+}
+
+func (entry *Entry) countAttempt(to *request.Request, server *backend.Server, cause request.Cause) {
+	if cause == 0 {
+		server.Succeeded()
+		entry.counters.Add("attemptsSucceeded", 1)
+		return
+	}
+	server.Failed()
+	entry.counters.Add("attemptsBroken", 1)
+	entry.log.Warn().Str(logging.FieldRequestID, to.ID()).Str(logging.FieldServer, server.ID()).Str("cause", cause.String()).Msg("attempt broke off")
+}
+
+func (entry *Entry) loadShard(ctx context.Context, shard int) (service.Shard, int64, error) {
+	return platformhttp.LoadShard(ctx, entry.store, shard)
+}
+
+func (entry *Entry) commitShard(ctx context.Context, shard int, claims service.Shard, condition int64) error {
+	return platformhttp.CommitShard(ctx, entry.store, shard, claims, condition)
+}
+
+func (entry *Entry) loadTables(ctx context.Context) (*table.Tables, int64, error) {
+	return platformhttp.LoadTables(ctx, entry.store)
+}
+
+func (entry *Entry) commitTables(ctx context.Context, tables *table.Tables, condition int64) error {
+	return platformhttp.CommitTables(ctx, entry.store, tables, condition)
+}
+
+func (entry *Entry) commitEdit(ctx context.Context, edit *table.Edit) (*table.Tables, error) {
+	tables, err := entry.editor.Commit(ctx, edit)
+	if err != nil {
+		return nil, err
+	}
+	entry.putInForce(tables)
+	return tables, nil
+}
+
+func (entry *Entry) putInForce(tables *table.Tables) {
+	if entry.inForce.Offer(tables) {
+		entry.log.Info().Int64("version", tables.Version()).Msg("tables in force")
+	}
+}
--- /dev/null
+++ b/internal/operator/operatorhttp/forms.go
@@ -0,0 +1,104 @@
+// Package operatorhttp serves and calls the operators' API: HTTP and JSON in
+// camel case under /admin/v1, with a bearer token. docs/ADMIN-API.md has all
+// of it.
+package operatorhttp
+
+import (
+	"sapphirehead/internal/node"
+	"sapphirehead/internal/operator"
+)
+
+type memberForm struct {
+	Host          string `json:"host"`
+	Address       string `json:"address"`
+	DataCentre    string `json:"dataCentre"`
+	Incarnation   int64  `json:"incarnation"`
+	TablesVersion int64  `json:"tablesVersion"`
+	Ready         bool   `json:"ready"`
+	Stopping      bool   `json:"stopping"`
+}
+
+type serverForm struct {
+	ID         string `json:"id"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	Pool       string `json:"pool"`
+	Leaving    bool   `json:"leaving"`
+	InFlight   int64  `json:"inFlight"`
+	Failures   int64  `json:"failures"`
+}
+
+type statusForm struct {
+	Self    memberForm   `json:"self"`
+	Members []memberForm `json:"members"`
+	Servers []serverForm `json:"servers"`
+}
+
+type committedForm struct {
+	Version int64 `json:"version"`
+}
+
+type problemForm struct {
+	Row     string `json:"row"`
+	Field   string `json:"field"`
+	Message string `json:"message"`
+}
+
+type errorForm struct {
+	Type     string        `json:"type"`
+	Message  string        `json:"message"`
+	Problems []problemForm `json:"problems,omitempty"`
+}
+
+type errorsForm struct {
+	Error errorForm `json:"error"`
+}
+
+func memberFormOf(member node.Member) memberForm {
+	return memberForm{
+		Host:          member.Host(),
+		Address:       member.Address(),
+		DataCentre:    member.DataCentre(),
+		Incarnation:   member.Incarnation(),
+		TablesVersion: member.TablesVersion(),
+		Ready:         member.Ready(),
+		Stopping:      member.Stopping(),
+	}
+}
+
+func (form memberForm) member() node.Member {
+	return node.NewMember(form.Host, form.Address, form.DataCentre, form.Incarnation).WithNews(0, form.TablesVersion, form.Ready, form.Stopping)
+}
+
+func statusFormOf(status operator.Status) statusForm {
+	form := statusForm{Self: memberFormOf(status.Self()), Members: []memberForm{}, Servers: []serverForm{}}
+	for _, member := range status.Members() {
+		form.Members = append(form.Members, memberFormOf(member))
+	}
+	for _, server := range status.Servers() {
+		form.Servers = append(form.Servers, serverForm{
+			ID:         server.ID(),
+			Address:    server.Address(),
+			DataCentre: server.DataCentre(),
+			Pool:       server.Pool(),
+			Leaving:    server.Leaving(),
+			InFlight:   server.InFlight(),
+			Failures:   server.Failures(),
+		})
+	}
+	return form
+}
+
+func (form statusForm) status() operator.Status {
+	members := make([]node.Member, 0, len(form.Members))
+	for _, member := range form.Members {
+		members = append(members, member.member())
+	}
+	servers := make([]operator.ServerStatus, 0, len(form.Servers))
+	for _, server := range form.Servers {
+		servers = append(servers, operator.NewServerStatus(
+			server.ID, server.Address, server.DataCentre, server.Pool, server.Leaving, server.InFlight, server.Failures,
+		))
+	}
+	return operator.NewStatus(form.Self.member(), members, servers)
+}
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,52 @@
+// Package program holds what the programs' mains share: stopping on signals
+// and telling the addresses on which a program listens.
+package program
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Version is the version of the programs, set by the linker.
+var Version = "development"
+
+// listeningForm is the one line that a program prints once it listens.
+type listeningForm struct {
+	Listening map[string]string `json:"listening"`
+}
+
+// PrintListening prints the addresses on standard output as one line of JSON,
+// so that whoever started the program learns ports taken by listening on 0.
+func PrintListening(addresses map[string]string) {
+	line, err := json.Marshal(listeningForm{Listening: addresses})
+	if err == nil {
+		fmt.Println(string(line))
+	}
+}
+
+// ParseListening reads the line that PrintListening prints.
+func ParseListening(line []byte) (map[string]string, bool) {
+	var form listeningForm
+	err := json.Unmarshal(line, &form)
+	return form.Listening, err == nil && form.Listening != nil
+}
+
+// Signals returns a context that ends with the first signal to stop and one
+// that ends with the second.
+func Signals() (stop, kill context.Context) {
+	stop, cancelStop := context.WithCancel(context.Background())
+	kill, cancelKill := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancelStop()
+		<-signals
+		cancelKill()
+	}()
+	return stop, kill
+}
--- /dev/null
+++ b/internal/runner/runnerhttp/client.go
@@ -0,0 +1,279 @@
+// Package runnerhttp speaks HTTP to model runners: the published
+// chat-completions form with server-sent events, and the calls beside it that
+// docs/PROTOCOLS.md lists (resume and cancel of a stream, orders, load).
+package runnerhttp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+)
+
+// Header names beside the published form.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderAttempt   = "X-Attempt"
+	HeaderStreamID  = "X-Stream-Id"
+	HeaderLeaving   = "X-Leaving"
+	HeaderRunning   = "X-Load-Running"
+	HeaderQueued    = "X-Load-Queued"
+	HeaderTokens    = "X-Load-Tokens"
+)
+
+// doneMark is the data of the last event of a stream.
+const doneMark = "[DONE]"
+
+// maxLineBytes bounds one line of a stream.
+const maxLineBytes = 1 << 20
+
+// Client opens streams at model runners.
+type Client struct {
+	clock *clock.Clock
+	http  *http.Client
+}
+
+// New returns a client whose connections are opened within the timeout.
+func New(clock *clock.Clock, connectTimeout clock.Millis) *Client {
+	dialer := &net.Dialer{Timeout: connectTimeout.Duration()}
+	return &Client{clock: clock, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}}}
+}
+
+// BrokenError says why an attempt could not go on.
+type BrokenError struct {
+	cause request.Cause
+	inner error
+}
+
+// NewBrokenError returns an error with the cause.
+func NewBrokenError(cause request.Cause, inner error) *BrokenError {
+	return &BrokenError{cause: cause, inner: inner}
+}
+
+// Cause returns the cause for the request's flow.
+func (err *BrokenError) Cause() request.Cause { return err.cause }
+
+// Unwrap returns the underlying error.
+func (err *BrokenError) Unwrap() error { return err.inner }
+
+func (err *BrokenError) Error() string {
+	return "attempt broke off (" + err.cause.String() + "): " + err.inner.Error()
+}
+
+type messageForm struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type extensionForm struct {
+	RequestID string   `json:"requestId,omitempty"`
+	Tokens    []string `json:"tokens,omitempty"`
+}
+
+type promptForm struct {
+	Model     string         `json:"model"`
+	Messages  []messageForm  `json:"messages"`
+	MaxTokens int            `json:"max_tokens,omitempty"`
+	Seed      int64          `json:"seed,omitempty"`
+	Stream    bool           `json:"stream"`
+	Sapphire  *extensionForm `json:"sapphire,omitempty"`
+}
+
+type chunkForm struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Sapphire struct {
+		Offset  int      `json:"offset"`
+		Tokens  []string `json:"tokens"`
+		Total   int      `json:"total"`
+		Leaving bool     `json:"leaving"`
+	} `json:"sapphire"`
+}
+
+// Open begins an attempt. Errors are *BrokenError.
+func (client *Client) Open(ctx context.Context, to *request.Request, attempt request.Attempt) (*Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	message, err := newMessage(ctx, to, attempt)
+	if err != nil {
+		cancel()
+		return nil, NewBrokenError(request.CauseNotSent, err)
+	}
+	message.Header.Set(HeaderRequestID, to.ID())
+	message.Header.Set(HeaderAttempt, strconv.Itoa(attempt.Number()))
+	answer, err := client.http.Do(message)
+	if err != nil {
+		cancel()
+		return nil, NewBrokenError(causeOf(err), err)
+	}
+	client.learn(attempt.Server(), answer.Header)
+	if answer.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(answer.Body, maxLineBytes))
+		answer.Body.Close()
+		cancel()
+		return nil, NewBrokenError(causeOfStatus(answer.StatusCode), errors.Errorf("status %s: %s", answer.Status, body))
+	}
+	scanner := bufio.NewScanner(answer.Body)
+	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	return &Stream{id: answer.Header.Get(HeaderStreamID), body: answer.Body, scanner: scanner, cancel: cancel}, nil
+}
+
+func newMessage(ctx context.Context, to *request.Request, attempt request.Attempt) (*http.Request, error) {
+	base := "http://" + attempt.Server().Address()
+	if attempt.Mode() == request.AttemptResume {
+		path := base + "/v1/streams/" + url.PathEscape(attempt.StreamID()) + "?offset=" + strconv.Itoa(attempt.Offset())
+		return http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
+	}
+	prompt := to.Prompt()
+	form := promptForm{Model: prompt.Model(), MaxTokens: prompt.MaxTokens(), Seed: prompt.Seed(), Stream: true}
+	for _, turn := range prompt.Messages() {
+		form.Messages = append(form.Messages, messageForm{Role: turn.Role(), Content: turn.Content()})
+	}
+	form.Sapphire = &extensionForm{RequestID: to.ID(), Tokens: attempt.Tokens()}
+	body, err := json.Marshal(form)
+	if err != nil {
+		return nil, err
+	}
+	message, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	message.Header.Set("Content-Type", "application/json")
+	return message, nil
+}
+
+func (client *Client) learn(server *backend.Server, header http.Header) {
+	if header.Get(HeaderLeaving) == "true" {
+		server.MarkLeaving()
+	}
+	running, err := strconv.Atoi(header.Get(HeaderRunning))
+	if err != nil {
+		return
+	}
+	queued, _ := strconv.Atoi(header.Get(HeaderQueued))
+	tokens, _ := strconv.Atoi(header.Get(HeaderTokens))
+	server.Report(backend.NewLoad(client.clock.Now(), running, queued, tokens))
+}
+
+// Cancel tells the server to stop generating a stream.
+func (client *Client) Cancel(ctx context.Context, server *backend.Server, streamID string) error {
+	message, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+server.Address()+"/v1/streams/"+url.PathEscape(streamID), nil)
+	if err != nil {
+		return err
+	}
+	answer, err := client.http.Do(message)
+	if err != nil {
+		return err
+	}
+	return answer.Body.Close()
+}
+
+// Stream is the open answer of one attempt.
+type Stream struct {
+	id      string
+	body    io.Closer
+	scanner *bufio.Scanner
+	cancel  context.CancelFunc
+}
+
+// ID returns the server's id of the stream, by which it can be resumed.
+func (stream *Stream) ID() string { return stream.id }
+
+// Close ends the attempt's connection.
+func (stream *Stream) Close() {
+	stream.cancel()
+	stream.body.Close()
+}
+
+// Event is one message of a stream.
+type Event struct {
+	offset  int
+	tokens  []string
+	ended   bool
+	total   int
+	leaving bool
+}
+
+// Offset returns the number of tokens before the event's.
+func (event Event) Offset() int { return event.offset }
+
+// Tokens returns the event's tokens.
+func (event Event) Tokens() []string { return event.tokens }
+
+// Ended returns the total number of tokens, and true on the end mark.
+func (event Event) Ended() (total int, ended bool) { return event.total, event.ended }
+
+// Leaving reports whether the server says that it is leaving.
+func (event Event) Leaving() bool { return event.leaving }
+
+// Next returns the next event. Errors are *BrokenError; a stream that ends
+// without its end mark is one that was cut.
+func (stream *Stream) Next() (Event, error) {
+	for stream.scanner.Scan() {
+		data, ok := strings.CutPrefix(stream.scanner.Text(), "data: ")
+		if !ok || data == doneMark {
+			continue
+		}
+		event, err := decodeEvent([]byte(data))
+		if err != nil {
+			return Event{}, NewBrokenError(request.CauseCut, err)
+		}
+		return event, nil
+	}
+	err := stream.scanner.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return Event{}, NewBrokenError(request.CauseCut, err)
+}
+
+func decodeEvent(data []byte) (Event, error) {
+	var form chunkForm
+	if err := json.Unmarshal(data, &form); err != nil {
+		return Event{}, errors.Wrap(err, "decode event")
+	}
+	if form.Sapphire.Offset < 0 || form.Sapphire.Total < 0 {
+		return Event{}, errors.New("event has a negative offset")
+	}
+	event := Event{offset: form.Sapphire.Offset, tokens: form.Sapphire.Tokens, total: form.Sapphire.Total, leaving: form.Sapphire.Leaving}
+	for _, choice := range form.Choices {
+		if choice.FinishReason != nil {
+			event.ended = true
+		}
+	}
+	return event, nil
+}
+
+func causeOf(err error) request.Cause {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return request.CauseNotSent
+	}
+	return request.CauseCut
+}
+
+func causeOfStatus(status int) request.Cause {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return request.CauseRefused
+	case http.StatusNotFound, http.StatusGone:
+		return request.CauseGone
+	default:
+		return request.CauseCut
+	}
+}
--- /dev/null
+++ b/internal/service/servicehttp/client.go
@@ -0,0 +1,98 @@
+// Package servicehttp speaks HTTP to application services.
+//
+// A call that may not be repeated goes over a connection of its own: the
+// standard transport repeats a request by itself when a kept connection turns
+// out to be closed, and does so even for a POST if the request carries an
+// Idempotency-Key. On a fresh connection it never does.
+package servicehttp
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/service"
+)
+
+// MaxAnswerBytes is the largest answer that is passed on.
+const MaxAnswerBytes = 8 << 20
+
+// Header names that go to services.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderAccount   = "X-Client-Account"
+	HeaderKey       = "Idempotency-Key"
+)
+
+// Client calls application services.
+type Client struct {
+	kept  *http.Client
+	fresh *http.Client
+}
+
+// New returns a client whose connections are opened within the timeout.
+func New(connectTimeout clock.Millis) *Client {
+	dialer := &net.Dialer{Timeout: connectTimeout.Duration()}
+	return &Client{
+		kept:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}},
+		fresh: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+	}
+}
+
+// Call sends the call to the server. The cause tells what is known about the
+// attempt when err is not nil.
+func (client *Client) Call(ctx context.Context, server *backend.Server, from *request.Request, call service.Call) (answer service.Answer, cause request.Cause, err error) {
+	message, err := http.NewRequestWithContext(ctx, call.Method(), "http://"+server.Address()+call.Path(), bytes.NewReader(call.Body()))
+	if err != nil {
+		return service.Answer{}, request.CauseNotSent, err
+	}
+	message.Header.Set(HeaderRequestID, from.ID())
+	message.Header.Set(HeaderAccount, from.Account())
+	if call.ContentType() != "" {
+		message.Header.Set("Content-Type", call.ContentType())
+	}
+	if from.Key() != "" {
+		message.Header.Set(HeaderKey, from.Key())
+	}
+	reply, err := client.transport(from).Do(message)
+	if err != nil {
+		return service.Answer{}, causeOf(err), err
+	}
+	defer reply.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(reply.Body, MaxAnswerBytes+1))
+	if err != nil {
+		return service.Answer{}, request.CauseCut, err
+	}
+	if len(body) > MaxAnswerBytes {
+		return service.Answer{}, request.CauseCut, errors.Errorf("answer has more than %d bytes", MaxAnswerBytes)
+	}
+	if reply.Header.Get("X-Leaving") == "true" {
+		server.MarkLeaving()
+	}
+	if reply.StatusCode == http.StatusServiceUnavailable && reply.Header.Get("X-Not-Run") == "true" {
+		return service.Answer{}, request.CauseRefused, errors.New("the service did not run the call")
+	}
+	return service.NewAnswer(reply.StatusCode, reply.Header.Get("Content-Type"), body), 0, nil
+}
+
+func (client *Client) transport(from *request.Request) *http.Client {
+	if from.Route().NonIdempotent() {
+		return client.fresh
+	}
+	return client.kept
+}
+
+func causeOf(err error) request.Cause {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return request.CauseNotSent
+	}
+	return request.CauseCut
+}
--- /dev/null
+++ b/internal/standin/cloudstandin/cloud.go
@@ -0,0 +1,261 @@
+// Package cloudstandin is a small stand-in for the cloud API: offers of
+// hosts, starts and stops, and reclaim notices that can be awaited.
+package cloudstandin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/gorilla/mux"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/standin/standinhttp"
+)
+
+// Host is one rented host.
+type Host struct {
+	ID          string `json:"id"`
+	DataCentre  string `json:"dataCentre"`
+	HostClass   string `json:"hostClass"`
+	Pool        string `json:"pool"`
+	Reclaimable bool   `json:"reclaimable"`
+	State       string `json:"state"`
+	RequestID   string `json:"requestId"`
+}
+
+// Offer is a class of host in a data centre.
+type Offer struct {
+	DataCentre   string  `json:"dataCentre"`
+	HostClass    string  `json:"hostClass"`
+	Reclaimable  bool    `json:"reclaimable"`
+	PricePerHour float64 `json:"pricePerHour"`
+	Capacity     int     `json:"capacity"`
+}
+
+// Notice announces that a host is taken back.
+type Notice struct {
+	Sequence     int64        `json:"sequence"`
+	HostID       string       `json:"hostId"`
+	NoticeMillis clock.Millis `json:"noticeMillis"`
+}
+
+const (
+	stateLive    = "live"
+	stateLeaving = "leaving"
+	stateGone    = "gone"
+)
+
+// Cloud is the state of the stand-in.
+type Cloud struct {
+	clock   *clock.Clock
+	start   func(host Host) error
+	leave   func(host Host, notice clock.Millis)
+	stop    func(host Host)
+	mutex   sync.Mutex
+	offers  []Offer
+	hosts   map[string]Host
+	notices []Notice
+	changed chan struct{}
+	serial  int
+}
+
+// New returns a cloud with the offers. The functions bring a host up, tell it
+// that it is leaving, and take it down.
+func New(clock *clock.Clock, offers []Offer, start func(host Host) error, leave func(host Host, notice clock.Millis), stop func(host Host)) *Cloud {
+	return &Cloud{clock: clock, start: start, leave: leave, stop: stop, offers: offers, hosts: map[string]Host{}, changed: make(chan struct{})}
+}
+
+// Router returns the HTTP routes of the stand-in.
+func (cloud *Cloud) Router() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/offers", cloud.serveOffers).Methods(http.MethodGet)
+	router.HandleFunc("/v1/hosts", cloud.serveHosts).Methods(http.MethodGet)
+	router.HandleFunc("/v1/hosts", cloud.serveStart).Methods(http.MethodPost)
+	router.HandleFunc("/v1/hosts/{id}", cloud.serveStop).Methods(http.MethodDelete)
+	router.HandleFunc("/v1/notices", cloud.serveNotices).Methods(http.MethodGet)
+	router.HandleFunc("/control/reclaim", cloud.serveReclaim).Methods(http.MethodPost)
+	router.HandleFunc("/control/offers", cloud.serveSetOffers).Methods(http.MethodPost)
+	return router
+}
+
+type offersForm struct {
+	Offers []Offer `json:"offers"`
+}
+
+func (cloud *Cloud) serveOffers(writer http.ResponseWriter, _ *http.Request) {
+	cloud.mutex.Lock()
+	defer cloud.mutex.Unlock()
+	standinhttp.Write(writer, http.StatusOK, offersForm{Offers: cloud.offers})
+}
+
+func (cloud *Cloud) serveSetOffers(writer http.ResponseWriter, message *http.Request) {
+	var form offersForm
+	if !standinhttp.Read(writer, message, &form) {
+		return
+	}
+	cloud.mutex.Lock()
+	defer cloud.mutex.Unlock()
+	cloud.offers = form.Offers
+}
+
+type hostsForm struct {
+	Hosts []Host `json:"hosts"`
+}
+
+func (cloud *Cloud) serveHosts(writer http.ResponseWriter, _ *http.Request) {
+	cloud.mutex.Lock()
+	defer cloud.mutex.Unlock()
+	form := hostsForm{Hosts: []Host{}}
+	for _, host := range cloud.hosts {
+		form.Hosts = append(form.Hosts, host)
+	}
+	standinhttp.Write(writer, http.StatusOK, form)
+}
+
+func (cloud *Cloud) serveStart(writer http.ResponseWriter, message *http.Request) {
+	var wanted Host
+	if !standinhttp.Read(writer, message, &wanted) {
+		return
+	}
+	host, known, ok := cloud.admit(wanted)
+	if !ok {
+		http.Error(writer, "no capacity for this class of host", http.StatusConflict)
+		return
+	}
+	if !known {
+		if err := cloud.start(host); err != nil {
+			http.Error(writer, err.Error(), http.StatusInternalServerError)
+			return
+		}
+	}
+	standinhttp.Write(writer, http.StatusCreated, host)
+}
+
+// admit registers a host unless the request id is known or no capacity is left.
+func (cloud *Cloud) admit(wanted Host) (host Host, known, ok bool) {
+	cloud.mutex.Lock()
+	defer cloud.mutex.Unlock()
+	used, capacity := 0, 0
+	for _, host := range cloud.hosts {
+		if wanted.RequestID != "" && host.RequestID == wanted.RequestID {
+			return host, true, true
+		}
+		if host.DataCentre == wanted.DataCentre && host.HostClass == wanted.HostClass && host.Reclaimable == wanted.Reclaimable && host.State != stateGone {
+			used++
+		}
+	}
+	for _, offer := range cloud.offers {
+		if offer.DataCentre == wanted.DataCentre && offer.HostClass == wanted.HostClass && offer.Reclaimable == wanted.Reclaimable {
+			capacity = offer.Capacity
+		}
+	}
+	if used >= capacity {
+		return Host{}, false, false
+	}
+	cloud.serial++
+	wanted.ID = "host-" + strconv.Itoa(cloud.serial)
+	wanted.State = stateLive
+	cloud.hosts[wanted.ID] = wanted
+	return wanted, false, true
+}
+
+func (cloud *Cloud) serveStop(writer http.ResponseWriter, message *http.Request) {
+	host, ok := cloud.setState(mux.Vars(message)["id"], stateGone)
+	if !ok {
+		http.Error(writer, "no such host", http.StatusNotFound)
+		return
+	}
+	cloud.stop(host)
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+func (cloud *Cloud) setState(id, state string) (Host, bool) {
+	cloud.mutex.Lock()
+	defer cloud.mutex.Unlock()
+	host, ok := cloud.hosts[id]
+	if !ok {
+		return Host{}, false
+	}
+	host.State = state
+	cloud.hosts[id] = host
+	return host, true
+}
+
+// Adopt registers a host that was started by other means.
+func (cloud *Cloud) Adopt(host Host) {
+	cloud.mutex.Lock()
+	defer cloud.mutex.Unlock()
+	host.State = stateLive
+	cloud.hosts[host.ID] = host
+}
+
+type noticesForm struct {
+	Notices []Notice `json:"notices"`
+}
+
+func (cloud *Cloud) serveNotices(writer http.ResponseWriter, message *http.Request) {
+	after, _ := strconv.ParseInt(message.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(message.URL.Query().Get("waitMillis"), 10, 64)
+	ctx, cancel := cloud.clock.WithTimeout(message.Context(), clock.Millis(wait))
+	defer cancel()
+	standinhttp.Write(writer, http.StatusOK, noticesForm{Notices: cloud.await(ctx, after)})
+}
+
+func (cloud *Cloud) await(ctx context.Context, after int64) []Notice {
+	for {
+		cloud.mutex.Lock()
+		notices := cloud.notices[min(after, int64(len(cloud.notices))):]
+		changed := cloud.changed
+		cloud.mutex.Unlock()
+		if len(notices) > 0 {
+			return notices
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return []Notice{}
+		}
+	}
+}
+
+type reclaimForm struct {
+	HostID       string       `json:"hostId"`
+	DataCentre   string       `json:"dataCentre"`
+	NoticeMillis clock.Millis `json:"noticeMillis"`
+}
+
+func (cloud *Cloud) serveReclaim(writer http.ResponseWriter, message *http.Request) {
+	var form reclaimForm
+	if !standinhttp.Read(writer, message, &form) {
+		return
+	}
+	cloud.Reclaim(form.HostID, form.DataCentre, form.NoticeMillis)
+}
+
+// Reclaim announces that a host, or every reclaimable host of a data centre,
+// is taken back, and takes them down after the notice.
+func (cloud *Cloud) Reclaim(hostID, dataCentre string, notice clock.Millis) {
+	cloud.mutex.Lock()
+	var taken []Host
+	for id, host := range cloud.hosts {
+		if host.State == stateLive && (id == hostID || (dataCentre != "" && host.DataCentre == dataCentre && host.Reclaimable)) {
+			host.State = stateLeaving
+			cloud.hosts[id] = host
+			taken = append(taken, host)
+			cloud.notices = append(cloud.notices, Notice{Sequence: int64(len(cloud.notices)) + 1, HostID: id, NoticeMillis: notice})
+		}
+	}
+	close(cloud.changed)
+	cloud.changed = make(chan struct{})
+	cloud.mutex.Unlock()
+	for _, host := range taken {
+		cloud.leave(host, notice)
+		cloud.clock.AfterFunc(notice, func() {
+			if gone, ok := cloud.setState(host.ID, stateGone); ok {
+				cloud.stop(gone)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/harness/harness.go
@@ -0,0 +1,174 @@
+// Package harness starts the system's programs and the stand-ins as processes
+// on loopback, for the demonstration and the tests with real processes. Every
+// process that it starts ends with it.
+package harness
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/program"
+)
+
+// startTimeout bounds the time until a program says where it listens.
+const startTimeout = 20 * clock.Second
+
+// Process is one started program.
+type Process struct {
+	name      string
+	command   *exec.Cmd
+	addresses map[string]string
+	log       *logBuffer
+	done      chan struct{}
+	err       error
+}
+
+// Name returns the name given at the start.
+func (process *Process) Name() string { return process.name }
+
+// Address returns the named address on which the program listens.
+func (process *Process) Address(name string) string { return process.addresses[name] }
+
+// Log returns what the program wrote to standard error.
+func (process *Process) Log() string { return process.log.String() }
+
+// Signal sends a signal to the process.
+func (process *Process) Signal(signal syscall.Signal) error {
+	return process.command.Process.Signal(signal)
+}
+
+// Wait waits until the process has ended and returns how.
+func (process *Process) Wait() error {
+	<-process.done
+	return process.err
+}
+
+// Done is closed when the process has ended.
+func (process *Process) Done() <-chan struct{} { return process.done }
+
+// Kill ends the process without warning.
+func (process *Process) Kill() {
+	_ = process.Signal(syscall.SIGKILL)
+	<-process.done
+}
+
+// logBuffer collects output from another goroutine.
+type logBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write appends to the log.
+func (log *logBuffer) Write(data []byte) (int, error) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	return log.buffer.Write(data)
+}
+
+// String returns the log so far.
+func (log *logBuffer) String() string {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	return log.buffer.String()
+}
+
+// Harness starts processes and ends them.
+type Harness struct {
+	bin       string
+	folder    string
+	clock     *clock.Clock
+	mutex     sync.Mutex
+	processes []*Process
+}
+
+// New returns a harness for the programs in bin that writes settings files to
+// the folder.
+func New(bin, folder string, clock *clock.Clock) *Harness {
+	return &Harness{bin: bin, folder: folder, clock: clock}
+}
+
+// Start starts a program and waits until it says where it listens.
+func (harness *Harness) Start(name, binary string, arguments ...string) (*Process, error) {
+	process := &Process{name: name, log: &logBuffer{}, done: make(chan struct{})}
+	process.command = exec.Command(filepath.Join(harness.bin, binary), arguments...)
+	process.command.Stderr = process.log
+	process.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	output, err := process.command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := process.command.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	harness.mutex.Lock()
+	harness.processes = append(harness.processes, process)
+	harness.mutex.Unlock()
+	listening := make(chan map[string]string, 1)
+	go func() {
+		scanner := bufio.NewScanner(output)
+		for scanner.Scan() {
+			if addresses, ok := program.ParseListening(scanner.Bytes()); ok {
+				listening <- addresses
+			}
+		}
+		process.err = process.command.Wait()
+		close(process.done)
+	}()
+	return process, harness.await(process, listening)
+}
+
+func (harness *Harness) await(process *Process, listening <-chan map[string]string) error {
+	late := make(chan struct{})
+	stop := harness.clock.AfterFunc(startTimeout, func() { close(late) })
+	defer stop()
+	select {
+	case process.addresses = <-listening:
+		return nil
+	case <-process.done:
+		return errors.Errorf("%s ended at once: %v\n%s", process.name, process.err, process.Log())
+	case <-late:
+		return errors.Errorf("%s did not say where it listens\n%s", process.name, process.Log())
+	}
+}
+
+// WriteFile writes a settings file and returns its path.
+func (harness *Harness) WriteFile(name, content string) (string, error) {
+	path := filepath.Join(harness.folder, name)
+	return path, os.WriteFile(path, []byte(content), 0o600)
+}
+
+// Command runs a program to its end and returns what it printed.
+func (harness *Harness) Command(binary string, arguments ...string) (string, error) {
+	output, err := exec.Command(filepath.Join(harness.bin, binary), arguments...).CombinedOutput()
+	return string(output), err
+}
+
+// Close kills every process and waits for its end.
+func (harness *Harness) Close() {
+	harness.mutex.Lock()
+	defer harness.mutex.Unlock()
+	for _, process := range harness.processes {
+		_ = process.Signal(syscall.SIGCONT)
+		process.Kill()
+	}
+}
+
+// Logs returns the logs of all processes.
+func (harness *Harness) Logs() string {
+	harness.mutex.Lock()
+	defer harness.mutex.Unlock()
+	text := ""
+	for _, process := range harness.processes {
+		text += fmt.Sprintf("--- %s ---\n%s", process.name, process.Log())
+	}
+	return text
+}
--- /dev/null
+++ b/internal/standin/platformstandin/platform.go
@@ -0,0 +1,273 @@
+// Package platformstandin is a small stand-in for the platform: the object
+// API with versions, conditional writes and watches, and the lagging list of
+// hosts. It keeps everything in memory and can be told to fail.
+package platformstandin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/gorilla/mux"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/standin/standinhttp"
+)
+
+// Fault is a way in which the stand-in fails.
+type Fault string
+
+// The faults.
+const (
+	// FaultNone serves normally.
+	FaultNone Fault = "none"
+	// FaultDown answers 503 without effect.
+	FaultDown Fault = "down"
+	// FaultSlow waits before each answer.
+	FaultSlow Fault = "slow"
+	// FaultLoseAnswer performs writes and closes the connection unanswered.
+	FaultLoseAnswer Fault = "loseAnswer"
+)
+
+type key struct {
+	kind string
+	name string
+}
+
+type object struct {
+	version int64
+	body    []byte
+	changed chan struct{}
+}
+
+// Host is one entry of the list of hosts.
+type Host struct {
+	ID         string `json:"id"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	HostClass  string `json:"hostClass"`
+	Pool       string `json:"pool"`
+	State      string `json:"state"`
+}
+
+type hostsForm struct {
+	Hosts []Host `json:"hosts"`
+}
+
+type faultForm struct {
+	Fault  Fault        `json:"fault"`
+	Millis clock.Millis `json:"millis"`
+}
+
+// Platform is the state of the stand-in.
+type Platform struct {
+	clock   *clock.Clock
+	lag     clock.Millis
+	mutex   sync.Mutex
+	objects map[key]*object
+	hosts   map[string]Host
+	listed  []Host
+	fault   faultForm
+	calls   int64
+	writes  int64
+}
+
+// New returns an empty platform whose list of hosts lags by the given time.
+func New(clock *clock.Clock, lag clock.Millis) *Platform {
+	return &Platform{clock: clock, lag: lag, objects: map[key]*object{}, hosts: map[string]Host{}, fault: faultForm{Fault: FaultNone}}
+}
+
+// Router returns the HTTP routes of the stand-in.
+func (platform *Platform) Router() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/control/fault", platform.serveFault).Methods(http.MethodPost)
+	router.HandleFunc("/control/hosts", platform.serveSetHost).Methods(http.MethodPost)
+	router.HandleFunc("/control/hosts/{id}", platform.serveRemoveHost).Methods(http.MethodDelete)
+	router.HandleFunc("/control/counts", platform.serveCounts).Methods(http.MethodGet)
+	router.HandleFunc("/objects/{kind}/{name}", platform.faulty(platform.serveGet)).Methods(http.MethodGet)
+	router.HandleFunc("/objects/{kind}/{name}", platform.faulty(platform.servePut)).Methods(http.MethodPut)
+	router.HandleFunc("/hosts", platform.faulty(platform.serveHosts)).Methods(http.MethodGet)
+	return router
+}
+
+func (platform *Platform) faulty(next http.HandlerFunc) http.HandlerFunc {
+	return func(writer http.ResponseWriter, message *http.Request) {
+		platform.mutex.Lock()
+		fault := platform.fault
+		platform.calls++
+		platform.mutex.Unlock()
+		switch fault.Fault {
+		case FaultDown:
+			http.Error(writer, "the platform is down", http.StatusServiceUnavailable)
+			return
+		case FaultSlow:
+			if err := platform.clock.Wait(message.Context(), fault.Millis); err != nil {
+				return
+			}
+		case FaultLoseAnswer:
+			if message.Method == http.MethodPut {
+				next(discard{header: http.Header{}}, message)
+				panic(http.ErrAbortHandler)
+			}
+		case FaultNone:
+		}
+		next(writer, message)
+	}
+}
+
+// discard drops an answer.
+type discard struct{ header http.Header }
+
+func (discard discard) Header() http.Header            { return discard.header }
+func (discard discard) Write(data []byte) (int, error) { return len(data), nil }
+func (discard discard) WriteHeader(int)                {}
+
+func (platform *Platform) serveFault(writer http.ResponseWriter, message *http.Request) {
+	var form faultForm
+	if !standinhttp.Read(writer, message, &form) {
+		return
+	}
+	platform.SetFault(form.Fault, form.Millis)
+}
+
+// SetFault makes the stand-in fail from now on.
+func (platform *Platform) SetFault(fault Fault, millis clock.Millis) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.fault = faultForm{Fault: fault, Millis: millis}
+}
+
+func (platform *Platform) serveSetHost(writer http.ResponseWriter, message *http.Request) {
+	var host Host
+	if !standinhttp.Read(writer, message, &host) {
+		return
+	}
+	platform.SetHost(host)
+}
+
+// SetHost adds or changes a host; the list shows it after the lag.
+func (platform *Platform) SetHost(host Host) {
+	platform.mutex.Lock()
+	platform.hosts[host.ID] = host
+	platform.mutex.Unlock()
+	platform.clock.AfterFunc(platform.lag, platform.publish)
+}
+
+// RemoveHost removes a host; the list shows it after the lag.
+func (platform *Platform) RemoveHost(id string) {
+	platform.mutex.Lock()
+	delete(platform.hosts, id)
+	platform.mutex.Unlock()
+	platform.clock.AfterFunc(platform.lag, platform.publish)
+}
+
+func (platform *Platform) publish() {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.listed = make([]Host, 0, len(platform.hosts))
+	for _, host := range platform.hosts {
+		platform.listed = append(platform.listed, host)
+	}
+}
+
+func (platform *Platform) serveRemoveHost(_ http.ResponseWriter, message *http.Request) {
+	platform.RemoveHost(mux.Vars(message)["id"])
+}
+
+func (platform *Platform) serveHosts(writer http.ResponseWriter, _ *http.Request) {
+	platform.mutex.Lock()
+	hosts := platform.listed
+	platform.mutex.Unlock()
+	standinhttp.Write(writer, http.StatusOK, hostsForm{Hosts: hosts})
+}
+
+type countsForm struct {
+	Calls  int64 `json:"calls"`
+	Writes int64 `json:"writes"`
+}
+
+func (platform *Platform) serveCounts(writer http.ResponseWriter, _ *http.Request) {
+	platform.mutex.Lock()
+	form := countsForm{Calls: platform.calls, Writes: platform.writes}
+	platform.mutex.Unlock()
+	standinhttp.Write(writer, http.StatusOK, form)
+}
+
+func (platform *Platform) serveGet(writer http.ResponseWriter, message *http.Request) {
+	name := key{kind: mux.Vars(message)["kind"], name: mux.Vars(message)["name"]}
+	query := message.URL.Query()
+	if query.Get("watch") == "true" {
+		platform.wait(message.Context(), name, query.Get("after"), query.Get("waitMillis"))
+	}
+	platform.mutex.Lock()
+	stored, ok := platform.objects[name]
+	platform.mutex.Unlock()
+	if !ok || stored.version == 0 {
+		http.Error(writer, "no such object", http.StatusNotFound)
+		return
+	}
+	writer.Header().Set("ETag", strconv.Quote(strconv.FormatInt(stored.version, 10)))
+	writer.Write(stored.body)
+}
+
+// wait returns once the object's version differs from after, or in time.
+func (platform *Platform) wait(ctx context.Context, name key, after, wait string) {
+	version, _ := strconv.ParseInt(after, 10, 64)
+	millis, _ := strconv.ParseInt(wait, 10, 64)
+	ctx, cancel := platform.clock.WithTimeout(ctx, clock.Millis(millis))
+	defer cancel()
+	platform.mutex.Lock()
+	stored := platform.slot(name)
+	platform.mutex.Unlock()
+	if stored.version != version {
+		return
+	}
+	select {
+	case <-stored.changed:
+	case <-ctx.Done():
+	}
+}
+
+// slot returns the object, or an empty one at version 0 that waits for it.
+func (platform *Platform) slot(name key) *object {
+	stored, ok := platform.objects[name]
+	if !ok {
+		stored = &object{changed: make(chan struct{})}
+		platform.objects[name] = stored
+	}
+	return stored
+}
+
+func (platform *Platform) servePut(writer http.ResponseWriter, message *http.Request) {
+	name := key{kind: mux.Vars(message)["kind"], name: mux.Vars(message)["name"]}
+	body, err := io.ReadAll(http.MaxBytesReader(writer, message.Body, 1<<20))
+	if err != nil {
+		http.Error(writer, "an object holds at most a megabyte", http.StatusRequestEntityTooLarge)
+		return
+	}
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	stored := platform.slot(name)
+	if !conditionHolds(message.Header, stored.version) {
+		http.Error(writer, "the version differs", http.StatusPreconditionFailed)
+		return
+	}
+	platform.writes++
+	changed := &object{version: stored.version + 1, body: body, changed: make(chan struct{})}
+	platform.objects[name] = changed
+	close(stored.changed)
+	writer.Header().Set("ETag", strconv.Quote(strconv.FormatInt(changed.version, 10)))
+}
+
+func conditionHolds(header http.Header, version int64) bool {
+	if header.Get("If-None-Match") == "*" {
+		return version == 0
+	}
+	if match := header.Get("If-Match"); match != "" {
+		return strings.Trim(match, `"`) == strconv.FormatInt(version, 10)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/runnerstandin/engine.go
@@ -0,0 +1,112 @@
+// Package runnerstandin is a small stand-in for a model engine: it batches,
+// caches prompt prefixes, streams, and answers each prompt with text that a
+// checker can compute too.
+package runnerstandin
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// vocabulary holds the words of answers.
+var vocabulary = strings.Fields("filter bake cycle pressure drop ash soot weight before after clean report string gauge nickel " +
+	"bronze light medium heavy renewal skip charge month order truck bench garage teacher recital set wound core tension tone")
+
+const (
+	minAnswerTokens  = 12
+	spanAnswerTokens = 24
+)
+
+// Answer returns the tokens that the stand-in generates for a prompt.
+func Answer(model string, contents []string, seed int64, maxTokens int) []string {
+	text := model + "\x00" + strings.Join(contents, "\x00") + "\x00" + strconv.FormatInt(seed, 10)
+	base := xxhash.Sum64String(text)
+	count := minAnswerTokens + int(base%spanAnswerTokens)
+	if maxTokens > 0 {
+		count = maxTokens
+	}
+	tokens := make([]string, 0, count)
+	for i := range count {
+		word := vocabulary[xxhash.Sum64String(text+strconv.Itoa(i))%uint64(len(vocabulary))]
+		if i > 0 {
+			word = " " + word
+		}
+		tokens = append(tokens, word)
+	}
+	return tokens
+}
+
+// PromptTokens returns the tokens of a prompt as the stand-in counts them.
+func PromptTokens(contents []string) []string {
+	return strings.Fields(strings.Join(contents, " "))
+}
+
+// blockTokens is the number of tokens in a block of the prefix cache.
+const blockTokens = 16
+
+// prefixCache is a bounded set of prompt blocks, each named by the hash of
+// the prompt up to its end. The oldest block goes first.
+type prefixCache struct {
+	capacity int
+	order    []uint64
+	blocks   map[uint64]bool
+	events   []cacheEvent
+	next     int64
+}
+
+type cacheEvent struct {
+	Sequence int64  `json:"sequence"`
+	Kind     string `json:"kind"`
+	Block    string `json:"block"`
+}
+
+const (
+	cacheEventStored  = "stored"
+	cacheEventRemoved = "removed"
+	maxCacheEvents    = 4096
+)
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, blocks: map[uint64]bool{}}
+}
+
+// use returns how many tokens of the prompt are cached and stores the rest.
+func (cache *prefixCache) use(model string, tokens []string) int {
+	cached, hit := 0, true
+	hash := xxhash.Sum64String(model)
+	for end := blockTokens; end <= len(tokens); end += blockTokens {
+		hash = xxhash.Sum64String(strconv.FormatUint(hash, 16) + strings.Join(tokens[end-blockTokens:end], " "))
+		if hit && cache.blocks[hash] {
+			cached = end
+			continue
+		}
+		hit = false
+		cache.store(hash)
+	}
+	return cached
+}
+
+func (cache *prefixCache) store(hash uint64) {
+	if cache.blocks[hash] {
+		return
+	}
+	cache.blocks[hash] = true
+	cache.order = append(cache.order, hash)
+	cache.emit(cacheEventStored, hash)
+	if len(cache.order) > cache.capacity {
+		oldest := cache.order[0]
+		cache.order = cache.order[1:]
+		delete(cache.blocks, oldest)
+		cache.emit(cacheEventRemoved, oldest)
+	}
+}
+
+func (cache *prefixCache) emit(kind string, hash uint64) {
+	cache.next++
+	cache.events = append(cache.events, cacheEvent{Sequence: cache.next, Kind: kind, Block: strconv.FormatUint(hash, 16)})
+	if len(cache.events) > maxCacheEvents {
+		cache.events = cache.events[1:]
+	}
+}
--- /dev/null
+++ b/internal/standin/runnerstandin/runner.go
@@ -0,0 +1,289 @@
+package runnerstandin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/gorilla/mux"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/standin/standinhttp"
+)
+
+// Runner is the state of the stand-in.
+type Runner struct {
+	clock        *clock.Clock
+	name         string
+	decode       clock.Millis
+	prefillRate  int
+	ignoresFence bool
+	slots        chan struct{}
+	life         context.Context
+	mutex        sync.Mutex
+	cache        *prefixCache
+	models       []modelForm
+	streams      map[string]*stream
+	fence        int64
+	role         string
+	running      int
+	queued       int
+	waiting      int
+	leaving      bool
+	generated    int64
+	recomputed   int64
+	serial       int64
+}
+
+// stream is one generation. It goes on without a connection.
+type stream struct {
+	id      string
+	tokens  []string
+	ready   int
+	ended   bool
+	changed chan struct{}
+	cancel  context.CancelFunc
+}
+
+const (
+	// defaultPrefillRate is the number of prompt tokens read in a millisecond.
+	defaultPrefillRate = 20
+	// cacheBlocks is the size of the prefix cache.
+	cacheBlocks = 512
+)
+
+// New returns a runner that works on slots requests at a time, spends the time
+// decode on each token and lives until the context ends.
+func New(life context.Context, clock *clock.Clock, name string, slots int, decode clock.Millis, models []string, ignoresFence bool) *Runner {
+	runner := &Runner{
+		clock:        clock,
+		name:         name,
+		decode:       decode,
+		prefillRate:  defaultPrefillRate,
+		ignoresFence: ignoresFence,
+		slots:        make(chan struct{}, slots),
+		life:         life,
+		cache:        newPrefixCache(cacheBlocks),
+		streams:      map[string]*stream{},
+		role:         "serve",
+	}
+	for _, model := range models {
+		runner.models = append(runner.models, modelForm{Name: model, Version: "v1"})
+	}
+	return runner
+}
+
+// Router returns the HTTP routes of the stand-in.
+func (runner *Runner) Router() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/chat/completions", runner.serveChat).Methods(http.MethodPost)
+	router.HandleFunc("/v1/streams/{id}", runner.serveResume).Methods(http.MethodGet)
+	router.HandleFunc("/v1/streams/{id}", runner.serveCancel).Methods(http.MethodDelete)
+	router.HandleFunc("/v1/kv/{id}", runner.serveExport).Methods(http.MethodGet)
+	router.HandleFunc("/v1/kv", runner.serveImport).Methods(http.MethodPost)
+	router.HandleFunc("/v1/orders", runner.serveOrder).Methods(http.MethodPost)
+	router.HandleFunc("/v1/state", runner.serveState).Methods(http.MethodGet)
+	router.HandleFunc("/v1/cache-events", runner.serveCacheEvents).Methods(http.MethodGet)
+	router.HandleFunc("/control/leave", runner.serveLeave).Methods(http.MethodPost)
+	return router
+}
+
+type messageForm struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type promptForm struct {
+	Model     string        `json:"model"`
+	Messages  []messageForm `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+	Seed      int64         `json:"seed"`
+	Stream    bool          `json:"stream"`
+	Sapphire  struct {
+		RequestID string   `json:"requestId"`
+		Tokens    []string `json:"tokens"`
+	} `json:"sapphire"`
+}
+
+func (form promptForm) contents() []string {
+	contents := make([]string, 0, len(form.Messages))
+	for _, message := range form.Messages {
+		contents = append(contents, message.Content)
+	}
+	return contents
+}
+
+func (runner *Runner) serveChat(writer http.ResponseWriter, message *http.Request) {
+	var form promptForm
+	if !standinhttp.Read(writer, message, &form) {
+		return
+	}
+	tokens := Answer(form.Model, form.contents(), form.Seed, form.MaxTokens)
+	given := form.Sapphire.Tokens
+	if len(given) > len(tokens) || !slices.Equal(given, tokens[:len(given)]) {
+		http.Error(writer, "the tokens so far are not of this answer", http.StatusUnprocessableEntity)
+		return
+	}
+	if !runner.accepts(form.Model) {
+		runner.writeLoad(writer.Header())
+		http.Error(writer, "not run: the runner is leaving or lacks the model", http.StatusServiceUnavailable)
+		return
+	}
+	created := runner.open(form, tokens, len(given))
+	runner.follow(message.Context(), writer, created, len(given))
+}
+
+func (runner *Runner) accepts(model string) bool {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	return !runner.leaving && slices.ContainsFunc(runner.models, func(known modelForm) bool {
+		return known.Name == model || slices.Contains(known.Adapters, model)
+	})
+}
+
+// open starts a generation of which the first ready tokens are given.
+func (runner *Runner) open(form promptForm, tokens []string, ready int) *stream {
+	ctx, cancel := context.WithCancel(runner.life)
+	runner.mutex.Lock()
+	runner.serial++
+	created := &stream{id: runner.name + "-" + strconv.FormatInt(runner.serial, 10), tokens: tokens, ready: ready, changed: make(chan struct{}), cancel: cancel}
+	runner.streams[created.id] = created
+	prompt := append(PromptTokens(form.contents()), tokens[:ready]...)
+	work := len(prompt) - runner.cache.use(form.Model, prompt)
+	if ready > 0 {
+		runner.recomputed += int64(work)
+	}
+	runner.queued++
+	runner.waiting += work
+	runner.mutex.Unlock()
+	go runner.generate(ctx, created, work)
+	return created
+}
+
+func (runner *Runner) generate(ctx context.Context, created *stream, work int) {
+	select {
+	case runner.slots <- struct{}{}:
+	case <-ctx.Done():
+		runner.count(-1, 0, -work)
+		runner.advance(created, 0, true)
+		return
+	}
+	defer func() { <-runner.slots }()
+	runner.count(-1, 1, 0)
+	defer runner.count(0, -1, 0)
+	err := runner.clock.Wait(ctx, clock.Millis(work/runner.prefillRate))
+	runner.count(0, 0, -work)
+	for err == nil && created.ready < len(created.tokens) {
+		err = runner.clock.Wait(ctx, runner.decode)
+		if err == nil {
+			runner.advance(created, 1, false)
+		}
+	}
+	runner.advance(created, 0, true)
+}
+
+func (runner *Runner) count(queued, running, waiting int) {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	runner.queued += queued
+	runner.running += running
+	runner.waiting += waiting
+}
+
+func (runner *Runner) advance(of *stream, tokens int, ended bool) {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	of.ready += tokens
+	of.ended = of.ended || ended
+	runner.generated += int64(tokens)
+	close(of.changed)
+	of.changed = make(chan struct{})
+}
+
+func (runner *Runner) writeLoad(header http.Header) {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	header.Set("X-Load-Running", strconv.Itoa(runner.running))
+	header.Set("X-Load-Queued", strconv.Itoa(runner.queued))
+	header.Set("X-Load-Tokens", strconv.Itoa(runner.waiting))
+	if runner.leaving {
+		header.Set("X-Leaving", "true")
+	}
+}
+
+type deltaForm struct {
+	Content string `json:"content"`
+}
+
+type choiceForm struct {
+	Index        int       `json:"index"`
+	Delta        deltaForm `json:"delta"`
+	FinishReason *string   `json:"finish_reason"`
+}
+
+type extensionForm struct {
+	Offset  int      `json:"offset"`
+	Tokens  []string `json:"tokens,omitempty"`
+	Total   int      `json:"total,omitempty"`
+	Leaving bool     `json:"leaving,omitempty"`
+}
+
+type chunkForm struct {
+	ID       string        `json:"id"`
+	Object   string        `json:"object"`
+	Choices  []choiceForm  `json:"choices"`
+	Sapphire extensionForm `json:"sapphire"`
+}
+
+// follow writes the stream from the offset until its end.
+func (runner *Runner) follow(ctx context.Context, writer http.ResponseWriter, of *stream, offset int) {
+	runner.writeLoad(writer.Header())
+	writer.Header().Set("X-Stream-Id", of.id)
+	writer.Header().Set("Content-Type", "text/event-stream")
+	flusher := http.NewResponseController(writer)
+	flusher.Flush()
+	for {
+		runner.mutex.Lock()
+		ready, ended, changed, leaving := of.ready, of.ended, of.changed, runner.leaving
+		runner.mutex.Unlock()
+		if offset < ready {
+			tokens := of.tokens[offset:ready]
+			writeChunk(writer, of.id, choiceForm{Delta: deltaForm{Content: join(tokens)}}, extensionForm{Offset: offset, Tokens: tokens, Leaving: leaving})
+			offset = ready
+		}
+		if offset == len(of.tokens) {
+			reason := "stop"
+			writeChunk(writer, of.id, choiceForm{FinishReason: &reason}, extensionForm{Offset: offset, Total: offset, Leaving: leaving})
+			fmt.Fprint(writer, "data: [DONE]\n\n")
+			return
+		}
+		flusher.Flush()
+		if ended {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		case <-runner.life.Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func join(tokens []string) string {
+	text := ""
+	for _, token := range tokens {
+		text += token
+	}
+	return text
+}
+
+func writeChunk(writer http.ResponseWriter, id string, choice choiceForm, extension extensionForm) {
+	data, _ := json.Marshal(chunkForm{ID: id, Object: "chat.completion.chunk", Choices: []choiceForm{choice}, Sapphire: extension})
+	fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", extension.Offset+len(extension.Tokens), data)
+}
--- /dev/null
+++ b/internal/standin/servicestandin/service.go
@@ -0,0 +1,83 @@
+// Package servicestandin is a small stand-in for an application service:
+// POST runs an action with a side effect, GET looks up a status. It counts how
+// often each key ran, so that a checker sees an action that ran twice.
+package servicestandin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/gorilla/mux"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/standin/standinhttp"
+)
+
+// Service is the state of the stand-in.
+type Service struct {
+	clock *clock.Clock
+	name  string
+	work  clock.Millis
+	mutex sync.Mutex
+	runs  map[string]int
+	total int
+}
+
+// New returns a service that spends the time work on each call.
+func New(clock *clock.Clock, name string, work clock.Millis) *Service {
+	return &Service{clock: clock, name: name, work: work, runs: map[string]int{}}
+}
+
+// Router returns the HTTP routes of the stand-in.
+func (service *Service) Router() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/control/runs", service.serveRuns).Methods(http.MethodGet)
+	router.PathPrefix("/").Methods(http.MethodPost).HandlerFunc(service.serveAction)
+	router.PathPrefix("/").Methods(http.MethodGet).HandlerFunc(service.serveStatus)
+	return router
+}
+
+type runsForm struct {
+	Runs  map[string]int `json:"runs"`
+	Total int            `json:"total"`
+}
+
+func (service *Service) serveRuns(writer http.ResponseWriter, _ *http.Request) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	standinhttp.Write(writer, http.StatusOK, runsForm{Runs: service.runs, Total: service.total})
+}
+
+type actionForm struct {
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Serial  int    `json:"serial"`
+	Body    string `json:"body"`
+}
+
+func (service *Service) serveAction(writer http.ResponseWriter, message *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, message.Body, 1<<20))
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	key := message.Header.Get("X-Client-Account") + "/" + message.Header.Get("Idempotency-Key")
+	service.mutex.Lock()
+	service.total++
+	service.runs[key]++
+	serial := service.total
+	service.mutex.Unlock()
+	if service.clock.Wait(message.Context(), service.work) != nil {
+		return
+	}
+	standinhttp.Write(writer, http.StatusCreated, actionForm{Service: service.name, Path: message.URL.Path, Serial: serial, Body: string(body)})
+}
+
+func (service *Service) serveStatus(writer http.ResponseWriter, message *http.Request) {
+	if service.clock.Wait(message.Context(), service.work) != nil {
+		return
+	}
+	fmt.Fprintf(writer, "status of %s\n", message.URL.Path)
+}
--- /dev/null
+++ b/internal/standin/standinhttp/standinhttp.go
@@ -0,0 +1,46 @@
+// Package standinhttp holds what the stand-ins' HTTP servers share: reading
+// and writing JSON, and serving until a context ends.
+package standinhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// maxBodyBytes bounds the body of a call to a stand-in.
+const maxBodyBytes = 8 << 20
+
+// Write answers with a JSON form.
+func Write(writer http.ResponseWriter, status int, form any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	json.NewEncoder(writer).Encode(form)
+}
+
+// Read decodes the JSON body into the form. It answers the call itself and
+// returns false if that fails.
+func Read(writer http.ResponseWriter, message *http.Request, form any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(writer, message.Body, maxBodyBytes)).Decode(form)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// Serve serves the handler on the listener until the context ends, then
+// closes every connection.
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
