Give the driver's attempts a seam without HTTP, split the entry host's loops

Cause: the driver took a stream type of runnerhttp, so a test could not drive it without a socket; loops.go mixed three writers.

Change: runner.Stream with function fields, runner.Event and runner.BrokenError on the decision side; one file for each loop of the entry host.

--- a/internal/entry/driver.go
+++ b/internal/entry/driver.go
@@ -10,7 +10,7 @@
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/request"
-	"sapphirehead/internal/runner/runnerhttp"
+	"sapphirehead/internal/runner"
 	"sapphirehead/internal/service"
 )
 
@@ -31,7 +31,7 @@
 	retry    func(to *request.Request) bool
 	claim    func(ctx context.Context, to *request.Request) (request.Claim, service.Answer)
 	record   func(ctx context.Context, to *request.Request, answer service.Answer) error
-	open     func(ctx context.Context, to *request.Request, attempt request.Attempt) (*runnerhttp.Stream, error)
+	open     func(ctx context.Context, to *request.Request, attempt request.Attempt) (*runner.Stream, error)
 	cancel   func(ctx context.Context, server *backend.Server, streamID string) error
 	call     func(ctx context.Context, server *backend.Server, from *request.Request, call service.Call) (service.Answer, request.Cause, error)
 	leaving  func(server *backend.Server)
@@ -47,7 +47,7 @@
 	retry func(to *request.Request) bool,
 	claim func(ctx context.Context, to *request.Request) (request.Claim, service.Answer),
 	record func(ctx context.Context, to *request.Request, answer service.Answer) error,
-	open func(ctx context.Context, to *request.Request, attempt request.Attempt) (*runnerhttp.Stream, error),
+	open func(ctx context.Context, to *request.Request, attempt request.Attempt) (*runner.Stream, error),
 	cancel func(ctx context.Context, server *backend.Server, streamID string) error,
 	call func(ctx context.Context, server *backend.Server, from *request.Request, call service.Call) (service.Answer, request.Cause, error),
 	leaving func(server *backend.Server),
@@ -161,7 +161,7 @@
 		return request.Action{}, ctx.Err()
 	}
 	cause := request.CauseCut
-	var broken *runnerhttp.BrokenError
+	var broken *runner.BrokenError
 	if errors.As(err, &broken) {
 		cause = broken.Cause()
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,7 +30,6 @@
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/node/nodelink"
 	"sapphirehead/internal/operator"
-	"sapphirehead/internal/operator/operatorhttp"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/request"
@@ -218,17 +217,6 @@
 	return handler.Router()
 }
 
-func (entry *Entry) operatorHandler() http.Handler {
-	stored := func(ctx context.Context) (*table.Tables, error) {
-		tables, _, err := entry.loadTables(ctx)
-		return tables, err
-	}
-	refuse := func(remote, reason string) {
-		entry.log.Warn().Str("remote", remote).Str("reason", reason).Msg("operator refused")
-	}
-	return operatorhttp.New(entry.settings.OperatorToken(), entry.commitEdit, stored, entry.status, refuse).Router()
-}
-
 func (entry *Entry) isReady() bool { return entry.ready.Load() && !entry.stopping.Load() }
 
 // newID returns a new identity of a request.
@@ -238,18 +226,6 @@
 	return "req-" + hex.EncodeToString(bytes[:])
 }
 
-func (entry *Entry) claim(ctx context.Context, to *request.Request) (request.Claim, service.Answer) {
-	return entry.ledger.Claim(ctx, to.Account(), to.Key(), to.ID())
-}
-
-func (entry *Entry) record(ctx context.Context, to *request.Request, answer service.Answer) error {
-	err := entry.ledger.Record(ctx, to.Account(), to.Key(), to.ID(), answer)
-	if err != nil {
-		entry.log.Warn().Err(err).Str(logging.FieldRequestID, to.ID()).Msg("outcome not recorded")
-	}
-	return err
-}
-
 func (entry *Entry) countAttempt(to *request.Request, server *backend.Server, cause request.Cause) {
 	if cause == 0 {
 		server.Succeeded()
@@ -260,34 +236,3 @@
 	entry.counters.Add("attemptsBroken", 1)
 	entry.log.Warn().Str(logging.FieldRequestID, to.ID()).Str(logging.FieldServer, server.ID()).Str("cause", cause.String()).Msg("attempt broke off")
 }
-
-func (entry *Entry) loadShard(ctx context.Context, shard int) (service.Shard, int64, error) {
-	return platformhttp.LoadShard(ctx, entry.store, shard)
-}
-
-func (entry *Entry) commitShard(ctx context.Context, shard int, claims service.Shard, condition int64) error {
-	return platformhttp.CommitShard(ctx, entry.store, shard, claims, condition)
-}
-
-func (entry *Entry) loadTables(ctx context.Context) (*table.Tables, int64, error) {
-	return platformhttp.LoadTables(ctx, entry.store)
-}
-
-func (entry *Entry) commitTables(ctx context.Context, tables *table.Tables, condition int64) error {
-	return platformhttp.CommitTables(ctx, entry.store, tables, condition)
-}
-
-func (entry *Entry) commitEdit(ctx context.Context, edit *table.Edit) (*table.Tables, error) {
-	tables, err := entry.editor.Commit(ctx, edit)
-	if err != nil {
-		return nil, err
-	}
-	entry.putInForce(tables)
-	return tables, nil
-}
-
-func (entry *Entry) putInForce(tables *table.Tables) {
-	if entry.inForce.Offer(tables) {
-		entry.log.Info().Int64("version", tables.Version()).Msg("tables in force")
-	}
-}
--- a/internal/runner/runnerhttp/client.go
+++ b/internal/runner/runnerhttp/client.go
@@ -20,6 +20,7 @@
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/request"
+	"sapphirehead/internal/runner"
 )
 
 // Header names beside the published form.
@@ -51,27 +52,6 @@
 	return &Client{clock: clock, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}}}
 }
 
-// BrokenError says why an attempt could not go on.
-type BrokenError struct {
-	cause request.Cause
-	inner error
-}
-
-// NewBrokenError returns an error with the cause.
-func NewBrokenError(cause request.Cause, inner error) *BrokenError {
-	return &BrokenError{cause: cause, inner: inner}
-}
-
-// Cause returns the cause for the request's flow.
-func (err *BrokenError) Cause() request.Cause { return err.cause }
-
-// Unwrap returns the underlying error.
-func (err *BrokenError) Unwrap() error { return err.inner }
-
-func (err *BrokenError) Error() string {
-	return "attempt broke off (" + err.cause.String() + "): " + err.inner.Error()
-}
-
 type messageForm struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
@@ -106,31 +86,30 @@
 	} `json:"sapphire"`
 }
 
-// Open begins an attempt. Errors are *BrokenError.
-func (client *Client) Open(ctx context.Context, to *request.Request, attempt request.Attempt) (*Stream, error) {
+// Open begins an attempt. Errors are *runner.BrokenError.
+func (client *Client) Open(ctx context.Context, to *request.Request, attempt request.Attempt) (*runner.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	message, err := newMessage(ctx, to, attempt)
 	if err != nil {
 		cancel()
-		return nil, NewBrokenError(request.CauseNotSent, err)
+		return nil, runner.NewBrokenError(request.CauseNotSent, err)
 	}
 	message.Header.Set(HeaderRequestID, to.ID())
 	message.Header.Set(HeaderAttempt, strconv.Itoa(attempt.Number()))
 	answer, err := client.http.Do(message)
 	if err != nil {
 		cancel()
-		return nil, NewBrokenError(causeOf(err), err)
+		return nil, runner.NewBrokenError(causeOf(err), err)
 	}
 	client.learn(attempt.Server(), answer.Header)
 	if answer.StatusCode != http.StatusOK {
 		body, _ := io.ReadAll(io.LimitReader(answer.Body, maxLineBytes))
 		answer.Body.Close()
 		cancel()
-		return nil, NewBrokenError(causeOfStatus(answer.StatusCode), errors.Errorf("status %s: %s", answer.Status, body))
+		return nil, runner.NewBrokenError(causeOfStatus(answer.StatusCode), errors.Errorf("status %s: %s", answer.Status, body))
 	}
-	scanner := bufio.NewScanner(answer.Body)
-	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
-	return &Stream{id: answer.Header.Get(HeaderStreamID), body: answer.Body, scanner: scanner, cancel: cancel}, nil
+	reader := newEventReader(answer.Body, cancel)
+	return runner.NewStream(answer.Header.Get(HeaderStreamID), reader.next, reader.close), nil
 }
 
 func newMessage(ctx context.Context, to *request.Request, attempt request.Attempt) (*http.Request, error) {
@@ -183,77 +162,57 @@
 	return answer.Body.Close()
 }
 
-// Stream is the open answer of one attempt.
-type Stream struct {
-	id      string
+// eventReader reads the events of one attempt.
+type eventReader struct {
 	body    io.Closer
 	scanner *bufio.Scanner
 	cancel  context.CancelFunc
 }
 
-// ID returns the server's id of the stream, by which it can be resumed.
-func (stream *Stream) ID() string { return stream.id }
-
-// Close ends the attempt's connection.
-func (stream *Stream) Close() {
-	stream.cancel()
-	stream.body.Close()
+func newEventReader(body io.ReadCloser, cancel context.CancelFunc) *eventReader {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	return &eventReader{body: body, scanner: scanner, cancel: cancel}
 }
 
-// Event is one message of a stream.
-type Event struct {
-	offset  int
-	tokens  []string
-	ended   bool
-	total   int
-	leaving bool
+func (reader *eventReader) close() {
+	reader.cancel()
+	reader.body.Close()
 }
 
-// Offset returns the number of tokens before the event's.
-func (event Event) Offset() int { return event.offset }
-
-// Tokens returns the event's tokens.
-func (event Event) Tokens() []string { return event.tokens }
-
-// Ended returns the total number of tokens, and true on the end mark.
-func (event Event) Ended() (total int, ended bool) { return event.total, event.ended }
-
-// Leaving reports whether the server says that it is leaving.
-func (event Event) Leaving() bool { return event.leaving }
-
-// Next returns the next event. Errors are *BrokenError; a stream that ends
-// without its end mark is one that was cut.
-func (stream *Stream) Next() (Event, error) {
-	for stream.scanner.Scan() {
-		data, ok := strings.CutPrefix(stream.scanner.Text(), "data: ")
+// next returns the next event. A stream that ends without its end mark is one
+// that was cut.
+func (reader *eventReader) next() (runner.Event, error) {
+	for reader.scanner.Scan() {
+		data, ok := strings.CutPrefix(reader.scanner.Text(), "data: ")
 		if !ok || data == doneMark {
 			continue
 		}
 		event, err := decodeEvent([]byte(data))
 		if err != nil {
-			return Event{}, NewBrokenError(request.CauseCut, err)
+			return runner.Event{}, runner.NewBrokenError(request.CauseCut, err)
 		}
 		return event, nil
 	}
-	err := stream.scanner.Err()
+	err := reader.scanner.Err()
 	if err == nil {
 		err = io.ErrUnexpectedEOF
 	}
-	return Event{}, NewBrokenError(request.CauseCut, err)
+	return runner.Event{}, runner.NewBrokenError(request.CauseCut, err)
 }
 
-func decodeEvent(data []byte) (Event, error) {
+func decodeEvent(data []byte) (runner.Event, error) {
 	var form chunkForm
 	if err := json.Unmarshal(data, &form); err != nil {
-		return Event{}, errors.Wrap(err, "decode event")
+		return runner.Event{}, errors.Wrap(err, "decode event")
 	}
 	if form.Sapphire.Offset < 0 || form.Sapphire.Total < 0 {
-		return Event{}, errors.New("event has a negative offset")
+		return runner.Event{}, errors.New("event has a negative offset")
 	}
-	event := Event{offset: form.Sapphire.Offset, tokens: form.Sapphire.Tokens, total: form.Sapphire.Total, leaving: form.Sapphire.Leaving}
+	event := runner.NewEvent(form.Sapphire.Offset, form.Sapphire.Tokens).WithLeaving(form.Sapphire.Leaving)
 	for _, choice := range form.Choices {
 		if choice.FinishReason != nil {
-			event.ended = true
+			event = event.WithEnd(form.Sapphire.Total)
 		}
 	}
 	return event, nil
