Harden a request's flow: two attempts at once, contradictions, not-run only when true

Cause: reading the flow showed that a request whose first attempt may have run was called not run if a later one was refused, that a resumed attempt was not held against the deadline, and that an end mark below the accepted tokens finished the answer. A stream on a leaving server could only be cut and continued, never moved while the old server still worked.

Change: a track for each attempt in progress keeps chunks and end mark and checks them against each other. Move begins a second attempt; what the old one brings is held back until the new one delivers or breaks, so an answer never joins tokens of two sampled generations. Adopt takes up a stream that another node began. Ruled out: accepting chunks of both attempts by offset alone, since sampled continuations differ.

--- a/internal/request/action.go
+++ b/internal/request/action.go
@@ -32,6 +32,9 @@
 	AttemptResume
 	// AttemptContinue sends prompt and tokens so far to another server.
 	AttemptContinue
+	// AttemptTransfer moves the stream's KV cache to another server and asks
+	// that one for the stream from an offset.
+	AttemptTransfer
 )
 
 // Action is one instruction of a flow to its driver.
@@ -56,6 +59,7 @@
 	number   int
 	mode     AttemptMode
 	server   *backend.Server
+	from     *backend.Server
 	offset   int
 	streamID string
 	tokens   []string
@@ -73,7 +77,11 @@
 // Offset returns the number of tokens already accepted.
 func (attempt Attempt) Offset() int { return attempt.offset }
 
-// StreamID returns the id of the server's stream; only for AttemptResume.
+// From returns the server that exports the KV cache; only for AttemptTransfer.
+func (attempt Attempt) From() *backend.Server { return attempt.from }
+
+// StreamID returns the id of the stream to resume at the server, or to export
+// at the server that From returns; only for AttemptResume and AttemptTransfer.
 func (attempt Attempt) StreamID() string { return attempt.streamID }
 
 // Tokens returns the tokens accepted so far. Callers must not change them.
@@ -96,6 +104,9 @@
 	CauseLeaving
 	// CauseGone means that the server no longer knows the stream.
 	CauseGone
+	// CauseInvalid means that the server's messages contradict each other, or
+	// belong to another request.
+	CauseInvalid
 )
 
 // String returns the name of the cause for logs.
@@ -113,6 +124,8 @@
 		return "leaving"
 	case CauseGone:
 		return "gone"
+	case CauseInvalid:
+		return "invalid"
 	default:
 		return "unknown"
 	}
--- a/internal/request/flow.go
+++ b/internal/request/flow.go
@@ -8,10 +8,7 @@
 )
 
 // MaxAttempts bounds the attempts of one request.
-const MaxAttempts = 6
-
-// maxPending bounds the chunks that wait for an earlier one.
-const maxPending = 256
+const MaxAttempts = 8
 
 // retryAfterNoServer is the wait told to callers when no server is free.
 const retryAfterNoServer = 1 * clock.Second
@@ -43,26 +40,25 @@
 	flowDone
 )
 
-type pendingChunk struct {
-	offset int
-	tokens []string
-}
-
 // Flow is the state of one request. It is used by one goroutine at a time.
+//
+// A stream that must leave its server while that server still works has two
+// attempts in progress. What the old one brings is held back until the new one
+// delivers, which then takes over, or breaks, and then the old one goes on.
+// So an answer never joins tokens of two generations that each sampled its
+// own: a generation goes on only from tokens that it was given.
 type Flow struct {
 	request  *Request
 	clock    *clock.Clock
 	choose   func(request *Request, exclude []string) (*backend.Server, bool)
 	retry    func(request *Request) bool
 	state    flowState
-	attempt  Attempt
-	sent     bool
-	resumed  bool
-	streamID string
+	current  *track
+	moving   *track
+	attempts int
+	ran      bool
 	excluded []string
 	tokens   []string
-	pending  []pendingChunk
-	end      int
 }
 
 // NewFlow returns the flow of a request. The function choose picks a server
@@ -73,7 +69,7 @@
 	choose func(request *Request, exclude []string) (*backend.Server, bool),
 	retry func(request *Request) bool,
 ) *Flow {
-	return &Flow{request: request, clock: clock, choose: choose, retry: retry, end: -1}
+	return &Flow{request: request, clock: clock, choose: choose, retry: retry}
 }
 
 // Request returns the request of the flow.
@@ -83,7 +79,18 @@
 func (flow *Flow) Tokens() []string { return flow.tokens }
 
 // Attempts returns the number of attempts begun.
-func (flow *Flow) Attempts() int { return flow.attempt.number }
+func (flow *Flow) Attempts() int { return flow.attempts }
+
+// InProgress reports whether the attempt is one whose messages still count.
+func (flow *Flow) InProgress(attempt int) bool { return flow.find(attempt) != nil }
+
+// Place returns the server and the stream from which the answer comes now.
+func (flow *Flow) Place() (server *backend.Server, streamID string, ok bool) {
+	if flow.state != flowAttempting || flow.current.streamID == "" {
+		return nil, "", false
+	}
+	return flow.current.attempt.server, flow.current.streamID, true
+}
 
 // Start returns the first action of an admitted request.
 func (flow *Flow) Start() Action {
@@ -91,14 +98,31 @@
 		flow.state = flowClaiming
 		return Action{kind: ActionClaim}
 	}
-	return flow.next(AttemptFresh)
+	return flow.next()
+}
+
+// Adopt returns the first action of a request that another node began: its
+// stream is resumed where it runs, after the tokens that are known of it.
+func (flow *Flow) Adopt(server *backend.Server, streamID string, tokens []string) Action {
+	flow.ran = true
+	flow.tokens = slices.Clone(tokens)
+	if server == nil || streamID == "" {
+		if flow.request.route.NonIdempotent() {
+			return flow.fail(NewOutcomeUnknownError(flow.request.id, "the stream is not known"))
+		}
+		return flow.next()
+	}
+	if flow.late() {
+		return flow.exhausted(reasonDeadline)
+	}
+	return flow.begin(AttemptResume, server, streamID)
 }
 
 // Claimed reports the result of ActionClaim.
 func (flow *Flow) Claimed(claim Claim) Action {
 	switch claim {
 	case ClaimGranted:
-		return flow.next(AttemptFresh)
+		return flow.next()
 	case ClaimRecorded:
 		flow.state = flowDone
 		return Action{kind: ActionReplay}
@@ -111,17 +135,17 @@
 	}
 }
 
-// Sent reports that bytes of the attempt may have reached the server.
+// Sent reports that bytes of the attempt may reach the server from now on.
 func (flow *Flow) Sent(attempt int) {
-	if flow.current(attempt) {
-		flow.sent = true
+	if track := flow.find(attempt); track != nil {
+		track.sent = true
 	}
 }
 
 // Stream reports the server's id of the attempt's stream.
 func (flow *Flow) Stream(attempt int, streamID string) {
-	if flow.current(attempt) {
-		flow.streamID = streamID
+	if track := flow.find(attempt); track != nil {
+		track.streamID = streamID
 	}
 }
 
@@ -129,146 +153,243 @@
 // can be delivered now: those of abandoned attempts and doubled ones are
 // dropped, early ones wait.
 func (flow *Flow) Chunk(attempt, offset int, tokens []string) ([]string, Action) {
-	if !flow.current(attempt) {
+	track := flow.find(attempt)
+	if track == nil {
 		return nil, Action{kind: ActionRead}
 	}
-	if len(flow.pending) >= maxPending {
-		return nil, flow.Broken(attempt, CauseCut)
+	if flow.late() {
+		return nil, flow.exhausted(reasonDeadline)
+	}
+	if !track.add(offset, tokens) {
+		return nil, flow.Broken(attempt, CauseInvalid)
 	}
-	flow.resumed = false
-	flow.pending = append(flow.pending, pendingChunk{offset: offset, tokens: tokens})
-	delivered := flow.takeReady()
-	return delivered, flow.afterProgress()
+	have := len(flow.tokens)
+	action := flow.progress(track)
+	return flow.tokens[have:], action
 }
 
 // Ended reports the end mark of an attempt, with the total number of tokens.
+// It may come before the last chunks.
 func (flow *Flow) Ended(attempt, total int) Action {
-	if !flow.current(attempt) {
+	track := flow.find(attempt)
+	if track == nil {
 		return Action{kind: ActionRead}
 	}
-	flow.end = total
-	return flow.afterProgress()
+	if flow.late() {
+		return flow.exhausted(reasonDeadline)
+	}
+	if !track.finish(total, len(flow.tokens)) {
+		return flow.Broken(attempt, CauseInvalid)
+	}
+	return flow.progress(track)
 }
 
 // Answered reports the whole answer of an application service.
 func (flow *Flow) Answered(attempt int) Action {
-	if !flow.current(attempt) {
+	if flow.find(attempt) == nil {
 		return Action{kind: ActionRead}
 	}
 	return flow.finish()
 }
 
-// Broken reports that an attempt broke off.
+// Broken reports that an attempt broke off. Held-back tokens may have become
+// deliverable: see Tokens.
 func (flow *Flow) Broken(attempt int, cause Cause) Action {
-	if !flow.current(attempt) {
+	track := flow.find(attempt)
+	if track == nil {
 		return Action{kind: ActionRead}
 	}
-	maySend := !flow.sent || cause == CauseNotSent || cause == CauseRefused
-	if flow.request.route.NonIdempotent() && !maySend {
-		return flow.fail(NewOutcomeUnknownError(flow.request.id, "the connection to the backend server broke after the request was sent"))
+	if cause != CauseNotSent && cause != CauseRefused {
+		flow.ran = true
 	}
-	if flow.canResume(cause) {
-		flow.resumed = true
-		return flow.begin(AttemptResume, flow.attempt.server)
+	switch {
+	case track == flow.moving:
+		flow.moving = nil
+		flow.exclude(track)
+		return flow.progress(flow.current)
+	case flow.moving != nil:
+		flow.current, flow.moving = flow.moving, nil
+		flow.exclude(track)
+		return flow.progress(flow.current)
+	case flow.late():
+		return flow.exhausted(reasonDeadline)
+	case flow.canResume(track, cause):
+		return flow.begin(AttemptResume, track.attempt.server, track.streamID)
+	case flow.request.route.NonIdempotent() && flow.ran:
+		return flow.fail(NewOutcomeUnknownError(flow.request.id, "the connection to the backend server broke after the request was sent"))
 	}
-	flow.excluded = append(flow.excluded, flow.attempt.server.ID())
-	flow.resumed = false
+	flow.current = nil
+	flow.exclude(track)
 	if !flow.retry(flow.request) {
 		return flow.exhausted("the retry budget is used up")
 	}
-	if len(flow.tokens) == 0 {
-		return flow.next(AttemptFresh)
+	return flow.next()
+}
+
+// Move asks for a second attempt at another server, because the current one
+// is leaving. With transfer, the KV cache moves too. It returns ActionRead if
+// the stream has to stay where it is.
+func (flow *Flow) Move(transfer bool) Action {
+	stay := Action{kind: ActionRead}
+	if flow.state != flowAttempting || flow.moving != nil || flow.late() || flow.attempts >= MaxAttempts {
+		return stay
 	}
-	return flow.next(AttemptContinue)
+	current := flow.current
+	transfer = transfer && current.streamID != ""
+	if !transfer && !flow.mayGenerate() {
+		return stay
+	}
+	server, ok := flow.choose(flow.request, append(slices.Clone(flow.excluded), current.attempt.server.ID()))
+	if !ok {
+		return stay
+	}
+	mode := flow.generateMode()
+	streamID := ""
+	if transfer {
+		mode, streamID = AttemptTransfer, current.streamID
+	}
+	attempt := flow.newAttempt(mode, server, streamID)
+	attempt.from = current.attempt.server
+	flow.moving = newTrack(attempt)
+	if transfer {
+		flow.moving.streamID = ""
+	}
+	return Action{kind: ActionAttempt, attempt: attempt}
 }
 
 // Expire reports that the deadline may have passed. It ends the request only
 // if the clock agrees.
 func (flow *Flow) Expire() Action {
-	if flow.state == flowDone || flow.clock.Now() < flow.request.Deadline() {
+	if flow.state == flowDone || !flow.late() {
 		return Action{kind: ActionRead}
 	}
-	return flow.exhausted("the deadline has passed")
+	return flow.exhausted(reasonDeadline)
 }
 
-func (flow *Flow) canResume(cause Cause) bool {
+const reasonDeadline = "the deadline has passed"
+
+func (flow *Flow) late() bool { return flow.clock.Now() >= flow.request.Deadline() }
+
+func (flow *Flow) canResume(track *track, cause Cause) bool {
 	if cause != CauseCut && cause != CauseSilent {
 		return false
 	}
-	return flow.streamID != "" && !flow.resumed && !flow.attempt.server.Leaving() && flow.attempt.number < MaxAttempts
+	return track.streamID != "" && !track.resumed && !track.attempt.server.Leaving() && flow.attempts < MaxAttempts
+}
+
+func (flow *Flow) find(attempt int) *track {
+	switch {
+	case flow.state != flowAttempting:
+		return nil
+	case flow.current != nil && flow.current.attempt.number == attempt:
+		return flow.current
+	case flow.moving != nil && flow.moving.attempt.number == attempt:
+		return flow.moving
+	default:
+		return nil
+	}
+}
+
+func (flow *Flow) exclude(track *track) {
+	flow.excluded = append(flow.excluded, track.attempt.server.ID())
+}
+
+// mayGenerate reports whether a runner may generate the answer, or go on with
+// it, from the tokens known: not if something with side effects may have run,
+// not without the prompt, and not if the caller holds sampled tokens that are
+// not known here.
+func (flow *Flow) mayGenerate() bool {
+	if flow.request.route.NonIdempotent() && (flow.ran || flow.current != nil) {
+		return false
+	}
+	if flow.request.promptUnknown {
+		return false
+	}
+	return len(flow.tokens) >= flow.request.held || flow.request.prompt.Deterministic()
 }
 
-func (flow *Flow) current(attempt int) bool {
-	return flow.state == flowAttempting && attempt == flow.attempt.number
+func (flow *Flow) generateMode() AttemptMode {
+	if len(flow.tokens) == 0 {
+		return AttemptFresh
+	}
+	return AttemptContinue
 }
 
-func (flow *Flow) next(mode AttemptMode) Action {
-	if flow.clock.Now() >= flow.request.Deadline() {
-		return flow.exhausted("the deadline has passed")
+func (flow *Flow) next() Action {
+	if flow.late() {
+		return flow.exhausted(reasonDeadline)
 	}
-	if flow.attempt.number >= MaxAttempts {
+	if flow.attempts >= MaxAttempts {
 		return flow.exhausted("too many attempts failed")
 	}
+	if !flow.mayGenerate() {
+		return flow.exhausted("the caller holds tokens of a generation that is lost")
+	}
 	server, ok := flow.choose(flow.request, flow.excluded)
 	if !ok {
 		return flow.exhausted("no backend server can take the request")
 	}
-	return flow.begin(mode, server)
+	return flow.begin(flow.generateMode(), server, "")
 }
 
-func (flow *Flow) begin(mode AttemptMode, server *backend.Server) Action {
-	flow.state = flowAttempting
-	flow.attempt = Attempt{
-		number:   flow.attempt.number + 1,
+func (flow *Flow) newAttempt(mode AttemptMode, server *backend.Server, streamID string) Attempt {
+	flow.attempts++
+	return Attempt{
+		number:   flow.attempts,
 		mode:     mode,
 		server:   server,
 		offset:   len(flow.tokens),
-		streamID: flow.streamID,
+		streamID: streamID,
 		tokens:   slices.Clone(flow.tokens),
 	}
-	flow.pending = nil
-	flow.end = -1
-	if mode != AttemptResume {
-		flow.streamID = ""
-		flow.sent = false
-	}
-	return Action{kind: ActionAttempt, attempt: flow.attempt}
 }
 
-// takeReady moves waiting chunks that join the accepted tokens.
-func (flow *Flow) takeReady() []string {
-	slices.SortStableFunc(flow.pending, func(a, b pendingChunk) int { return a.offset - b.offset })
-	var ready []string
-	taken := 0
-	for _, chunk := range flow.pending {
-		have := len(flow.tokens)
-		if chunk.offset > have {
-			break
+func (flow *Flow) begin(mode AttemptMode, server *backend.Server, streamID string) Action {
+	flow.state = flowAttempting
+	flow.current = newTrack(flow.newAttempt(mode, server, streamID))
+	flow.current.resumed = mode == AttemptResume
+	return Action{kind: ActionAttempt, attempt: flow.current.attempt}
+}
+
+// progress takes in what waits on the track, unless it has to be held back.
+func (flow *Flow) progress(track *track) Action {
+	have := len(flow.tokens)
+	if flow.moving != nil {
+		if track == flow.current && !track.whole(have) {
+			return Action{kind: ActionRead}
 		}
-		taken++
-		if skip := have - chunk.offset; skip < len(chunk.tokens) {
-			ready = append(ready, chunk.tokens[skip:]...)
-			flow.tokens = append(flow.tokens, chunk.tokens[skip:]...)
+		if track == flow.moving && track.reach(have) == have && !track.whole(have) {
+			return Action{kind: ActionRead}
 		}
+		flow.current, flow.moving = track, nil
 	}
-	flow.pending = flow.pending[taken:]
-	return ready
-}
-
-func (flow *Flow) afterProgress() Action {
-	if flow.end >= 0 && len(flow.tokens) >= flow.end {
+	accepted, valid := track.take(flow.tokens)
+	flow.tokens = accepted
+	if !valid {
+		return flow.Broken(track.attempt.number, CauseInvalid)
+	}
+	if len(accepted) > have {
+		track.resumed = false
+	}
+	if track.end == len(accepted) {
 		return flow.finish()
 	}
 	return Action{kind: ActionRead}
 }
 
 func (flow *Flow) finish() Action {
+	if len(flow.tokens) < flow.request.held {
+		return flow.exhausted("the answer is shorter than what the caller holds")
+	}
 	flow.state = flowDone
 	return Action{kind: ActionFinish}
 }
 
+// exhausted ends the request without an answer. It was not run only if no
+// attempt, past or in progress, can have reached a server.
 func (flow *Flow) exhausted(reason string) Action {
-	if flow.attempt.number == 0 || (!flow.sent && len(flow.tokens) == 0) {
+	inProgress := (flow.current != nil && flow.current.sent) || (flow.moving != nil && flow.moving.sent)
+	if !flow.ran && !inProgress {
 		return flow.fail(NewNotRunError(reason, retryAfterNoServer))
 	}
 	if flow.request.route.NonIdempotent() {
--- /dev/null
+++ b/internal/request/flow_test.go
@@ -0,0 +1,377 @@
+package request_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
+)
+
+// scene is a flow whose servers are chosen in order, runner-1 first.
+type scene struct {
+	manual  *clock.Manual
+	servers []*backend.Server
+	allowed bool
+	flow    *request.Flow
+}
+
+var chatRoute = route.New("reports", route.KindChat, "runners").WithModel("desk-small")
+
+func newScene(to *request.Request) *scene {
+	scene := &scene{manual: clock.NewManual(1000), allowed: true}
+	for i := range 3 {
+		id := fmt.Sprintf("runner-%d", i+1)
+		scene.servers = append(scene.servers, backend.NewServer(id, id+":1", "lj-a", "gpu-small", "runners"))
+	}
+	scene.flow = request.NewFlow(to, scene.manual.Clock(), scene.choose, func(*request.Request) bool { return scene.allowed })
+	return scene
+}
+
+func (scene *scene) choose(_ *request.Request, exclude []string) (*backend.Server, bool) {
+	for _, server := range scene.servers {
+		excluded := server.Leaving()
+		for _, id := range exclude {
+			excluded = excluded || id == server.ID()
+		}
+		if !excluded {
+			return server, true
+		}
+	}
+	return nil, false
+}
+
+func chatRequest() *request.Request {
+	return request.New("req-1", "garage-north", chatRoute, "", request.Prompt{}, 1000)
+}
+
+// started returns a scene whose first attempt runs under the id stream-1.
+func started(t *testing.T, to *request.Request) *scene {
+	t.Helper()
+	scene := newScene(to)
+	expectAttempt(t, scene.flow.Start(), request.AttemptFresh, "runner-1", 0)
+	scene.flow.Sent(1)
+	scene.flow.Stream(1, "stream-1")
+	return scene
+}
+
+func expectChunk(t *testing.T, scene *scene, attempt, offset int, tokens, delivered string) {
+	t.Helper()
+	ready, action := scene.flow.Chunk(attempt, offset, letters(tokens))
+	require.Equal(t, request.ActionRead, action.Kind(), "error: %v", action.Err())
+	require.Equal(t, letters(delivered), append([]string{}, ready...))
+}
+
+func letters(text string) []string {
+	tokens := []string{}
+	for _, letter := range text {
+		tokens = append(tokens, string(letter))
+	}
+	return tokens
+}
+
+func TestChunks(t *testing.T) {
+	begin := func(t *testing.T) *scene { return started(t, chatRequest()) }
+	t.Run("out of order: the early one waits", func(t *testing.T) {
+		scene := begin(t)
+		expectChunk(t, scene, 1, 2, "cd", "")
+		expectChunk(t, scene, 1, 0, "ab", "abcd")
+	})
+	t.Run("doubled and overlapping: only what is new", func(t *testing.T) {
+		scene := begin(t)
+		expectChunk(t, scene, 1, 0, "abc", "abc")
+		expectChunk(t, scene, 1, 0, "abc", "")
+		expectChunk(t, scene, 1, 1, "bcd", "d")
+	})
+	t.Run("end mark earlier than the chunks: waits for them", func(t *testing.T) {
+		scene := begin(t)
+		require.Equal(t, request.ActionRead, scene.flow.Ended(1, 2).Kind())
+		expectChunk(t, scene, 1, 1, "b", "")
+		_, action := scene.flow.Chunk(1, 0, letters("a"))
+		require.Equal(t, request.ActionFinish, action.Kind())
+	})
+	t.Run("late ones of an abandoned attempt are dropped", func(t *testing.T) {
+		scene := begin(t)
+		expectChunk(t, scene, 1, 0, "ab", "ab")
+		expectAttempt(t, scene.flow.Broken(1, request.CauseGone), request.AttemptContinue, "runner-2", 2)
+		expectChunk(t, scene, 1, 2, "x", "")
+		require.Equal(t, request.ActionRead, scene.flow.Ended(1, 2).Kind())
+		expectChunk(t, scene, 2, 2, "c", "c")
+	})
+}
+
+// TestInvalid checks that a server whose messages contradict each other is
+// left, and that the answer goes on elsewhere from what was accepted.
+func TestInvalid(t *testing.T) {
+	expectLeft := func(t *testing.T, action request.Action, offset int) {
+		t.Helper()
+		expectAttempt(t, action, request.AttemptContinue, "runner-2", offset)
+	}
+	begin := func(t *testing.T) *request.Flow {
+		scene := started(t, chatRequest())
+		expectChunk(t, scene, 1, 0, "abc", "abc")
+		return scene.flow
+	}
+	chunk := func(flow *request.Flow, offset int, tokens string) request.Action {
+		_, action := flow.Chunk(1, offset, letters(tokens))
+		return action
+	}
+	t.Run("another token for a place that is taken", func(t *testing.T) {
+		expectLeft(t, chunk(begin(t), 1, "bX"), 3)
+	})
+	t.Run("negative offset", func(t *testing.T) {
+		expectLeft(t, chunk(begin(t), -1, "a"), 3)
+	})
+	t.Run("end before what was accepted", func(t *testing.T) {
+		expectLeft(t, begin(t).Ended(1, 2), 3)
+	})
+	t.Run("end before a waiting chunk", func(t *testing.T) {
+		flow := begin(t)
+		require.Equal(t, request.ActionRead, chunk(flow, 5, "f").Kind())
+		expectLeft(t, flow.Ended(1, 4), 3)
+	})
+	t.Run("chunk after the end", func(t *testing.T) {
+		flow := begin(t)
+		require.Equal(t, request.ActionRead, flow.Ended(1, 5).Kind())
+		expectLeft(t, chunk(flow, 4, "ef"), 3)
+	})
+	t.Run("two ends", func(t *testing.T) {
+		flow := begin(t)
+		require.Equal(t, request.ActionRead, flow.Ended(1, 5).Kind())
+		expectLeft(t, flow.Ended(1, 6), 3)
+	})
+	t.Run("a gap that never closes: bounded", func(t *testing.T) {
+		flow := begin(t)
+		action := request.Action{}
+		for i := 0; i < 1000 && action.Kind() != request.ActionAttempt; i++ {
+			action = chunk(flow, 10+i, "x")
+		}
+		expectLeft(t, action, 3)
+	})
+}
+
+// TestDeadline checks that the deadline is looked at again when acting, as
+// after a pause of the process.
+func TestDeadline(t *testing.T) {
+	expectLate := func(t *testing.T, act func(flow *request.Flow) request.Action) {
+		t.Helper()
+		scene := started(t, chatRequest())
+		scene.manual.Advance(chatRoute.Deadline())
+		expectFailure[*request.IncompleteError](t, act(scene.flow))
+	}
+	t.Run("chunk", func(t *testing.T) {
+		expectLate(t, func(flow *request.Flow) request.Action {
+			_, action := flow.Chunk(1, 0, letters("a"))
+			return action
+		})
+	})
+	t.Run("end", func(t *testing.T) {
+		expectLate(t, func(flow *request.Flow) request.Action { return flow.Ended(1, 0) })
+	})
+	t.Run("resume", func(t *testing.T) {
+		expectLate(t, func(flow *request.Flow) request.Action { return flow.Broken(1, request.CauseCut) })
+	})
+	t.Run("timer", func(t *testing.T) {
+		expectLate(t, (*request.Flow).Expire)
+	})
+	t.Run("before anything was sent: not run", func(t *testing.T) {
+		scene := newScene(chatRequest())
+		scene.flow.Start()
+		scene.manual.Advance(chatRoute.Deadline())
+		expectFailure[*request.NotRunError](t, scene.flow.Expire())
+	})
+}
+
+// TestNotRunIsTrue checks that a request is never called not run after an
+// attempt that may have run, even if a later one was refused.
+func TestNotRunIsTrue(t *testing.T) {
+	scene := started(t, chatRequest())
+	expectAttempt(t, scene.flow.Broken(1, request.CauseGone), request.AttemptFresh, "runner-2", 0)
+	expectAttempt(t, scene.flow.Broken(2, request.CauseRefused), request.AttemptFresh, "runner-3", 0)
+	expectFailure[*request.IncompleteError](t, scene.flow.Broken(3, request.CauseNotSent))
+}
+
+func TestMove(t *testing.T) {
+	begin := func(t *testing.T) *scene {
+		scene := started(t, chatRequest())
+		expectChunk(t, scene, 1, 0, "ab", "ab")
+		scene.servers[0].MarkLeaving()
+		expectAttempt(t, scene.flow.Move(false), request.AttemptContinue, "runner-2", 2)
+		expectChunk(t, scene, 1, 2, "c", "")
+		return scene
+	}
+	t.Run("the new attempt delivers: the old one is abandoned", func(t *testing.T) {
+		scene := begin(t)
+		expectChunk(t, scene, 2, 2, "XY", "XY")
+		require.False(t, scene.flow.InProgress(1))
+		expectChunk(t, scene, 1, 3, "d", "")
+	})
+	t.Run("an early chunk of the new attempt: does not take over yet", func(t *testing.T) {
+		scene := begin(t)
+		expectChunk(t, scene, 2, 3, "Y", "")
+		require.Equal(t, request.ActionFinish, scene.flow.Ended(1, 3).Kind())
+	})
+	t.Run("the new attempt breaks: the old one goes on", func(t *testing.T) {
+		scene := begin(t)
+		require.Equal(t, request.ActionRead, scene.flow.Broken(2, request.CauseCut).Kind())
+		require.Equal(t, letters("abc"), scene.flow.Tokens())
+		expectChunk(t, scene, 1, 3, "d", "d")
+	})
+	t.Run("the old attempt breaks: the new one goes on", func(t *testing.T) {
+		scene := begin(t)
+		require.Equal(t, request.ActionRead, scene.flow.Broken(1, request.CauseCut).Kind())
+		expectChunk(t, scene, 2, 2, "X", "X")
+	})
+	t.Run("the old attempt ends first: it is the answer", func(t *testing.T) {
+		scene := begin(t)
+		require.Equal(t, request.ActionFinish, scene.flow.Ended(1, 3).Kind())
+		require.Equal(t, letters("abc"), scene.flow.Tokens())
+	})
+	t.Run("with side effects: stays, unless the KV cache moves", func(t *testing.T) {
+		on := chatRoute.WithNonIdempotent(true)
+		scene := started(t, request.New("req-1", "garage-north", on, "", request.Prompt{}, 1000))
+		scene.servers[0].MarkLeaving()
+		require.Equal(t, request.ActionRead, scene.flow.Move(false).Kind())
+		transfer := expectAttempt(t, scene.flow.Move(true), request.AttemptTransfer, "runner-2", 0)
+		require.Equal(t, "stream-1", transfer.StreamID())
+		require.Equal(t, "runner-1", transfer.From().ID())
+	})
+}
+
+// TestAdopt checks what becomes of a stream that another node began and whose
+// caller holds tokens that this node doesn't know.
+func TestAdopt(t *testing.T) {
+	begin := func(t *testing.T, to *request.Request) *scene {
+		scene := newScene(to.WithHeld(2))
+		expectAttempt(t, scene.flow.Adopt(scene.servers[0], "stream-1", nil), request.AttemptResume, "runner-1", 0)
+		return scene
+	}
+	seeded := request.New("req-1", "garage-north", chatRoute, "", request.NewPrompt("m", nil, 0, 7), 1000)
+	t.Run("the stream lives: read from its beginning", func(t *testing.T) {
+		expectChunk(t, begin(t, chatRequest()), 1, 0, "abc", "abc")
+	})
+	t.Run("the stream is lost and was sampled: incomplete", func(t *testing.T) {
+		expectFailure[*request.IncompleteError](t, begin(t, chatRequest()).flow.Broken(1, request.CauseGone))
+	})
+	t.Run("the stream is lost and is deterministic: run again", func(t *testing.T) {
+		expectAttempt(t, begin(t, seeded).flow.Broken(1, request.CauseGone), request.AttemptFresh, "runner-2", 0)
+	})
+	t.Run("lost after what the caller holds was read: continued", func(t *testing.T) {
+		scene := begin(t, chatRequest())
+		expectChunk(t, scene, 1, 0, "ab", "ab")
+		expectAttempt(t, scene.flow.Broken(1, request.CauseGone), request.AttemptContinue, "runner-2", 2)
+	})
+	t.Run("lost and the prompt is not known: incomplete", func(t *testing.T) {
+		scene := begin(t, chatRequest().WithoutPrompt())
+		expectChunk(t, scene, 1, 0, "abc", "abc")
+		expectFailure[*request.IncompleteError](t, scene.flow.Broken(1, request.CauseGone))
+	})
+	t.Run("shorter than what the caller holds: incomplete", func(t *testing.T) {
+		scene := begin(t, seeded)
+		expectChunk(t, scene, 1, 0, "a", "a")
+		expectFailure[*request.IncompleteError](t, scene.flow.Ended(1, 1))
+	})
+	t.Run("with side effects and no stream: outcome unknown", func(t *testing.T) {
+		on := chatRoute.WithNonIdempotent(true)
+		scene := newScene(request.New("req-1", "garage-north", on, "", request.Prompt{}, 1000))
+		expectFailure[*request.OutcomeUnknownError](t, scene.flow.Adopt(nil, "", nil))
+	})
+}
+
+// TestAnswersMachine draws chunks that are delayed, doubled, reordered and cut,
+// end marks that come early, breaks, moves and late messages of abandoned
+// attempts. Each generation samples tokens of its own after those it was given.
+// The oracle is the list of each generation: what is delivered only grows, and
+// at the end it is exactly one of them, whose end mark was seen.
+func TestAnswersMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := newAnswersMachine()
+		machine.apply(t, machine.scene.flow.Start())
+		t.Repeat(map[string]func(*rapid.T){
+			"": machine.check,
+			"chunk": func(t *rapid.T) {
+				attempt := machine.drawAttempt(t)
+				whole := machine.generations[attempt]
+				from := rapid.IntRange(0, len(whole)).Draw(t, "from")
+				to := rapid.IntRange(from, len(whole)).Draw(t, "to")
+				_, action := machine.scene.flow.Chunk(attempt, from, whole[from:to])
+				machine.apply(t, action)
+			},
+			"end": func(t *rapid.T) {
+				attempt := machine.drawAttempt(t)
+				machine.ended[attempt] = true
+				machine.apply(t, machine.scene.flow.Ended(attempt, len(machine.generations[attempt])))
+			},
+			"break": func(t *rapid.T) {
+				cause := rapid.SampledFrom([]request.Cause{request.CauseCut, request.CauseSilent, request.CauseGone, request.CauseRefused}).Draw(t, "cause")
+				machine.apply(t, machine.scene.flow.Broken(machine.drawAttempt(t), cause))
+			},
+			"move": func(t *rapid.T) {
+				machine.apply(t, machine.scene.flow.Move(rapid.Bool().Draw(t, "transfer")))
+			},
+		})
+	})
+}
+
+type answersMachine struct {
+	scene       *scene
+	generations map[int][]string
+	ended       map[int]bool
+	attempts    int
+	delivered   []string
+	finished    bool
+}
+
+func newAnswersMachine() *answersMachine {
+	return &answersMachine{scene: newScene(chatRequest()), generations: map[int][]string{}, ended: map[int]bool{}}
+}
+
+func (machine *answersMachine) drawAttempt(t *rapid.T) int {
+	return rapid.IntRange(1, machine.attempts).Draw(t, "attempt")
+}
+
+func (machine *answersMachine) apply(t *rapid.T, action request.Action) {
+	machine.finished = machine.finished || action.Kind() == request.ActionFinish
+	if action.Kind() != request.ActionAttempt {
+		return
+	}
+	attempt := action.Attempt()
+	machine.attempts = attempt.Number()
+	machine.scene.flow.Sent(attempt.Number())
+	machine.scene.flow.Stream(attempt.Number(), fmt.Sprint("stream-", attempt.Number()))
+	if attempt.Mode() == request.AttemptResume || attempt.Mode() == request.AttemptTransfer {
+		machine.generations[attempt.Number()] = machine.generationOf(attempt.StreamID())
+		return
+	}
+	whole := attempt.Tokens()
+	for i := range rapid.IntRange(0, 6).Draw(t, "more") {
+		whole = append(whole, fmt.Sprintf("%d.%d", attempt.Number(), i))
+	}
+	machine.generations[attempt.Number()] = whole
+}
+
+func (machine *answersMachine) generationOf(streamID string) []string {
+	var attempt int
+	_, _ = fmt.Sscanf(streamID, "stream-%d", &attempt)
+	return machine.generations[attempt]
+}
+
+func (machine *answersMachine) check(t *rapid.T) {
+	tokens := machine.scene.flow.Tokens()
+	require.GreaterOrEqual(t, len(tokens), len(machine.delivered))
+	require.Equal(t, machine.delivered, append([]string(nil), tokens[:len(machine.delivered)]...), "delivered tokens never change")
+	machine.delivered = append([]string(nil), tokens...)
+	prefix, whole := false, false
+	for attempt, generation := range machine.generations {
+		joins := len(tokens) <= len(generation) && fmt.Sprint(tokens) == fmt.Sprint(generation[:len(tokens)])
+		prefix = prefix || joins
+		whole = whole || (joins && len(tokens) == len(generation) && machine.ended[attempt])
+	}
+	require.True(t, prefix, "delivered tokens are the beginning of one generation")
+	require.True(t, whole || !machine.finished, "an answer ends whole and by an end mark")
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -13,8 +13,11 @@
 package request
 
 import (
+	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/route"
 )
@@ -25,8 +28,27 @@
 	messages  []Message
 	maxTokens int
 	seed      int64
+	sampling  Sampling
+}
+
+// Sampling is how a runner picks tokens. Values that the caller did not give
+// are absent and left to the runner.
+type Sampling struct {
+	temperature *float64
+	topP        *float64
 }
 
+// NewSampling returns the caller's values; nil stands for one not given.
+func NewSampling(temperature, topP *float64) Sampling {
+	return Sampling{temperature: temperature, topP: topP}
+}
+
+// Temperature returns the temperature, or nil.
+func (sampling Sampling) Temperature() *float64 { return sampling.temperature }
+
+// TopP returns the probability mass that is sampled from, or nil.
+func (sampling Sampling) TopP() *float64 { return sampling.topP }
+
 // Message is one turn of a conversation.
 type Message struct {
 	role    string
@@ -59,6 +81,32 @@
 // Seed returns the sampling seed.
 func (prompt Prompt) Seed() int64 { return prompt.seed }
 
+// Sampling returns how tokens are picked.
+func (prompt Prompt) Sampling() Sampling { return prompt.sampling }
+
+// WithSampling returns a copy with the caller's values.
+func (prompt Prompt) WithSampling(sampling Sampling) Prompt {
+	prompt.sampling = sampling
+	return prompt
+}
+
+// Deterministic reports whether a second run gives the same tokens: the caller
+// fixed the seed or switched sampling off.
+func (prompt Prompt) Deterministic() bool {
+	temperature := prompt.sampling.temperature
+	return prompt.seed != 0 || (temperature != nil && *temperature == 0)
+}
+
+// Hash returns a number by which two prompts are compared.
+func (prompt Prompt) Hash() uint64 {
+	digest := xxhash.New()
+	fmt.Fprintf(digest, "%q %d %d", prompt.model, prompt.maxTokens, prompt.seed)
+	for _, message := range prompt.messages {
+		fmt.Fprintf(digest, " %q %q", message.role, message.content)
+	}
+	return digest.Sum64()
+}
+
 // Request is one request of a caller. It does not change.
 type Request struct {
 	id       string
@@ -67,6 +115,10 @@
 	key      string
 	prompt   Prompt
 	received clock.Millis
+	streamed bool
+	held     int
+
+	promptUnknown bool
 }
 
 // New returns a request of the client account on the route. The key is the
@@ -98,3 +150,32 @@
 
 // NeedsClaim reports whether the right to run must be claimed first.
 func (request *Request) NeedsClaim() bool { return request.route.NonIdempotent() && request.key != "" }
+
+// Streamed reports whether the caller reads tokens as they come and so can
+// return for the rest.
+func (request *Request) Streamed() bool { return request.streamed }
+
+// Held returns how many tokens of an earlier generation the caller holds. An
+// answer that differs in any of them can't be given.
+func (request *Request) Held() int { return request.held }
+
+// WithStreamed returns a copy whose caller reads tokens as they come.
+func (request *Request) WithStreamed(streamed bool) *Request {
+	changed := *request
+	changed.streamed = streamed
+	return &changed
+}
+
+// WithHeld returns a copy whose caller holds tokens of an earlier generation.
+func (request *Request) WithHeld(held int) *Request {
+	changed := *request
+	changed.held = held
+	return &changed
+}
+
+// WithoutPrompt returns a copy of which only a stream at a runner is known.
+func (request *Request) WithoutPrompt() *Request {
+	changed := *request
+	changed.promptUnknown = true
+	return &changed
+}
