Measure what requests cost an entry host

Cause: docs/CAPACITY.md has to be worked out from slopes, and none of the request path had been measured.

--- a/cmd/sapphire-standin/main.go
+++ b/cmd/sapphire-standin/main.go
@@ -6,12 +6,14 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 
 	"github.com/alecthomas/kong"
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/program"
+	"sapphirehead/internal/slopes/requestslope"
 	"sapphirehead/internal/standin/cloudstandin"
 	"sapphirehead/internal/standin/demo"
 	"sapphirehead/internal/standin/platformstandin"
@@ -27,6 +29,7 @@
 	Weightstore weightstoreCommand `cmd:"" help:"Weight store."`
 	Runner      runnerCommand      `cmd:"" help:"One model runner."`
 	Service     serviceCommand     `cmd:"" help:"One application service."`
+	Slopes      slopesCommand      `cmd:"" help:"Measure what requests cost an entry host."`
 	Demo        demoCommand        `cmd:"" help:"Start a whole system on loopback, send requests and check each answer."`
 }
 
@@ -189,6 +192,19 @@
 	return demo.Run(command.Bin)
 }
 
+type slopesCommand struct {
+	Bin string `help:"Folder with the programs." default:"bin" type:"existingdir"`
+}
+
+// Run measures and prints the slopes.
+func (command *slopesCommand) Run() error {
+	slopes, err := requestslope.Measure(context.Background(), command.Bin)
+	if err != nil {
+		return err
+	}
+	return slopes.Print(os.Stdout)
+}
+
 func main() {
 	var line commandLine
 	context := kong.Parse(&line, kong.Name("sapphire-standin"), kong.Description("Stand-ins for tests."))
--- /dev/null
+++ b/internal/slopes/requestslope/requestslope.go
@@ -0,0 +1,331 @@
+// Package requestslope measures what requests cost an entry host: processor
+// time for each request and each token, and memory for each stream in flight.
+// It runs one real entry host between a load and a stand-in runner, and reads
+// the entry host's own usage from the operating system.
+//
+// Two loads that differ in one quantity give the slope of that quantity:
+//
+//	2,000 chats of 1 token      use P1 of processor time
+//	2,000 chats of 101 tokens   use P2
+//	a token costs (P2 - P1) / 200,000
+package requestslope
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/standin/callerstandin"
+	"sapphirehead/internal/standin/harness"
+)
+
+const (
+	callerKey     = "key-of-the-load"
+	operatorToken = "token-of-operators"
+	model         = "desk-small"
+	// maxConcurrent is the number of requests in flight under load.
+	maxConcurrent = 64
+	loadRequests  = 2000
+	shortTokens   = 1
+	longTokens    = 101
+	// heldTokens is the length of a stream that stays in flight while memory
+	// is read.
+	heldTokens = 400
+	// decodeMillis of the stand-in runner under load and while streams are held.
+	decodeFast  = 1
+	decodeSlow  = 20
+	runnerSlots = 4000
+)
+
+const entrySettings = `host = "entry-1"
+dataCentre = "lj-a"
+[caller]
+listen = "127.0.0.1:0"
+[operator]
+listen = "127.0.0.1:0"
+token = %q
+[node]
+listen = "127.0.0.1:0"
+[platform]
+address = %q
+[[clientAccounts]]
+name = "load"
+key = %q
+`
+
+const tables = `
+[[routes]]
+name = "desk"
+kind = "chat"
+pool = "runners"
+model = "desk-small"
+worth = 1.0
+[[routes]]
+name = "bookings"
+kind = "service"
+pool = "booking"
+path = "/bookings"
+worth = 1.0
+nonIdempotent = true
+[[routes]]
+name = "status"
+kind = "service"
+pool = "booking"
+path = "/status"
+worth = 1.0
+[[pools]]
+name = "runners"
+kind = "runner"
+[[pools.models]]
+name = "desk-small"
+version = "v1"
+[[pools]]
+name = "booking"
+kind = "service"
+`
+
+// Slopes is what one request, one token and one stream in flight cost.
+type Slopes struct {
+	request  float64
+	token    float64
+	lookup   float64
+	booking  float64
+	stream   float64
+	baseline int64
+	inFlight []int
+	memory   []int64
+}
+
+// Request returns the processor time of one chat without its tokens, in
+// microseconds.
+func (slopes Slopes) Request() float64 { return slopes.request }
+
+// Token returns the processor time of one streamed token in microseconds.
+func (slopes Slopes) Token() float64 { return slopes.token }
+
+// Stream returns the memory of one stream in flight in bytes.
+func (slopes Slopes) Stream() float64 { return slopes.stream }
+
+// Print writes the slopes as a table.
+func (slopes Slopes) Print(to io.Writer) error {
+	writer := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(writer, "processor time, one chat without its tokens\t%.0f us\n", slopes.request)
+	fmt.Fprintf(writer, "processor time, one streamed token\t%.1f us\n", slopes.token)
+	fmt.Fprintf(writer, "processor time, one status lookup\t%.0f us\n", slopes.lookup)
+	fmt.Fprintf(writer, "processor time, one booking with a claim\t%.0f us\n", slopes.booking)
+	fmt.Fprintf(writer, "memory before any load\t%.1f MB\n", float64(slopes.baseline)/1e6)
+	for i, count := range slopes.inFlight {
+		fmt.Fprintf(writer, "memory with %d streams in flight\t%.1f MB\n", count, float64(slopes.memory[i])/1e6)
+	}
+	fmt.Fprintf(writer, "memory, one stream in flight\t%.1f KB\n", slopes.stream/1e3)
+	return writer.Flush()
+}
+
+// bench is the processes of one measurement.
+type bench struct {
+	harness *harness.Harness
+	entry   *harness.Process
+	caller  *callerstandin.Caller
+}
+
+// Measure runs the programs in bin and returns the slopes.
+func Measure(ctx context.Context, bin string) (Slopes, error) {
+	var slopes Slopes
+	if err := measureLoad(ctx, bin, &slopes); err != nil {
+		return slopes, err
+	}
+	return slopes, measureMemory(ctx, bin, &slopes)
+}
+
+func measureLoad(ctx context.Context, bin string, slopes *Slopes) error {
+	bench, closeBench, err := newBench(bin, decodeFast)
+	if err != nil {
+		return err
+	}
+	defer closeBench()
+	if err := bench.warmUp(ctx); err != nil {
+		return err
+	}
+	short, err := bench.load(ctx, bench.chat(shortTokens))
+	if err != nil {
+		return err
+	}
+	long, err := bench.load(ctx, bench.chat(longTokens))
+	if err != nil {
+		return err
+	}
+	lookup, err := bench.load(ctx, bench.call("GET", "/status/1", false))
+	if err != nil {
+		return err
+	}
+	booking, err := bench.load(ctx, bench.call("POST", "/bookings", true))
+	if err != nil {
+		return err
+	}
+	slopes.token = (long - short) / (longTokens - shortTokens)
+	slopes.request = short - slopes.token*shortTokens
+	slopes.lookup, slopes.booking = lookup, booking
+	return nil
+}
+
+func (bench *bench) warmUp(ctx context.Context) error {
+	_, err := bench.load(ctx, bench.chat(shortTokens))
+	return err
+}
+
+func (bench *bench) chat(tokens int) func(ctx context.Context, serial int) error {
+	return func(ctx context.Context, serial int) error {
+		content := fmt.Sprintf("Draft the report of filter %d", serial)
+		answer, err := bench.caller.StreamChat(ctx, bench.entry.Address("caller"), model, content, tokens, func(int) {})
+		if err != nil {
+			return err
+		}
+		return callerstandin.CheckText(answer, callerstandin.Expected(model, content, tokens))
+	}
+}
+
+func (bench *bench) call(method, path string, keyed bool) func(ctx context.Context, serial int) error {
+	return func(ctx context.Context, serial int) error {
+		key := ""
+		if keyed {
+			key = fmt.Sprintf("booking-%d", serial)
+		}
+		answer, err := bench.caller.Call(ctx, method, bench.entry.Address("caller"), path, key, nil)
+		if err == nil && answer.Status() >= 300 {
+			err = errors.Errorf("status %d: %s", answer.Status(), answer.Text())
+		}
+		return err
+	}
+}
+
+// load sends requests and returns the entry host's processor time for each,
+// in microseconds.
+func (bench *bench) load(ctx context.Context, send func(ctx context.Context, serial int) error) (float64, error) {
+	before, err := ReadUsage(bench.entry.PID())
+	if err != nil {
+		return 0, err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxConcurrent)
+	for serial := range loadRequests {
+		group.Go(func() error { return send(ctx, serial) })
+	}
+	if err := group.Wait(); err != nil {
+		return 0, err
+	}
+	after, err := ReadUsage(bench.entry.PID())
+	if err != nil {
+		return 0, err
+	}
+	return float64(after.Processor()-before.Processor()) * 1000 / loadRequests, nil
+}
+
+func measureMemory(ctx context.Context, bin string, slopes *Slopes) error {
+	for _, count := range []int{1, 100, 1000, 3000} {
+		bench, closeBench, err := newBench(bin, decodeSlow)
+		if err != nil {
+			return err
+		}
+		before, after, err := bench.hold(ctx, count)
+		closeBench()
+		if err != nil {
+			return err
+		}
+		slopes.baseline = before
+		slopes.inFlight = append(slopes.inFlight, count)
+		slopes.memory = append(slopes.memory, after)
+	}
+	last := len(slopes.memory) - 1
+	slopes.stream = float64(slopes.memory[last]-slopes.memory[0]) / float64(slopes.inFlight[last]-slopes.inFlight[0])
+	return nil
+}
+
+// hold keeps streams in flight and returns the entry host's memory before and
+// once each has had its first token.
+func (bench *bench) hold(ctx context.Context, count int) (before, after int64, err error) {
+	usage, err := ReadUsage(bench.entry.PID())
+	if err != nil {
+		return 0, 0, err
+	}
+	before = usage.Memory()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	started := make(chan struct{}, count*heldTokens)
+	group, ctx := errgroup.WithContext(ctx)
+	for serial := range count {
+		group.Go(func() error {
+			content := fmt.Sprintf("Summarise the history of account %d", serial)
+			_, err := bench.caller.StreamChat(ctx, bench.entry.Address("caller"), model, content, heldTokens, func(events int) {
+				if events == 1 {
+					started <- struct{}{}
+				}
+			})
+			return err
+		})
+	}
+	for range count {
+		select {
+		case <-started:
+		case <-ctx.Done():
+			return 0, 0, group.Wait()
+		}
+	}
+	usage, err = ReadUsage(bench.entry.PID())
+	cancel()
+	group.Wait()
+	return before, usage.Memory(), err
+}
+
+func newBench(bin string, decodeMillis int) (*bench, func(), error) {
+	folder, err := os.MkdirTemp("", "sapphirehead-slopes")
+	if err != nil {
+		return nil, nil, err
+	}
+	bench := &bench{harness: harness.New(bin, folder, clock.System()), caller: callerstandin.New(callerKey)}
+	closeBench := func() {
+		bench.harness.Close()
+		os.RemoveAll(folder)
+	}
+	if err := bench.start(decodeMillis); err != nil {
+		closeBench()
+		return nil, nil, errors.Wrap(err, bench.harness.Logs())
+	}
+	return bench, closeBench, nil
+}
+
+func (bench *bench) start(decodeMillis int) error {
+	platform, err := bench.harness.Start("platform", "sapphire-standin", "platform", "--lag-millis=1")
+	if err != nil {
+		return err
+	}
+	address := platform.Address("api")
+	for _, arguments := range [][]string{
+		{"runner", "--id=runner-1", "--model=" + model, fmt.Sprintf("--slots=%d", runnerSlots), fmt.Sprintf("--decode-millis=%d", decodeMillis)},
+		{"service", "--id=booking-1", "--pool=booking", "--work-millis=0"},
+	} {
+		arguments = append(arguments, "--platform="+address, "--data-centre=lj-a")
+		if _, err := bench.harness.Start(arguments[1], "sapphire-standin", arguments...); err != nil {
+			return err
+		}
+	}
+	settings, err := bench.harness.WriteFile("entry.toml", fmt.Sprintf(entrySettings, operatorToken, address, callerKey))
+	if err != nil {
+		return err
+	}
+	bench.entry, err = bench.harness.Start("entry-1", "sapphire-entry", "--settings="+settings)
+	if err != nil {
+		return err
+	}
+	file, err := bench.harness.WriteFile("tables.toml", tables)
+	if err != nil {
+		return err
+	}
+	output, err := bench.harness.Command("sapphirectl", "--address="+bench.entry.Address("operator"), "--token="+operatorToken, "apply", "--wait", "--file="+file)
+	return errors.Wrap(err, output)
+}
--- /dev/null
+++ b/internal/slopes/requestslope/usage.go
@@ -0,0 +1,60 @@
+package requestslope
+
+import (
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/clock"
+)
+
+// Usage is what a process has used so far.
+type Usage struct {
+	processor clock.Millis
+	memory    int64
+}
+
+const (
+	// ticksPerSecond is the unit of processor time in /proc.
+	ticksPerSecond = 100
+	pageBytes      = 4096
+	// Fields of /proc/PID/stat, counted from the one after the program's name.
+	statFieldUser   = 11
+	statFieldSystem = 12
+	statFieldPages  = 21
+)
+
+// ReadUsage reads processor time and resident memory of a process.
+func ReadUsage(pid int) (Usage, error) {
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return Usage{}, errors.Wrap(err, "read usage")
+	}
+	return parseUsage(string(data))
+}
+
+func parseUsage(line string) (Usage, error) {
+	end := strings.LastIndexByte(line, ')')
+	fields := strings.Fields(line[end+1:])
+	if end < 0 || len(fields) <= statFieldPages {
+		return Usage{}, errors.Errorf("usage has %d fields", len(fields))
+	}
+	var values [3]int64
+	for i, field := range []int{statFieldUser, statFieldSystem, statFieldPages} {
+		value, err := strconv.ParseInt(fields[field], 10, 64)
+		if err != nil {
+			return Usage{}, errors.Wrap(err, "read usage")
+		}
+		values[i] = value
+	}
+	ticks := values[0] + values[1]
+	return Usage{processor: clock.Millis(ticks * int64(clock.Second) / ticksPerSecond), memory: values[2] * pageBytes}, nil
+}
+
+// Processor returns the processor time used in user and system mode.
+func (usage Usage) Processor() clock.Millis { return usage.processor }
+
+// Memory returns the resident memory in bytes.
+func (usage Usage) Memory() int64 { return usage.memory }
--- a/internal/standin/harness/harness.go
+++ b/internal/standin/harness/harness.go
@@ -38,6 +38,9 @@
 // Address returns the named address on which the program listens.
 func (process *Process) Address(name string) string { return process.addresses[name] }
 
+// PID returns the process's number in the operating system.
+func (process *Process) PID() int { return process.command.Process.Pid }
+
 // Log returns what the program wrote to standard error.
 func (process *Process) Log() string { return process.log.String() }
 
