--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -3,9 +3,9 @@
 // and counters of each server that are atomics.
 //
 // One writer rebuilds the snapshot from the platform's lagging list and from
-// evidence that a server is leaving. Evidence of leaving is kept for the life
-// of the server's id, so an older list that still shows the server as live
-// never brings it back.
+// evidence that a server is leaving. Evidence of leaving is kept for as long as
+// the server's id can be listed, so an older list that still shows the server
+// as live never brings it back.
 package backend
 
 import (
@@ -181,50 +181,3 @@
 
 // Leaving reports whether the list shows the server as leaving.
 func (listed Listed) Leaving() bool { return listed.leaving }
-
-// Fleet publishes snapshots of the live servers. Update and MarkLeaving may
-// be called from one writer at a time; Current from any goroutine.
-type Fleet struct {
-	current atomic.Pointer[Snapshot]
-	left    map[string]bool
-}
-
-// NewFleet returns an empty fleet.
-func NewFleet() *Fleet {
-	fleet := &Fleet{left: map[string]bool{}}
-	fleet.current.Store(newSnapshot(nil))
-	return fleet
-}
-
-// Current returns the snapshot in force.
-func (fleet *Fleet) Current() *Snapshot { return fleet.current.Load() }
-
-// Update puts the listed servers in force. A known server keeps its counters
-// and its leaving mark.
-func (fleet *Fleet) Update(list []Listed) {
-	known := fleet.current.Load()
-	servers := make([]*Server, 0, len(list))
-	for _, listed := range list {
-		server := known.Server(listed.server.id)
-		if server == nil || server.address != listed.server.address {
-			server = listed.server
-		}
-		if listed.leaving || fleet.left[server.id] {
-			fleet.left[server.id] = true
-			server.MarkLeaving()
-		}
-		servers = append(servers, server)
-	}
-	fleet.current.Store(newSnapshot(servers))
-}
-
-// MarkLeaving records evidence that a server is leaving, even one that the
-// list does not show yet. It reports whether this was the first evidence.
-func (fleet *Fleet) MarkLeaving(id string) bool {
-	first := !fleet.left[id]
-	fleet.left[id] = true
-	if server := fleet.current.Load().Server(id); server != nil {
-		server.MarkLeaving()
-	}
-	return first
-}
--- a/internal/caller/callerhttp/chat.go
+++ b/internal/caller/callerhttp/chat.go
@@ -42,6 +42,8 @@
 	MaxTokens           int                `json:"max_tokens"`
 	MaxCompletionTokens int                `json:"max_completion_tokens"`
 	Seed                int64              `json:"seed"`
+	Temperature         *float64           `json:"temperature"`
+	TopP                *float64           `json:"top_p"`
 	Stream              bool               `json:"stream"`
 	StreamOptions       *streamOptionsForm `json:"stream_options"`
 	N                   int                `json:"n"`
@@ -107,7 +109,12 @@
 	for i, message := range form.Messages {
 		messages = append(messages, request.NewMessage(message.Role, form.contents[i]))
 	}
-	return request.NewPrompt(form.Model, messages, max(form.MaxTokens, form.MaxCompletionTokens), form.Seed)
+	return request.NewPrompt(form.Model, messages, max(form.MaxTokens, form.MaxCompletionTokens), form.Seed).
+		WithSampling(request.NewSampling(form.Temperature, form.TopP))
+}
+
+func (form chatForm) includeUsage() bool {
+	return form.StreamOptions != nil && form.StreamOptions.IncludeUsage
 }
 
 type answerMessageForm struct {
@@ -158,16 +165,20 @@
 
 const finishReasonStop = "stop"
 
-func (handler *Handler) wholeChat(writer http.ResponseWriter, message *http.Request, to *request.Request) {
+func (handler *Handler) wholeChat(writer http.ResponseWriter, message *http.Request, to *request.Request, follow Follow) {
 	var text strings.Builder
 	count := 0
-	err := handler.chat(message.Context(), to, func(_ int, tokens []string) error {
+	err := follow(message.Context(), 0, func(_ int, tokens []string) error {
 		for _, token := range tokens {
 			text.WriteString(token)
 		}
 		count += len(tokens)
 		return nil
 	})
+	if isMoved(err) {
+		seeOther(writer, "/v1/results/"+to.ID())
+		return
+	}
 	if err != nil {
 		writeError(writer, to.ID(), err)
 		return
@@ -179,23 +190,21 @@
 	})
 }
 
-func (handler *Handler) streamChat(writer http.ResponseWriter, message *http.Request, to *request.Request, form chatForm) {
+func (handler *Handler) streamChat(writer http.ResponseWriter, message *http.Request, to *request.Request, follow Follow, offset int, includeUsage bool) {
 	stream := newEventWriter(writer, to, handler.seconds())
-	err := handler.chat(message.Context(), to, stream.deliver)
+	stream.count = offset
+	err := follow(message.Context(), offset, stream.deliver)
 	if err != nil {
 		stream.fail(err)
 		return
 	}
-	stream.finish(form.StreamOptions != nil && form.StreamOptions.IncludeUsage)
+	stream.finish(includeUsage)
 }
 
 func (handler *Handler) seconds() int64 { return int64(handler.clock.Wall() / clock.Second) }
 
 func usageOf(to *request.Request, completion int) usageForm {
-	prompt := 0
-	for _, turn := range to.Prompt().Messages() {
-		prompt += len(strings.Fields(turn.Content()))
-	}
+	prompt := to.Prompt().Length()
 	return usageForm{PromptTokens: prompt, CompletionTokens: completion, TotalTokens: prompt + completion}
 }
 
@@ -242,7 +251,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(stream.writer, "id: %s\ndata: %s\n\n", stream.to.ID()+":"+strconv.Itoa(stream.count), data); err != nil {
+	if _, err := fmt.Fprintf(stream.writer, "id: %s\ndata: %s\n\n", request.EventID(stream.to.ID(), stream.count), data); err != nil {
 		return err
 	}
 	return stream.flusher.Flush()
@@ -264,8 +273,17 @@
 	stream.flusher.Flush()
 }
 
-// fail ends the stream without its end mark, after an event of type error.
+// fail ends the stream without its end mark, after an event of type error. If
+// another entry host goes on with the answer, the connection is cut instead, so
+// that no caller takes what it has for the whole.
 func (stream *eventWriter) fail(err error) {
+	if isMoved(err) && stream.begun {
+		panic(http.ErrAbortHandler)
+	}
+	if isMoved(err) {
+		seeOther(stream.writer, "/v1/streams/"+stream.to.ID()+"?offset="+strconv.Itoa(stream.count))
+		return
+	}
 	if !stream.begun {
 		writeError(stream.writer, stream.to.ID(), err)
 		return
--- a/internal/caller/callerhttp/errors.go
+++ b/internal/caller/callerhttp/errors.go
@@ -16,6 +16,8 @@
 	errorTypeOutcomeUnknown = "outcomeUnknown"
 	errorTypeIncomplete     = "incomplete"
 	errorTypeInternal       = "internal"
+	errorTypeStreamNotFound = "streamNotFound"
+	errorTypeUnavailable    = "unavailable"
 )
 
 // CallError says what is wrong with a caller's call.
@@ -50,6 +52,7 @@
 	var notRun *request.NotRunError
 	var unknown *request.OutcomeUnknownError
 	var incomplete *request.IncompleteError
+	var notFound *request.StreamNotFoundError
 	status := http.StatusInternalServerError
 	switch {
 	case errors.As(err, &call):
@@ -63,6 +66,8 @@
 		status, form.Type = http.StatusBadGateway, errorTypeOutcomeUnknown
 	case errors.As(err, &incomplete):
 		status, form.Type = http.StatusGatewayTimeout, errorTypeIncomplete
+	case errors.As(err, &notFound):
+		status, form.Type = http.StatusNotFound, errorTypeStreamNotFound
 	default:
 		form.Type = errorTypeInternal
 	}
--- a/internal/caller/callerhttp/handler.go
+++ b/internal/caller/callerhttp/handler.go
@@ -32,8 +32,9 @@
 
 // Header names of callers.
 const (
-	HeaderRequestID = "X-Request-Id"
-	HeaderKey       = "Idempotency-Key"
+	HeaderRequestID   = "X-Request-Id"
+	HeaderKey         = "Idempotency-Key"
+	HeaderLastEventID = "Last-Event-ID"
 )
 
 // Handler serves callers.
@@ -46,10 +47,16 @@
 	newID    func() string
 	chat     func(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error
 	call     func(ctx context.Context, to *request.Request, call service.Call) (service.Answer, error)
+	find     func(ctx context.Context, back request.Return) (to *request.Request, follow Follow, err error)
 }
 
+// Follow delivers the tokens of an answer from the offset on and returns nil
+// once it is whole.
+type Follow func(ctx context.Context, offset int, deliver func(offset int, tokens []string) error) error
+
 // New returns a handler over the seams of a node. Chat delivers tokens in
-// order and returns nil once the answer is whole.
+// order and returns nil once the answer is whole. Find returns the answer for
+// which a caller returns.
 func New(
 	clock *clock.Clock,
 	tables func() *table.Tables,
@@ -59,8 +66,11 @@
 	newID func() string,
 	chat func(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error,
 	call func(ctx context.Context, to *request.Request, call service.Call) (service.Answer, error),
+	find func(ctx context.Context, back request.Return) (to *request.Request, follow Follow, err error),
 ) *Handler {
-	return &Handler{clock: clock, tables: tables, accounts: accounts, admit: admit, ready: ready, newID: newID, chat: chat, call: call}
+	return &Handler{
+		clock: clock, tables: tables, accounts: accounts, admit: admit, ready: ready, newID: newID, chat: chat, call: call, find: find,
+	}
 }
 
 // Router returns the HTTP routes of the handler.
@@ -70,6 +80,8 @@
 	router.HandleFunc("/readyz", handler.serveReady).Methods(http.MethodGet)
 	router.HandleFunc("/v1/models", handler.serveModels).Methods(http.MethodGet)
 	router.HandleFunc("/v1/chat/completions", handler.serveChat).Methods(http.MethodPost)
+	router.HandleFunc("/v1/streams/{id}", handler.serveStream).Methods(http.MethodGet)
+	router.HandleFunc("/v1/results/{id}", handler.serveResult).Methods(http.MethodGet)
 	router.PathPrefix("/").HandlerFunc(handler.serveService)
 	return router
 }
@@ -118,6 +130,10 @@
 		writeError(writer, id, err)
 		return
 	}
+	if eventID := message.Header.Get(HeaderLastEventID); eventID != "" {
+		handler.returnChat(writer, message, account, eventID, form)
+		return
+	}
 	on, ok := handler.tables().RouteForModel(form.Model)
 	if !ok {
 		writeError(writer, id, newCallError(http.StatusNotFound, "modelNotFound", "there is no model "+strconv.Quote(form.Model)+": GET /v1/models lists them"))
@@ -129,12 +145,15 @@
 		return
 	}
 	defer release()
-	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), form.prompt(), handler.clock.Now())
+	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), form.prompt(), handler.clock.Now()).WithStreamed(form.Stream)
+	follow := func(ctx context.Context, _ int, deliver func(offset int, tokens []string) error) error {
+		return handler.chat(ctx, to, deliver)
+	}
 	if form.Stream {
-		handler.streamChat(writer, message, to, form)
+		handler.streamChat(writer, message, to, follow, 0, form.includeUsage())
 		return
 	}
-	handler.wholeChat(writer, message, to)
+	handler.wholeChat(writer, message, to, follow)
 }
 
 func (handler *Handler) serveService(writer http.ResponseWriter, message *http.Request) {
--- /dev/null
+++ b/internal/caller/callerhttp/returns.go
@@ -0,0 +1,106 @@
+package callerhttp
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/caller"
+	"sapphirehead/internal/request"
+)
+
+// retryAfterReturn is the wait told to a returning caller, in seconds.
+const retryAfterReturn = "1"
+
+func isMoved(err error) bool {
+	var moved *request.MovedError
+	return errors.As(err, &moved)
+}
+
+// seeOther sends the caller to a path that every entry host serves. The path
+// is relative, so the caller reaches it through the balancer.
+func seeOther(writer http.ResponseWriter, path string) {
+	writer.Header().Set("Location", path)
+	writer.Header().Set("Connection", "close")
+	writer.WriteHeader(http.StatusSeeOther)
+}
+
+// returnChat serves a caller that repeats its request with Last-Event-ID.
+func (handler *Handler) returnChat(writer http.ResponseWriter, message *http.Request, account *caller.Account, eventID string, form chatForm) {
+	id, count, ok := request.ParseEventID(eventID)
+	if !ok {
+		writeError(writer, "", badEventID())
+		return
+	}
+	back := request.NewReturn(id, account.Name(), count).WithPrompt(form.prompt())
+	handler.serveReturn(writer, message, account, back, form.Stream, form.includeUsage())
+}
+
+// serveStream serves the rest of a stream by its request's id.
+func (handler *Handler) serveStream(writer http.ResponseWriter, message *http.Request) {
+	account, err := handler.account(message)
+	if err != nil {
+		writeError(writer, "", err)
+		return
+	}
+	id := mux.Vars(message)["id"]
+	count := 0
+	if eventID := message.Header.Get(HeaderLastEventID); eventID != "" {
+		named, held, ok := request.ParseEventID(eventID)
+		if !ok || named != id {
+			writeError(writer, "", badEventID())
+			return
+		}
+		count = held
+	} else if text := message.URL.Query().Get("offset"); text != "" {
+		count, err = strconv.Atoi(text)
+		if err != nil || count < 0 {
+			writeError(writer, "", newCallError(http.StatusBadRequest, "badRequest", "offset: allowed is a number of tokens from 0"))
+			return
+		}
+	}
+	handler.serveReturn(writer, message, account, request.NewReturn(id, account.Name(), count), true, false)
+}
+
+// serveResult serves the whole answer of a request by its id.
+func (handler *Handler) serveResult(writer http.ResponseWriter, message *http.Request) {
+	account, err := handler.account(message)
+	if err != nil {
+		writeError(writer, "", err)
+		return
+	}
+	handler.serveReturn(writer, message, account, request.NewReturn(mux.Vars(message)["id"], account.Name(), 0), false, false)
+}
+
+func (handler *Handler) serveReturn(
+	writer http.ResponseWriter, message *http.Request, account *caller.Account, back request.Return, streamed, includeUsage bool,
+) {
+	if _, ok := request.ParseID(back.ID()); !ok {
+		writeError(writer, "", request.NewStreamNotFoundError(back.ID()))
+		return
+	}
+	writer.Header().Set(HeaderRequestID, back.ID())
+	release, err := handler.admit(account)
+	if err != nil {
+		writer.Header().Set("Retry-After", retryAfterReturn)
+		writeError(writer, back.ID(), newCallError(http.StatusServiceUnavailable, errorTypeUnavailable, "the answer can't be read here now: ask again"))
+		return
+	}
+	defer release()
+	to, follow, err := handler.find(message.Context(), back)
+	if err != nil {
+		writeError(writer, back.ID(), err)
+		return
+	}
+	if streamed {
+		handler.streamChat(writer, message, to, follow, back.Offset(), includeUsage)
+		return
+	}
+	handler.wholeChat(writer, message, to, follow)
+}
+
+func badEventID() *CallError {
+	return newCallError(http.StatusBadRequest, "badRequest", HeaderLastEventID+": allowed is the id of an event of ours")
+}
--- /dev/null
+++ b/internal/entry/answers.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+)
+
+// Times for which answers outlive the connections of their callers.
+const (
+	// returnGrace is how long a generation goes on for a caller that left.
+	returnGrace = 5 * clock.Second
+	// adoptedGrace is the same for a stream taken over from another entry
+	// host, whose caller first has to find the way here.
+	adoptedGrace = 30 * clock.Second
+	// retention is how long a finished answer is kept for a caller's return.
+	retention = 30 * clock.Second
+)
+
+// Answers holds the answers that this node generates or has generated lately.
+// An answer belongs to no connection: it runs on its own, and any number of
+// connections of its client account follow its journal.
+//
+//	POST, stream        -> Begin, Follow(0)  "req-1": The log
+//	connection lost     -> detached, runs on for the grace
+//	Last-Event-ID req-1:1 -> Find, Follow(1) " log", " is", " clean"
+//
+// Lookups and appends take no lock: the map is a sync.Map, journals are read
+// through atomic pointers.
+type Answers struct {
+	clock  *clock.Clock
+	life   context.Context
+	end    context.CancelCauseFunc
+	run    func(ctx context.Context, answer *Answer)
+	byID   sync.Map
+	active atomic.Int64
+	group  sync.WaitGroup
+}
+
+// NewAnswers returns an empty set. The function run generates an answer and
+// finishes its journal.
+func NewAnswers(clock *clock.Clock, run func(ctx context.Context, answer *Answer)) *Answers {
+	life, end := context.WithCancelCause(context.Background())
+	return &Answers{clock: clock, life: life, end: end, run: run}
+}
+
+// Begin starts to generate the answer to a request, unless an answer with its
+// id is known.
+func (answers *Answers) Begin(to *request.Request) *Answer {
+	return answers.start(newAnswer(answers, to, nil))
+}
+
+// Adopt goes on with an answer that another node began. The start tells where.
+func (answers *Answers) Adopt(to *request.Request, start *Adopted) *Answer {
+	return answers.start(newAnswer(answers, to, start))
+}
+
+func (answers *Answers) start(answer *Answer) *Answer {
+	id := answer.Request().ID()
+	for {
+		found, loaded := answers.byID.LoadOrStore(id, answer)
+		if !loaded {
+			break
+		}
+		if known := found.(*Answer); !known.replaceable() {
+			return known
+		}
+		if answers.byID.CompareAndSwap(id, found, answer) {
+			break
+		}
+	}
+	answers.active.Add(1)
+	answers.group.Go(func() {
+		defer answers.active.Add(-1)
+		answers.run(answer.ctx, answer)
+		answer.cancel(nil)
+		close(answer.finished)
+		answers.clock.AfterFunc(retention, func() { answers.byID.CompareAndDelete(id, answer) })
+	})
+	if answer.start != nil {
+		answer.attend()()
+	}
+	return answer
+}
+
+// Find returns the answer with the id.
+func (answers *Answers) Find(id string) (*Answer, bool) {
+	found, ok := answers.byID.Load(id)
+	if !ok {
+		return nil, false
+	}
+	return found.(*Answer), true
+}
+
+// Active returns the answers that are being generated.
+func (answers *Answers) Active() []*Answer {
+	var active []*Answer
+	answers.byID.Range(func(_, value any) bool {
+		answer := value.(*Answer)
+		if finished, _ := answer.journal.State().Finished(); !finished {
+			active = append(active, answer)
+		}
+		return true
+	})
+	return active
+}
+
+// Close stops every generation with the cause and waits for its end.
+func (answers *Answers) Close(cause error) {
+	answers.end(cause)
+	answers.group.Wait()
+}
+
+// Adopted tells where a node goes on with an answer that another began.
+type Adopted struct {
+	tokens []string
+	place  place
+	whole  bool
+}
+
+// Answer is one answer of this node.
+type Answer struct {
+	answers *Answers
+	journal *request.Journal
+	start   *Adopted
+	grace   clock.Millis
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	// moves and pauses are how others speak to the answer's run.
+	moves    chan request.Move
+	pauses   chan *pause
+	finished chan struct{}
+	epoch    atomic.Int64
+	readers  atomic.Int64
+	firstAt  atomic.Int64
+}
+
+func newAnswer(answers *Answers, to *request.Request, start *Adopted) *Answer {
+	answer := &Answer{
+		answers: answers, start: start,
+		moves: make(chan request.Move, 1), pauses: make(chan *pause), finished: make(chan struct{}),
+	}
+	answer.ctx, answer.cancel = context.WithCancelCause(answers.life)
+	var tokens []string
+	switch {
+	case start != nil:
+		tokens, answer.grace = start.tokens, adoptedGrace
+	case to.Streamed():
+		answer.grace = returnGrace
+	}
+	answer.journal = request.NewJournal(to, tokens)
+	return answer
+}
+
+// Request returns the request that is answered.
+func (answer *Answer) Request() *request.Request { return answer.journal.Request() }
+
+// Journal returns the answer as far as it has come.
+func (answer *Answer) Journal() *request.Journal { return answer.journal }
+
+// Follow delivers the tokens from the offset on, as they come, and returns nil
+// once the answer is whole.
+func (answer *Answer) Follow(ctx context.Context, offset int, deliver func(offset int, tokens []string) error) error {
+	detach := answer.attend()
+	defer detach()
+	for {
+		state := answer.journal.State()
+		if tokens := state.Tokens(); len(tokens) > offset {
+			if err := deliver(offset, tokens[offset:]); err != nil {
+				return err
+			}
+			offset = len(tokens)
+		}
+		if finished, err := state.Finished(); finished {
+			return err
+		}
+		select {
+		case <-state.Changed():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// attend counts a connection that follows the answer. When the last one has
+// left, the generation is stopped after the grace, unless a later one came.
+// What has side effects runs to its end.
+func (answer *Answer) attend() (detach func()) {
+	answer.readers.Add(1)
+	answer.epoch.Add(1)
+	return func() {
+		if answer.readers.Add(-1) > 0 || answer.Request().Route().NonIdempotent() {
+			return
+		}
+		if finished, _ := answer.journal.State().Finished(); finished {
+			return
+		}
+		epoch := answer.epoch.Load()
+		if answer.grace == 0 {
+			answer.cancel(request.NewUnattendedError(answer.Request().ID()))
+			return
+		}
+		answer.answers.clock.AfterFunc(answer.grace, func() {
+			if answer.readers.Load() == 0 && answer.epoch.Load() == epoch {
+				answer.cancel(request.NewUnattendedError(answer.Request().ID()))
+			}
+		})
+	}
+}
+
+// perToken returns the time that a token has taken so far, or the route's
+// target while too few are known.
+func (answer *Answer) perToken() clock.Millis {
+	tokens := clock.Millis(len(answer.journal.State().Tokens()))
+	first := clock.Millis(answer.firstAt.Load())
+	if first == 0 || tokens < 2 {
+		return answer.Request().Route().BetweenTokens()
+	}
+	return max((answer.answers.clock.Now()-first)/(tokens-1), 1)
+}
+
+// replaceable reports whether the answer was given up here and may be taken up
+// again: another node goes on with it, or its caller stayed away.
+func (answer *Answer) replaceable() bool {
+	_, err := answer.journal.State().Finished()
+	return isMoved(err) || isUnattended(err)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/hex"
 	"expvar"
 	mathrand "math/rand/v2"
 	"net"
@@ -56,7 +55,10 @@
 	stopping    atomic.Bool
 	inForce     *table.InForce
 	fleet       *backend.Fleet
-	evidence    chan string
+	evidence    *backend.Evidence
+	hints       *node.Hints
+	located     chan *Answer
+	reclaimed   chan clock.Millis
 	members     *node.Members
 	accounts    *caller.Accounts
 	admission   *caller.Admission
@@ -67,6 +69,7 @@
 	editor      *operator.Editor
 	links       *nodelink.Links
 	driver      *Driver
+	answers     *Answers
 	listeners   listeners
 }
 
@@ -76,9 +79,6 @@
 	node     net.Listener
 }
 
-// maxEvidence bounds the news of leaving servers that wait for their writer.
-const maxEvidence = 1024
-
 // New returns an entry host that listens but does not serve yet.
 func New(settings *settings.Entry, clock *clock.Clock, log zerolog.Logger) (*Entry, error) {
 	entry := &Entry{
@@ -89,7 +89,10 @@
 		incarnation: int64(clock.Wall()),
 		inForce:     table.NewInForce(),
 		fleet:       backend.NewFleet(),
-		evidence:    make(chan string, maxEvidence),
+		evidence:    backend.NewEvidence(),
+		hints:       node.NewHints(clock),
+		located:     make(chan *Answer, maxHintsWaiting),
+		reclaimed:   newReclaimed(),
 		members:     node.NewMembers(clock, settings.Host(), node.DefaultSilence),
 		accounts:    accountsOf(settings),
 		admission:   caller.NewAdmission(settings.MaxInFlight()),
@@ -103,6 +106,7 @@
 	entry.editor = operator.NewEditor(entry.loadTables, entry.commitTables)
 	entry.links = nodelink.New(clock, entry.answerCall)
 	entry.driver = entry.newDriver()
+	entry.answers = NewAnswers(clock, entry.driver.Run)
 	return entry, entry.listen()
 }
 
@@ -122,7 +126,8 @@
 	runners := runnerhttp.New(entry.clock, connectTimeout)
 	services := servicehttp.New(connectTimeout)
 	return NewDriver(entry.clock, choose, func(*request.Request) bool { return true }, entry.claim, entry.record,
-		runners.Open, runners.Cancel, services.Call, entry.noteLeaving, entry.countAttempt)
+		runners.Open, runners.Cancel, services.Call, entry.noteLeaving, entry.countAttempt,
+		runners.Renew, entry.noteLocated)
 }
 
 func (entry *Entry) listen() error {
@@ -165,17 +170,17 @@
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
-	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat} {
+	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat, entry.sendHints} {
 		group.Go(func() error {
 			loop(loops)
 			return nil
 		})
 	}
 	group.Go(func() error {
-		entry.waitForStop(stop, loops)
-		entry.drain(kill, callers)
+		entry.drain(kill, callers, entry.waitForStop(stop, loops))
 		cancel()
 		operators.Close()
+		entry.answers.Close(request.NewMovedError(""))
 		entry.links.Close()
 		entry.listeners.node.Close()
 		return nil
@@ -183,27 +188,6 @@
 	return group.Wait()
 }
 
-func (entry *Entry) waitForStop(stop, loops context.Context) {
-	select {
-	case <-stop.Done():
-	case <-loops.Done():
-	}
-}
-
-// drain ends the service of callers without cutting a request.
-func (entry *Entry) drain(kill context.Context, callers *http.Server) {
-	entry.log.Info().Int64("inFlight", entry.admission.InFlight()).Msg("stopping: no longer ready")
-	entry.stopping.Store(true)
-	entry.clock.Wait(kill, entry.settings.ReadyOff())
-	entry.admission.Close()
-	ctx, cancel := entry.clock.WithTimeout(kill, entry.settings.Grace())
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		entry.log.Error().Err(err).Int64("inFlight", entry.admission.InFlight()).Msg("stopping: requests in progress were cut")
-		callers.Close()
-	}
-}
-
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
@@ -213,17 +197,17 @@
 
 func (entry *Entry) callerHandler() http.Handler {
 	handler := callerhttp.New(entry.clock, entry.inForce.Current, func() *caller.Accounts { return entry.accounts },
-		entry.admission.Admit, entry.isReady, newID, entry.driver.Chat, entry.driver.Call)
+		entry.admission.Admit, entry.isReady, entry.newID, entry.chat, entry.call, entry.find)
 	return handler.Router()
 }
 
 func (entry *Entry) isReady() bool { return entry.ready.Load() && !entry.stopping.Load() }
 
 // newID returns a new identity of a request.
-func newID() string {
-	var bytes [12]byte
-	rand.Read(bytes[:])
-	return "req-" + hex.EncodeToString(bytes[:])
+func (entry *Entry) newID() string {
+	var random [12]byte
+	rand.Read(random[:])
+	return request.NewID(entry.tag(), random)
 }
 
 func (entry *Entry) countAttempt(to *request.Request, server *backend.Server, cause request.Cause) {
--- a/internal/entry/fellows.go
+++ b/internal/entry/fellows.go
@@ -103,7 +103,7 @@
 		}
 		return nodepb.Reply_builder{Tables: nodepb.Tables_builder{Version: new(tables.Version()), Body: body}.Build()}.Build()
 	default:
-		return errorReply("unknown call")
+		return entry.answerStreamCall(call)
 	}
 }
 
--- /dev/null
+++ b/internal/entry/returns.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/caller/callerhttp"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node"
+	"sapphirehead/internal/node/nodepb"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/service"
+)
+
+const (
+	// returnSuccessors is how many successors of a node are asked for its
+	// answers.
+	returnSuccessors = 3
+	// askTimeout bounds the asking of fellow nodes.
+	askTimeout = 1500 * clock.Millisecond
+	// hintPatience is how long the node itself is waited for once a hint is
+	// known, which names only the stream.
+	hintPatience = 300 * clock.Millisecond
+)
+
+func isMoved(err error) bool {
+	var moved *request.MovedError
+	return errors.As(err, &moved)
+}
+
+func isUnattended(err error) bool {
+	var unattended *request.UnattendedError
+	return errors.As(err, &unattended)
+}
+
+// chat answers a new request and delivers its tokens in order.
+func (entry *Entry) chat(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error {
+	return entry.answers.Begin(to).Follow(ctx, 0, deliver)
+}
+
+// call runs a call to an application service. One with side effects does not
+// end with its caller's connection: its outcome is waited for and recorded.
+func (entry *Entry) call(ctx context.Context, to *request.Request, call service.Call) (service.Answer, error) {
+	if to.Route().NonIdempotent() {
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(entry.answers.life, cancel)
+	defer stop()
+	return entry.driver.Call(ctx, to, call)
+}
+
+// find returns the answer for which a caller returns.
+func (entry *Entry) find(ctx context.Context, back request.Return) (*request.Request, callerhttp.Follow, error) {
+	answer, err := entry.findAnswer(ctx, back)
+	if err != nil {
+		return nil, nil, err
+	}
+	if answer.Request().Account() != back.Account() {
+		return nil, nil, request.NewStreamNotFoundError(back.ID())
+	}
+	return answer.Request(), answer.Follow, nil
+}
+
+// findAnswer looks for the answer here, then at the node that accepted the
+// request and its successors, which give it away whole or tell by a hint where
+// it is generated. If nobody knows of it, the request runs again, but only if
+// the caller holds nothing of it or a second run gives the same tokens.
+func (entry *Entry) findAnswer(ctx context.Context, back request.Return) (*Answer, error) {
+	if answer, ok := entry.answers.Find(back.ID()); ok && !answer.replaceable() {
+		return answer, nil
+	}
+	stream, hint, hinted := entry.askFellows(ctx, back)
+	if stream != nil {
+		return entry.adoptStream(stream)
+	}
+	if answer, ok := entry.answers.Find(back.ID()); ok {
+		return entry.adoptAgain(answer), nil
+	}
+	if hinted {
+		return entry.adoptHint(back, hint)
+	}
+	return entry.runAgain(back)
+}
+
+// adoptAgain goes on with an answer of this node that was given up, from the
+// tokens that are known of it.
+func (entry *Entry) adoptAgain(answer *Answer) *Answer {
+	state := answer.journal.State()
+	server, streamID := state.Place()
+	_, err := state.Finished()
+	start := &Adopted{tokens: state.Tokens()}
+	if !isUnattended(err) {
+		start.place = place{server: server, streamID: streamID}
+	}
+	return entry.answers.Adopt(answer.Request(), start)
+}
+
+// adoptHint reads the stream that the hint names from its beginning, since the
+// tokens before the caller's offset are needed if it has to continue elsewhere.
+func (entry *Entry) adoptHint(back request.Return, hint node.Hint) (*Answer, error) {
+	prompt, known := back.Prompt()
+	on, ok := entry.routeNamed(hint.Route())
+	if !ok || hint.AccountHash() != node.AccountHash(back.Account()) || (known && uint32(prompt.Hash()) != hint.PromptHash()) {
+		return nil, request.NewStreamNotFoundError(back.ID())
+	}
+	if !known {
+		prompt = request.NewPrompt(on.Model(), nil, 0, 0)
+	}
+	to := request.New(back.ID(), back.Account(), on, "", prompt, hint.Deadline()-on.Deadline()).WithStreamed(true).WithHeld(back.Offset())
+	if !known {
+		to = to.WithoutPrompt()
+	}
+	entry.counters.Add("streamsAdoptedByHint", 1)
+	server := entry.fleet.Current().Server(hint.ServerID())
+	return entry.answers.Adopt(to, &Adopted{place: place{server: server, streamID: hint.StreamID()}}), nil
+}
+
+func (entry *Entry) runAgain(back request.Return) (*Answer, error) {
+	prompt, known := back.Prompt()
+	if !known {
+		return nil, request.NewStreamNotFoundError(back.ID())
+	}
+	on, ok := entry.inForce.Current().RouteForModel(prompt.Model())
+	switch {
+	case !ok:
+		return nil, request.NewStreamNotFoundError(back.ID())
+	case on.NonIdempotent():
+		return nil, request.NewOutcomeUnknownError(back.ID(), "no entry host knows of it")
+	case back.Offset() > 0 && !prompt.Deterministic():
+		return nil, request.NewIncompleteError(back.ID(), "its generation is lost, and another would differ from what the caller holds")
+	}
+	entry.counters.Add("requestsRunAgain", 1)
+	to := request.New(back.ID(), back.Account(), on, "", prompt, entry.clock.Now()).WithStreamed(true).WithHeld(back.Offset())
+	return entry.answers.Begin(to), nil
+}
+
+// askFellows asks the nodes that may know of the answer, all at once.
+func (entry *Entry) askFellows(ctx context.Context, back request.Return) (stream *nodepb.Stream, hint node.Hint, hinted bool) {
+	ctx, cancel := entry.clock.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	hint, hinted = entry.hints.Find(back.ID())
+	candidates := entry.candidates(back.ID())
+	replies := make(chan *nodepb.Reply, len(candidates))
+	call := nodepb.Call_builder{StreamQuery: nodepb.StreamQuery_builder{RequestId: new(back.ID()), Account: new(back.Account())}.Build()}.Build()
+	for _, candidate := range candidates {
+		entry.answers.group.Go(func() {
+			reply, _ := entry.links.Call(ctx, candidate.Address(), call)
+			replies <- reply
+		})
+	}
+	tag, _ := request.ParseID(back.ID())
+	for range candidates {
+		if hinted {
+			var stop context.CancelFunc
+			ctx, stop = entry.clock.WithTimeout(ctx, hintPatience)
+			defer stop()
+		}
+		select {
+		case reply := <-replies:
+			switch {
+			case reply.HasStream():
+				return reply.GetStream(), hint, hinted
+			case reply.HasHint():
+				hint, hinted = hintOf(reply.GetHint(), tag, entry.clock.Now()), true
+			}
+		case <-ctx.Done():
+			return nil, hint, hinted
+		}
+	}
+	return nil, hint, hinted
+}
+
+// candidates returns the fellow nodes that may know of an answer: the one that
+// accepted the request, its successors, and those that were its successors
+// before some of these began to stop.
+func (entry *Entry) candidates(id string) []node.Member {
+	tag, _ := request.ParseID(id)
+	live := entry.members.Live()
+	chosen := append(node.Successors(tag, live, returnSuccessors), node.Successors(tag, notStopping(live), returnSuccessors)...)
+	for _, member := range live {
+		if node.Tag(member.Host()) == tag {
+			chosen = append(chosen, member)
+		}
+	}
+	seen := map[string]bool{entry.settings.Host(): true}
+	var candidates []node.Member
+	for _, member := range chosen {
+		if !seen[member.Host()] {
+			seen[member.Host()] = true
+			candidates = append(candidates, member)
+		}
+	}
+	return candidates
+}
+
+func notStopping(members []node.Member) []node.Member {
+	var staying []node.Member
+	for _, member := range members {
+		if !member.Stopping() {
+			staying = append(staying, member)
+		}
+	}
+	return staying
+}
+
+func (entry *Entry) tag() uint32 { return node.Tag(entry.settings.Host()) }
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -15,39 +15,70 @@
 	for ctx.Err() == nil {
 		list, err := entry.platform.Hosts(ctx)
 		if err == nil {
-			entry.fleet.Update(list)
+			entry.takeLeaving(withoutNotice(entry.fleet.Update(list)))
 		}
 		entry.takeEvidence(ctx)
 	}
 }
 
+func withoutNotice(ids []string) map[string]clock.Millis {
+	leaving := make(map[string]clock.Millis, len(ids))
+	for _, id := range ids {
+		leaving[id] = 0
+	}
+	return leaving
+}
+
 // takeEvidence marks leaving servers until it is time to read the list again.
 func (entry *Entry) takeEvidence(ctx context.Context) {
 	ctx, cancel := entry.clock.WithTimeout(ctx, jittered(hostsInterval))
 	defer cancel()
 	for {
 		select {
-		case id := <-entry.evidence:
-			if entry.fleet.MarkLeaving(id) {
-				entry.log.Info().Str(logging.FieldServer, id).Msg("backend server is leaving")
+		case <-entry.evidence.Wake():
+			first := map[string]clock.Millis{}
+			for id, notice := range entry.evidence.Take() {
+				if entry.fleet.MarkLeaving(id) {
+					first[id] = notice
+				}
 			}
+			entry.takeLeaving(first)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// takeLeaving acts on the first evidence that servers are leaving: fellow nodes
+// are told, and the streams there are moved.
+func (entry *Entry) takeLeaving(leaving map[string]clock.Millis) {
+	if len(leaving) == 0 {
+		return
+	}
+	for id, notice := range leaving {
+		entry.log.Info().Str(logging.FieldServer, id).Int64("noticeMillis", int64(notice)).Msg("backend server is leaving")
+	}
+	entry.counters.Add("serversLeaving", int64(len(leaving)))
+	entry.spreadLeaving(leaving)
+	entry.moveStreams(leaving)
+}
+
 // noteLeaving takes in evidence from a request that a server is leaving.
 func (entry *Entry) noteLeaving(server *backend.Server) {
-	server.MarkLeaving()
-	entry.addEvidence(server.ID())
+	if server.MarkLeaving() {
+		entry.addEvidence(server.ID())
+	}
 }
 
-func (entry *Entry) addEvidence(id string) {
-	select {
-	case entry.evidence <- id:
-	default:
+// addEvidence takes in evidence that a server is leaving. The chooser heeds it
+// from this moment on, if the server is listed.
+func (entry *Entry) addEvidence(id string) { entry.addNotice(id, 0) }
+
+func (entry *Entry) addNotice(id string, notice clock.Millis) {
+	if server := entry.fleet.Current().Server(id); server != nil {
+		server.MarkLeaving()
 	}
+	entry.evidence.Add(id, notice)
 }
 
 // watchNotices follows the cloud's reclaim notices.
@@ -61,7 +92,11 @@
 		}
 		for _, notice := range notices {
 			after = max(after, notice.Sequence())
-			entry.addEvidence(notice.HostID())
+			if notice.HostID() == entry.settings.Host() {
+				entry.noteReclaim(notice.After())
+				continue
+			}
+			entry.addNotice(notice.HostID(), notice.After())
 		}
 	}
 }
--- /dev/null
+++ b/internal/node/hints.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sapphirehead/internal/clock"
+)
+
+// Hint tells where an answer is generated, in case the node that serves its
+// caller dies. It holds no prompt: its caller repeats that.
+type Hint struct {
+	requestID   string
+	accountHash uint32
+	promptHash  uint32
+	route       string
+	serverID    string
+	streamID    string
+	deadline    clock.Millis
+}
+
+// NewHint returns a hint. The prompt is given by its hash, the deadline in this
+// node's monotonic time.
+func NewHint(requestID string, accountHash, promptHash uint32, route, serverID, streamID string, deadline clock.Millis) Hint {
+	return Hint{
+		requestID: requestID, accountHash: accountHash, promptHash: promptHash,
+		route: route, serverID: serverID, streamID: streamID, deadline: deadline,
+	}
+}
+
+// AccountHash returns the number by which hints name a client account.
+func AccountHash(account string) uint32 { return uint32(xxhash.Sum64String(account)) }
+
+// RequestID returns the id of the request.
+func (hint Hint) RequestID() string { return hint.requestID }
+
+// AccountHash returns the number that names the client account.
+func (hint Hint) AccountHash() uint32 { return hint.accountHash }
+
+// PromptHash returns the number that names the prompt.
+func (hint Hint) PromptHash() uint32 { return hint.promptHash }
+
+// Route returns the name of the request's route.
+func (hint Hint) Route() string { return hint.route }
+
+// ServerID returns the id of the backend server that generates.
+func (hint Hint) ServerID() string { return hint.serverID }
+
+// StreamID returns the server's id of the stream.
+func (hint Hint) StreamID() string { return hint.streamID }
+
+// Deadline returns when the answer is due, after which the hint is forgotten.
+func (hint Hint) Deadline() clock.Millis { return hint.deadline }
+
+// Hints holds the hints that fellow nodes have left here. It may be used from
+// any goroutine.
+type Hints struct {
+	clock *clock.Clock
+	byID  sync.Map
+}
+
+// NewHints returns an empty set.
+func NewHints(clock *clock.Clock) *Hints { return &Hints{clock: clock} }
+
+// Keep holds a hint until its deadline, in place of an earlier one for the same
+// request.
+func (hints *Hints) Keep(hint Hint) {
+	kept := &hint
+	hints.byID.Store(hint.requestID, kept)
+	hints.clock.AfterFunc(hint.deadline-hints.clock.Now(), func() { hints.byID.CompareAndDelete(hint.requestID, kept) })
+}
+
+// Find returns the hint for the request.
+func (hints *Hints) Find(requestID string) (Hint, bool) {
+	kept, ok := hints.byID.Load(requestID)
+	if !ok {
+		return Hint{}, false
+	}
+	return *kept.(*Hint), true
+}
--- a/internal/request/action.go
+++ b/internal/request/action.go
@@ -44,6 +44,9 @@
 	err     error
 }
 
+// ReadAction returns the instruction to go on reading.
+func ReadAction() Action { return Action{kind: ActionRead} }
+
 // Kind returns what to do.
 func (action Action) Kind() ActionKind { return action.kind }
 
--- a/internal/request/errors.go
+++ b/internal/request/errors.go
@@ -72,3 +72,51 @@
 func (err *IncompleteError) Error() string {
 	return fmt.Sprintf("request %s got no whole answer: %s", err.id, err.reason)
 }
+
+// MovedError says that another entry host goes on with the answer, where its
+// caller gets the rest under the request's id.
+type MovedError struct {
+	id string
+}
+
+// NewMovedError returns an error for the request.
+func NewMovedError(id string) *MovedError { return &MovedError{id: id} }
+
+// ID returns the id of the request.
+func (err *MovedError) ID() string { return err.id }
+
+func (err *MovedError) Error() string {
+	return fmt.Sprintf("request %s goes on at another entry host", err.id)
+}
+
+// UnattendedError says that a generation was stopped because its caller left
+// and did not return in time.
+type UnattendedError struct {
+	id string
+}
+
+// NewUnattendedError returns an error for the request.
+func NewUnattendedError(id string) *UnattendedError { return &UnattendedError{id: id} }
+
+// ID returns the id of the request.
+func (err *UnattendedError) ID() string { return err.id }
+
+func (err *UnattendedError) Error() string {
+	return fmt.Sprintf("the caller of request %s left and did not return in time", err.id)
+}
+
+// StreamNotFoundError says that no answer with the id is known for the client
+// account.
+type StreamNotFoundError struct {
+	id string
+}
+
+// NewStreamNotFoundError returns an error for the id that a caller gave.
+func NewStreamNotFoundError(id string) *StreamNotFoundError { return &StreamNotFoundError{id: id} }
+
+// ID returns the id of the request.
+func (err *StreamNotFoundError) ID() string { return err.id }
+
+func (err *StreamNotFoundError) Error() string {
+	return fmt.Sprintf("no answer to request %s is known for this client account", err.id)
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -15,6 +15,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -97,6 +98,16 @@
 	return prompt.seed != 0 || (temperature != nil && *temperature == 0)
 }
 
+// Length returns the number of words of the prompt, which stands for that of
+// its tokens.
+func (prompt Prompt) Length() int {
+	words := 0
+	for _, message := range prompt.messages {
+		words += len(strings.Fields(message.content))
+	}
+	return words
+}
+
 // Hash returns a number by which two prompts are compared.
 func (prompt Prompt) Hash() uint64 {
 	digest := xxhash.New()
--- /dev/null
+++ b/internal/request/return.go
@@ -0,0 +1,92 @@
+package request
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// idPrefix begins every request id.
+const idPrefix = "req-"
+
+// NewID returns the identity of a request. It carries the tag of the entry
+// host that accepted it, so that any other can tell whom to ask for the rest
+// of the answer.
+func NewID(tag uint32, random [12]byte) string {
+	return fmt.Sprintf("%s%08x-%x", idPrefix, tag, random)
+}
+
+// SplitID returns the tag of the entry host that accepted the request and the
+// random part, and false if the id is not one of ours.
+func SplitID(id string) (tag uint32, random [12]byte, ok bool) {
+	rest, ok := strings.CutPrefix(id, idPrefix)
+	if !ok || len(rest) != 8+1+2*len(random) || rest[8] != '-' {
+		return 0, random, false
+	}
+	value, err := strconv.ParseUint(rest[:8], 16, 32)
+	if err != nil {
+		return 0, random, false
+	}
+	if _, err := hex.Decode(random[:], []byte(rest[9:])); err != nil {
+		return 0, random, false
+	}
+	return uint32(value), random, NewID(uint32(value), random) == id
+}
+
+// ParseID returns the tag of the entry host that accepted the request, and
+// false if the id is not one of ours.
+func ParseID(id string) (tag uint32, ok bool) {
+	tag, _, ok = SplitID(id)
+	return tag, ok
+}
+
+// Return is a caller's wish for the rest of an answer. With a prompt the
+// caller repeats its request; without one it names only the id.
+type Return struct {
+	id        string
+	account   string
+	offset    int
+	prompt    Prompt
+	hasPrompt bool
+}
+
+// NewReturn returns a wish for the answer to the request from the offset on.
+func NewReturn(id, account string, offset int) Return {
+	return Return{id: id, account: account, offset: offset}
+}
+
+// WithPrompt returns a copy that repeats the request.
+func (back Return) WithPrompt(prompt Prompt) Return {
+	back.prompt, back.hasPrompt = prompt, true
+	return back
+}
+
+// ID returns the id of the request.
+func (back Return) ID() string { return back.id }
+
+// Account returns the name of the client account that asks.
+func (back Return) Account() string { return back.account }
+
+// Offset returns how many tokens the caller holds.
+func (back Return) Offset() int { return back.offset }
+
+// Prompt returns the repeated prompt, and false if there is none.
+func (back Return) Prompt() (Prompt, bool) { return back.prompt, back.hasPrompt }
+
+// EventID returns the id of an event after which the caller holds count tokens.
+func EventID(id string, count int) string { return id + ":" + strconv.Itoa(count) }
+
+// ParseEventID returns the request and the number of tokens that the caller
+// holds, and false if it is no event id of ours.
+func ParseEventID(eventID string) (id string, count int, ok bool) {
+	id, number, ok := strings.Cut(eventID, ":")
+	if !ok {
+		return "", 0, false
+	}
+	count, err := strconv.Atoi(number)
+	if _, known := ParseID(id); !known || err != nil || count < 0 {
+		return "", 0, false
+	}
+	return id, count, true
+}
--- a/internal/runner/runnerhttp/client.go
+++ b/internal/runner/runnerhttp/client.go
@@ -42,14 +42,26 @@
 
 // Client opens streams at model runners.
 type Client struct {
-	clock *clock.Clock
-	http  *http.Client
+	clock       *clock.Clock
+	connections *connections
+	// http carries calls that are not on the path of a request.
+	http *http.Client
 }
 
 // New returns a client whose connections are opened within the timeout.
 func New(clock *clock.Clock, connectTimeout clock.Millis) *Client {
-	dialer := &net.Dialer{Timeout: connectTimeout.Duration()}
-	return &Client{clock: clock, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}}}
+	connections := newConnections(connectTimeout)
+	return &Client{clock: clock, connections: connections, http: connections.transport()}
+}
+
+// Renew gives up the idle connections to the server, because one to it went
+// silent.
+func (client *Client) Renew(server *backend.Server) { client.connections.renew(server.Address()) }
+
+// Close gives up all idle connections.
+func (client *Client) Close() {
+	client.connections.close()
+	client.http.CloseIdleConnections()
 }
 
 type messageForm struct {
@@ -63,12 +75,14 @@
 }
 
 type promptForm struct {
-	Model     string         `json:"model"`
-	Messages  []messageForm  `json:"messages"`
-	MaxTokens int            `json:"max_tokens,omitempty"`
-	Seed      int64          `json:"seed,omitempty"`
-	Stream    bool           `json:"stream"`
-	Sapphire  *extensionForm `json:"sapphire,omitempty"`
+	Model       string         `json:"model"`
+	Messages    []messageForm  `json:"messages"`
+	MaxTokens   int            `json:"max_tokens,omitempty"`
+	Seed        int64          `json:"seed,omitempty"`
+	Temperature *float64       `json:"temperature,omitempty"`
+	TopP        *float64       `json:"top_p,omitempty"`
+	Stream      bool           `json:"stream"`
+	Sapphire    *extensionForm `json:"sapphire,omitempty"`
 }
 
 type chunkForm struct {
@@ -88,38 +102,65 @@
 
 // Open begins an attempt. Errors are *runner.BrokenError.
 func (client *Client) Open(ctx context.Context, to *request.Request, attempt request.Attempt) (*runner.Stream, error) {
+	if attempt.Mode() == request.AttemptResume {
+		client.Renew(attempt.Server())
+	}
+	streamID := attempt.StreamID()
+	if attempt.Mode() == request.AttemptTransfer {
+		moved, err := client.transfer(ctx, attempt)
+		if err != nil {
+			return nil, err
+		}
+		streamID = moved
+	}
 	ctx, cancel := context.WithCancel(ctx)
-	message, err := newMessage(ctx, to, attempt)
+	message, err := newMessage(ctx, to, attempt, streamID)
 	if err != nil {
 		cancel()
 		return nil, runner.NewBrokenError(request.CauseNotSent, err)
 	}
 	message.Header.Set(HeaderRequestID, to.ID())
 	message.Header.Set(HeaderAttempt, strconv.Itoa(attempt.Number()))
-	answer, err := client.http.Do(message)
+	answer, err := client.connections.client(attempt.Server().Address()).Do(message)
 	if err != nil {
 		cancel()
 		return nil, runner.NewBrokenError(causeOf(err), err)
 	}
 	client.learn(attempt.Server(), answer.Header)
-	if answer.StatusCode != http.StatusOK {
-		body, _ := io.ReadAll(io.LimitReader(answer.Body, maxLineBytes))
+	if broken := checkAnswer(answer, to.ID(), streamID); broken != nil {
 		answer.Body.Close()
 		cancel()
-		return nil, runner.NewBrokenError(causeOfStatus(answer.StatusCode), errors.Errorf("status %s: %s", answer.Status, body))
+		return nil, broken
 	}
 	reader := newEventReader(answer.Body, cancel)
 	return runner.NewStream(answer.Header.Get(HeaderStreamID), reader.next, reader.close), nil
 }
 
-func newMessage(ctx context.Context, to *request.Request, attempt request.Attempt) (*http.Request, error) {
+// checkAnswer returns why the answer can't be read: its status, or that the
+// server names another request or another stream than was asked for.
+func checkAnswer(answer *http.Response, requestID, streamID string) *runner.BrokenError {
+	if answer.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(answer.Body, maxLineBytes))
+		return runner.NewBrokenError(causeOfStatus(answer.StatusCode), errors.Errorf("status %s: %s", answer.Status, body))
+	}
+	if echoed := answer.Header.Get(HeaderRequestID); echoed != "" && echoed != requestID {
+		return runner.NewBrokenError(request.CauseInvalid, errors.Errorf("the answer belongs to request %s", echoed))
+	}
+	if named := answer.Header.Get(HeaderStreamID); streamID != "" && named != "" && named != streamID {
+		return runner.NewBrokenError(request.CauseInvalid, errors.Errorf("the answer belongs to stream %s", named))
+	}
+	return nil
+}
+
+func newMessage(ctx context.Context, to *request.Request, attempt request.Attempt, streamID string) (*http.Request, error) {
 	base := "http://" + attempt.Server().Address()
-	if attempt.Mode() == request.AttemptResume {
-		path := base + "/v1/streams/" + url.PathEscape(attempt.StreamID()) + "?offset=" + strconv.Itoa(attempt.Offset())
+	if streamID != "" {
+		path := base + "/v1/streams/" + url.PathEscape(streamID) + "?offset=" + strconv.Itoa(attempt.Offset())
 		return http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
 	}
 	prompt := to.Prompt()
 	form := promptForm{Model: prompt.Model(), MaxTokens: prompt.MaxTokens(), Seed: prompt.Seed(), Stream: true}
+	form.Temperature, form.TopP = prompt.Sampling().Temperature(), prompt.Sampling().TopP()
 	for _, turn := range prompt.Messages() {
 		form.Messages = append(form.Messages, messageForm{Role: turn.Role(), Content: turn.Content()})
 	}
@@ -155,7 +196,7 @@
 	if err != nil {
 		return err
 	}
-	answer, err := client.http.Do(message)
+	answer, err := client.connections.client(server.Address()).Do(message)
 	if err != nil {
 		return err
 	}
@@ -180,17 +221,22 @@
 	reader.body.Close()
 }
 
-// next returns the next event. A stream that ends without its end mark is one
-// that was cut.
+// next returns the next event. A comment, by which a server says that it still
+// works on the request, is an event without tokens. A stream that ends without
+// its end mark is one that was cut.
 func (reader *eventReader) next() (runner.Event, error) {
 	for reader.scanner.Scan() {
-		data, ok := strings.CutPrefix(reader.scanner.Text(), "data: ")
+		line := reader.scanner.Text()
+		if strings.HasPrefix(line, ":") {
+			return runner.Event{}, nil
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
 		if !ok || data == doneMark {
 			continue
 		}
 		event, err := decodeEvent([]byte(data))
 		if err != nil {
-			return runner.Event{}, runner.NewBrokenError(request.CauseCut, err)
+			return runner.Event{}, runner.NewBrokenError(request.CauseInvalid, err)
 		}
 		return event, nil
 	}
--- /dev/null
+++ b/internal/runner/runnerhttp/transfer.go
@@ -0,0 +1,49 @@
+package runnerhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/runner"
+)
+
+// transferForm names a stream at a server.
+type transferForm struct {
+	From     string `json:"from,omitempty"`
+	StreamID string `json:"streamId"`
+}
+
+// transfer makes the attempt's server fetch the KV cache of a stream from the
+// server that is leaving, and returns the id under which it goes on there.
+// Errors are *runner.BrokenError. Whether the old server has given the state
+// away is then unknown; the flow goes on without it.
+func (client *Client) transfer(ctx context.Context, attempt request.Attempt) (string, error) {
+	body, err := json.Marshal(transferForm{From: attempt.From().Address(), StreamID: attempt.StreamID()})
+	if err != nil {
+		return "", runner.NewBrokenError(request.CauseNotSent, err)
+	}
+	message, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+attempt.Server().Address()+"/v1/kv", bytes.NewReader(body))
+	if err != nil {
+		return "", runner.NewBrokenError(request.CauseNotSent, err)
+	}
+	message.Header.Set("Content-Type", "application/json")
+	answer, err := client.connections.client(attempt.Server().Address()).Do(message)
+	if err != nil {
+		return "", runner.NewBrokenError(causeOf(err), err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return "", runner.NewBrokenError(request.CauseGone, errors.Errorf("transfer: status %s", answer.Status))
+	}
+	var form transferForm
+	if err := json.NewDecoder(io.LimitReader(answer.Body, maxLineBytes)).Decode(&form); err != nil || form.StreamID == "" {
+		return "", runner.NewBrokenError(request.CauseInvalid, errors.Errorf("transfer: answer names no stream: %v", err))
+	}
+	return form.StreamID, nil
+}
--- a/internal/standin/runnerstandin/control.go
+++ b/internal/standin/runnerstandin/control.go
@@ -43,10 +43,11 @@
 
 // kvForm is the state of a generation that moves between runners.
 type kvForm struct {
-	StreamID string   `json:"streamId"`
-	Tokens   []string `json:"tokens"`
-	Ready    int      `json:"ready"`
-	Bytes    int64    `json:"bytes"`
+	StreamID string     `json:"streamId"`
+	Prompt   promptForm `json:"prompt"`
+	Tokens   []string   `json:"tokens"`
+	Ready    int        `json:"ready"`
+	Bytes    int64      `json:"bytes"`
 }
 
 // kvBytesPerToken is the size of the KV cache of one token.
@@ -61,7 +62,7 @@
 	}
 	found.cancel()
 	runner.mutex.Lock()
-	form := kvForm{StreamID: found.id, Tokens: found.tokens, Ready: found.ready, Bytes: int64(found.ready) * kvBytesPerToken}
+	form := kvForm{StreamID: found.id, Prompt: found.prompt, Tokens: found.tokens, Ready: found.ready, Bytes: int64(found.ready) * kvBytesPerToken}
 	runner.mutex.Unlock()
 	standinhttp.Write(writer, http.StatusOK, form)
 }
@@ -93,7 +94,7 @@
 		http.Error(writer, "the other runner gave no state", http.StatusBadGateway)
 		return
 	}
-	moved := runner.open(promptForm{}, state.Tokens, state.Ready)
+	moved := runner.open(state.Prompt, state.Tokens, state.Ready, true)
 	standinhttp.Write(writer, http.StatusOK, importForm{From: form.From, StreamID: moved.id})
 }
 
--- a/internal/standin/runnerstandin/runner.go
+++ b/internal/standin/runnerstandin/runner.go
@@ -42,6 +42,7 @@
 // stream is one generation. It goes on without a connection.
 type stream struct {
 	id      string
+	prompt  promptForm
 	tokens  []string
 	ready   int
 	ended   bool
@@ -133,7 +134,7 @@
 		http.Error(writer, "not run: the runner is leaving or lacks the model", http.StatusServiceUnavailable)
 		return
 	}
-	created := runner.open(form, tokens, len(given))
+	created := runner.open(form, tokens, len(given), false)
 	runner.follow(message.Context(), writer, created, len(given))
 }
 
@@ -145,15 +146,19 @@
 	})
 }
 
-// open starts a generation of which the first ready tokens are given.
-func (runner *Runner) open(form promptForm, tokens []string, ready int) *stream {
+// open starts a generation of which the first ready tokens are given. What is
+// imported needs no work on its prompt.
+func (runner *Runner) open(form promptForm, tokens []string, ready int, imported bool) *stream {
 	ctx, cancel := context.WithCancel(runner.life)
 	runner.mutex.Lock()
 	runner.serial++
-	created := &stream{id: runner.name + "-" + strconv.FormatInt(runner.serial, 10), tokens: tokens, ready: ready, changed: make(chan struct{}), cancel: cancel}
+	created := &stream{id: runner.name + "-" + strconv.FormatInt(runner.serial, 10), prompt: form, tokens: tokens, ready: ready, changed: make(chan struct{}), cancel: cancel}
 	runner.streams[created.id] = created
 	prompt := append(PromptTokens(form.contents()), tokens[:ready]...)
 	work := len(prompt) - runner.cache.use(form.Model, prompt)
+	if imported {
+		work = 0
+	}
 	if ready > 0 {
 		runner.recomputed += int64(work)
 	}
@@ -243,6 +248,7 @@
 func (runner *Runner) follow(ctx context.Context, writer http.ResponseWriter, of *stream, offset int) {
 	runner.writeLoad(writer.Header())
 	writer.Header().Set("X-Stream-Id", of.id)
+	writer.Header().Set("X-Request-Id", of.prompt.Sapphire.RequestID)
 	writer.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(writer)
 	flusher.Flush()
