Keep every accepted edit through lost answers, older stores and parted histories

Cause: the editor built on whatever the store said. A store restored from an older object committed edits at versions that nodes already had in force, a read older than a lost write turned an open outcome into a conflict, and more edits than the object remembers turned it into a second try. Routes were sorted at each lookup.

Ruled out: taking the higher version whole (the state machine lost the edits of the other history); raising the revision of every merged row (an old row then beat a later edit in a third history); adopting a higher version from a fellow node without looking at its edits (an edit in force went out of force).

Change: tables relate by the edit ids that both keep. The editor settles a lost answer only by a read later than the write's condition. Lookups read indexes built once, without allocation. More rules for rows.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,7 +100,7 @@
 		entry.cloud = cloudhttp.New(settings.Cloud().Address(), clock, settings.Cloud().Timeout())
 	}
 	entry.ledger = service.NewLedger(clock, service.DefaultWindow, entry.loadShard, entry.commitShard)
-	entry.editor = operator.NewEditor(entry.loadTables, entry.commitTables)
+	entry.editor = operator.NewEditor(entry.loadTables, entry.commitTables, entry.newestTables, entry.alarmOlderStore)
 	entry.links = nodelink.New(clock, entry.answerCall)
 	entry.driver = entry.newDriver()
 	return entry, entry.listen()
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -69,8 +69,21 @@
 	return tables, nil
 }
 
+// newestTables returns what this node and its fellow nodes have in force.
+func (entry *Entry) newestTables(ctx context.Context) (*table.Tables, error) {
+	entry.fetchTables(ctx)
+	return entry.inForce.Current(), nil
+}
+
+// alarmOlderStore reports a store that lacks edits which are in force.
+func (entry *Entry) alarmOlderStore(inForce, stored *table.Tables) {
+	entry.counters.Add("storeCameBackOlder", 1)
+	entry.log.Error().Int64("inForce", inForce.Version()).Int64("stored", stored.Version()).
+		Msg("the platform's store lacks edits that are in force: writing them back")
+}
+
 func (entry *Entry) putInForce(tables *table.Tables) {
-	if entry.inForce.Offer(tables) {
+	if entry.inForce.Offer(tables) == table.OfferedTaken {
 		entry.log.Info().Int64("version", tables.Version()).Msg("tables in force")
 	}
 }
--- a/internal/operator/editor.go
+++ b/internal/operator/editor.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/pkg/errors"
 
@@ -14,60 +15,163 @@
 // maxRounds bounds how often an edit is merged and tried again.
 const maxRounds = 32
 
+// UnknownError says that an edit may or may not have been committed and that
+// reading back can't tell, because its id would no longer be among the recent
+// ones. Nobody has to act: the rows show what holds.
+type UnknownError struct {
+	edit string
+}
+
+// Edit returns the id of the edit.
+func (err *UnknownError) Edit() string { return err.edit }
+
+func (err *UnknownError) Error() string {
+	return fmt.Sprintf("edit %s may have been committed, but more than %d edits followed: read the rows again", err.edit, table.MaxRecentEdits)
+}
+
 // Editor commits edits by conditional writes to the platform.
 type Editor struct {
 	load   func(ctx context.Context) (tables *table.Tables, condition int64, err error)
 	commit func(ctx context.Context, tables *table.Tables, condition int64) error
+	newest func(ctx context.Context) (*table.Tables, error)
+	alarm  func(inForce, stored *table.Tables)
 }
 
 // NewEditor returns an editor. Load returns the tables with the version of the
 // object that holds them, or empty tables with platform.VersionNone; commit
-// returns the errors of platform.Store.
+// returns the errors of platform.Store. Newest returns the tables with the
+// highest version in force at any known node, or an error if they can't be had;
+// alarm is told of a store that lacks versions which are in force.
 func NewEditor(
 	load func(ctx context.Context) (tables *table.Tables, condition int64, err error),
 	commit func(ctx context.Context, tables *table.Tables, condition int64) error,
+	newest func(ctx context.Context) (*table.Tables, error),
+	alarm func(inForce, stored *table.Tables),
 ) *Editor {
-	return &Editor{load: load, commit: commit}
+	return &Editor{load: load, commit: commit, newest: newest, alarm: alarm}
 }
 
 // Commit applies the edit to the stored tables and returns them as committed.
 // Edits of other rows that come between are merged. A lost answer is settled
-// by reading the object back and looking for the edit's id. Errors:
-// *table.ConflictError, *table.CheckError, *platform.UnavailableError.
+// by reading the object back and looking for the edit's id. A store that came
+// back older than what is in force is brought up to it by the same write, so
+// no edit commits at a version that some node already has in force. Errors:
+// *table.ConflictError, *table.CheckError, *platform.UnavailableError,
+// *UnknownError.
 func (editor *Editor) Commit(ctx context.Context, edit *table.Edit) (*table.Tables, error) {
-	var last error
+	if err := edit.Check(); err != nil {
+		return nil, err
+	}
+	attempt := &attempt{edit: edit}
 	for range maxRounds {
-		stored, condition, err := editor.load(ctx)
+		base, condition, write, err := editor.base(ctx)
 		if err != nil {
-			if last != nil {
-				return nil, last
-			}
-			return nil, err
+			return nil, attempt.failed(err)
 		}
-		if stored.HasEdit(edit.ID()) {
-			return stored, nil
+		if attempt.isOlder(condition) {
+			continue
 		}
-		changed, err := stored.Apply(edit)
+		changed, err := attempt.apply(base, condition)
 		if err != nil {
 			return nil, err
 		}
+		if changed == base && !write {
+			return base, nil
+		}
 		err = editor.commit(ctx, changed, condition)
 		if err == nil {
 			return changed, nil
 		}
 		if !mayRead(err) {
-			return nil, err
+			return nil, attempt.failed(err)
+		}
+		attempt.missed(err, changed.Version(), condition)
+	}
+	return nil, attempt.failed(attempt.last)
+}
+
+// WriteBack brings the store up to what is in force, if it lacks some of it,
+// and returns the tables that then are the newest.
+func (editor *Editor) WriteBack(ctx context.Context) (*table.Tables, error) {
+	base, condition, write, err := editor.base(ctx)
+	if err != nil || !write {
+		return base, err
+	}
+	return base, editor.commit(ctx, base, condition)
+}
+
+// base returns the tables to build on and the condition of the next write.
+// Write is set if the store lacks them.
+func (editor *Editor) base(ctx context.Context) (base *table.Tables, condition int64, write bool, err error) {
+	stored, condition, err := editor.load(ctx)
+	if err != nil {
+		return nil, 0, false, err
+	}
+	inForce, err := editor.newest(ctx)
+	if err != nil {
+		return nil, 0, false, err
+	}
+	base, write = inForce.Reconcile(stored)
+	if write {
+		editor.alarm(inForce, stored)
+	}
+	return base, condition, write, nil
+}
+
+// attempt is what is known of an edit that is being committed. A write whose
+// answer was lost is settled by a read at a later version of the object than
+// the write's condition: it has the edit's id, or the write can't take effect
+// any more.
+type attempt struct {
+	edit *table.Edit
+	last error
+	// open is set while a write with a lost answer is not settled, with the
+	// version that it would have committed and its condition.
+	open      bool
+	version   int64
+	condition int64
+}
+
+// isOlder reports whether a read is too old to settle the open write.
+func (attempt *attempt) isOlder(condition int64) bool {
+	return attempt.open && condition < attempt.condition
+}
+
+// apply returns the tables after the edit, built on what was read.
+func (attempt *attempt) apply(base *table.Tables, condition int64) (*table.Tables, error) {
+	changed, err := base.Apply(attempt.edit)
+	if attempt.open && condition > attempt.condition {
+		if err != nil && base.Version()-attempt.version >= table.MaxRecentEdits {
+			return nil, &UnknownError{edit: attempt.edit.ID()}
 		}
-		last = err
+		attempt.open = false
 	}
-	return nil, last
+	return changed, err
+}
+
+// missed notes a write that was refused or whose answer was lost.
+func (attempt *attempt) missed(err error, version, condition int64) {
+	attempt.last = err
+	if isUnknown(err) {
+		attempt.open, attempt.version, attempt.condition = true, version, condition
+	}
+}
+
+// failed returns the error to report: while a write with a lost answer is
+// open, the outcome is unknown, whatever the platform said later.
+func (attempt *attempt) failed(err error) error {
+	if attempt.open && !isUnknown(err) {
+		return platform.NewUnavailableError(true, err)
+	}
+	return err
 }
 
 func mayRead(err error) bool {
 	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		return true
-	}
+	return errors.As(err, &conflict) || isUnknown(err)
+}
+
+func isUnknown(err error) bool {
 	var unavailable *platform.UnavailableError
 	return errors.As(err, &unavailable) && unavailable.Unknown()
 }
--- a/internal/operator/operatorhttp/handler.go
+++ b/internal/operator/operatorhttp/handler.go
@@ -113,6 +113,7 @@
 	var conflict *table.ConflictError
 	var check *table.CheckError
 	var unavailable *platform.UnavailableError
+	var unknown *operator.UnknownError
 	form := errorForm{Message: err.Error()}
 	switch {
 	case errors.As(err, &conflict):
@@ -124,7 +125,7 @@
 			form.Problems = append(form.Problems, problemForm{Row: problem.Row(), Field: problem.Field(), Message: problem.Message()})
 		}
 		writeError(writer, http.StatusUnprocessableEntity, form)
-	case errors.As(err, &unavailable) && unavailable.Unknown():
+	case errors.As(err, &unknown), errors.As(err, &unavailable) && unavailable.Unknown():
 		form.Type = errorTypeUnknown
 		writeError(writer, http.StatusBadGateway, form)
 	default:
--- a/internal/platform/platformhttp/objects.go
+++ b/internal/platform/platformhttp/objects.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -42,12 +43,16 @@
 	return tables, object.Version(), err
 }
 
-// CommitTables writes the tables object under the condition.
+// CommitTables writes the tables object under the condition. Tables that the
+// object can't hold are refused with a *table.CheckError.
 func CommitTables(ctx context.Context, store *platform.Store, tables *table.Tables, condition int64) error {
 	body, err := tablecodec.EncodeJSON(tables)
 	if err != nil {
 		return err
 	}
+	if len(body) > maxObjectBytes {
+		return table.NewCheckError([]table.Problem{table.NewProblem("tables", "rows", fmt.Sprintf("both tables have %d bytes: allowed are %d or fewer", len(body), maxObjectBytes))})
+	}
 	_, err = store.Put(ctx, platform.KindTables, platform.TablesName, body, condition)
 	return err
 }
--- a/internal/table/edit.go
+++ b/internal/table/edit.go
@@ -1,7 +1,7 @@
 package table
 
 import (
-	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -80,32 +80,57 @@
 	return rows
 }
 
+// Check returns a *CheckError if the edit contradicts itself, or nil.
+func (edit *Edit) Check() error {
+	var problems []Problem
+	if edit.id == "" {
+		problems = append(problems, NewProblem("edit", "id", "missing: an edit needs an id"))
+	}
+	if len(edit.id) > maxNameLength {
+		problems = append(problems, NewProblem("edit", "id", tooLong(len(edit.id))))
+	}
+	if len(edit.revisions) == 0 {
+		problems = append(problems, NewProblem("edit", "routes", "an edit needs a row"))
+	}
+	if len(edit.revisions) < len(edit.routes)+len(edit.pools)+len(edit.removed) {
+		problems = append(problems, NewProblem("edit", "routes", "names a row twice: each row may appear once"))
+	}
+	for _, row := range edit.removed {
+		if !strings.HasPrefix(row, rowPrefixRoute) && !strings.HasPrefix(row, rowPrefixPool) {
+			problems = append(problems, NewProblem(row, "row", "allowed are names that begin with route/ or pool/"))
+		}
+	}
+	if len(problems) > 0 {
+		return NewCheckError(problems)
+	}
+	return nil
+}
+
 // Apply returns the tables after the edit, one version higher. It returns a
 // *ConflictError if a row has another revision than the edit names, and a
-// *CheckError if the result would not be valid.
+// *CheckError if the edit or the result would not be valid.
 func (tables *Tables) Apply(edit *Edit) (*Tables, error) {
 	if tables.HasEdit(edit.id) {
 		return tables, nil
 	}
+	if err := edit.Check(); err != nil {
+		return nil, err
+	}
 	for _, row := range edit.Rows() {
-		if have, named := tables.revision(row), edit.revisions[row]; have != named {
-			return nil, newConflictError(row, have, named)
+		if tables.revision(row) != edit.revisions[row] {
+			return nil, newConflictError(row, tables, edit)
 		}
 	}
-	changed := New(tables.version+1, tables.Routes(), tables.Pools(), tables.recentEdits)
+	version := tables.version + 1
+	routes, pools := maps.Clone(tables.routes), maps.Clone(tables.pools)
 	for _, row := range edit.routes {
-		changed.routes[row.Name()] = row.WithRevision(changed.version)
+		routes[row.Name()] = row.WithRevision(version)
 	}
 	for _, row := range edit.pools {
-		changed.pools[row.Name()] = row.WithRevision(changed.version)
-	}
-	for _, row := range edit.removed {
-		changed.remove(row)
-	}
-	changed.recentEdits = append(changed.recentEdits, edit.id)
-	if excess := len(changed.recentEdits) - MaxRecentEdits; excess > 0 {
-		changed.recentEdits = changed.recentEdits[excess:]
+		pools[row.Name()] = row.WithRevision(version)
 	}
+	removeRows(routes, pools, edit.removed)
+	changed := newIndexed(version, routes, pools, append(tables.RecentEdits(), edit.id))
 	if err := changed.Check(); err != nil {
 		return nil, err
 	}
@@ -120,35 +145,13 @@
 	return tables.pools[name].Revision()
 }
 
-func (tables *Tables) remove(row string) {
-	if name, ok := strings.CutPrefix(row, rowPrefixRoute); ok {
-		delete(tables.routes, name)
-		return
+func removeRows(routes map[string]route.Route, pools map[string]pool.Pool, rows []string) {
+	for _, row := range rows {
+		if name, ok := strings.CutPrefix(row, rowPrefixRoute); ok {
+			delete(routes, name)
+			continue
+		}
+		name, _ := strings.CutPrefix(row, rowPrefixPool)
+		delete(pools, name)
 	}
-	name, _ := strings.CutPrefix(row, rowPrefixPool)
-	delete(tables.pools, name)
-}
-
-// ConflictError says that a row was changed since the editor read it.
-type ConflictError struct {
-	row   string
-	have  int64
-	named int64
-}
-
-func newConflictError(row string, have, named int64) *ConflictError {
-	return &ConflictError{row: row, have: have, named: named}
-}
-
-// Row returns the name of the row, as in "route/desk".
-func (err *ConflictError) Row() string { return err.row }
-
-// Have returns the revision that the tables hold.
-func (err *ConflictError) Have() int64 { return err.have }
-
-// Named returns the revision that the edit named.
-func (err *ConflictError) Named() int64 { return err.named }
-
-func (err *ConflictError) Error() string {
-	return fmt.Sprintf("row %s has revision %d, the edit names %d: read the row again and repeat the edit", err.row, err.have, err.named)
 }
--- /dev/null
+++ b/internal/table/reconcile.go
@@ -0,0 +1,195 @@
+package table
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strconv"
+
+	"sapphirehead/internal/pool"
+	"sapphirehead/internal/route"
+)
+
+// A platform's store may come back from a backup at an older version than the
+// nodes have in force. Two histories then exist: the one in force and the one
+// stored. Reconcile finds out how they relate, by the edit ids that both keep.
+//
+// The last id of a history committed at its version, the one before it one
+// version earlier, and so on. A row's revision therefore names the edit that
+// last changed it, and a history that has this edit has seen the row:
+//
+//	in force  v7: ... e5 e6 e7    row "desk" at 7, so changed by e7
+//	stored    v6: ... e5 f6       row "desk" at 4, changed by e4
+//
+// Here the histories parted after e5. The one in force has e4, so its row is
+// the later one. What was accepted on either side must stay, so the pair is
+// merged to v8 with the ids ... e5 e6 e7 f6.
+
+// Relation is how the stored tables relate to those in force.
+type Relation int
+
+// The relations.
+const (
+	// RelationSame: both are the same.
+	RelationSame Relation = iota + 1
+	// RelationStoredNewer: the stored tables continue those in force.
+	RelationStoredNewer
+	// RelationStoredOlder: the store lost versions and must get them back.
+	RelationStoredOlder
+	// RelationParted: both sides have edits that the other lacks.
+	RelationParted
+)
+
+// Relate returns how the stored tables relate to these, which are in force.
+func (tables *Tables) Relate(stored *Tables) Relation {
+	switch {
+	case stored.version == tables.version && stored.lastEdit() == tables.lastEdit():
+		return RelationSame
+	case stored.version > tables.version && continues(stored, tables):
+		return RelationStoredNewer
+	case stored.version < tables.version && continues(tables, stored):
+		return RelationStoredOlder
+	default:
+		return RelationParted
+	}
+}
+
+// Reconcile returns the tables that hold every edit of both sides: one of the
+// two, or a merge at a version above both. Write is set if the store lacks
+// the result.
+func (tables *Tables) Reconcile(stored *Tables) (result *Tables, write bool) {
+	switch tables.Relate(stored) {
+	case RelationSame, RelationStoredNewer:
+		return stored, false
+	case RelationStoredOlder:
+		return tables, true
+	default:
+		return merge(tables, stored), true
+	}
+}
+
+func (tables *Tables) lastEdit() string {
+	if len(tables.recentEdits) == 0 {
+		return ""
+	}
+	return tables.recentEdits[len(tables.recentEdits)-1]
+}
+
+// editAt returns the id of the edit that committed the version, and false if
+// the recent ones no longer reach back to it.
+func (tables *Tables) editAt(version int64) (string, bool) {
+	index := int64(len(tables.recentEdits)) - 1 - (tables.version - version)
+	if index < 0 || index >= int64(len(tables.recentEdits)) {
+		return "", false
+	}
+	return tables.recentEdits[index], true
+}
+
+// continues reports whether the newer tables hold all that the older ones do.
+// Edits beyond the reach of the recent ones count as held.
+func continues(newer, older *Tables) bool {
+	if edit, ok := newer.editAt(older.version); !ok || edit == older.lastEdit() {
+		return true
+	}
+	return len(missingEdits(newer, older)) == 0
+}
+
+// missingEdits returns the recent edits of one history that the other lacks.
+func missingEdits(lacking, having *Tables) []string {
+	reach := lacking.version - int64(len(lacking.recentEdits))
+	var missing []string
+	for i, edit := range having.recentEdits {
+		version := having.version - int64(len(having.recentEdits)-1-i)
+		if version > reach && !lacking.HasEdit(edit) {
+			missing = append(missing, edit)
+		}
+	}
+	return missing
+}
+
+// merge joins two parted histories. The edits of the lower one count as
+// committed after those of the higher, so each still has a version of its own.
+// If the result would not be valid, the rows of the higher one stay whole.
+func merge(inForce, stored *Tables) *Tables {
+	higher, lower := inForce, stored
+	if stored.version > inForce.version || (stored.version == inForce.version && stored.lastEdit() > inForce.lastEdit()) {
+		higher, lower = stored, inForce
+	}
+	edits := append(higher.RecentEdits(), missingEdits(higher, lower)...)
+	version := higher.version + int64(len(edits)-len(higher.recentEdits))
+	numbers := &Tables{version: version, recentEdits: edits}
+	routes := mergeRows(higher, lower, higher.routes, lower.routes, route.Route.Revision, func(row route.Route) route.Route {
+		return row.WithRevision(numbers.renumber(lower, row.Revision()))
+	})
+	pools := mergeRows(higher, lower, higher.pools, lower.pools, pool.Pool.Revision, func(row pool.Pool) pool.Pool {
+		return row.WithRevision(numbers.renumber(lower, row.Revision()))
+	})
+	merged := newIndexed(version, routes, pools, edits)
+	if merged.Check() != nil {
+		merged = newIndexed(version, higher.routes, higher.pools, edits)
+	}
+	return merged
+}
+
+// renumber returns the version at which these tables count the edit that the
+// other ones count at the given version.
+func (tables *Tables) renumber(other *Tables, version int64) int64 {
+	edit, ok := other.editAt(version)
+	index := slices.Index(tables.recentEdits, edit)
+	if !ok || index < 0 {
+		return version
+	}
+	return tables.version - int64(len(tables.recentEdits)-1-index)
+}
+
+// hasSeen reports whether the history has the edit that made the revision of
+// a row in another history.
+func (tables *Tables) hasSeen(other *Tables, revision int64) bool {
+	edit, ok := other.editAt(revision)
+	return !ok || tables.HasEdit(edit)
+}
+
+// mergeRows joins the rows of two parted histories by name. Where one history
+// has seen the other's row, its own row or removal is the later one. Where
+// neither has, the higher revision stays.
+func mergeRows[R any](higher, lower *Tables, ofHigher, ofLower map[string]R, revision func(R) int64, renumber func(R) R) map[string]R {
+	merged := maps.Clone(ofHigher)
+	for name, row := range ofHigher {
+		if _, kept := ofLower[name]; !kept && lower.hasSeen(higher, revision(row)) {
+			delete(merged, name)
+		}
+	}
+	for name, row := range ofLower {
+		if higher.hasSeen(lower, revision(row)) {
+			continue
+		}
+		known, ok := ofHigher[name]
+		if !ok || lower.hasSeen(higher, revision(known)) || revision(row) > revision(known) {
+			merged[name] = renumber(row)
+		}
+	}
+	return merged
+}
+
+// Fingerprint returns a number that differs between tables that differ, also
+// between two histories at the same version.
+func (tables *Tables) Fingerprint() uint64 {
+	hash := fnv.New64a()
+	write := func(text string, number int64) {
+		hash.Write([]byte(text))
+		hash.Write([]byte{0})
+		hash.Write(strconv.AppendInt(nil, number, 10))
+		hash.Write([]byte{0})
+	}
+	write("version", tables.version)
+	for _, name := range slices.Sorted(maps.Keys(tables.routes)) {
+		write(RouteRow(name), tables.routes[name].Revision())
+	}
+	for _, name := range slices.Sorted(maps.Keys(tables.pools)) {
+		write(PoolRow(name), tables.pools[name].Revision())
+	}
+	for _, edit := range tables.recentEdits {
+		write(edit, 0)
+	}
+	return hash.Sum64()
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -16,8 +16,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
-	"sync/atomic"
 
 	"sapphirehead/internal/pool"
 	"sapphirehead/internal/route"
@@ -26,31 +24,60 @@
 // MaxRecentEdits is the number of edit ids kept in the object.
 const MaxRecentEdits = 256
 
-// Tables is both tables at one version.
+// Tables is both tables at one version. A value is immutable: the indexes that
+// the path of a request reads are built once, when it is made.
 type Tables struct {
 	version     int64
 	routes      map[string]route.Route
 	pools       map[string]pool.Pool
 	recentEdits []string
+	byModel     map[string]route.Route
+	byPath      map[string]route.Route
 }
 
 // New returns tables with the given rows. It does not check them; see Check.
 func New(version int64, routes []route.Route, pools []pool.Pool, recentEdits []string) *Tables {
-	tables := &Tables{
-		version:     version,
-		routes:      make(map[string]route.Route, len(routes)),
-		pools:       make(map[string]pool.Pool, len(pools)),
-		recentEdits: slices.Clone(recentEdits),
-	}
+	byName := make(map[string]route.Route, len(routes))
 	for _, row := range routes {
-		tables.routes[row.Name()] = row
+		byName[row.Name()] = row
 	}
+	poolsByName := make(map[string]pool.Pool, len(pools))
 	for _, row := range pools {
-		tables.pools[row.Name()] = row
+		poolsByName[row.Name()] = row
+	}
+	return newIndexed(version, byName, poolsByName, slices.Clone(recentEdits))
+}
+
+// newIndexed takes over the maps and the slice.
+func newIndexed(version int64, routes map[string]route.Route, pools map[string]pool.Pool, recentEdits []string) *Tables {
+	if excess := len(recentEdits) - MaxRecentEdits; excess > 0 {
+		recentEdits = recentEdits[excess:]
+	}
+	tables := &Tables{
+		version:     version,
+		routes:      routes,
+		pools:       pools,
+		recentEdits: recentEdits,
+		byModel:     map[string]route.Route{},
+		byPath:      map[string]route.Route{},
+	}
+	for _, row := range tables.Routes() {
+		switch row.Kind() {
+		case route.KindChat:
+			addFirst(tables.byModel, row.Model(), row)
+		case route.KindService:
+			addFirst(tables.byPath, row.Path(), row)
+		}
 	}
 	return tables
 }
 
+func addFirst(index map[string]route.Route, key string, row route.Route) {
+	if _, taken := index[key]; !taken {
+		index[key] = row
+	}
+}
+
 // Empty returns tables without rows at version 0.
 func Empty() *Tables { return New(0, nil, nil, nil) }
 
@@ -87,33 +114,22 @@
 
 // RouteForModel returns the chat route that callers select by model.
 func (tables *Tables) RouteForModel(model string) (route.Route, bool) {
-	for _, row := range tables.Routes() {
-		if row.Kind() == route.KindChat && row.Model() == model {
-			return row, true
-		}
-	}
-	return route.Route{}, false
+	row, ok := tables.byModel[model]
+	return row, ok
 }
 
-// RouteForPath returns the service route with the longest matching prefix.
+// RouteForPath returns the service route with the longest matching prefix. A
+// prefix matches whole segments: "/book" matches "/book/1" but not "/booking".
 func (tables *Tables) RouteForPath(path string) (route.Route, bool) {
-	best, found := route.Route{}, false
-	for _, row := range tables.routes {
-		if row.Kind() != route.KindService || !pathHasPrefix(path, row.Path()) {
+	for end := len(path); end > 0; end-- {
+		if end < len(path) && path[end] != '/' && path[end-1] != '/' {
 			continue
 		}
-		if !found || len(row.Path()) > len(best.Path()) {
-			best, found = row, true
+		if row, ok := tables.byPath[path[:end]]; ok {
+			return row, true
 		}
 	}
-	return best, found
-}
-
-func pathHasPrefix(path, prefix string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+	return route.Route{}, false
 }
 
 func sortedRows[R any](rows map[string]R) []R {
@@ -123,32 +139,3 @@
 	}
 	return sorted
 }
-
-// InForce publishes the tables that a node acts on. Its version only rises.
-type InForce struct {
-	current atomic.Pointer[Tables]
-}
-
-// NewInForce returns a holder of empty tables.
-func NewInForce() *InForce {
-	inForce := &InForce{}
-	inForce.current.Store(Empty())
-	return inForce
-}
-
-// Current returns the tables in force.
-func (inForce *InForce) Current() *Tables { return inForce.current.Load() }
-
-// Offer puts the tables in force if their version is higher than the current
-// one, and reports whether it did.
-func (inForce *InForce) Offer(tables *Tables) bool {
-	for {
-		current := inForce.current.Load()
-		if tables.version <= current.version {
-			return false
-		}
-		if inForce.current.CompareAndSwap(current, tables) {
-			return true
-		}
-	}
-}
