Break real processes under load: relay stand-in and a test that counts what callers lose

Cause: the points that must always hold were only shown by the demonstration, which breaks two things once.

Change: internal/standin/relay stands between two ends and cuts, silences or delays what passes. internal/standin/chaos starts three entry hosts with stewards in three data centres, six runners, three services, platform, cloud and weight store, sends 2,000 checked requests and induces 18 faults in a seeded order driven by the number of finished requests. Counts of lost, doubled, crossed, truncated, run though said not run, cut, reverted edits and processes left must be zero. make chaos runs it longer.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,13 @@
 	SAPPHIRE_BIN=$(CURDIR)/$(BIN) $(GO) test -race -count=1 $(SKIP) $(PLAIN_PACKAGES)
 	$(if $(RAPID_PACKAGES),$(GO) test -race -count=1 $(SKIP) $(RAPID_PACKAGES) -rapid.seed=$(RAPID_SEED) -rapid.nofailfile)
 
+CHAOS_REQUESTS := 10000
+CHAOS_SEED := $(RAPID_SEED)
+
+.PHONY: chaos
+chaos: build ## break real processes under a longer load (CHAOS_REQUESTS, CHAOS_SEED)
+	SAPPHIRE_BIN=$(CURDIR)/$(BIN) CHAOS_REQUESTS=$(CHAOS_REQUESTS) CHAOS_SEED=$(CHAOS_SEED) $(GO) test -race -count=1 -v -timeout 30m ./internal/standin/chaos
+
 .PHONY: lint
 lint: $(GOLANGCI) ## check format and code
 	$(GOLANGCI) run ./...
--- a/internal/standin/callerstandin/caller.go
+++ b/internal/standin/callerstandin/caller.go
@@ -34,6 +34,7 @@
 	kind   string
 	text   string
 	tokens int
+	lastID string
 }
 
 // Status returns the HTTP status.
@@ -48,6 +49,15 @@
 // Tokens returns the number of events with text of a streamed chat.
 func (answer Answer) Tokens() int { return answer.tokens }
 
+// EventError says that a stream ended with an error event, by which the
+// system says that the answer is not whole.
+type EventError struct{}
+
+func (err *EventError) Error() string { return "the stream ended with an error event" }
+
+// LastEventID returns the id of the last event of a streamed chat, or empty.
+func (answer Answer) LastEventID() string { return answer.lastID }
+
 type messageForm struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
@@ -127,8 +137,10 @@
 		line := scanner.Text()
 		data, ok := strings.CutPrefix(line, "data: ")
 		switch {
+		case strings.HasPrefix(line, "id: "):
+			answer.lastID = strings.TrimPrefix(line, "id: ")
 		case strings.HasPrefix(line, "event: error"):
-			return answer, errors.New("the stream ended with an error event")
+			return answer, &EventError{}
 		case !ok:
 		case data == "[DONE]":
 			return answer, nil
--- /dev/null
+++ b/internal/standin/chaos/chaos.go
@@ -0,0 +1,136 @@
+// Package chaos runs the real programs on loopback, sends them requests that
+// check their answers, and breaks one thing after another while they are under
+// way.
+//
+// What is broken follows a seed and the number of finished requests, never the
+// time, and the verdict is a set of counts that must be zero. For example, with
+// 2,000 requests and 18 faults one begins every 100 requests and is put right
+// 130 requests after its beginning, so that each overlaps the next:
+//
+//	requests   0    100   200   300   400
+//	           |     platform down |
+//	                       |  entry host paused |
+//	                             |  operators race ...
+//
+// A caller does what the contract lets it: it repeats an idempotent request at
+// another entry host after any error, and a booking under the same key.
+package chaos
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/clock"
+)
+
+const (
+	// runTimeout ends a run that hangs.
+	runTimeout = 20 * clock.Minute
+	// overlap is the share of a fault's slot after which it is put right.
+	overlap = 1.3
+	// startedHosts is the number of hosts that the stewards have to start.
+	startedHosts = 3
+)
+
+// Run starts the programs in bin, sends the number of requests, induces every
+// fault in the order of the seed, and returns what was counted. The error is
+// about the run itself; logs are those of all processes.
+func Run(bin string, requests int, seed uint64, report func(line string)) (tally *Tally, logs string, err error) {
+	folder, err := os.MkdirTemp("", "sapphirehead-chaos")
+	if err != nil {
+		return nil, "", err
+	}
+	defer os.RemoveAll(folder)
+	tally = newTally()
+	system := newSystem(bin, folder)
+	ctx, cancel := system.clock.WithTimeout(context.Background(), runTimeout)
+	defer cancel()
+	err = system.start(ctx)
+	if err == nil {
+		err = system.run(ctx, tally, requests, seed, report)
+	}
+	logs = system.harness.Logs()
+	for _, name := range system.close() {
+		tally.add(countLeft, "%s", name)
+	}
+	return tally, logs, err
+}
+
+func (system *system) run(ctx context.Context, tally *Tally, requests int, seed uint64, report func(line string)) error {
+	err := system.await(ctx, "the stewards did not start hosts", func(ctx context.Context) bool {
+		hosts, err := system.cloudHosts(ctx)
+		return err == nil && len(hosts) >= startedHosts
+	})
+	if err != nil {
+		return err
+	}
+	load := newLoad(system, tally, requests)
+	director := &director{
+		system: system, operators: newOperators(system, tally), random: rand.New(rand.NewPCG(seed, seed)), versions: newVersions(), tally: tally,
+	}
+	ended := make(chan struct{})
+	go func() {
+		load.run(ctx)
+		close(ended)
+	}()
+	err = director.direct(ctx, load, requests, report)
+	<-ended
+	if err != nil {
+		return err
+	}
+	if err := director.operators.settle(ctx); err != nil {
+		return err
+	}
+	director.versions.look(ctx, system, tally)
+	return load.settle(ctx)
+}
+
+// event is the beginning or the end of a fault.
+type event struct {
+	at   int
+	name string
+	run  func(ctx context.Context) error
+}
+
+// schedule spreads the faults over the requests in order of their counts.
+func schedule(faults []fault, requests int) []event {
+	slot := requests / (len(faults) + 2)
+	var begins, ends, events []event
+	for i, fault := range faults {
+		begin := (i + 1) * slot
+		begins = append(begins, event{at: begin, name: fault.name, run: fault.induce})
+		ends = append(ends, event{at: begin + int(overlap*float64(slot)), name: "end of " + fault.name, run: fault.heal})
+	}
+	for len(ends) > 0 {
+		if len(begins) > 0 && begins[0].at <= ends[0].at {
+			events, begins = append(events, begins[0]), begins[1:]
+			continue
+		}
+		events, ends = append(events, ends[0]), ends[1:]
+	}
+	return events
+}
+
+// direct runs each event once its number of requests has ended.
+func (director *director) direct(ctx context.Context, load *load, requests int, report func(line string)) error {
+	finished := 0
+	for _, event := range schedule(director.faults(), requests) {
+		for finished < event.at {
+			select {
+			case <-load.done:
+				finished++
+			case <-ctx.Done():
+				return errors.Wrap(ctx.Err(), "the run hangs")
+			}
+		}
+		report(event.name)
+		if err := event.run(ctx); err != nil {
+			return errors.Wrap(err, event.name)
+		}
+		director.versions.look(ctx, director.system, director.tally)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/chaos/chaos_test.go
@@ -0,0 +1,53 @@
+package chaos_test
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/standin/chaos"
+)
+
+const (
+	defaultRequests = 2000
+	defaultSeed     = 20261204
+)
+
+func number(t *testing.T, name string, otherwise uint64) uint64 {
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	value, err := strconv.ParseUint(text, 10, 64)
+	require.NoError(t, err, name)
+	return value
+}
+
+// expectSound fails if a count that must be zero is not, or if too little ran
+// for the counts to say anything.
+func expectSound(t *testing.T, tally *chaos.Tally, requests int) {
+	t.Helper()
+	require.Empty(t, tally.Faults())
+	require.GreaterOrEqual(t, tally.Count("whole")+tally.Count("refused")+tally.Count("bookingsUnknown"), requests)
+	require.Positive(t, tally.Count("sideEffects"))
+	require.Positive(t, tally.Count("replayed"))
+	require.Positive(t, tally.Count("editsAccepted"))
+}
+
+// TestProcesses runs the real programs under every fault. SAPPHIRE_BIN names
+// the folder of the built programs, CHAOS_REQUESTS and CHAOS_SEED a longer run.
+func TestProcesses(t *testing.T) {
+	bin := os.Getenv("SAPPHIRE_BIN")
+	require.NotEmpty(t, bin, "SAPPHIRE_BIN must name the folder of the built programs: make test sets it")
+	requests := int(number(t, "CHAOS_REQUESTS", defaultRequests))
+	seed := number(t, "CHAOS_SEED", defaultSeed)
+	tally, logs, err := chaos.Run(bin, requests, seed, func(line string) { t.Log(line) })
+	if t.Failed() || err != nil || len(tally.Faults()) > 0 {
+		t.Log(logs)
+	}
+	require.NoError(t, err)
+	t.Logf("%d requests, seed %d: %s", requests, seed, tally)
+	expectSound(t, tally, requests)
+}
--- /dev/null
+++ b/internal/standin/chaos/operators.go
@@ -0,0 +1,157 @@
+package chaos
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/operator/operatorhttp"
+	"sapphirehead/internal/route"
+	"sapphirehead/internal/table"
+)
+
+// Bounds of the operators' race.
+const (
+	racers        = 2
+	editsEach     = 4
+	maxEditTries  = 60
+	editBackoff   = 100 * clock.Millisecond
+	kindConflict  = "conflict"
+	firstWorth    = 1.0
+	racedRow      = "desk"
+	operatorsOwns = "bookings"
+)
+
+// operators edit the tables against each other. Each accepted edit of the
+// raced row adds one to its worth, so a lost or reverted edit shows at the end
+// as a worth that is too low. The second operator also edits a row that
+// nobody else does.
+type operators struct {
+	system   *system
+	tally    *Tally
+	mutex    sync.Mutex
+	accepted int
+	owned    float64
+	group    sync.WaitGroup
+	serial   int
+}
+
+func newOperators(system *system, tally *Tally) *operators {
+	return &operators{system: system, tally: tally, owned: firstWorth}
+}
+
+// race starts one round of edits through two entry hosts.
+func (operators *operators) race(ctx context.Context) {
+	operators.serial++
+	for racer := range racers {
+		round := operators.serial
+		operators.group.Go(func() {
+			for edit := range editsEach {
+				id := fmt.Sprintf("edit-%d-%d-%d", round, racer, edit)
+				if operators.increment(ctx, racer, id, racedRow) {
+					operators.mutex.Lock()
+					operators.accepted++
+					operators.mutex.Unlock()
+				}
+				if racer == 1 && operators.increment(ctx, racer, id+"-own", operatorsOwns) {
+					operators.mutex.Lock()
+					operators.owned++
+					operators.mutex.Unlock()
+				}
+			}
+		})
+	}
+}
+
+// increment adds one to the worth of a route. It reports whether the edit was
+// accepted. One that may have been is repeated under its id until it is known.
+func (operators *operators) increment(ctx context.Context, racer int, id, row string) bool {
+	var edit *table.Edit
+	for try := range maxEditTries {
+		client := operators.client(racer + try)
+		if edit == nil {
+			edit = operators.next(ctx, client, id, row)
+		}
+		if edit != nil {
+			_, err := client.Commit(ctx, edit)
+			if err == nil {
+				operators.tally.add("editsAccepted", "")
+				return true
+			}
+			var refused *operatorhttp.RefusedError
+			if errors.As(err, &refused) && refused.Kind() == kindConflict {
+				operators.tally.add("editConflicts", "")
+				edit = nil
+			}
+		}
+		operators.system.clock.Wait(ctx, editBackoff)
+	}
+	if edit != nil {
+		operators.tally.add(countLost, "%s: neither accepted nor refused", id)
+	}
+	return false
+}
+
+// client returns the operators' API of a working entry host.
+func (operators *operators) client(number int) *operatorhttp.Client {
+	entries := operators.system.entries
+	for i := range entries {
+		if entry := entries[(number+i)%len(entries)]; entry.target.Load().ready.Load() {
+			return operators.system.operator(entry)
+		}
+	}
+	return operators.system.operator(entries[number%len(entries)])
+}
+
+// next reads the row and returns the edit that adds one to its worth.
+func (operators *operators) next(ctx context.Context, client *operatorhttp.Client, id, row string) *table.Edit {
+	tables, err := client.Tables(ctx)
+	if err != nil {
+		return nil
+	}
+	stored, ok := tables.Route(row)
+	if !ok {
+		return nil
+	}
+	edit := table.NewEdit(id)
+	edit.SetRoute(stored.WithWorth(stored.Worth()+1), stored.Revision())
+	return edit
+}
+
+// settle waits until every entry host has the stored tables in force and
+// checks that they hold every accepted edit.
+func (operators *operators) settle(ctx context.Context) error {
+	operators.group.Wait()
+	stored, err := operators.system.operator(operators.system.entries[0]).Tables(ctx)
+	if err != nil {
+		return err
+	}
+	operators.expectWorth(stored, racedRow, firstWorth+float64(operators.accepted))
+	operators.expectWorth(stored, operatorsOwns, operators.owned)
+	for _, entry := range operators.system.entries {
+		failure := fmt.Sprintf("%s: version %d is not in force on all nodes", entry.name, stored.Version())
+		err := operators.system.await(ctx, failure, func(ctx context.Context) bool {
+			status, err := operators.system.operator(entry).Status(ctx)
+			if err != nil {
+				return false
+			}
+			have, all := status.InForce(stored.Version())
+			return have == all && all == len(operators.system.entries)
+		})
+		if err != nil {
+			operators.tally.add(countReverted, "%s", err.Error())
+		}
+	}
+	return nil
+}
+
+func (operators *operators) expectWorth(stored *table.Tables, name string, worth float64) {
+	var row route.Route
+	row, _ = stored.Route(name)
+	if row.Worth() != worth {
+		operators.tally.add(countReverted, "row %s has worth %g, the accepted edits make %g", name, row.Worth(), worth)
+	}
+}
--- /dev/null
+++ b/internal/standin/chaos/system.go
@@ -0,0 +1,323 @@
+package chaos
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/operator/operatorhttp"
+	"sapphirehead/internal/standin/harness"
+	"sapphirehead/internal/standin/platformstandin"
+	"sapphirehead/internal/standin/relay"
+)
+
+//go:embed tables.toml
+var tablesFile string
+
+// Keys of the system under test.
+const (
+	callerKey     = "key-garage-north"
+	account       = "garage-north"
+	operatorToken = "token-of-operators"
+	model         = "desk-small"
+)
+
+const (
+	// startTimeout bounds the time until a part of the system works.
+	startTimeout = 30 * clock.Second
+	pollInterval = 50 * clock.Millisecond
+	callTimeout  = 3 * clock.Second
+)
+
+// dataCentres are the places of entry hosts, runners and services.
+var dataCentres = []string{"lj-a", "lj-b", "lj-c"}
+
+const entrySettings = `host = %q
+dataCentre = %q
+[caller]
+listen = "127.0.0.1:0"
+[operator]
+listen = "127.0.0.1:0"
+token = %q
+[node]
+listen = "127.0.0.1:0"
+fellows = [%s]
+[platform]
+address = %q
+[cloud]
+address = %q
+[stop]
+readyOffMillis = 300
+graceMillis = 20000
+[[clientAccounts]]
+name = %q
+key = %q
+`
+
+const stewardSettings = `host = %q
+dataCentre = %q
+leaseMillis = 3000
+roundMillis = 300
+[platform]
+address = %q
+[cloud]
+address = %q
+[weightStore]
+address = %q
+`
+
+// entryHost is one entry host through its restarts.
+type entryHost struct {
+	name       string
+	dataCentre string
+	target     atomic.Pointer[target]
+	steward    atomic.Pointer[harness.Process]
+	relay      *relay.Relay
+}
+
+// target is one started sapphire-entry.
+type target struct {
+	process *harness.Process
+	ready   atomic.Bool
+	paused  atomic.Bool
+	killed  atomic.Bool
+}
+
+func (target *target) address() string { return target.process.Address("caller") }
+
+// hostRelay stands before a runner or a service.
+type hostRelay struct {
+	relay   *relay.Relay
+	service bool
+}
+
+// system is the set of processes under test.
+type system struct {
+	harness  *harness.Harness
+	clock    *clock.Clock
+	platform *harness.Process
+	cloud    *harness.Process
+	weights  *harness.Process
+	entries  []*entryHost
+	mutex    sync.Mutex
+	runners  map[string]*harness.Process
+	services []*harness.Process
+	relays   []hostRelay
+	starts   int
+}
+
+func newSystem(bin, folder string) *system {
+	return &system{harness: harness.New(bin, folder, clock.System()), clock: clock.System(), runners: map[string]*harness.Process{}}
+}
+
+// close ends every process and relay, and returns the names of processes that
+// are still there.
+func (system *system) close() []string {
+	for _, before := range system.relays {
+		before.relay.Close()
+	}
+	for _, entry := range system.entries {
+		if entry.relay != nil {
+			entry.relay.Close()
+		}
+	}
+	system.harness.Close()
+	return system.harness.Running()
+}
+
+func (system *system) start(ctx context.Context) error {
+	var err error
+	if system.platform, err = system.harness.Start("platform", "sapphire-standin", "platform"); err != nil {
+		return err
+	}
+	if system.weights, err = system.harness.Start("weightstore", "sapphire-standin", "weightstore", "--loads-per-second=50"); err != nil {
+		return err
+	}
+	arguments := []string{"cloud", system.platformFlag(), "--decode-millis=4"}
+	for _, dataCentre := range dataCentres {
+		arguments = append(arguments, "--data-centre="+dataCentre)
+	}
+	if system.cloud, err = system.harness.Start("cloud", "sapphire-standin", arguments...); err != nil {
+		return err
+	}
+	for i := range 2 * len(dataCentres) {
+		if err := system.startRunner(ctx, dataCentres[i%len(dataCentres)]); err != nil {
+			return err
+		}
+	}
+	for _, dataCentre := range dataCentres {
+		if err := system.startService(ctx, dataCentre); err != nil {
+			return err
+		}
+	}
+	for i, dataCentre := range dataCentres {
+		entry := &entryHost{name: fmt.Sprintf("entry-%d", i), dataCentre: dataCentre}
+		system.entries = append(system.entries, entry)
+		if err := system.startEntry(entry); err != nil {
+			return err
+		}
+		if err := system.startSteward(entry); err != nil {
+			return err
+		}
+	}
+	return system.writeTables(ctx)
+}
+
+func (system *system) platformFlag() string { return "--platform=" + system.platform.Address("api") }
+
+// startRunner starts a runner that the system reaches through a relay.
+func (system *system) startRunner(ctx context.Context, dataCentre string) error {
+	id := system.serial("runner")
+	process, err := system.harness.Start(id, "sapphire-standin", "runner", system.platformFlag(), "--id="+id, "--data-centre="+dataCentre, "--model="+model, "--decode-millis=4")
+	if err != nil {
+		return err
+	}
+	system.mutex.Lock()
+	system.runners[id] = process
+	system.mutex.Unlock()
+	return system.relayHost(ctx, process, platformstandin.Host{ID: id, DataCentre: dataCentre, HostClass: "gpu-small", Pool: "runners", State: "live"})
+}
+
+func (system *system) startService(ctx context.Context, dataCentre string) error {
+	id := system.serial("booking")
+	process, err := system.harness.Start(id, "sapphire-standin", "service", system.platformFlag(), "--id="+id, "--data-centre="+dataCentre, "--pool=booking", "--work-millis=60")
+	if err != nil {
+		return err
+	}
+	system.services = append(system.services, process)
+	return system.relayHost(ctx, process, platformstandin.Host{ID: id, DataCentre: dataCentre, HostClass: "plain", Pool: "booking", State: "live"})
+}
+
+func (system *system) serial(prefix string) string {
+	system.mutex.Lock()
+	defer system.mutex.Unlock()
+	system.starts++
+	return fmt.Sprintf("%s-%02d", prefix, system.starts)
+}
+
+// relayHost lists the host under the address of a relay before it.
+func (system *system) relayHost(ctx context.Context, process *harness.Process, host platformstandin.Host) error {
+	before, err := relay.New(system.clock, process.Address("api"))
+	if err != nil {
+		return err
+	}
+	system.mutex.Lock()
+	system.relays = append(system.relays, hostRelay{relay: before, service: host.Pool == "booking"})
+	system.mutex.Unlock()
+	host.Address = before.Address()
+	return platformstandin.Register(ctx, system.platform.Address("api"), host)
+}
+
+// startEntry starts sapphire-entry on the host; its fellow nodes are reached
+// through their relays.
+func (system *system) startEntry(entry *entryHost) error {
+	var fellows []string
+	for _, other := range system.entries {
+		if other != entry && other.relay != nil {
+			fellows = append(fellows, fmt.Sprintf("%q", other.relay.Address()))
+		}
+	}
+	content := fmt.Sprintf(entrySettings, entry.name, entry.dataCentre, operatorToken, strings.Join(fellows, ", "),
+		system.platform.Address("api"), system.cloud.Address("api"), account, callerKey)
+	file, err := system.harness.WriteFile(entry.name+".toml", content)
+	if err != nil {
+		return err
+	}
+	process, err := system.harness.Start(system.serial(entry.name), "sapphire-entry", "--settings="+file)
+	if err != nil {
+		return err
+	}
+	before, err := relay.New(system.clock, process.Address("node"))
+	if err != nil {
+		return err
+	}
+	if entry.relay != nil {
+		entry.relay.Close()
+	}
+	entry.relay = before
+	entry.target.Store(&target{process: process})
+	return nil
+}
+
+func (system *system) startSteward(entry *entryHost) error {
+	content := fmt.Sprintf(stewardSettings, entry.name, entry.dataCentre, system.platform.Address("api"), system.cloud.Address("api"), system.weights.Address("api"))
+	file, err := system.harness.WriteFile(entry.name+"-steward.toml", content)
+	if err != nil {
+		return err
+	}
+	process, err := system.harness.Start(system.serial("steward-"+entry.name), "sapphire-steward", "--settings="+file)
+	if err == nil {
+		entry.steward.Store(process)
+	}
+	return err
+}
+
+// writeTables applies the tables with sapphirectl and waits until every entry
+// host is ready.
+func (system *system) writeTables(ctx context.Context) error {
+	file, err := system.harness.WriteFile("tables.toml", tablesFile)
+	if err != nil {
+		return err
+	}
+	output, err := system.harness.Command("sapphirectl", "--address="+system.entries[0].target.Load().process.Address("operator"),
+		"--token="+operatorToken, "apply", "--wait", "--file="+file)
+	if err != nil {
+		return errors.Wrap(err, output)
+	}
+	for _, entry := range system.entries {
+		if err := system.awaitReady(ctx, entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitReady waits until the entry host is ready and then gives it to callers.
+func (system *system) awaitReady(ctx context.Context, entry *entryHost) error {
+	started := entry.target.Load()
+	return system.await(ctx, entry.name+" is not ready", func(ctx context.Context) bool {
+		started.ready.Store(system.readyAt(ctx, started.address()))
+		return started.ready.Load()
+	})
+}
+
+// await polls the condition until it holds.
+func (system *system) await(ctx context.Context, failure string, holds func(ctx context.Context) bool) error {
+	ctx, cancel := system.clock.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for !holds(ctx) {
+		if system.clock.Wait(ctx, pollInterval) != nil {
+			return errors.New(failure)
+		}
+	}
+	return nil
+}
+
+func (system *system) operator(entry *entryHost) *operatorhttp.Client {
+	return operatorhttp.NewClient(entry.target.Load().process.Address("operator"), operatorToken, system.clock, callTimeout)
+}
+
+// kill ends a process without warning.
+func (target *target) kill() {
+	target.killed.Store(true)
+	target.ready.Store(false)
+	target.process.Kill()
+}
+
+// pause stops the process in its tracks; the balancer does not know.
+func (target *target) pause() error {
+	target.paused.Store(true)
+	return target.process.Signal(syscall.SIGSTOP)
+}
+
+func (target *target) wake() error {
+	target.paused.Store(false)
+	return target.process.Signal(syscall.SIGCONT)
+}
--- a/internal/standin/harness/harness.go
+++ b/internal/standin/harness/harness.go
@@ -162,6 +162,19 @@
 	}
 }
 
+// Running returns the names of processes that have not ended.
+func (harness *Harness) Running() []string {
+	harness.mutex.Lock()
+	defer harness.mutex.Unlock()
+	var running []string
+	for _, process := range harness.processes {
+		if process.Signal(syscall.Signal(0)) == nil {
+			running = append(running, process.name)
+		}
+	}
+	return running
+}
+
 // Logs returns the logs of all processes.
 func (harness *Harness) Logs() string {
 	harness.mutex.Lock()
--- /dev/null
+++ b/internal/standin/relay/relay.go
@@ -0,0 +1,169 @@
+// Package relay is a small TCP relay that stands between two ends and can
+// break what passes through it.
+//
+// Silence imitates a middlebox that has lost track of a connection: bytes on
+// the open connections are dropped while the ends believe them delivered, the
+// end of one side is not told to the other, and new connections work.
+//
+//	caller -- relay -- runner     Silence(Both): the open stream stalls for good
+//	caller -- relay -- runner     a new connection passes as before
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"sapphirehead/internal/clock"
+)
+
+// Direction names the flow of bytes that a fault concerns.
+type Direction int
+
+// The directions.
+const (
+	// ToTarget is from whoever opened the connection to the target.
+	ToTarget Direction = 1 << iota
+	// FromTarget is from the target back.
+	FromTarget
+	// Both is every byte.
+	Both = ToTarget | FromTarget
+)
+
+// bufferBytes is the size of a copied piece.
+const bufferBytes = 16 << 10
+
+// Relay passes connections on to one target.
+type Relay struct {
+	clock    *clock.Clock
+	target   string
+	listener net.Listener
+	delay    atomic.Int64
+	mutex    sync.Mutex
+	links    map[*link]bool
+}
+
+// link is one connection through the relay.
+type link struct {
+	near   net.Conn
+	far    net.Conn
+	silent [2]atomic.Bool
+}
+
+// New returns a relay to the target that listens on loopback.
+func New(clock *clock.Clock, target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	relay := &Relay{clock: clock, target: target, listener: listener, links: map[*link]bool{}}
+	go relay.serve()
+	return relay, nil
+}
+
+// Address returns the host and port on which the relay listens.
+func (relay *Relay) Address() string { return relay.listener.Addr().String() }
+
+// Delay holds back each piece of data by the time, from now on.
+func (relay *Relay) Delay(delay clock.Millis) { relay.delay.Store(int64(delay)) }
+
+// Cut closes every open connection and returns how many there were.
+func (relay *Relay) Cut() int {
+	links := relay.open()
+	for _, link := range links {
+		link.close()
+	}
+	return len(links)
+}
+
+// Silence drops all further bytes of the open connections in the direction,
+// and returns how many there were. Connections opened later are not touched.
+func (relay *Relay) Silence(direction Direction) int {
+	links := relay.open()
+	for _, link := range links {
+		if direction&ToTarget != 0 {
+			link.silent[0].Store(true)
+		}
+		if direction&FromTarget != 0 {
+			link.silent[1].Store(true)
+		}
+	}
+	return len(links)
+}
+
+// Close stops listening and closes every connection.
+func (relay *Relay) Close() {
+	relay.listener.Close()
+	relay.Cut()
+}
+
+func (relay *Relay) open() []*link {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	links := make([]*link, 0, len(relay.links))
+	for link := range relay.links {
+		links = append(links, link)
+	}
+	return links
+}
+
+func (relay *Relay) serve() {
+	for {
+		near, err := relay.listener.Accept()
+		if err != nil {
+			return
+		}
+		go relay.join(near)
+	}
+}
+
+// join connects to the target and copies until both directions have ended.
+func (relay *Relay) join(near net.Conn) {
+	far, err := net.Dial("tcp", relay.target)
+	if err != nil {
+		near.Close()
+		return
+	}
+	joined := &link{near: near, far: far}
+	relay.mutex.Lock()
+	relay.links[joined] = true
+	relay.mutex.Unlock()
+	var copies sync.WaitGroup
+	copies.Go(func() { relay.copy(joined, far, near, &joined.silent[0]) })
+	copies.Go(func() { relay.copy(joined, near, far, &joined.silent[1]) })
+	copies.Wait()
+	joined.close()
+	relay.mutex.Lock()
+	delete(relay.links, joined)
+	relay.mutex.Unlock()
+}
+
+// copy passes bytes on until the source ends. A silent direction swallows
+// both the bytes and the end.
+func (relay *Relay) copy(of *link, target, source net.Conn, silent *atomic.Bool) {
+	buffer := make([]byte, bufferBytes)
+	for {
+		count, err := source.Read(buffer)
+		if err != nil {
+			break
+		}
+		if delay := clock.Millis(relay.delay.Load()); delay > 0 {
+			relay.clock.Wait(context.Background(), delay)
+		}
+		if silent.Load() {
+			continue
+		}
+		if _, err := target.Write(buffer[:count]); err != nil {
+			break
+		}
+	}
+	if !silent.Load() {
+		of.close()
+	}
+}
+
+func (link *link) close() {
+	link.near.Close()
+	link.far.Close()
+}
