--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,16 @@
 chaos: build ## break real processes under a longer load (CHAOS_REQUESTS, CHAOS_SEED)
 	SAPPHIRE_BIN=$(CURDIR)/$(BIN) CHAOS_REQUESTS=$(CHAOS_REQUESTS) CHAOS_SEED=$(CHAOS_SEED) $(GO) test -race -count=1 -v -timeout 30m ./internal/standin/chaos
 
+.PHONY: mutants
+mutants: ## break the system on purpose and check that a named test notices
+	$(GO) run ./internal/mutant $(foreach package,$(RAPID_PACKAGES),--rapid=$(package)) --flags=-rapid.seed=$(RAPID_SEED),-rapid.nofailfile
+
+FUZZ_MINUTES := 10
+
+.PHONY: fuzz
+fuzz: ## run every test that uses rapid with random seeds for FUZZ_MINUTES
+	$(GO) run ./internal/fuzz --minutes=$(FUZZ_MINUTES) --skip='$(KNOWN_RED)' $(RAPID_PACKAGES)
+
 .PHONY: lint
 lint: $(GOLANGCI) ## check format and code
 	$(GOLANGCI) run ./...
