Let every fault come at every step of a world in one process, alone and by twos

Cause: no test drove faults against the joined decisions of several nodes.

Change: internal/faultmatrix builds four entry hosts from the decision side, two stewards, runners, services and the platform's object API in virtual time (testing/synctest).

--- /dev/null
+++ b/internal/faultmatrix/step.go
@@ -0,0 +1,49 @@
+package faultmatrix
+
+// Step is a moment at which a fault may come.
+type Step int
+
+// The steps, in the order in which the scenario passes them.
+const (
+	StepBoot Step = iota
+	StepEdit
+	StepSpread
+	StepRenew
+	StepOrder
+	StepAccept
+	StepClaim
+	StepChoose
+	StepConnect
+	StepSend
+	StepRecord
+	StepFirstToken
+	StepMidStream
+	StepFinish
+	StepHandOver
+)
+
+var stepNames = []string{
+	"boot", "edit", "spread", "renew", "order", "accept", "claim", "choose", "connect", "send",
+	"record", "first token", "mid-stream", "finish", "hand over",
+}
+
+// Steps returns every step.
+func Steps() []Step {
+	steps := make([]Step, len(stepNames))
+	for i := range steps {
+		steps[i] = Step(i)
+	}
+	return steps
+}
+
+// String returns the name of the step.
+func (step Step) String() string { return stepNames[step] }
+
+// moment is who is doing what when a step is passed. Parts that the step does
+// not have are nil.
+type moment struct {
+	node       *entryNode
+	steward    *steward
+	host       *host
+	connection *connection
+}
--- /dev/null
+++ b/internal/faultmatrix/store.go
@@ -0,0 +1,177 @@
+package faultmatrix
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/platform"
+)
+
+const (
+	// storeTimeout is how long a client waits for an answer of the object API.
+	storeTimeout = 1 * clock.Second
+	// slowAnswer is the time that a slow object API takes. It is longer than
+	// the timeout, so a write lands after its client has given up.
+	slowAnswer = 1500 * clock.Millisecond
+	// storeDelay is the time of an ordinary call.
+	storeDelay = 4 * clock.Millisecond
+)
+
+var (
+	errStoreDown  = errors.New("the object API is down")
+	errAnswerLost = errors.New("the answer was lost")
+)
+
+type objectName struct {
+	kind string
+	name string
+}
+
+// objectStore is the platform's object API in memory.
+type objectStore struct {
+	clock   *clock.Clock
+	mutex   sync.Mutex
+	objects map[objectName]platform.Object
+	changed chan struct{}
+	down    bool
+	slow    bool
+	lose    int
+	lost    int
+}
+
+func newObjectStore(clock *clock.Clock) *objectStore {
+	return &objectStore{clock: clock, objects: map[objectName]platform.Object{}, changed: make(chan struct{})}
+}
+
+// client returns the API as one process reaches it. The function gate fails
+// for a process that is dead and blocks for one that is paused.
+func (store *objectStore) client(gate func(ctx context.Context) error) *platform.Store {
+	get := func(ctx context.Context, kind, name string) (platform.Object, error) {
+		if err := gate(ctx); err != nil {
+			return platform.Object{}, platform.NewUnavailableError(false, err)
+		}
+		object, err := store.get(ctx, objectName{kind: kind, name: name})
+		if gone := gate(ctx); gone != nil {
+			return platform.Object{}, platform.NewUnavailableError(false, gone)
+		}
+		return object, err
+	}
+	put := func(ctx context.Context, kind, name string, body []byte, condition int64) (int64, error) {
+		if err := gate(ctx); err != nil {
+			return 0, platform.NewUnavailableError(false, err)
+		}
+		version, err := store.put(ctx, objectName{kind: kind, name: name}, body, condition)
+		if gone := gate(ctx); gone != nil {
+			return 0, platform.NewUnavailableError(true, gone)
+		}
+		return version, err
+	}
+	watch := func(ctx context.Context, kind, name string, after int64) (platform.Object, error) {
+		if err := gate(ctx); err != nil {
+			return platform.Object{}, platform.NewUnavailableError(false, err)
+		}
+		store.await(ctx, objectName{kind: kind, name: name}, after)
+		return get(ctx, kind, name)
+	}
+	return platform.NewStore(get, put, watch)
+}
+
+// answer waits as long as a call takes. It reports what the client sees.
+func (store *objectStore) answer(ctx context.Context, write bool) error {
+	store.mutex.Lock()
+	down, slow := store.down, store.slow
+	store.mutex.Unlock()
+	switch {
+	case down:
+		return platform.NewUnavailableError(false, errStoreDown)
+	case slow:
+		store.clock.Wait(ctx, storeTimeout)
+		return platform.NewUnavailableError(write, errAnswerLost)
+	}
+	if err := store.clock.Wait(ctx, storeDelay); err != nil {
+		return platform.NewUnavailableError(write, err)
+	}
+	return nil
+}
+
+func (store *objectStore) get(ctx context.Context, name objectName) (platform.Object, error) {
+	if err := store.answer(ctx, false); err != nil {
+		return platform.Object{}, err
+	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	object, ok := store.objects[name]
+	if !ok {
+		return platform.Object{}, platform.NewNotFoundError(name.kind, name.name)
+	}
+	return object, nil
+}
+
+func (store *objectStore) put(ctx context.Context, name objectName, body []byte, condition int64) (int64, error) {
+	store.mutex.Lock()
+	slow := store.slow && !store.down
+	store.mutex.Unlock()
+	if slow {
+		store.clock.AfterFunc(slowAnswer, func() { store.write(name, body, condition) })
+	}
+	if err := store.answer(ctx, true); err != nil {
+		return 0, err
+	}
+	version, ok := store.write(name, body, condition)
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if store.lose > 0 {
+		store.lose--
+		store.lost++
+		return 0, platform.NewUnavailableError(true, errAnswerLost)
+	}
+	if !ok {
+		return 0, platform.NewConflictError(name.kind, name.name, condition)
+	}
+	return version, nil
+}
+
+// write stores the body if the object still is at the condition.
+func (store *objectStore) write(name objectName, body []byte, condition int64) (int64, bool) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if store.objects[name].Version() != condition {
+		return 0, false
+	}
+	store.objects[name] = platform.NewObject(condition+1, slices.Clone(body))
+	close(store.changed)
+	store.changed = make(chan struct{})
+	return condition + 1, true
+}
+
+// await blocks until the object's version differs from after.
+func (store *objectStore) await(ctx context.Context, name objectName, after int64) {
+	ctx, cancel := store.clock.WithTimeout(ctx, watchWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		store.mutex.Lock()
+		version, changed := store.objects[name].Version(), store.changed
+		store.mutex.Unlock()
+		if version != after {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// watchWait bounds one wait of a watch.
+const watchWait = 5 * clock.Second
+
+// set changes the faults under the lock.
+func (store *objectStore) set(change func(store *objectStore)) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	change(store)
+}
