--- a/internal/faultmatrix/steward.go
+++ b/internal/faultmatrix/steward.go
@@ -154,11 +154,15 @@
 // lapsed.
 func (world *world) sent(from *steward, to *host, fence int64) {
 	if !from.holds() {
-		world.check(func(tally *tally) { tally.violate("lease: %s ordered %s under %d after its lease", from.name, to.id, fence) })
+		world.check(func(tally *tally) {
+			tally.violate("lease: %s ordered %s under %d after its lease", from.name, to.id, fence)
+		})
 	}
 	for _, other := range world.stewards {
 		if other != from && other.holds() {
-			world.check(func(tally *tally) { tally.violate("lease: %s ordered %s while %s holds the lease", from.name, to.id, other.name) })
+			world.check(func(tally *tally) {
+				tally.violate("lease: %s ordered %s while %s holds the lease", from.name, to.id, other.name)
+			})
 		}
 	}
 }
