Let the checking caller return for the rest of a stream

A caller whose stream broke off returns with Last-Event-ID at another entry host, and one that was sent elsewhere by 303 asks there. One chat in five is longer than the grace of an entry host that stops, so it has to be handed over. A chat cut by a stopping host counts as handed over, and lost unless its return ends whole; a call with side effects cut there still counts as cut.

--- a/internal/standin/callerstandin/caller.go
+++ b/internal/standin/callerstandin/caller.go
@@ -23,9 +23,11 @@
 	http *http.Client
 }
 
-// New returns a caller with the key.
+// New returns a caller with the key. It follows no redirects: they lead through
+// the balancer, whose part the user of the caller plays.
 func New(key string) *Caller {
-	return &Caller{key: key, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Caller{key: key, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, CheckRedirect: stay}}
 }
 
 // Answer is what a caller got.
@@ -35,6 +37,7 @@
 	text   string
 	tokens int
 	lastID string
+	moved  string
 }
 
 // Status returns the HTTP status.
@@ -49,6 +52,9 @@
 // Tokens returns the number of events with text of a streamed chat.
 func (answer Answer) Tokens() int { return answer.tokens }
 
+// Moved returns the path at which any entry host gives the answer, or empty.
+func (answer Answer) Moved() string { return answer.moved }
+
 // EventError says that a stream ended with an error event, by which the
 // system says that the answer is not whole.
 type EventError struct{}
@@ -64,10 +70,11 @@
 }
 
 type chatForm struct {
-	Model     string        `json:"model"`
-	Messages  []messageForm `json:"messages"`
-	MaxTokens int           `json:"max_tokens,omitempty"`
-	Stream    bool          `json:"stream"`
+	Model       string        `json:"model"`
+	Messages    []messageForm `json:"messages"`
+	MaxTokens   int           `json:"max_tokens,omitempty"`
+	Temperature float64       `json:"temperature"`
+	Stream      bool          `json:"stream"`
 }
 
 type errorsForm struct {
@@ -98,18 +105,36 @@
 	return strings.Join(runnerstandin.Answer(model, []string{content}, 0, maxTokens), "")
 }
 
-// Chat sends a chat and returns the whole answer.
+// Chat sends a chat and returns the whole answer. If the entry host is leaving,
+// the answer may be a path at which any other gives it: see Moved and Result.
 func (caller *Caller) Chat(ctx context.Context, address, model, content string, maxTokens int) (Answer, error) {
-	reply, err := caller.sendChat(ctx, address, model, content, maxTokens, false)
+	reply, err := caller.sendChat(ctx, address, model, content, maxTokens, nil)
+	if err != nil {
+		return Answer{}, err
+	}
+	return readWhole(reply)
+}
+
+// Result asks for the answer at the path to which the caller was sent.
+func (caller *Caller) Result(ctx context.Context, address, path string) (Answer, error) {
+	reply, err := caller.send(ctx, http.MethodGet, "http://"+address+path, nil, nil)
 	if err != nil {
 		return Answer{}, err
 	}
+	return readWhole(reply)
+}
+
+func readWhole(reply *http.Response) (Answer, error) {
 	defer reply.Body.Close()
 	body, err := io.ReadAll(reply.Body)
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "read answer")
 	}
-	if reply.StatusCode != http.StatusOK {
+	switch reply.StatusCode {
+	case http.StatusOK:
+	case http.StatusSeeOther:
+		return Answer{status: reply.StatusCode, moved: reply.Header.Get("Location")}, nil
+	default:
 		return refused(reply.StatusCode, body), nil
 	}
 	var form completionForm
@@ -122,16 +147,28 @@
 // StreamChat sends a chat and reads its events until the end mark. The
 // function progress is called after each event with the number of events.
 func (caller *Caller) StreamChat(ctx context.Context, address, model, content string, maxTokens int, progress func(events int)) (Answer, error) {
-	reply, err := caller.sendChat(ctx, address, model, content, maxTokens, true)
+	return caller.streamChat(ctx, address, model, content, maxTokens, Answer{}, progress)
+}
+
+// ReturnChat repeats a streamed chat of which the caller holds a part, and
+// returns the answer with that part.
+func (caller *Caller) ReturnChat(ctx context.Context, address, model, content string, maxTokens int, held Answer) (Answer, error) {
+	return caller.streamChat(ctx, address, model, content, maxTokens, held, func(int) {})
+}
+
+func (caller *Caller) streamChat(
+	ctx context.Context, address, model, content string, maxTokens int, answer Answer, progress func(events int),
+) (Answer, error) {
+	reply, err := caller.sendChat(ctx, address, model, content, maxTokens, &answer)
 	if err != nil {
-		return Answer{}, err
+		return answer, err
 	}
 	defer reply.Body.Close()
 	if reply.StatusCode != http.StatusOK {
 		body, _ := io.ReadAll(reply.Body)
 		return refused(reply.StatusCode, body), nil
 	}
-	answer := Answer{status: reply.StatusCode}
+	answer.status = reply.StatusCode
 	scanner := bufio.NewScanner(reply.Body)
 	for scanner.Scan() {
 		line := scanner.Text()
@@ -166,18 +203,28 @@
 	return nil
 }
 
-func (caller *Caller) sendChat(ctx context.Context, address, model, content string, maxTokens int, stream bool) (*http.Response, error) {
-	form := chatForm{Model: model, Messages: []messageForm{{Role: "user", Content: content}}, MaxTokens: maxTokens, Stream: stream}
+// sendChat sends a chat, as a stream if held is given. The caller returns for
+// the rest of a stream of which it holds a part.
+func (caller *Caller) sendChat(ctx context.Context, address, model, content string, maxTokens int, held *Answer) (*http.Response, error) {
+	form := chatForm{Model: model, Messages: []messageForm{{Role: "user", Content: content}}, MaxTokens: maxTokens, Stream: held != nil}
 	body, err := json.Marshal(form)
 	if err != nil {
 		return nil, err
 	}
-	return caller.send(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", "", body)
+	header := http.Header{}
+	if held != nil && held.lastID != "" {
+		header.Set("Last-Event-ID", held.lastID)
+	}
+	return caller.send(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", header, body)
 }
 
 // Call sends a call to an application service.
 func (caller *Caller) Call(ctx context.Context, method, address, path, idempotencyKey string, body []byte) (Answer, error) {
-	reply, err := caller.send(ctx, method, "http://"+address+path, idempotencyKey, body)
+	header := http.Header{}
+	if idempotencyKey != "" {
+		header.Set("Idempotency-Key", idempotencyKey)
+	}
+	reply, err := caller.send(ctx, method, "http://"+address+path, header, body)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -192,16 +239,16 @@
 	return Answer{status: reply.StatusCode, text: string(data)}, nil
 }
 
-func (caller *Caller) send(ctx context.Context, method, target, idempotencyKey string, body []byte) (*http.Response, error) {
+func (caller *Caller) send(ctx context.Context, method, target string, header http.Header, body []byte) (*http.Response, error) {
 	message, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	message.GetBody = nil
-	message.Header.Set("Authorization", "Bearer "+caller.key)
-	if idempotencyKey != "" {
-		message.Header.Set("Idempotency-Key", idempotencyKey)
+	for name := range header {
+		message.Header.Set(name, header.Get(name))
 	}
+	message.Header.Set("Authorization", "Bearer "+caller.key)
 	return caller.http.Do(message)
 }
 
--- a/internal/standin/chaos/faults.go
+++ b/internal/standin/chaos/faults.go
@@ -110,6 +110,7 @@
 	system := director.system
 	induce := func(ctx context.Context) error {
 		stopping := entry.target.Load()
+		stopping.stopping.Store(true)
 		if err := stopping.process.Signal(syscall.SIGTERM); err != nil {
 			return err
 		}
--- a/internal/standin/chaos/load.go
+++ b/internal/standin/chaos/load.go
@@ -29,8 +29,15 @@
 	// backoff is the wait after a failed try, times the number of tries.
 	backoff    = 20 * clock.Millisecond
 	maxBackoff = 500 * clock.Millisecond
+	// One request of longEvery asks for longTokens, which take longer than the
+	// grace of an entry host that stops.
+	longEvery  = 5
+	longTokens = 400
 )
 
+// kindUnavailable is the error for a caller that is to return later.
+const kindUnavailable = "unavailable"
+
 // outcome is what one try came to.
 type outcome int
 
@@ -41,6 +48,7 @@
 	outcomeIncomplete
 	outcomeBroken
 	outcomeLate
+	outcomeMoved
 	outcomeWrong
 )
 
@@ -128,7 +136,8 @@
 }
 
 // try makes one try and counts a connection that broke though nobody had
-// killed the entry host.
+// killed the entry host. One that stops may hand a chat over, to which the
+// caller returns; it may not break a call with side effects off.
 func (load *load) try(ctx context.Context, target *target, name string, try func(ctx context.Context, address string) (outcome, string)) (outcome, string) {
 	ctx, cancel := load.system.clock.WithTimeout(ctx, tryTimeout)
 	defer cancel()
@@ -136,6 +145,10 @@
 	if result == outcomeBroken && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		result = outcomeLate
 	}
+	if result == outcomeBroken && target.stopping.Load() && strings.HasPrefix(name, "chat") {
+		result = outcomeMoved
+		load.tally.add("handedOver", "")
+	}
 	if result == outcomeBroken && !target.killed.Load() && !notAccepted(why) {
 		load.tally.add(countCut, "%s at %s: %s", name, target.process.Name(), why)
 	}
@@ -150,7 +163,7 @@
 		load.tally.add("triesBroken", "")
 	case outcomeLate:
 		load.tally.add("triesGivenUp", "")
-	case outcomeWhole, outcomeWrong:
+	case outcomeWhole, outcomeWrong, outcomeMoved:
 	}
 	return result, why
 }
@@ -161,6 +174,9 @@
 // refusal sorts an answer that is not the wanted one.
 func refusal(answer callerstandin.Answer) (outcome, string) {
 	why := fmt.Sprintf("status %d %s: %s", answer.Status(), answer.Kind(), answer.Text())
+	if answer.Moved() != "" {
+		return outcomeMoved, "moved to " + answer.Moved()
+	}
 	switch answer.Kind() {
 	case "notRun":
 		return outcomeNotRun, why
@@ -168,6 +184,8 @@
 		return outcomeUnknown, why
 	case "incomplete":
 		return outcomeIncomplete, why
+	case "streamNotFound", kindUnavailable:
+		return outcomeMoved, why
 	default:
 		return outcomeWrong, why
 	}
@@ -175,17 +193,37 @@
 
 func never(outcome) bool { return false }
 
+// chat sends a chat. A caller whose stream broke off returns with what it
+// holds; one that was sent elsewhere asks there.
 func (load *load) chat(ctx context.Context, number int, streamed bool) {
 	content := fmt.Sprintf("Draft the cleaning report of filter %d", number)
-	expected := callerstandin.Expected(model, content, 0)
+	tokens := 0
+	if number%longEvery == 0 {
+		tokens = longTokens
+	}
+	expected := callerstandin.Expected(model, content, tokens)
 	name := fmt.Sprintf("chat %d", number)
+	held, path := callerstandin.Answer{}, ""
 	load.repeat(ctx, number, name, func(ctx context.Context, address string) (outcome, string) {
 		var answer callerstandin.Answer
 		var err error
-		if streamed {
-			answer, err = load.caller.StreamChat(ctx, address, model, content, 0, func(int) {})
-		} else {
-			answer, err = load.caller.Chat(ctx, address, model, content, 0)
+		switch {
+		case held.LastEventID() != "":
+			load.tally.add("returns", "")
+			answer, err = load.caller.ReturnChat(ctx, address, model, content, tokens, held)
+		case path != "":
+			load.tally.add("redirects", "")
+			answer, err = load.caller.Result(ctx, address, path)
+		case streamed:
+			answer, err = load.caller.StreamChat(ctx, address, model, content, tokens, func(int) {})
+		default:
+			answer, err = load.caller.Chat(ctx, address, model, content, tokens)
+		}
+		if answer.Kind() != kindUnavailable {
+			held, path = callerstandin.Answer{}, answer.Moved()
+		}
+		if err != nil {
+			held = answer
 		}
 		return load.checkText(name, answer, expected, err)
 	}, never)
--- a/internal/standin/chaos/system.go
+++ b/internal/standin/chaos/system.go
@@ -55,7 +55,7 @@
 address = %q
 [stop]
 readyOffMillis = 300
-graceMillis = 20000
+graceMillis = 1200
 [[clientAccounts]]
 name = %q
 key = %q
@@ -87,7 +87,9 @@
 	process *harness.Process
 	ready   atomic.Bool
 	paused  atomic.Bool
-	killed  atomic.Bool
+	// stopping is set once the entry host was told to stop.
+	stopping atomic.Bool
+	killed   atomic.Bool
 }
 
 func (target *target) address() string { return target.process.Address("caller") }
