--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -59,6 +59,13 @@
 	return New(bootTime, wallTime, afterFunc)
 }
 
+// Runtime returns a clock over the time of the Go runtime, which testing/synctest
+// replaces by virtual time. Unlike that of System it stands still while the
+// machine is suspended.
+func Runtime() *Clock {
+	return New(wallTime, wallTime, afterFunc)
+}
+
 // Now returns the monotonic time, which includes suspended time.
 func (clock *Clock) Now() Millis {
 	return clock.now()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,8 +3,8 @@
 //
 // Writers and readers are apart. The request path reads the tables in force,
 // the backend servers and the fellow nodes from immutable snapshots. Three
-// loops write them: tables (watch of the platform), servers (list of hosts,
-// notices and evidence from requests, one goroutine) and fellows (heartbeats).
+// loops write them: tables (TablesFollower), servers (list of hosts, notices
+// and evidence from requests, one goroutine) and fellow nodes (Fellows).
 package entry
 
 import (
@@ -29,7 +29,6 @@
 	"sapphirehead/internal/logging"
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/node/nodelink"
-	"sapphirehead/internal/operator"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/request"
@@ -51,20 +50,20 @@
 	log         zerolog.Logger
 	counters    *expvar.Map
 	incarnation int64
-	sequence    atomic.Int64
-	ready       atomic.Bool
 	stopping    atomic.Bool
 	inForce     *table.InForce
 	fleet       *backend.Fleet
 	evidence    chan string
 	members     *node.Members
+	contact     *node.Contact
+	fellows     *Fellows
+	tables      *TablesFollower
 	accounts    *caller.Accounts
 	admission   *caller.Admission
 	platform    *platformhttp.Client
 	store       *platform.Store
 	cloud       *cloudhttp.Client
 	ledger      *service.Ledger
-	editor      *operator.Editor
 	links       *nodelink.Links
 	driver      *Driver
 	listeners   listeners
@@ -90,7 +89,6 @@
 		inForce:     table.NewInForce(),
 		fleet:       backend.NewFleet(),
 		evidence:    make(chan string, maxEvidence),
-		members:     node.NewMembers(clock, settings.Host(), node.DefaultSilence),
 		accounts:    accountsOf(settings),
 		admission:   caller.NewAdmission(settings.MaxInFlight()),
 		platform:    platformhttp.New(settings.Platform().Address(), clock, settings.Platform().Timeout()),
@@ -100,8 +98,7 @@
 		entry.cloud = cloudhttp.New(settings.Cloud().Address(), clock, settings.Cloud().Timeout())
 	}
 	entry.ledger = service.NewLedger(clock, service.DefaultWindow, entry.loadShard, entry.commitShard)
-	entry.editor = operator.NewEditor(entry.loadTables, entry.commitTables, entry.newestTables, entry.alarmOlderStore)
-	entry.links = nodelink.New(clock, entry.answerCall)
+	entry.joinFellows()
 	entry.driver = entry.newDriver()
 	return entry, entry.listen()
 }
@@ -165,7 +162,7 @@
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
-	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat} {
+	for _, loop := range []func(context.Context){entry.followTables, entry.writeServers, entry.watchNotices, entry.fellows.Run} {
 		group.Go(func() error {
 			loop(loops)
 			return nil
@@ -194,6 +191,7 @@
 func (entry *Entry) drain(kill context.Context, callers *http.Server) {
 	entry.log.Info().Int64("inFlight", entry.admission.InFlight()).Msg("stopping: no longer ready")
 	entry.stopping.Store(true)
+	entry.fellows.PassOn()
 	entry.clock.Wait(kill, entry.settings.ReadyOff())
 	entry.admission.Close()
 	ctx, cancel := entry.clock.WithTimeout(kill, entry.settings.Grace())
@@ -217,7 +215,7 @@
 	return handler.Router()
 }
 
-func (entry *Entry) isReady() bool { return entry.ready.Load() && !entry.stopping.Load() }
+func (entry *Entry) isReady() bool { return entry.contact.InTouch() && !entry.stopping.Load() }
 
 // newID returns a new identity of a request.
 func newID() string {
--- a/internal/entry/fellows.go
+++ b/internal/entry/fellows.go
@@ -2,129 +2,209 @@
 
 import (
 	"context"
+	"expvar"
 
 	"golang.org/x/sync/errgroup"
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/node"
+	"sapphirehead/internal/node/nodelink"
 	"sapphirehead/internal/node/nodepb"
-	"sapphirehead/internal/table/tablecodec"
 )
 
-const beatInterval = 500 * clock.Millisecond
+const (
+	// beatInterval is the longest time between two heartbeats of a node.
+	beatInterval = clock.Second
+	// pushDelay collects news, so that a burst is passed on in few messages.
+	pushDelay = 20 * clock.Millisecond
+	// refreshTimeout bounds the asking of members for their versions.
+	refreshTimeout = clock.Second
+	// refreshLimit bounds the members that are asked at the same time.
+	refreshLimit = 32
+)
 
-// beat exchanges heartbeats with fellow nodes.
-func (entry *Entry) beat(ctx context.Context) {
-	for ctx.Err() == nil {
-		group, round := errgroup.WithContext(ctx)
-		for _, address := range entry.fellowAddresses() {
-			group.Go(func() error {
-				entry.exchangeHeartbeat(round, address)
-				return nil
-			})
-		}
-		group.Wait()
-		entry.fetchTables(ctx)
-		entry.clock.Wait(ctx, jittered(beatInterval))
-	}
+// Fellows exchanges news with fellow nodes. What to tell whom is decided by
+// node.Members; here are the timers and the calls.
+type Fellows struct {
+	clock     *clock.Clock
+	members   *node.Members
+	seeds     []string
+	call      func(ctx context.Context, address string, call *nodepb.Call) (*nodepb.Reply, error)
+	closeIdle func()
+	leaving   func(server string, notice clock.Millis)
+	ahead     func()
+	counters  *expvar.Map
+	news      chan struct{}
 }
 
-func (entry *Entry) fellowAddresses() []string {
-	addresses := map[string]bool{}
-	for _, address := range entry.settings.Fellows() {
-		addresses[address] = true
+// NewFellows returns the exchange of a node. Call reaches a fellow node,
+// closeIdle ends unused links; leaving is told of leaving servers and ahead of
+// members that may have newer tables in force.
+func NewFellows(
+	clock *clock.Clock,
+	members *node.Members,
+	seeds []string,
+	call func(ctx context.Context, address string, call *nodepb.Call) (*nodepb.Reply, error),
+	closeIdle func(),
+	leaving func(server string, notice clock.Millis),
+	ahead func(),
+	counters *expvar.Map,
+) *Fellows {
+	return &Fellows{
+		clock: clock, members: members, seeds: seeds, call: call, closeIdle: closeIdle, leaving: leaving, ahead: ahead,
+		counters: counters, news: make(chan struct{}, 1),
 	}
-	for _, member := range entry.members.Live() {
-		addresses[member.Address()] = true
+}
+
+// Run exchanges heartbeats and passes on news until the context ends.
+func (fellows *Fellows) Run(ctx context.Context) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		fellows.beat(ctx)
+		return nil
+	})
+	group.Go(func() error {
+		fellows.push(ctx)
+		return nil
+	})
+	group.Wait()
+}
+
+func (fellows *Fellows) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		fellows.each(ctx, fellows.members.Partners(), func(ctx context.Context, address string) {
+			fellows.exchange(ctx, address, fellows.members.Digest(), false)
+		})
+		fellows.closeIdle()
+		fellows.clock.Wait(ctx, jittered(beatInterval))
 	}
-	delete(addresses, entry.NodeAddress())
-	list := make([]string, 0, len(addresses))
-	for address := range addresses {
-		list = append(list, address)
+}
+
+// push tells all links at once of news that matters.
+func (fellows *Fellows) push(ctx context.Context) {
+	for {
+		select {
+		case <-fellows.news:
+		case <-ctx.Done():
+			return
+		}
+		fellows.clock.Wait(ctx, pushDelay)
+		digest := fellows.members.Push()
+		var addresses []string
+		for _, member := range fellows.members.Links() {
+			addresses = append(addresses, member.Address())
+		}
+		fellows.each(ctx, addresses, func(ctx context.Context, address string) { fellows.exchange(ctx, address, digest, true) })
+		fellows.counters.Add("newsPassedOn", 1)
 	}
-	return list
 }
 
-func (entry *Entry) exchangeHeartbeat(ctx context.Context, address string) {
-	call := nodepb.Call_builder{Heartbeat: entry.heartbeat()}.Build()
-	reply, err := entry.links.Call(ctx, address, call)
-	if err != nil {
-		entry.counters.Add("heartbeatsFailed", 1)
-		return
+func (fellows *Fellows) each(ctx context.Context, addresses []string, do func(ctx context.Context, address string)) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(refreshLimit)
+	for _, address := range addresses {
+		group.Go(func() error {
+			do(ctx, address)
+			return nil
+		})
 	}
-	entry.takeHeartbeat(reply.GetHeartbeat())
+	group.Wait()
 }
 
-func (entry *Entry) heartbeat() *nodepb.Heartbeat {
-	beat := nodepb.Heartbeat_builder{Sender: memberMessage(entry.self())}.Build()
-	var members []*nodepb.Member
-	for _, member := range entry.members.Live() {
-		members = append(members, memberMessage(member))
+// PassOn wakes the passing on of news.
+func (fellows *Fellows) PassOn() {
+	select {
+	case fellows.news <- struct{}{}:
+	default:
 	}
-	beat.SetMembers(members)
-	var leaving []string
-	for _, server := range entry.fleet.Current().Servers() {
-		if server.Leaving() {
-			leaving = append(leaving, server.ID())
-		}
+}
+
+// Leave tells fellow nodes that a backend server is leaving.
+func (fellows *Fellows) Leave(server string, notice clock.Millis) {
+	if fellows.members.AddLeaving(server, notice) {
+		fellows.PassOn()
 	}
-	beat.SetLeavingServers(leaving)
-	return beat
 }
 
-// self returns this node's own news, newer with each call.
-func (entry *Entry) self() node.Member {
-	return node.NewMember(entry.settings.Host(), entry.NodeAddress(), entry.settings.DataCentre(), entry.incarnation).
-		WithNews(entry.sequence.Add(1), entry.inForce.Current().Version(), entry.isReady(), entry.stopping.Load())
+// exchange sends a digest and takes in the reply. A failed call is repeated
+// over a new connection before the member counts as silent.
+func (fellows *Fellows) exchange(ctx context.Context, address string, digest node.Digest, push bool) bool {
+	call := nodepb.Call_builder{Heartbeat: nodelink.EncodeDigest(digest, push)}.Build()
+	for {
+		reply, err := fellows.call(ctx, address, call)
+		if err == nil {
+			fellows.take(nodelink.DecodeDigest(reply.GetHeartbeat()), false)
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		fellows.counters.Add("heartbeatsFailed", 1)
+		retry, urgent := fellows.members.Failed(address)
+		if urgent {
+			fellows.PassOn()
+		}
+		if !retry {
+			return false
+		}
+	}
 }
 
-func (entry *Entry) takeHeartbeat(beat *nodepb.Heartbeat) {
-	news := []node.Member{memberOf(beat.GetSender())}
-	for _, member := range beat.GetMembers() {
-		news = append(news, memberOf(member))
+func (fellows *Fellows) take(digest node.Digest, inbound bool) {
+	urgent, leaving := fellows.members.Take(digest, inbound)
+	for _, evidence := range leaving {
+		fellows.leaving(evidence.Server(), evidence.Notice())
 	}
-	entry.members.Merge(news)
-	for _, id := range beat.GetLeavingServers() {
-		entry.addEvidence(id)
+	if urgent {
+		fellows.PassOn()
 	}
+	fellows.ahead()
 }
 
-// answerCall handles a call from a fellow node.
-func (entry *Entry) answerCall(call *nodepb.Call) *nodepb.Reply {
-	switch call.WhichBody() {
-	case nodepb.Call_Heartbeat_case:
-		entry.takeHeartbeat(call.GetHeartbeat())
-		return nodepb.Reply_builder{Heartbeat: entry.heartbeat()}.Build()
-	case nodepb.Call_TablesQuery_case:
-		tables := entry.inForce.Current()
-		body, err := tablecodec.EncodeJSON(tables)
-		if err != nil {
-			return errorReply(err.Error())
+// Greet asks the addresses from the settings for all members, and reports
+// whether one of them answered.
+func (fellows *Fellows) Greet(ctx context.Context) bool {
+	answered := make(chan struct{}, len(fellows.seeds))
+	fellows.each(ctx, fellows.seeds, func(ctx context.Context, address string) {
+		if !fellows.exchange(ctx, address, fellows.members.Greeting(), false) {
+			return
 		}
-		return nodepb.Reply_builder{Tables: nodepb.Tables_builder{Version: new(tables.Version()), Body: body}.Build()}.Build()
-	default:
-		return errorReply("unknown call")
-	}
+		reply, err := fellows.call(ctx, address, nodepb.Call_builder{MembersQuery: &nodepb.MembersQuery{}}.Build())
+		if err == nil {
+			fellows.take(nodelink.DecodeDigest(reply.GetHeartbeat()), false)
+			answered <- struct{}{}
+		}
+	})
+	return len(answered) > 0
 }
 
-func errorReply(message string) *nodepb.Reply {
-	return nodepb.Reply_builder{Error: &message}.Build()
+// Refresh asks those live members that are not known to have the version in
+// force for their news.
+func (fellows *Fellows) Refresh(ctx context.Context, version int64) {
+	ctx, cancel := fellows.clock.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	var behind []string
+	for _, member := range fellows.members.Live() {
+		if member.TablesVersion() < version {
+			behind = append(behind, member.Address())
+		}
+	}
+	greeting := fellows.members.Greeting()
+	fellows.each(ctx, behind, func(ctx context.Context, address string) { fellows.exchange(ctx, address, greeting, true) })
 }
 
-func memberMessage(member node.Member) *nodepb.Member {
-	message := &nodepb.Member{}
-	message.SetHost(member.Host())
-	message.SetAddress(member.Address())
-	message.SetDataCentre(member.DataCentre())
-	message.SetIncarnation(member.Incarnation())
-	message.SetSequence(member.Sequence())
-	message.SetTablesVersion(member.TablesVersion())
-	message.SetReady(member.Ready())
-	message.SetStopping(member.Stopping())
-	return message
+// Heartbeat answers a heartbeat of a fellow node.
+func (fellows *Fellows) Heartbeat(beat *nodepb.Heartbeat) *nodepb.Reply {
+	fellows.take(nodelink.DecodeDigest(beat), true)
+	if beat.GetPush() {
+		return digestReply(fellows.members.Greeting())
+	}
+	return digestReply(fellows.members.Digest())
 }
 
-func memberOf(message *nodepb.Member) node.Member {
-	return node.NewMember(message.GetHost(), message.GetAddress(), message.GetDataCentre(), message.GetIncarnation()).
-		WithNews(message.GetSequence(), message.GetTablesVersion(), message.GetReady(), message.GetStopping())
+// Members answers a query for all members.
+func (fellows *Fellows) Members() *nodepb.Reply { return digestReply(fellows.members.All()) }
+
+func digestReply(digest node.Digest) *nodepb.Reply {
+	return nodepb.Reply_builder{Heartbeat: nodelink.EncodeDigest(digest, false)}.Build()
 }
--- /dev/null
+++ b/internal/entry/joined.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"context"
+	mathrand "math/rand/v2"
+
+	"sapphirehead/internal/node"
+	"sapphirehead/internal/node/nodelink"
+	"sapphirehead/internal/node/nodepb"
+	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/table"
+)
+
+// joinFellows builds what ties this node to its fellow nodes.
+func (entry *Entry) joinFellows() {
+	seeds := entry.settings.Fellows()
+	entry.members = node.NewMembers(entry.clock, entry.self, mathrand.IntN, seeds)
+	entry.contact = node.NewContact(entry.clock, entry.members)
+	entry.links = nodelink.New(entry.clock, nodelink.DialTCP, entry.answerCall)
+	entry.tables = NewTablesFollower(entry.clock, entry.members, entry.contact, entry.inForce, entry.loadTables, entry.watchTables,
+		entry.commitTables, entry.links.Call, func() { entry.fellows.PassOn() }, entry.log, entry.counters)
+	entry.fellows = NewFellows(entry.clock, entry.members, seeds, entry.links.Call, entry.links.CloseIdle,
+		entry.noteFellowsEvidence, entry.tables.Ahead, entry.counters)
+}
+
+// self returns this node's own news, without a sequence.
+func (entry *Entry) self() node.Member {
+	return node.NewMember(entry.settings.Host(), entry.NodeAddress(), entry.settings.DataCentre(), entry.incarnation).
+		WithNews(0, entry.inForce.Current().Version(), entry.isReady(), entry.stopping.Load())
+}
+
+// followTables keeps the tables in force up to the newest.
+func (entry *Entry) followTables(ctx context.Context) {
+	entry.tables.Run(ctx, entry.fellows.Greet)
+}
+
+// answerCall handles a call from a fellow node.
+func (entry *Entry) answerCall(call *nodepb.Call) *nodepb.Reply {
+	switch call.WhichBody() {
+	case nodepb.Call_Heartbeat_case:
+		return entry.fellows.Heartbeat(call.GetHeartbeat())
+	case nodepb.Call_MembersQuery_case:
+		return entry.fellows.Members()
+	case nodepb.Call_TablesQuery_case:
+		return entry.tables.Answer(call.GetTablesQuery())
+	default:
+		return errorReply("unknown call")
+	}
+}
+
+func errorReply(message string) *nodepb.Reply {
+	return nodepb.Reply_builder{Error: &message}.Build()
+}
+
+func (entry *Entry) loadTables(ctx context.Context) (*table.Tables, int64, error) {
+	return platformhttp.LoadTables(ctx, entry.store)
+}
+
+func (entry *Entry) watchTables(ctx context.Context, after int64) (*table.Tables, int64, error) {
+	return platformhttp.WatchTables(ctx, entry.store, after)
+}
+
+func (entry *Entry) commitTables(ctx context.Context, tables *table.Tables, condition int64) error {
+	return platformhttp.CommitTables(ctx, entry.store, tables, condition)
+}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -30,6 +30,7 @@
 		case id := <-entry.evidence:
 			if entry.fleet.MarkLeaving(id) {
 				entry.log.Info().Str(logging.FieldServer, id).Msg("backend server is leaving")
+				entry.fellows.Leave(id, 0)
 			}
 		case <-ctx.Done():
 			return
@@ -50,6 +51,14 @@
 	}
 }
 
+// noteFellowsEvidence takes in evidence from a fellow node.
+func (entry *Entry) noteFellowsEvidence(id string, _ clock.Millis) {
+	if server := entry.fleet.Current().Server(id); server != nil {
+		server.MarkLeaving()
+	}
+	entry.addEvidence(id)
+}
+
 // watchNotices follows the cloud's reclaim notices.
 func (entry *Entry) watchNotices(ctx context.Context) {
 	after := int64(0)
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -2,88 +2,316 @@
 
 import (
 	"context"
+	"expvar"
 
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node"
 	"sapphirehead/internal/node/nodepb"
-	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/operator"
 	"sapphirehead/internal/table"
 	"sapphirehead/internal/table/tablecodec"
 )
 
-// watchTables follows the platform's tables object and puts each newer
+// A node takes its tables from two sides. A few nodes of each data centre watch
+// the platform's object; each waiting watch counts as a call there. The others
+// hear of a higher version with the news of fellow nodes and fetch what changed.
+//
+// At its start a node asks both sides and takes the highest, before it is
+// ready. Later, tables that lack an edit which is in force here are refused,
+// and the store is brought up to what is in force.
+
+const (
+	// roleInterval is the time between two looks at whether to watch.
+	roleInterval = clock.Second
+	// repairDelay spreads the watchers that find the store to be older.
+	repairDelay = 200 * clock.Millisecond
+	// fetchAttempts bounds the fellow nodes that are asked for one version.
+	fetchAttempts = 4
+)
+
+// TablesFollower keeps the tables in force up to the newest.
+type TablesFollower struct {
+	clock    *clock.Clock
+	members  *node.Members
+	contact  *node.Contact
+	inForce  *table.InForce
+	load     func(ctx context.Context) (*table.Tables, int64, error)
+	watch    func(ctx context.Context, after int64) (*table.Tables, int64, error)
+	call     func(ctx context.Context, address string, call *nodepb.Call) (*nodepb.Reply, error)
+	editor   *operator.Editor
+	passOn   func()
+	log      zerolog.Logger
+	counters *expvar.Map
+	ahead    chan struct{}
+}
+
+// NewTablesFollower returns a follower. Load, watch and commit reach the
+// platform's object, call a fellow node; passOn tells fellow nodes of a higher
 // version in force.
-func (entry *Entry) watchTables(ctx context.Context) {
+func NewTablesFollower(
+	clock *clock.Clock,
+	members *node.Members,
+	contact *node.Contact,
+	inForce *table.InForce,
+	load func(ctx context.Context) (*table.Tables, int64, error),
+	watch func(ctx context.Context, after int64) (*table.Tables, int64, error),
+	commit func(ctx context.Context, tables *table.Tables, condition int64) error,
+	call func(ctx context.Context, address string, call *nodepb.Call) (*nodepb.Reply, error),
+	passOn func(),
+	log zerolog.Logger,
+	counters *expvar.Map,
+) *TablesFollower {
+	follower := &TablesFollower{
+		clock: clock, members: members, contact: contact, inForce: inForce, load: load, watch: watch, call: call,
+		passOn: passOn, log: log, counters: counters, ahead: make(chan struct{}, 1),
+	}
+	follower.editor = operator.NewEditor(load, commit, follower.newest, follower.alarm)
+	return follower
+}
+
+// Run starts and follows until the context ends. Greet asks fellow nodes for
+// their news and reports whether one answered.
+func (follower *TablesFollower) Run(ctx context.Context, greet func(ctx context.Context) bool) {
+	for ctx.Err() == nil && !follower.start(ctx, greet) {
+		follower.clock.Wait(ctx, jittered(retryInterval))
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		follower.followStore(ctx)
+		return nil
+	})
+	group.Go(func() error {
+		follower.followFellows(ctx)
+		return nil
+	})
+	group.Wait()
+}
+
+// start asks the store and the fellow nodes, and puts the highest tables in
+// force. It reports whether that worked: one of them answered, and no fellow
+// node has a higher version than this node now.
+func (follower *TablesFollower) start(ctx context.Context, greet func(ctx context.Context) bool) bool {
+	var stored *table.Tables
+	var greeted bool
+	group, asking := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		stored, _, _ = follower.load(asking)
+		return nil
+	})
+	group.Go(func() error {
+		greeted = greet(asking)
+		return nil
+	})
+	group.Wait()
+	if greeted {
+		follower.fetchAhead(ctx)
+	}
+	if stored != nil {
+		follower.takeStored(ctx, stored)
+	}
+	if _, behind := follower.members.Ahead(follower.inForce.Current().Version()); (stored != nil || greeted) && !behind {
+		follower.contact.Started()
+	}
+	return follower.contact.HasStarted()
+}
+
+// followStore watches the platform's object while this node is one of the few
+// that do.
+func (follower *TablesFollower) followStore(ctx context.Context) {
 	version := int64(-1)
 	for ctx.Err() == nil {
-		tables, seen, err := entry.nextTables(ctx, version)
+		if !follower.members.IsWatcher() {
+			version = -1
+			follower.clock.Wait(ctx, roleInterval)
+			continue
+		}
+		tables, seen, err := follower.nextStored(ctx, version)
 		if err != nil {
-			entry.clock.Wait(ctx, jittered(retryInterval))
+			follower.counters.Add("tablesWatchFailed", 1)
+			follower.clock.Wait(ctx, jittered(retryInterval))
 			continue
 		}
 		version = seen
-		entry.putInForce(tables)
-		entry.ready.Store(true)
+		follower.takeStored(ctx, tables)
 	}
 }
 
-func (entry *Entry) nextTables(ctx context.Context, version int64) (*table.Tables, int64, error) {
+// nextStored waits for a change of the object. A node without fellow nodes asks
+// again and again, as only an answer shows that it is in touch.
+func (follower *TablesFollower) nextStored(ctx context.Context, version int64) (*table.Tables, int64, error) {
 	if version < 0 {
-		return platformhttp.LoadTables(ctx, entry.store)
+		return follower.load(ctx)
 	}
-	return platformhttp.WatchTables(ctx, entry.store, version)
+	if len(follower.members.Live()) == 0 {
+		follower.clock.Wait(ctx, roleInterval)
+		return follower.load(ctx)
+	}
+	return follower.watch(ctx, version)
 }
 
-// fetchTables asks a fellow node for tables newer than those in force.
-func (entry *Entry) fetchTables(ctx context.Context) {
-	ahead, ok := entry.members.HighestTables()
-	if !ok || ahead.TablesVersion() <= entry.inForce.Current().Version() {
-		return
+func (follower *TablesFollower) takeStored(ctx context.Context, stored *table.Tables) {
+	follower.contact.StoreAnswered()
+	switch follower.inForce.Current().Relate(stored) {
+	case table.RelationSame:
+	case table.RelationStoredNewer:
+		follower.Offer(stored)
+	default:
+		follower.clock.Wait(ctx, jittered(repairDelay))
+		follower.repair(ctx)
 	}
-	call := nodepb.Call_builder{TablesQuery: &nodepb.TablesQuery{}}.Build()
-	reply, err := entry.links.Call(ctx, ahead.Address(), call)
+}
+
+// repair brings the store up to what is in force.
+func (follower *TablesFollower) repair(ctx context.Context) {
+	tables, err := follower.editor.WriteBack(ctx)
 	if err != nil {
+		follower.log.Warn().Err(err).Msg("tables in force not written back")
 		return
 	}
-	tables, err := tablecodec.DecodeJSON(reply.GetTables().GetBody())
-	if err != nil {
-		entry.log.Error().Err(err).Msg("tables from a fellow node are not valid")
+	follower.Offer(tables)
+}
+
+// followFellows fetches what fellow nodes have in force and this node lacks.
+func (follower *TablesFollower) followFellows(ctx context.Context) {
+	for {
+		select {
+		case <-follower.ahead:
+			follower.fetchAhead(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Ahead looks whether a fellow node has newer tables in force.
+func (follower *TablesFollower) Ahead() {
+	if _, ok := follower.members.Ahead(follower.inForce.Current().Version()); !ok {
 		return
 	}
-	entry.putInForce(tables)
-	entry.ready.Store(true)
+	select {
+	case follower.ahead <- struct{}{}:
+	default:
+	}
 }
 
-func (entry *Entry) loadTables(ctx context.Context) (*table.Tables, int64, error) {
-	return platformhttp.LoadTables(ctx, entry.store)
+func (follower *TablesFollower) fetchAhead(ctx context.Context) {
+	for range fetchAttempts {
+		current := follower.inForce.Current()
+		member, ok := follower.members.Ahead(current.Version())
+		if !ok {
+			return
+		}
+		tables, err := follower.fetch(ctx, member, current)
+		if err != nil {
+			follower.log.Warn().Err(err).Str("member", member.Host()).Msg("tables not fetched")
+			follower.members.Failed(member.Address())
+			continue
+		}
+		if follower.Offer(tables) == table.OfferedParted {
+			follower.repair(ctx)
+			return
+		}
+	}
 }
 
-func (entry *Entry) commitTables(ctx context.Context, tables *table.Tables, condition int64) error {
-	return platformhttp.CommitTables(ctx, entry.store, tables, condition)
+// fetch asks a member for its tables. What changed since the current ones is
+// enough, unless the two histories differ.
+func (follower *TablesFollower) fetch(ctx context.Context, member node.Member, current *table.Tables) (*table.Tables, error) {
+	tables, err := follower.query(ctx, member, current)
+	var delta *table.DeltaError
+	if errors.As(err, &delta) {
+		return follower.query(ctx, member, table.Empty())
+	}
+	return tables, err
 }
 
-func (entry *Entry) commitEdit(ctx context.Context, edit *table.Edit) (*table.Tables, error) {
-	tables, err := entry.editor.Commit(ctx, edit)
+func (follower *TablesFollower) query(ctx context.Context, member node.Member, current *table.Tables) (*table.Tables, error) {
+	query := nodepb.TablesQuery_builder{Have: new(current.Version())}.Build()
+	reply, err := follower.call(ctx, member.Address(), nodepb.Call_builder{TablesQuery: query}.Build())
 	if err != nil {
 		return nil, err
 	}
-	entry.putInForce(tables)
+	answer := reply.GetTables()
+	if !answer.HasDelta() {
+		return tablecodec.DecodeJSON(answer.GetBody())
+	}
+	changes := answer.GetDelta()
+	delta, err := tablecodec.DecodeDeltaJSON(changes.GetBody(), changes.GetFrom(), changes.GetTo(), changes.GetFingerprint())
+	if err != nil {
+		return nil, err
+	}
+	return current.Advance(delta)
+}
+
+// Answer answers a fellow node that asks for tables.
+func (follower *TablesFollower) Answer(query *nodepb.TablesQuery) *nodepb.Reply {
+	tables := follower.inForce.Current()
+	answer := &nodepb.Tables{}
+	answer.SetVersion(tables.Version())
+	if earlier, ok := follower.inForce.Earlier(query.GetHave()); ok && query.GetHave() > 0 {
+		delta := tables.Since(earlier)
+		body, err := tablecodec.EncodeDeltaJSON(delta)
+		if err != nil {
+			return errorReply(err.Error())
+		}
+		answer.SetDelta(nodepb.TablesDelta_builder{From: new(delta.From()), To: new(delta.To()), Fingerprint: new(delta.Fingerprint()), Body: body}.Build())
+		return nodepb.Reply_builder{Tables: answer}.Build()
+	}
+	body, err := tablecodec.EncodeJSON(tables)
+	if err != nil {
+		return errorReply(err.Error())
+	}
+	answer.SetBody(body)
+	return nodepb.Reply_builder{Tables: answer}.Build()
+}
+
+// Commit commits an operator's edit and puts it in force here.
+func (follower *TablesFollower) Commit(ctx context.Context, edit *table.Edit) (*table.Tables, error) {
+	tables, err := follower.editor.Commit(ctx, edit)
+	if err != nil {
+		return nil, err
+	}
+	follower.Offer(tables)
 	return tables, nil
 }
 
-// newestTables returns what this node and its fellow nodes have in force.
-func (entry *Entry) newestTables(ctx context.Context) (*table.Tables, error) {
-	entry.fetchTables(ctx)
-	return entry.inForce.Current(), nil
+// Stored returns the tables as the platform stores them.
+func (follower *TablesFollower) Stored(ctx context.Context) (*table.Tables, error) {
+	tables, _, err := follower.load(ctx)
+	return tables, err
+}
+
+// newest returns what this node and those with higher versions have in force.
+func (follower *TablesFollower) newest(ctx context.Context) (*table.Tables, int64) {
+	current := follower.inForce.Current()
+	member, ok := follower.members.Ahead(current.Version())
+	if !ok {
+		return current, current.Version()
+	}
+	if tables, err := follower.fetch(ctx, member, current); err == nil {
+		current, _ = current.Reconcile(tables)
+	}
+	return current, member.TablesVersion()
 }
 
-// alarmOlderStore reports a store that lacks edits which are in force.
-func (entry *Entry) alarmOlderStore(inForce, stored *table.Tables) {
-	entry.counters.Add("storeCameBackOlder", 1)
-	entry.log.Error().Int64("inForce", inForce.Version()).Int64("stored", stored.Version()).
+// alarm reports a store that lacks edits which are in force.
+func (follower *TablesFollower) alarm(inForce, stored *table.Tables) {
+	follower.counters.Add("storeCameBackOlder", 1)
+	follower.log.Error().Int64("inForce", inForce.Version()).Int64("stored", stored.Version()).
 		Msg("the platform's store lacks edits that are in force: writing them back")
 }
 
-func (entry *Entry) putInForce(tables *table.Tables) {
-	if entry.inForce.Offer(tables) == table.OfferedTaken {
-		entry.log.Info().Int64("version", tables.Version()).Msg("tables in force")
+// Offer puts the tables in force if they continue the current ones, and tells
+// fellow nodes.
+func (follower *TablesFollower) Offer(tables *table.Tables) table.Offered {
+	offered := follower.inForce.Offer(tables)
+	if offered == table.OfferedTaken {
+		follower.log.Info().Int64("version", tables.Version()).Msg("tables in force")
+		follower.passOn()
 	}
+	return offered
 }
--- /dev/null
+++ b/internal/node/digest.go
@@ -0,0 +1,59 @@
+package node
+
+import "sapphirehead/internal/clock"
+
+// Bounds of a digest. They don't grow with the number of nodes.
+const (
+	// digestMembers and digestLeaving bound a heartbeat.
+	digestMembers = 6
+	digestLeaving = 16
+	// pushMembers and pushLeaving bound what is passed on at once.
+	pushMembers = 32
+	pushLeaving = 512
+	// tellTimes is how often a piece of news is told before it only comes up in
+	// rotation.
+	tellTimes = 8
+)
+
+// Digest is what a node tells a fellow node at one time.
+type Digest struct {
+	sender  Member
+	members []Member
+	leaving []Leaving
+}
+
+// NewDigest returns a digest of the sender.
+func NewDigest(sender Member, members []Member, leaving []Leaving) Digest {
+	return Digest{sender: sender, members: members, leaving: leaving}
+}
+
+// Sender returns the sender's own news.
+func (digest Digest) Sender() Member { return digest.sender }
+
+// Members returns news of other members.
+func (digest Digest) Members() []Member { return digest.members }
+
+// Leaving returns the backend servers of which there is evidence of leaving.
+func (digest Digest) Leaving() []Leaving { return digest.leaving }
+
+// Leaving is evidence that a backend server is leaving.
+type Leaving struct {
+	server string
+	age    clock.Millis
+	notice clock.Millis
+}
+
+// NewLeaving returns evidence that is as old as the age. The notice is the time
+// from the evidence to the end of the server, or 0 if it is not known.
+func NewLeaving(server string, age, notice clock.Millis) Leaving {
+	return Leaving{server: server, age: age, notice: notice}
+}
+
+// Server returns the id of the backend server.
+func (leaving Leaving) Server() string { return leaving.server }
+
+// Age returns how old the evidence is.
+func (leaving Leaving) Age() clock.Millis { return leaving.age }
+
+// Notice returns the time from the evidence to the end, or 0 if not known.
+func (leaving Leaving) Notice() clock.Millis { return leaving.notice }
--- /dev/null
+++ b/internal/node/links.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"slices"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/rendezvous"
+)
+
+const (
+	// linksInside and linksOutside are the links within the own data centre and
+	// the number of other data centres with a link each.
+	linksInside  = 2
+	linksOutside = 2
+	// watchersPerDataCentre bounds the watches on the platform.
+	watchersPerDataCentre = 2
+	// strangerBeats is the number of beats between two exchanges outside the
+	// links: with any known member, also a silent one, or an address from the
+	// settings. They mend a parted set of nodes.
+	strangerBeats = 30
+	// watchKey is the key under which watchers are chosen.
+	watchKey = "tables"
+)
+
+// chooseLinks picks the links of a node: some in its data centre and one in
+// each of some others. The choice of one node barely moves when others come
+// and go, and differs from node to node, so all choices together connect all.
+func chooseLinks(self Member, live []Member) []Member {
+	byDataCentre := map[string][]string{}
+	byHost := map[string]Member{}
+	for _, member := range live {
+		byDataCentre[member.dataCentre] = append(byDataCentre[member.dataCentre], member.host)
+		byHost[member.host] = member
+	}
+	hosts := rendezvous.Highest(self.host, byDataCentre[self.dataCentre], linksInside)
+	var others []string
+	for dataCentre := range byDataCentre {
+		if dataCentre != self.dataCentre {
+			others = append(others, dataCentre)
+		}
+	}
+	for _, dataCentre := range rendezvous.Highest(self.host, others, linksOutside) {
+		hosts = append(hosts, rendezvous.Best(self.host, byDataCentre[dataCentre]))
+	}
+	links := make([]Member, 0, len(hosts))
+	for _, host := range hosts {
+		links = append(links, byHost[host])
+	}
+	return links
+}
+
+func isWatcher(self Member, live []Member) bool {
+	hosts := []string{self.host}
+	for _, member := range live {
+		if member.dataCentre == self.dataCentre {
+			hosts = append(hosts, member.host)
+		}
+	}
+	return slices.Contains(rendezvous.Highest(watchKey, hosts, watchersPerDataCentre), self.host)
+}
+
+// Partners returns the addresses to exchange news with at this beat: one link
+// in rotation, now and then a stranger, and members whose beats stopped.
+func (members *Members) Partners() []string {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	now := members.clock.Now()
+	members.forget(now)
+	members.beats++
+	links := members.view.Load().links
+	addresses := members.overdue(now)
+	if len(links) == 0 || members.beats%strangerBeats == 0 {
+		addresses = append(addresses, members.stranger()...)
+	}
+	if len(links) > 0 {
+		addresses = append(addresses, links[members.beats%len(links)].address)
+	}
+	return addresses
+}
+
+// overdue returns members that used to send beats and stopped. Each is asked
+// once; it answers or counts as silent.
+func (members *Members) overdue(now clock.Millis) []string {
+	var addresses []string
+	for _, host := range members.hosts {
+		record := members.records[host]
+		if record.beaten > 0 && now-record.beaten > beaterAge && record.member.live() {
+			record.beaten = 0
+			addresses = append(addresses, record.member.address)
+		}
+	}
+	return addresses
+}
+
+// stranger returns a random address of all that are known.
+func (members *Members) stranger() []string {
+	self := members.self()
+	addresses := slices.DeleteFunc(slices.Clone(members.seeds), func(address string) bool { return address == self.address })
+	for _, host := range members.hosts {
+		if !members.records[host].member.stopping {
+			addresses = append(addresses, members.records[host].member.address)
+		}
+	}
+	if len(addresses) == 0 {
+		return nil
+	}
+	return []string{addresses[members.random(len(addresses))]}
+}
+
+// forget drops members that have been silent or stopping for long.
+func (members *Members) forget(now clock.Millis) {
+	kept := members.hosts[:0]
+	for _, host := range members.hosts {
+		record := members.records[host]
+		age := now - record.changed
+		if (record.member.silent && age > silentAge) || (record.member.stopping && age > stoppingAge) {
+			delete(members.records, host)
+			continue
+		}
+		kept = append(kept, host)
+	}
+	members.hosts = kept
+}
+
+// Failed notes a failed call to the address. Retry is set if the call should be
+// tried over a new connection now; urgent is set if the member now counts as
+// silent, which has to be passed on at once.
+func (members *Members) Failed(address string) (retry, urgent bool) {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	now := members.clock.Now()
+	for _, host := range members.hosts {
+		record := members.records[host]
+		if record.member.address != address || !record.member.live() {
+			continue
+		}
+		record.failures++
+		if record.failures < failuresToSilent {
+			return true, false
+		}
+		if now-members.LastContact() > contactAge {
+			return false, false
+		}
+		record.member.silent = true
+		record.changed = now
+		record.told = 0
+		members.publish(true)
+		return false, true
+	}
+	return false, false
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -1,147 +1,301 @@
 // Package node holds what a node knows and decides about fellow nodes: who is
-// live, which tables each has in force, and which backend servers any of them
-// has seen leaving.
+// live, with whom to exchange news, which tables each has in force, and which
+// backend servers any of them has seen leaving.
+//
+// Every node keeps a few links to fellow nodes, chosen by rendezvous hashing,
+// and exchanges a digest of fixed size with one of them at each beat. News that
+// matters (a node starts, stops or goes silent, newer tables, a server leaves)
+// is passed on to all links at once, by each node the first time it hears it,
+// so it reaches every node in a few hops. All else rides on the beats, in
+// rotation, and mends what got lost.
+//
+// Nobody waits for a heartbeat of everybody: a node that can't reach a link
+// says so, with the sequence of the latest news that it knows. The sequence of
+// a member rises only when its news changes, so all nodes soon know the same,
+// and whoever is called silent wrongly says something newer. For example:
+//
+//	a can't reach c:        c silent at sequence 4   (passed on by all)
+//	c hears of it:          c live at sequence 5     (passed on by all)
 //
 // News of a member is ordered by incarnation and then by sequence, both set by
-// the member itself, so an older report never replaces a newer one on any
-// path.
+// the member itself, so an older report never replaces a newer one on any path.
 package node
 
 import (
-	"maps"
 	"slices"
+	"sort"
+	"sync"
 	"sync/atomic"
 
 	"sapphirehead/internal/clock"
 )
 
-// DefaultSilence is how long after its last news a member counts as live.
-const DefaultSilence = 5 * clock.Second
+const (
+	// failuresToSilent is the number of failed calls in a row, each over another
+	// connection, after which a member counts as silent.
+	failuresToSilent = 2
+	// contactAge is how old a node's last contact may be for it to call another
+	// one silent. A node that hears nobody is itself the one that is cut off.
+	contactAge = 5 * clock.Second
+	// beaterAge is how long a member that used to send beats may pause before it
+	// is asked.
+	beaterAge = 12 * clock.Second
+	// silentAge is how long a silent member is remembered, so that regions which
+	// lost each other find each other again.
+	silentAge = 30 * clock.Minute
+	// stoppingAge is how long a stopping member is remembered.
+	stoppingAge = 2 * clock.Minute
+)
 
-// Member is what is known of one node.
-type Member struct {
-	host          string
-	address       string
-	dataCentre    string
-	incarnation   int64
-	sequence      int64
-	tablesVersion int64
-	ready         bool
-	stopping      bool
-	seen          clock.Millis
+// record is a member and what this node has done about it.
+type record struct {
+	member Member
+	// told counts the digests with the latest news.
+	told int
+	// changed is when the member began to be live, stopping or silent.
+	changed clock.Millis
+	// beaten is when the member last sent a beat by itself, or 0.
+	beaten   clock.Millis
+	failures int
 }
 
-// NewMember returns a member that has said nothing yet.
-func NewMember(host, address, dataCentre string, incarnation int64) Member {
-	return Member{host: host, address: address, dataCentre: dataCentre, incarnation: incarnation}
+// Members publishes the known members. Its methods may be called from any
+// goroutine; Live and the other views take no lock.
+type Members struct {
+	clock    *clock.Clock
+	self     func() Member
+	random   func(n int) int
+	seeds    []string
+	mutex    sync.Mutex
+	records  map[string]*record
+	hosts    []string
+	next     int
+	sequence int64
+	said     Member
+	beats    int
+	contact  atomic.Int64
+	leaving  *leavingServers
+	view     atomic.Pointer[view]
 }
 
-// WithNews returns a copy with the member's own latest news.
-func (member Member) WithNews(sequence, tablesVersion int64, ready, stopping bool) Member {
-	member.sequence = sequence
-	member.tablesVersion = tablesVersion
-	member.ready = ready
-	member.stopping = stopping
-	return member
+// view is an immutable picture of the live members.
+type view struct {
+	live    []Member
+	links   []Member
+	watcher bool
 }
 
-// Host returns the name of the member's host.
-func (member Member) Host() string { return member.host }
-
-// Address returns the host and port for links.
-func (member Member) Address() string { return member.address }
-
-// DataCentre returns the member's data centre.
-func (member Member) DataCentre() string { return member.dataCentre }
+// NewMembers returns an empty set. Self returns this node's own news without a
+// sequence, random a number from 0 to n-1, and seeds are addresses of fellow
+// nodes to begin with.
+func NewMembers(clock *clock.Clock, self func() Member, random func(n int) int, seeds []string) *Members {
+	members := &Members{clock: clock, self: self, random: random, seeds: seeds, records: map[string]*record{}, leaving: newLeavingServers()}
+	members.view.Store(&view{watcher: true})
+	return members
+}
 
-// Incarnation returns which start of the process this is.
-func (member Member) Incarnation() int64 { return member.incarnation }
+// Take takes in a digest. Inbound is set if the sender sent it by itself rather
+// than in reply. Urgent is set if it holds news that has to be passed on at
+// once; leaving is the evidence that this node had not heard before.
+func (members *Members) Take(digest Digest, inbound bool) (urgent bool, leaving []Leaving) {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	now := members.clock.Now()
+	structural := members.takeMember(digest.sender, now)
+	if sender, ok := members.records[digest.sender.host]; ok {
+		members.contact.Store(int64(now))
+		sender.failures = 0
+		if inbound {
+			sender.beaten = now
+		}
+		if sender.member.silent {
+			sender.told = 0
+		}
+	}
+	for _, member := range digest.members {
+		structural = members.takeMember(member, now) || structural
+	}
+	for _, evidence := range digest.leaving {
+		if members.leaving.add(evidence, now) {
+			leaving = append(leaving, evidence)
+		}
+	}
+	members.publish(structural)
+	return structural || len(leaving) > 0, leaving
+}
 
-// Sequence returns the number of the member's latest heartbeat.
-func (member Member) Sequence() int64 { return member.sequence }
+// takeMember takes in news of one member, and reports whether the member
+// started, stopped, went silent or came back.
+func (members *Members) takeMember(member Member, now clock.Millis) bool {
+	self := members.self()
+	if member.host == "" {
+		return false
+	}
+	if member.host == self.host {
+		return members.refute(member, self)
+	}
+	known, ok := members.records[member.host]
+	if !ok {
+		if !member.live() {
+			return false
+		}
+		known = &record{}
+		members.records[member.host] = known
+		members.insertHost(member.host)
+	} else if !member.newerThan(known.member) {
+		return false
+	}
+	old := known.member
+	member.seen = now
+	known.member = member
+	structural := !ok || old.incarnation != member.incarnation || old.silent != member.silent || old.stopping != member.stopping
+	if structural {
+		known.changed = now
+		known.failures = 0
+	}
+	if structural || old.ready != member.ready {
+		known.told = 0
+	}
+	return structural
+}
 
-// TablesVersion returns the version of the tables that the member has in force.
-func (member Member) TablesVersion() int64 { return member.tablesVersion }
+// refute answers news that calls this node silent by a higher sequence.
+func (members *Members) refute(news, self Member) bool {
+	if news.incarnation != self.incarnation || !news.silent || news.sequence < members.sequence {
+		return false
+	}
+	members.sequence = news.sequence + 1
+	return true
+}
 
-// Ready reports whether the member takes new requests.
-func (member Member) Ready() bool { return member.ready }
+func (members *Members) insertHost(host string) {
+	index := sort.SearchStrings(members.hosts, host)
+	members.hosts = slices.Insert(members.hosts, index, host)
+}
 
-// Stopping reports whether the member has begun to stop.
-func (member Member) Stopping() bool { return member.stopping }
+// publish swaps in a new view. The links are chosen anew only if the set of
+// live members changed.
+func (members *Members) publish(structural bool) {
+	old := members.view.Load()
+	fresh := &view{links: old.links, watcher: old.watcher}
+	for _, host := range members.hosts {
+		if member := members.records[host].member; member.live() {
+			fresh.live = append(fresh.live, member)
+		}
+	}
+	if structural {
+		self := members.self()
+		fresh.links = chooseLinks(self, fresh.live)
+		fresh.watcher = isWatcher(self, fresh.live)
+	}
+	members.view.Store(fresh)
+}
 
-// Seen returns when this node got the member's latest news.
-func (member Member) Seen() clock.Millis { return member.seen }
+// Self returns this node's own news.
+func (members *Members) Self() Member {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	return members.latestSelf()
+}
 
-func (member Member) newerThan(known Member) bool {
-	if member.incarnation != known.incarnation {
-		return member.incarnation > known.incarnation
+// latestSelf gives the news a higher sequence if it differs from what this node
+// said last.
+func (members *Members) latestSelf() Member {
+	self, said := members.self(), members.said
+	if self.tablesVersion != said.tablesVersion || self.ready != said.ready || self.stopping != said.stopping {
+		members.sequence++
 	}
-	return member.sequence > known.sequence
+	members.said = self
+	self.sequence = members.sequence
+	return self
 }
 
-// Members publishes the known members. Merge is called by one writer at a
-// time; the rest from any goroutine.
-type Members struct {
-	clock   *clock.Clock
-	self    string
-	silence clock.Millis
-	current atomic.Pointer[map[string]Member]
+// Digest returns what to tell at a beat: the latest news first, then members
+// and evidence in rotation.
+func (members *Members) Digest() Digest {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	chosen := members.freshNews(digestMembers)
+	for range members.hosts {
+		if len(chosen) >= digestMembers {
+			break
+		}
+		members.next = (members.next + 1) % len(members.hosts)
+		host := members.hosts[members.next]
+		if !slices.ContainsFunc(chosen, func(member Member) bool { return member.host == host }) {
+			chosen = append(chosen, members.records[host].member)
+		}
+	}
+	return Digest{sender: members.latestSelf(), members: chosen, leaving: members.leaving.tell(digestLeaving, false, members.clock.Now())}
 }
 
-// NewMembers returns an empty set for the node on the host. Members are live
-// until they have been silent for the given time.
-func NewMembers(clock *clock.Clock, self string, silence clock.Millis) *Members {
-	members := &Members{clock: clock, self: self, silence: silence}
-	members.current.Store(&map[string]Member{})
-	return members
+// Push returns what to tell all links at once: the latest news only.
+func (members *Members) Push() Digest {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	chosen := members.freshNews(pushMembers)
+	return Digest{sender: members.latestSelf(), members: chosen, leaving: members.leaving.tell(pushLeaving, true, members.clock.Now())}
 }
 
-// Merge takes in news, and reports whether any was newer than what is known.
-func (members *Members) Merge(news []Member) bool {
-	known := *members.current.Load()
-	changed := maps.Clone(known)
-	newer := false
-	for _, member := range news {
-		if member.host == members.self || member.host == "" {
-			continue
-		}
-		if old, ok := changed[member.host]; ok && !member.newerThan(old) {
-			continue
+// Greeting returns this node's own news only.
+func (members *Members) Greeting() Digest { return Digest{sender: members.Self()} }
+
+// freshNews returns members whose news has not been told often yet, those told
+// least often first, and counts them as told.
+func (members *Members) freshNews(count int) []Member {
+	var fresh []*record
+	for _, host := range members.hosts {
+		if record := members.records[host]; record.told < tellTimes {
+			fresh = append(fresh, record)
 		}
-		member.seen = members.clock.Now()
-		changed[member.host] = member
-		newer = true
 	}
-	if newer {
-		members.current.Store(&changed)
+	slices.SortStableFunc(fresh, func(a, b *record) int { return a.told - b.told })
+	chosen := make([]Member, 0, count)
+	for _, record := range fresh[:min(count, len(fresh))] {
+		record.told++
+		chosen = append(chosen, record.member)
 	}
-	return newer
+	return chosen
 }
 
-// Live returns the members heard from lately, in order of host.
-func (members *Members) Live() []Member {
-	now := members.clock.Now()
-	var live []Member
-	for _, member := range *members.current.Load() {
-		if now-member.seen <= members.silence {
-			live = append(live, member)
-		}
+// All returns every known member, for a node that starts.
+func (members *Members) All() Digest {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	all := make([]Member, 0, len(members.hosts))
+	for _, host := range members.hosts {
+		all = append(all, members.records[host].member)
 	}
-	slices.SortFunc(live, func(a, b Member) int {
-		if a.host < b.host {
-			return -1
-		}
-		return 1
-	})
-	return live
+	return Digest{sender: members.latestSelf(), members: all}
 }
 
-// HighestTables returns the highest version of the tables that any live
-// member has in force, and that member.
-func (members *Members) HighestTables() (Member, bool) {
-	best, found := Member{}, false
-	for _, member := range members.Live() {
-		if !found || member.tablesVersion > best.tablesVersion {
+// AddLeaving takes in this node's own evidence that a backend server is
+// leaving, and reports whether it is new and has to be passed on.
+func (members *Members) AddLeaving(server string, notice clock.Millis) bool {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	return members.leaving.add(NewLeaving(server, 0, notice), members.clock.Now())
+}
+
+// Live returns the members that take part, in order of host.
+func (members *Members) Live() []Member { return slices.Clone(members.view.Load().live) }
+
+// Links returns the members with which this node keeps links.
+func (members *Members) Links() []Member { return slices.Clone(members.view.Load().links) }
+
+// IsWatcher reports whether this node is one of the few of its data centre that
+// watch the platform's tables.
+func (members *Members) IsWatcher() bool { return members.view.Load().watcher }
+
+// LastContact returns when a fellow node was last heard, or 0.
+func (members *Members) LastContact() clock.Millis { return clock.Millis(members.contact.Load()) }
+
+// Ahead returns the live member with the highest version of the tables above
+// the given one, and of several the one heard last.
+func (members *Members) Ahead(version int64) (Member, bool) {
+	best, found := Member{tablesVersion: version}, false
+	for _, member := range members.view.Load().live {
+		if member.tablesVersion > best.tablesVersion || (found && member.tablesVersion == best.tablesVersion && member.seen > best.seen) {
 			best, found = member, true
 		}
 	}
--- /dev/null
+++ b/internal/node/members_test.go
@@ -0,0 +1,204 @@
+package node_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node"
+)
+
+// fellow returns a member in the data centre with news of the sequence.
+func fellow(host, dataCentre string, sequence int64) node.Member {
+	return node.NewMember(host, host+":1", dataCentre, 1).WithNews(sequence, sequence, true, false)
+}
+
+func stopping(member node.Member) node.Member {
+	return member.WithNews(member.Sequence()+1, member.TablesVersion(), false, true)
+}
+
+// newMembers returns what the host knows after one digest from each member.
+func newMembers(manual *clock.Manual, host, dataCentre string, known ...node.Member) *node.Members {
+	self := func() node.Member { return node.NewMember(host, host+":1", dataCentre, 1) }
+	members := node.NewMembers(manual.Clock(), self, func(n int) int { return int(manual.Now()) % n }, []string{"seed:1"})
+	for _, member := range known {
+		members.Take(node.NewDigest(member, nil, nil), true)
+	}
+	return members
+}
+
+// expectLive checks who is live.
+func expectLive(t *testing.T, members *node.Members, hosts ...string) {
+	t.Helper()
+	live := []string{}
+	for _, member := range members.Live() {
+		live = append(live, member.Host())
+	}
+	require.Equal(t, append([]string{}, hosts...), live)
+}
+
+// expectUrgent checks whether news of a member has to be passed on.
+func expectUrgent(t *testing.T, members *node.Members, news node.Member, urgent bool) {
+	t.Helper()
+	got, _ := members.Take(node.NewDigest(fellow("teller", "lj-a", 1), []node.Member{news}, nil), false)
+	require.Equal(t, urgent, got)
+}
+
+func TestNews(t *testing.T) {
+	b := fellow("b", "lj-a", 5)
+	begin := func() *node.Members {
+		return newMembers(clock.NewManual(1000), "a", "lj-a", fellow("teller", "lj-a", 1), b)
+	}
+	for name, check := range map[string]struct {
+		news   node.Member
+		urgent bool
+		live   []string
+	}{
+		"a new member":               {fellow("c", "lj-b", 1), true, []string{"b", "c", "teller"}},
+		"a later start":              {node.NewMember("b", "b:2", "lj-a", 2), true, []string{"b", "teller"}},
+		"newer tables":               {b.WithNews(6, 6, true, false), false, []string{"b", "teller"}},
+		"stopping":                   {stopping(b), true, []string{"teller"}},
+		"stopping, but older":        {b.WithNews(4, 4, false, true), false, []string{"b", "teller"}},
+		"silent at the same news":    {b.WithSilent(true), true, []string{"teller"}},
+		"silent, but at older news":  {fellow("b", "lj-a", 4).WithSilent(true), false, []string{"b", "teller"}},
+		"silent, of an unknown node": {fellow("z", "lj-a", 4).WithSilent(true), false, []string{"b", "teller"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			members := begin()
+			expectUrgent(t, members, check.news, check.urgent)
+			expectLive(t, members, check.live...)
+		})
+	}
+	t.Run("an older report never undoes stopping", func(t *testing.T) {
+		members := begin()
+		expectUrgent(t, members, stopping(b), true)
+		expectUrgent(t, members, b, false)
+		expectLive(t, members, "teller")
+	})
+	t.Run("called silent wrongly: says something newer", func(t *testing.T) {
+		members := begin()
+		before := members.Self()
+		expectUrgent(t, members, before.WithSilent(true), true)
+		require.Greater(t, members.Self().Sequence(), before.Sequence())
+	})
+	t.Run("heard from though silent: told of it", func(t *testing.T) {
+		members := begin()
+		expectUrgent(t, members, b.WithSilent(true), true)
+		for range 20 {
+			members.Digest()
+		}
+		members.Take(node.NewDigest(b, nil, nil), true)
+		require.True(t, slices.ContainsFunc(members.Push().Members(), func(member node.Member) bool { return member.Host() == "b" && member.Silent() }))
+	})
+}
+
+func TestFailed(t *testing.T) {
+	expectFailed := func(t *testing.T, members *node.Members, retry, urgent bool) {
+		t.Helper()
+		gotRetry, gotUrgent := members.Failed("b:1")
+		require.Equal(t, []bool{retry, urgent}, []bool{gotRetry, gotUrgent})
+	}
+	t.Run("tried again, then silent", func(t *testing.T) {
+		members := newMembers(clock.NewManual(1000), "a", "lj-a", fellow("b", "lj-a", 1))
+		expectFailed(t, members, true, false)
+		expectFailed(t, members, false, true)
+		expectLive(t, members)
+	})
+	t.Run("an answer in between", func(t *testing.T) {
+		members := newMembers(clock.NewManual(1000), "a", "lj-a", fellow("b", "lj-a", 1))
+		expectFailed(t, members, true, false)
+		members.Take(node.NewDigest(fellow("b", "lj-a", 1), nil, nil), false)
+		expectFailed(t, members, true, false)
+	})
+	t.Run("a node that hears nobody calls nobody silent", func(t *testing.T) {
+		manual := clock.NewManual(1000)
+		members := newMembers(manual, "a", "lj-a", fellow("b", "lj-a", 1))
+		manual.Advance(6 * clock.Second)
+		expectFailed(t, members, true, false)
+		expectFailed(t, members, false, false)
+		expectLive(t, members, "b")
+	})
+	t.Run("a member whose beats stopped is asked once", func(t *testing.T) {
+		manual := clock.NewManual(1000)
+		members := newMembers(manual, "a", "lj-a", fellow("b", "lj-b", 1), fellow("c", "lj-c", 1), fellow("d", "lj-c", 1))
+		manual.Advance(13 * clock.Second)
+		asked := len(members.Partners())
+		require.Greater(t, asked, 3)
+		require.Len(t, members.Partners(), 1)
+	})
+	t.Run("forgotten after long silence", func(t *testing.T) {
+		manual := clock.NewManual(1000)
+		members := newMembers(manual, "a", "lj-a", fellow("b", "lj-a", 1))
+		expectFailed(t, members, true, false)
+		expectFailed(t, members, false, true)
+		require.Len(t, members.All().Members(), 1)
+		manual.Advance(31 * clock.Minute)
+		members.Partners()
+		require.Empty(t, members.All().Members())
+	})
+}
+
+func TestLeavingServers(t *testing.T) {
+	tell := func(members *node.Members, evidence ...node.Leaving) (bool, []node.Leaving) {
+		return members.Take(node.NewDigest(fellow("b", "lj-a", 1), nil, evidence), true)
+	}
+	t.Run("first evidence is urgent, the second is not", func(t *testing.T) {
+		members := newMembers(clock.NewManual(100_000), "a", "lj-a", fellow("b", "lj-a", 1))
+		urgent, first := tell(members, node.NewLeaving("runner-1", 5, 3000))
+		require.True(t, urgent)
+		require.Len(t, first, 1)
+		urgent, first = tell(members, node.NewLeaving("runner-1", 9, 3000))
+		require.False(t, urgent)
+		require.Empty(t, first)
+	})
+	t.Run("told with its age and notice, until it is old", func(t *testing.T) {
+		manual := clock.NewManual(100_000)
+		members := newMembers(manual, "a", "lj-a", fellow("b", "lj-a", 1))
+		tell(members, node.NewLeaving("runner-1", 5, 3000))
+		manual.Advance(10 * clock.Second)
+		require.Equal(t, []node.Leaving{node.NewLeaving("runner-1", 10_005, 3000)}, members.Push().Leaving())
+		manual.Advance(evidenceAge)
+		require.Empty(t, members.Digest().Leaving())
+	})
+	t.Run("bounded", func(t *testing.T) {
+		members := newMembers(clock.NewManual(100_000), "a", "lj-a")
+		for i := range 10_000 {
+			members.AddLeaving(fmt.Sprint("runner-", i), 0)
+		}
+		require.Len(t, members.Digest().Leaving(), 16)
+		require.Len(t, members.Push().Leaving(), 512)
+	})
+}
+
+// evidenceAge is how long evidence is passed on.
+const evidenceAge = clock.Minute
+
+// TestAtTarget checks what must not grow, at 380 nodes in 5 data centres.
+func TestAtTarget(t *testing.T) {
+	const nodes = 380
+	var all []node.Member
+	for i := range nodes {
+		dataCentre := []string{"lj-a", "lj-b", "lj-c", "lhr-a", "lhr-b"}[i%5]
+		all = append(all, fellow(fmt.Sprintf("%s-entry-%d", dataCentre, i), dataCentre, 1))
+	}
+	watchers, inLinks := map[string]int{}, map[string]int{}
+	for _, self := range all {
+		members := newMembers(clock.NewManual(1000), self.Host(), self.DataCentre())
+		members.Take(node.NewDigest(all[0], all, nil), false)
+		members.Take(node.NewDigest(all[1], all, nil), false)
+		if members.IsWatcher() {
+			watchers[self.DataCentre()]++
+		}
+		for _, link := range members.Links() {
+			inLinks[link.Host()]++
+		}
+		require.Len(t, members.Links(), 4)
+		require.Len(t, members.Digest().Members(), 6)
+		require.LessOrEqual(t, len(members.Push().Members()), 32)
+	}
+	require.Equal(t, map[string]int{"lj-a": 2, "lj-b": 2, "lj-c": 2, "lhr-a": 2, "lhr-b": 2}, watchers)
+	require.Greater(t, len(inLinks), nodes*9/10)
+}
--- a/internal/node/nodelink/link.go
+++ b/internal/node/nodelink/link.go
@@ -2,8 +2,11 @@
 // sessions over TCP, one stream for each call, protobuf messages prefixed with
 // their length.
 //
-// A session that goes silent is found by yamux keepalives and by the timeout
-// of each call; either closes it, and the next call opens a new one.
+// A connection can go silent for good while new ones to the same node work. A
+// call that times out on a connection that delivered nothing since the call
+// began closes the connection, and the next call opens a new one; if other
+// calls got answers meanwhile, only the slow call ends. Sessions that carry no
+// call for a while are closed.
 package nodelink
 
 import (
@@ -12,6 +15,8 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
@@ -25,8 +30,14 @@
 // MaxMessageBytes is the largest message of a link.
 const MaxMessageBytes = 2 << 20
 
-// callTimeout bounds one call over a link.
-const callTimeout = 2 * clock.Second
+const (
+	// callTimeout bounds one call over a link.
+	callTimeout = 2 * clock.Second
+	// keepAliveInterval finds accepted sessions whose other end vanished.
+	keepAliveInterval = 30 * clock.Second
+	// idleAge is how long a session without calls stays open.
+	idleAge = clock.Minute
+)
 
 // Answer handles one call from a fellow node.
 type Answer func(call *nodepb.Call) *nodepb.Reply
@@ -34,23 +45,44 @@
 // Links opens and accepts sessions with fellow nodes.
 type Links struct {
 	clock    *clock.Clock
+	dial     func(ctx context.Context, address string) (net.Conn, error)
 	answer   Answer
+	traffic  Traffic
 	mutex    sync.Mutex
-	sessions map[string]*yamux.Session
+	sessions map[string]*outbound
 	accepted map[*yamux.Session]struct{}
 	closed   bool
 }
 
-// New returns links that answer calls by the function.
-func New(clock *clock.Clock, answer Answer) *Links {
-	return &Links{clock: clock, answer: answer, sessions: map[string]*yamux.Session{}, accepted: map[*yamux.Session]struct{}{}}
+// outbound is a session that this node opened.
+type outbound struct {
+	session    *yamux.Session
+	connection *connection
+	used       atomic.Int64
+}
+
+// New returns links that open connections by dial and answer calls by the
+// function.
+func New(clock *clock.Clock, dial func(ctx context.Context, address string) (net.Conn, error), answer Answer) *Links {
+	return &Links{clock: clock, dial: dial, answer: answer, sessions: map[string]*outbound{}, accepted: map[*yamux.Session]struct{}{}}
 }
 
+// DialTCP opens a plain TCP connection to the host and port.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: callTimeout.Duration()}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// Traffic returns the counters of bytes on all connections.
+func (links *Links) Traffic() *Traffic { return &links.traffic }
+
 func sessionConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.LogOutput = io.Discard
-	config.KeepAliveInterval = (5 * clock.Second).Duration()
+	config.KeepAliveInterval = keepAliveInterval.Duration()
 	config.ConnectionWriteTimeout = callTimeout.Duration()
+	config.StreamCloseTimeout = (2 * callTimeout).Duration()
+	config.StreamOpenTimeout = (2 * callTimeout).Duration()
 	return config
 }
 
@@ -61,7 +93,7 @@
 		if err != nil {
 			return err
 		}
-		session, err := yamux.Server(connection, sessionConfig())
+		session, err := yamux.Server(newConnection(connection, links.clock, &links.traffic), sessionConfig())
 		if err != nil {
 			connection.Close()
 			continue
@@ -102,7 +134,7 @@
 
 func (links *Links) serveStream(stream *yamux.Stream) {
 	defer stream.Close()
-	stop := links.clock.AfterFunc(callTimeout, func() { stream.Close() })
+	stop := links.clock.AfterFunc(callTimeout, func() { endRead(stream) })
 	defer stop()
 	var call nodepb.Call
 	if err := readMessage(stream, &call); err != nil {
@@ -111,21 +143,31 @@
 	protodelim.MarshalTo(stream, links.answer(&call))
 }
 
+// endRead ends a read that waits on the stream.
+func endRead(stream *yamux.Stream) { _ = stream.SetReadDeadline(time.Unix(1, 0)) }
+
 // Call sends a call to the fellow node at the address and waits for its reply.
 func (links *Links) Call(ctx context.Context, address string, call *nodepb.Call) (*nodepb.Reply, error) {
-	session, err := links.session(ctx, address)
+	outbound, err := links.session(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	stream, err := session.OpenStream()
+	outbound.used.Store(int64(links.clock.Now()))
+	stream, err := outbound.session.OpenStream()
 	if err != nil {
-		links.drop(address, session)
+		links.drop(address, outbound)
 		return nil, errors.Wrap(err, "open stream")
 	}
 	defer stream.Close()
-	reply, err := links.exchange(stream, call)
+	started := links.clock.Now()
+	stop := links.clock.AfterFunc(callTimeout, func() { endRead(stream) })
+	defer stop()
+	defer context.AfterFunc(ctx, func() { endRead(stream) })()
+	reply, err := exchange(stream, call)
 	if err != nil {
-		links.drop(address, session)
+		if ctx.Err() == nil && outbound.connection.lastRead() <= started {
+			links.drop(address, outbound)
+		}
 		return nil, err
 	}
 	if reply.HasError() {
@@ -134,9 +176,7 @@
 	return reply, nil
 }
 
-func (links *Links) exchange(stream *yamux.Stream, call *nodepb.Call) (*nodepb.Reply, error) {
-	stop := links.clock.AfterFunc(callTimeout, func() { stream.Close() })
-	defer stop()
+func exchange(stream *yamux.Stream, call *nodepb.Call) (*nodepb.Reply, error) {
 	if _, err := protodelim.MarshalTo(stream, call); err != nil {
 		return nil, errors.Wrap(err, "send call")
 	}
@@ -152,60 +192,83 @@
 	return options.UnmarshalFrom(bufio.NewReader(stream), message)
 }
 
-func (links *Links) session(ctx context.Context, address string) (*yamux.Session, error) {
+func (links *Links) session(ctx context.Context, address string) (*outbound, error) {
 	links.mutex.Lock()
-	session, ok := links.sessions[address]
+	known, ok := links.sessions[address]
 	links.mutex.Unlock()
-	if ok && !session.IsClosed() {
-		return session, nil
+	if ok && !known.session.IsClosed() {
+		return known, nil
 	}
-	dialer := net.Dialer{Timeout: callTimeout.Duration()}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := links.clock.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	raw, err := links.dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to fellow node")
 	}
-	session, err = yamux.Client(connection, sessionConfig())
+	connection := newConnection(raw, links.clock, &links.traffic)
+	session, err := yamux.Client(connection, sessionConfig())
 	if err != nil {
 		connection.Close()
 		return nil, errors.Wrap(err, "open session")
 	}
-	return links.keep(address, session)
+	fresh := &outbound{session: session, connection: connection}
+	fresh.used.Store(int64(links.clock.Now()))
+	return links.keep(address, fresh)
 }
 
 // keep stores a new session, unless another goroutine was faster.
-func (links *Links) keep(address string, session *yamux.Session) (*yamux.Session, error) {
+func (links *Links) keep(address string, fresh *outbound) (*outbound, error) {
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
 	if links.closed {
-		session.Close()
+		fresh.session.Close()
 		return nil, net.ErrClosed
 	}
-	if other, ok := links.sessions[address]; ok && !other.IsClosed() {
-		session.Close()
+	if other, ok := links.sessions[address]; ok && !other.session.IsClosed() {
+		fresh.session.Close()
 		return other, nil
 	}
-	links.sessions[address] = session
-	return session, nil
+	links.sessions[address] = fresh
+	return fresh, nil
 }
 
-func (links *Links) drop(address string, session *yamux.Session) {
+func (links *Links) drop(address string, outbound *outbound) {
 	links.mutex.Lock()
-	defer links.mutex.Unlock()
-	if links.sessions[address] == session {
+	if links.sessions[address] == outbound {
 		delete(links.sessions, address)
 	}
-	session.Close()
+	links.mutex.Unlock()
+	outbound.session.Close()
+}
+
+// CloseIdle closes the sessions that carried no call for a while.
+func (links *Links) CloseIdle() {
+	links.mutex.Lock()
+	idle := map[string]*outbound{}
+	for address, outbound := range links.sessions {
+		if links.clock.Now()-clock.Millis(outbound.used.Load()) > idleAge {
+			idle[address] = outbound
+		}
+	}
+	links.mutex.Unlock()
+	for address, outbound := range idle {
+		links.drop(address, outbound)
+	}
 }
 
 // Close ends every session.
 func (links *Links) Close() {
 	links.mutex.Lock()
-	defer links.mutex.Unlock()
 	links.closed = true
-	for _, session := range links.sessions {
-		session.Close()
+	var sessions []*yamux.Session
+	for _, outbound := range links.sessions {
+		sessions = append(sessions, outbound.session)
 	}
 	for session := range links.accepted {
+		sessions = append(sessions, session)
+	}
+	links.mutex.Unlock()
+	for _, session := range sessions {
 		session.Close()
 	}
 }
--- a/internal/operator/editor.go
+++ b/internal/operator/editor.go
@@ -29,23 +29,34 @@
 	return fmt.Sprintf("edit %s may have been committed, but more than %d edits followed: read the rows again", err.edit, table.MaxRecentEdits)
 }
 
+// BehindError says that a node has a version in force that neither the store
+// nor the node itself gives, so an edit could commit below it.
+type BehindError struct {
+	have    int64
+	highest int64
+}
+
+func (err *BehindError) Error() string {
+	return fmt.Sprintf("a fellow node has version %d in force, the newest at hand is %d", err.highest, err.have)
+}
+
 // Editor commits edits by conditional writes to the platform.
 type Editor struct {
 	load   func(ctx context.Context) (tables *table.Tables, condition int64, err error)
 	commit func(ctx context.Context, tables *table.Tables, condition int64) error
-	newest func(ctx context.Context) (*table.Tables, error)
+	newest func(ctx context.Context) (tables *table.Tables, highest int64)
 	alarm  func(inForce, stored *table.Tables)
 }
 
 // NewEditor returns an editor. Load returns the tables with the version of the
 // object that holds them, or empty tables with platform.VersionNone; commit
-// returns the errors of platform.Store. Newest returns the tables with the
-// highest version in force at any known node, or an error if they can't be had;
-// alarm is told of a store that lacks versions which are in force.
+// returns the errors of platform.Store. Newest returns the newest tables in
+// force that can be had here, and the highest version in force at any known
+// node; alarm is told of a store that lacks edits which are in force.
 func NewEditor(
 	load func(ctx context.Context) (tables *table.Tables, condition int64, err error),
 	commit func(ctx context.Context, tables *table.Tables, condition int64) error,
-	newest func(ctx context.Context) (*table.Tables, error),
+	newest func(ctx context.Context) (tables *table.Tables, highest int64),
 	alarm func(inForce, stored *table.Tables),
 ) *Editor {
 	return &Editor{load: load, commit: commit, newest: newest, alarm: alarm}
@@ -107,11 +118,11 @@
 	if err != nil {
 		return nil, 0, false, err
 	}
-	inForce, err := editor.newest(ctx)
-	if err != nil {
-		return nil, 0, false, err
-	}
+	inForce, highest := editor.newest(ctx)
 	base, write = inForce.Reconcile(stored)
+	if base.Version() < highest {
+		return nil, 0, false, platform.NewUnavailableError(false, &BehindError{have: base.Version(), highest: highest})
+	}
 	if write {
 		editor.alarm(inForce, stored)
 	}
--- a/internal/operator/editor_test.go
+++ b/internal/operator/editor_test.go
@@ -19,6 +19,7 @@
 type desk struct {
 	store   *fakeStore
 	inForce *table.Tables
+	highest int64
 	alarms  int
 	fault   func(tables *table.Tables, condition int64) error
 	reads   []stored
@@ -47,7 +48,9 @@
 		}
 		return desk.store.write(tables, condition)
 	}
-	newest := func(context.Context) (*table.Tables, error) { return desk.inForce, nil }
+	newest := func(context.Context) (*table.Tables, int64) {
+		return desk.inForce, max(desk.highest, desk.inForce.Version())
+	}
 	alarm := func(*table.Tables, *table.Tables) { desk.alarms++ }
 	return operator.NewEditor(load, write, newest, alarm).Commit(context.Background(), edit)
 }
@@ -135,6 +138,14 @@
 		expectCommitted(t, desk, bookings("e3", 7, 2), 3)
 		require.Equal(t, 1, desk.alarms)
 	})
+	t.Run("a fellow node has a higher version that can't be had: not committed", func(t *testing.T) {
+		desk := newDesk()
+		desk.highest = 5
+		_, err := desk.commit(bookings("e2", 5, 0))
+		var behind *operator.BehindError
+		require.ErrorAs(t, err, &behind)
+		require.Len(t, desk.store.history, 1)
+	})
 	t.Run("outage: unavailable and not unknown", func(t *testing.T) {
 		desk := newDesk()
 		desk.store.down = true
--- a/internal/operator/machine_test.go
+++ b/internal/operator/machine_test.go
@@ -121,7 +121,10 @@
 }
 
 func (machine *machine) editor(node *fakeNode) *operator.Editor {
-	newest := func(context.Context) (*table.Tables, error) { return machine.newest(node), nil }
+	newest := func(context.Context) (*table.Tables, int64) {
+		tables := machine.newest(node)
+		return tables, tables.Version()
+	}
 	return operator.NewEditor(machine.load, machine.commit, newest, func(*table.Tables, *table.Tables) {})
 }
 
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,36 @@
+// Package rendezvous spreads keys over names by the highest hash of both. When
+// a name comes or goes, only the keys that it gains or had move.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score returns the weight of the name for the key.
+func Score(key, name string) uint64 { return xxhash.Sum64String(name + "\x00" + key) }
+
+// Best returns the name that the key belongs to, or empty without names. The
+// order of the names does not matter.
+func Best(key string, names []string) string {
+	best, highest := "", uint64(0)
+	for _, name := range names {
+		score := Score(key, name)
+		if best == "" || score > highest || score == highest && name < best {
+			best, highest = name, score
+		}
+	}
+	return best
+}
+
+// Highest returns the names with the highest weights for the key, at most
+// count of them, highest first.
+func Highest(key string, names []string, count int) []string {
+	sorted := slices.Clone(names)
+	slices.SortFunc(sorted, func(a, b string) int {
+		return cmp.Or(cmp.Compare(Score(key, b), Score(key, a)), cmp.Compare(a, b))
+	})
+	return sorted[:min(count, len(sorted))]
+}
--- /dev/null
+++ b/internal/slopes/nodeslope/cluster.go
@@ -0,0 +1,240 @@
+// Package nodeslope builds many nodes in one process, each with its real links,
+// heartbeats and tables, over loopback or in virtual time, and measures what
+// fellow nodes and edits cost a node.
+package nodeslope
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	mathrand "math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/entry"
+	"sapphirehead/internal/node"
+	"sapphirehead/internal/node/nodelink"
+	"sapphirehead/internal/node/nodepb"
+	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/table"
+)
+
+// Node is one node of a cluster: all of an entry host but its requests.
+type Node struct {
+	host       string
+	dataCentre string
+	inForce    *table.InForce
+	members    *node.Members
+	contact    *node.Contact
+	port       *Port
+	fellows    *entry.Fellows
+	tables     *entry.TablesFollower
+	stopping   atomic.Bool
+	mutex      sync.Mutex
+	leaving    map[string]bool
+	cancel     context.CancelFunc
+	done       chan struct{}
+}
+
+// Host returns the name of the node's host.
+func (node *Node) Host() string { return node.host }
+
+// DataCentre returns the node's data centre.
+func (node *Node) DataCentre() string { return node.dataCentre }
+
+// Address returns the address for links.
+func (node *Node) Address() string { return node.port.address }
+
+// InForce returns the tables in force.
+func (node *Node) InForce() *table.Tables { return node.inForce.Current() }
+
+// Members returns what the node knows of the others.
+func (node *Node) Members() *node.Members { return node.members }
+
+// IsReady reports whether the node would take requests.
+func (node *Node) IsReady() bool { return node.contact.InTouch() && !node.stopping.Load() }
+
+// Tables returns the node's follower of the tables.
+func (node *Node) Tables() *entry.TablesFollower { return node.tables }
+
+// Traffic returns what the node has sent and received.
+func (node *Node) Traffic() Traffic { return node.port.traffic() }
+
+// Leave tells the node that a backend server is leaving.
+func (node *Node) Leave(server string) {
+	node.noteLeaving(server, 0)
+	node.fellows.Leave(server, 0)
+}
+
+// KnowsLeaving reports whether the node knows that the server is leaving.
+func (node *Node) KnowsLeaving(server string) bool {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.leaving[server]
+}
+
+func (node *Node) noteLeaving(server string, _ clock.Millis) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	node.leaving[server] = true
+}
+
+// Stop ends the node, after it has told the others if it is announced.
+func (node *Node) Stop(clock *clock.Clock, announced bool) {
+	if announced {
+		node.stopping.Store(true)
+		node.fellows.PassOn()
+		clock.Wait(context.Background(), stopNotice)
+	}
+	node.cancel()
+	node.port.close()
+	<-node.done
+}
+
+// stopNotice is how long an announced stop waits before the node goes.
+const stopNotice = 500 * clock.Millisecond
+
+// Cluster is a set of nodes around one store.
+type Cluster struct {
+	clock   *clock.Clock
+	join    func(answer nodelink.Answer) (*Port, error)
+	store   *Store
+	seeds   []string
+	started int
+	nodes   []*Node
+}
+
+// NewCluster returns a cluster without nodes. Join ties a node to the others:
+// Loopback.Join or Memory.Join.
+func NewCluster(clock *clock.Clock, join func(answer nodelink.Answer) (*Port, error), store *Store) *Cluster {
+	return &Cluster{clock: clock, join: join, store: store}
+}
+
+// Nodes returns the running nodes.
+func (cluster *Cluster) Nodes() []*Node { return cluster.nodes }
+
+// Start starts a node in the data centre. The first three nodes are in the
+// settings of all later ones.
+func (cluster *Cluster) Start(dataCentre string) (*Node, error) {
+	cluster.started++
+	fresh := &Node{
+		host:       fmt.Sprintf("%s-entry-%d", dataCentre, cluster.started),
+		dataCentre: dataCentre,
+		inForce:    table.NewInForce(),
+		leaving:    map[string]bool{},
+		done:       make(chan struct{}),
+	}
+	begun := make(chan struct{})
+	port, err := cluster.join(func(call *nodepb.Call) *nodepb.Reply {
+		<-begun
+		return fresh.answer(call)
+	})
+	if err != nil {
+		return nil, err
+	}
+	fresh.port = port
+	cluster.build(fresh)
+	close(begun)
+	if len(cluster.seeds) < seedCount {
+		cluster.seeds = append(cluster.seeds, fresh.Address())
+	}
+	cluster.nodes = append(cluster.nodes, fresh)
+	return fresh, nil
+}
+
+// seedCount is the number of addresses in each node's settings.
+const seedCount = 3
+
+func (cluster *Cluster) build(fresh *Node) {
+	incarnation := int64(cluster.clock.Wall())
+	self := func() node.Member {
+		return node.NewMember(fresh.host, fresh.Address(), fresh.dataCentre, incarnation).
+			WithNews(0, fresh.InForce().Version(), fresh.IsReady(), fresh.stopping.Load())
+	}
+	store := cluster.store.Platform()
+	load := func(ctx context.Context) (*table.Tables, int64, error) { return platformhttp.LoadTables(ctx, store) }
+	watch := func(ctx context.Context, after int64) (*table.Tables, int64, error) {
+		ctx, cancel := cluster.clock.WithTimeout(ctx, watchWait)
+		defer cancel()
+		return platformhttp.WatchTables(ctx, store, after)
+	}
+	commit := func(ctx context.Context, tables *table.Tables, condition int64) error {
+		return platformhttp.CommitTables(ctx, store, tables, condition)
+	}
+	counters := new(expvar.Map).Init()
+	fresh.members = node.NewMembers(cluster.clock, self, mathrand.IntN, cluster.seeds)
+	fresh.contact = node.NewContact(cluster.clock, fresh.members)
+	fresh.tables = entry.NewTablesFollower(cluster.clock, fresh.members, fresh.contact, fresh.inForce, load, watch, commit,
+		fresh.port.call, func() { fresh.fellows.PassOn() }, zerolog.Nop(), counters)
+	fresh.fellows = entry.NewFellows(cluster.clock, fresh.members, cluster.seeds, fresh.port.call, fresh.port.closeIdle,
+		fresh.noteLeaving, fresh.tables.Ahead, counters)
+	ctx, cancel := context.WithCancel(context.Background())
+	fresh.cancel = cancel
+	var group sync.WaitGroup
+	group.Go(func() { fresh.tables.Run(ctx, fresh.fellows.Greet) })
+	group.Go(func() { fresh.fellows.Run(ctx) })
+	go func() {
+		group.Wait()
+		close(fresh.done)
+	}()
+}
+
+// watchWait is how long the store holds a watch.
+const watchWait = 20 * clock.Second
+
+func (node *Node) answer(call *nodepb.Call) *nodepb.Reply {
+	switch call.WhichBody() {
+	case nodepb.Call_Heartbeat_case:
+		return node.fellows.Heartbeat(call.GetHeartbeat())
+	case nodepb.Call_MembersQuery_case:
+		return node.fellows.Members()
+	case nodepb.Call_TablesQuery_case:
+		return node.tables.Answer(call.GetTablesQuery())
+	default:
+		return &nodepb.Reply{}
+	}
+}
+
+// Remove stops a node.
+func (cluster *Cluster) Remove(gone *Node, announced bool) {
+	for i, node := range cluster.nodes {
+		if node == gone {
+			cluster.nodes = append(cluster.nodes[:i:i], cluster.nodes[i+1:]...)
+			break
+		}
+	}
+	gone.Stop(cluster.clock, announced)
+}
+
+// Close stops every node at once.
+func (cluster *Cluster) Close() {
+	var group sync.WaitGroup
+	for _, node := range cluster.nodes {
+		group.Go(func() { node.Stop(cluster.clock, false) })
+	}
+	group.Wait()
+	cluster.nodes = nil
+}
+
+// Await waits until the condition holds on every node, and returns the time
+// that it took, or false if it did not hold in time.
+func (cluster *Cluster) Await(limit clock.Millis, holds func(node *Node) bool) (clock.Millis, bool) {
+	begun := cluster.clock.Now()
+	for {
+		all := true
+		for _, node := range cluster.nodes {
+			all = all && holds(node)
+		}
+		took := cluster.clock.Now() - begun
+		if all || took > limit {
+			return took, all
+		}
+		cluster.clock.Wait(context.Background(), awaitInterval)
+	}
+}
+
+// awaitInterval is the time between two looks at a condition.
+const awaitInterval = 5 * clock.Millisecond
--- /dev/null
+++ b/internal/slopes/nodeslope/network.go
@@ -0,0 +1,165 @@
+package nodeslope
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node/nodelink"
+	"sapphirehead/internal/node/nodepb"
+)
+
+// Port ties one node to the others.
+type Port struct {
+	address   string
+	call      func(ctx context.Context, address string, call *nodepb.Call) (*nodepb.Reply, error)
+	closeIdle func()
+	traffic   func() Traffic
+	close     func()
+}
+
+// Traffic is the bytes and packets that a node has sent and received.
+type Traffic struct {
+	sent     int64
+	received int64
+	writes   int64
+}
+
+// Loopback opens real links over TCP on loopback.
+type Loopback struct {
+	clock *clock.Clock
+}
+
+// NewLoopback returns a network on loopback.
+func NewLoopback(clock *clock.Clock) *Loopback { return &Loopback{clock: clock} }
+
+// Join listens for a node that answers calls by the function.
+func (loopback *Loopback) Join(answer nodelink.Answer) (*Port, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	links := nodelink.New(loopback.clock, nodelink.DialTCP, answer)
+	served := make(chan struct{})
+	go func() {
+		_ = links.Serve(listener)
+		close(served)
+	}()
+	return &Port{
+		address:   listener.Addr().String(),
+		call:      links.Call,
+		closeIdle: links.CloseIdle,
+		traffic: func() Traffic {
+			return Traffic{sent: links.Traffic().Sent(), received: links.Traffic().Received(), writes: links.Traffic().Writes()}
+		},
+		close: func() {
+			listener.Close()
+			links.Close()
+			<-served
+		},
+	}, nil
+}
+
+const (
+	// memoryLatency is the time of one way between two nodes.
+	memoryLatency = clock.Millisecond
+	// memoryTimeout is the timeout of a call.
+	memoryTimeout = 2 * clock.Second
+)
+
+// Memory passes encoded messages from node to node in memory, with a latency
+// of its clock, so whole clusters run in virtual time. It can part nodes.
+type Memory struct {
+	clock   *clock.Clock
+	mutex   sync.Mutex
+	next    int
+	answers map[string]nodelink.Answer
+	parted  func(from, to string, call *nodepb.Call) bool
+}
+
+// NewMemory returns a network in memory.
+func NewMemory(clock *clock.Clock) *Memory {
+	return &Memory{clock: clock, answers: map[string]nodelink.Answer{}, parted: func(string, string, *nodepb.Call) bool { return false }}
+}
+
+// Part makes those calls time out for which parted holds.
+func (memory *Memory) Part(parted func(from, to string, call *nodepb.Call) bool) {
+	memory.mutex.Lock()
+	defer memory.mutex.Unlock()
+	memory.parted = parted
+}
+
+// Join adds a node that answers calls by the function.
+func (memory *Memory) Join(answer nodelink.Answer) (*Port, error) {
+	memory.mutex.Lock()
+	defer memory.mutex.Unlock()
+	memory.next++
+	address := "10.0.0.1:" + strconv.Itoa(10_000+memory.next)
+	memory.answers[address] = answer
+	var mutex sync.Mutex
+	var traffic Traffic
+	return &Port{
+		address: address,
+		call: func(ctx context.Context, to string, call *nodepb.Call) (*nodepb.Reply, error) {
+			reply, sent, received, err := memory.pass(ctx, address, to, call)
+			mutex.Lock()
+			defer mutex.Unlock()
+			traffic.sent += sent
+			traffic.received += received
+			return reply, err
+		},
+		closeIdle: func() {},
+		traffic: func() Traffic {
+			mutex.Lock()
+			defer mutex.Unlock()
+			return traffic
+		},
+		close: func() { memory.leave(address) },
+	}, nil
+}
+
+func (memory *Memory) leave(address string) {
+	memory.mutex.Lock()
+	defer memory.mutex.Unlock()
+	delete(memory.answers, address)
+}
+
+// pass carries one call and its reply, each encoded and decoded.
+func (memory *Memory) pass(ctx context.Context, from, to string, call *nodepb.Call) (reply *nodepb.Reply, sent, received int64, err error) {
+	memory.mutex.Lock()
+	answer, ok := memory.answers[to]
+	parted := memory.parted(from, to, call)
+	memory.mutex.Unlock()
+	if parted {
+		memory.clock.Wait(ctx, memoryTimeout)
+		return nil, 0, 0, errors.Errorf("call to %s timed out", to)
+	}
+	if err := memory.clock.Wait(ctx, memoryLatency); err != nil {
+		return nil, 0, 0, err
+	}
+	if !ok {
+		return nil, 0, 0, errors.Errorf("nobody listens at %s", to)
+	}
+	message, err := proto.Marshal(call)
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	var arrived nodepb.Call
+	if err := proto.Unmarshal(message, &arrived); err != nil {
+		return nil, 0, 0, err
+	}
+	answered, err := proto.Marshal(answer(&arrived))
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	if err := memory.clock.Wait(ctx, memoryLatency); err != nil {
+		return nil, 0, 0, err
+	}
+	reply = &nodepb.Reply{}
+	return reply, int64(len(message)), int64(len(answered)), proto.Unmarshal(answered, reply)
+}
