--- /dev/null
+++ b/internal/node/nodelink/link_test.go
@@ -0,0 +1,200 @@
+package nodelink_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node"
+	"sapphirehead/internal/node/nodelink"
+	"sapphirehead/internal/node/nodepb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// timeout is the timeout of a call.
+const timeout = 2 * clock.Second
+
+// pair is a node that calls another one over loopback, with a manual clock.
+type pair struct {
+	manual  *clock.Manual
+	near    *nodelink.Links
+	address string
+	dials   atomic.Int64
+	// silent makes the first connection swallow what it carries; swallowed tells
+	// of it. The second write of a call comes once its timeout is set.
+	silent    atomic.Bool
+	swallowed chan struct{}
+	// held blocks answers to queries for tables.
+	held    chan struct{}
+	arrived chan struct{}
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	pair := &pair{manual: clock.NewManual(1000), swallowed: make(chan struct{}, 100), held: make(chan struct{}), arrived: make(chan struct{}, 10)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	pair.address = listener.Addr().String()
+	far := nodelink.New(pair.manual.Clock(), nodelink.DialTCP, pair.answer)
+	served := make(chan error, 1)
+	go func() { served <- far.Serve(listener) }()
+	pair.near = nodelink.New(pair.manual.Clock(), pair.dial, pair.answer)
+	t.Cleanup(func() {
+		pair.near.Close()
+		far.Close()
+		listener.Close()
+		<-served
+	})
+	return pair
+}
+
+func (pair *pair) answer(call *nodepb.Call) *nodepb.Reply {
+	if call.HasTablesQuery() {
+		pair.arrived <- struct{}{}
+		<-pair.held
+	}
+	if call.HasMembersQuery() {
+		return nodepb.Reply_builder{Error: new("refused")}.Build()
+	}
+	return nodepb.Reply_builder{Heartbeat: call.GetHeartbeat()}.Build()
+}
+
+func (pair *pair) dial(ctx context.Context, address string) (net.Conn, error) {
+	pair.dials.Add(1)
+	connection, err := nodelink.DialTCP(ctx, address)
+	return &relay{Conn: connection, pair: pair, number: pair.dials.Load()}, err
+}
+
+// relay is a connection whose first instance can go silent.
+type relay struct {
+	net.Conn
+	pair   *pair
+	number int64
+}
+
+func (relay *relay) Write(data []byte) (int, error) {
+	if relay.number == 1 && relay.pair.silent.Load() {
+		relay.pair.swallowed <- struct{}{}
+		return len(data), nil
+	}
+	return relay.Conn.Write(data)
+}
+
+func digest() node.Digest {
+	return node.NewDigest(node.NewMember("a", "a:1", "lj-a", 7).WithNews(3, 4, true, true),
+		[]node.Member{node.NewMember("b", "b:1", "lj-b", 8).WithSilent(true)}, []node.Leaving{node.NewLeaving("runner-1", 5, 6)})
+}
+
+func heartbeat() *nodepb.Call {
+	return nodepb.Call_builder{Heartbeat: nodelink.EncodeDigest(digest(), true)}.Build()
+}
+
+// expectAnswered checks that a heartbeat comes back as it was sent, after so
+// many connections were opened.
+func expectAnswered(t *testing.T, pair *pair, dials int64) {
+	t.Helper()
+	reply, err := pair.near.Call(t.Context(), pair.address, heartbeat())
+	require.NoError(t, err)
+	require.Equal(t, digest(), nodelink.DecodeDigest(reply.GetHeartbeat()))
+	require.Equal(t, dials, pair.dials.Load())
+}
+
+// begin starts a call and returns where its error arrives.
+func begin(ctx context.Context, pair *pair, call *nodepb.Call) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := pair.near.Call(ctx, pair.address, call)
+		done <- err
+	}()
+	return done
+}
+
+func TestCall(t *testing.T) {
+	t.Run("calls share a connection", func(t *testing.T) {
+		pair := newPair(t)
+		expectAnswered(t, pair, 1)
+		expectAnswered(t, pair, 1)
+		require.Positive(t, pair.near.Traffic().Sent())
+	})
+	t.Run("an error reply is an error", func(t *testing.T) {
+		pair := newPair(t)
+		_, err := pair.near.Call(t.Context(), pair.address, nodepb.Call_builder{MembersQuery: &nodepb.MembersQuery{}}.Build())
+		require.ErrorContains(t, err, "refused")
+	})
+	t.Run("a silent connection is replaced while new ones work", func(t *testing.T) {
+		pair := newPair(t)
+		expectAnswered(t, pair, 1)
+		pair.silent.Store(true)
+		done := begin(t.Context(), pair, heartbeat())
+		<-pair.swallowed
+		<-pair.swallowed
+		pair.manual.Advance(timeout)
+		require.Error(t, <-done)
+		expectAnswered(t, pair, 2)
+	})
+	t.Run("a slow answer ends its call only", func(t *testing.T) {
+		pair := newPair(t)
+		done := begin(t.Context(), pair, nodepb.Call_builder{TablesQuery: &nodepb.TablesQuery{}}.Build())
+		<-pair.arrived
+		pair.manual.Advance(clock.Millisecond)
+		expectAnswered(t, pair, 1)
+		pair.manual.Advance(timeout)
+		require.Error(t, <-done)
+		expectAnswered(t, pair, 1)
+		close(pair.held)
+	})
+	t.Run("a cancelled call ends at once and keeps the connection", func(t *testing.T) {
+		pair := newPair(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := begin(ctx, pair, nodepb.Call_builder{TablesQuery: &nodepb.TablesQuery{}}.Build())
+		<-pair.arrived
+		cancel()
+		require.Error(t, <-done)
+		expectAnswered(t, pair, 1)
+		close(pair.held)
+	})
+	t.Run("an idle connection is closed", func(t *testing.T) {
+		pair := newPair(t)
+		expectAnswered(t, pair, 1)
+		for range 2 {
+			pair.manual.Advance(40 * clock.Second)
+			pair.near.CloseIdle()
+			expectAnswered(t, pair, 1)
+		}
+		pair.manual.Advance(61 * clock.Second)
+		pair.near.CloseIdle()
+		expectAnswered(t, pair, 2)
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		pair := newPair(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listener.Close()
+		_, err = pair.near.Call(t.Context(), listener.Addr().String(), heartbeat())
+		require.Error(t, err)
+	})
+	t.Run("closed links open nothing", func(t *testing.T) {
+		pair := newPair(t)
+		pair.near.Close()
+		_, err := pair.near.Call(t.Context(), pair.address, heartbeat())
+		require.ErrorIs(t, err, net.ErrClosed)
+	})
+	t.Run("bytes that are no message end the stream", func(t *testing.T) {
+		pair := newPair(t)
+		connection, err := net.Dial("tcp", pair.address)
+		require.NoError(t, err)
+		defer connection.Close()
+		_, err = connection.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		require.NoError(t, err)
+		_, err = io.ReadAll(connection)
+		require.NoError(t, err)
+		expectAnswered(t, pair, 1)
+	})
+}
