--- a/internal/node/nodelink/link.go
+++ b/internal/node/nodelink/link.go
@@ -208,7 +208,7 @@
 	connection := newConnection(raw, links.clock, &links.traffic)
 	session, err := yamux.Client(connection, sessionConfig())
 	if err != nil {
-		connection.Close()
+		_ = connection.Close()
 		return nil, errors.Wrap(err, "open session")
 	}
 	fresh := &outbound{session: session, connection: connection}
