--- a/internal/entry/fellows.go
+++ b/internal/entry/fellows.go
@@ -167,7 +167,7 @@
 func (fellows *Fellows) take(digest node.Digest, beat bool) {
 	urgent, leaving := fellows.members.Take(digest, beat)
 	for _, evidence := range leaving {
-		fellows.leaving(evidence.Server(), evidence.Notice())
+		fellows.leaving(evidence.Server(), evidence.Left())
 	}
 	if urgent {
 		fellows.PassOn()
--- a/internal/entry/joined.go
+++ b/internal/entry/joined.go
@@ -20,7 +20,7 @@
 	entry.tables = NewTablesFollower(entry.clock, entry.members, entry.contact, entry.inForce, entry.loadTables, entry.watchTables,
 		entry.commitTables, entry.links.Call, func() { entry.fellows.PassOn() }, entry.log, entry.counters)
 	entry.fellows = NewFellows(entry.clock, entry.members, seeds, entry.links.Call, entry.links.CloseIdle,
-		entry.noteFellowsEvidence, entry.tables.Ahead, entry.counters)
+		entry.addNotice, entry.tables.Ahead, entry.counters)
 }
 
 // self returns this node's own news, without a sequence.
@@ -46,7 +46,7 @@
 	case nodepb.Call_TablesQuery_case:
 		return entry.tables.Answer(call.GetTablesQuery())
 	default:
-		return errorReply("unknown call")
+		return entry.answerStreamCall(call)
 	}
 }
 
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -15,48 +15,70 @@
 	for ctx.Err() == nil {
 		list, err := entry.platform.Hosts(ctx)
 		if err == nil {
-			entry.fleet.Update(list)
+			entry.takeLeaving(withoutNotice(entry.fleet.Update(list)))
 		}
 		entry.takeEvidence(ctx)
 	}
 }
 
+func withoutNotice(ids []string) map[string]clock.Millis {
+	leaving := make(map[string]clock.Millis, len(ids))
+	for _, id := range ids {
+		leaving[id] = 0
+	}
+	return leaving
+}
+
 // takeEvidence marks leaving servers until it is time to read the list again.
 func (entry *Entry) takeEvidence(ctx context.Context) {
 	ctx, cancel := entry.clock.WithTimeout(ctx, jittered(hostsInterval))
 	defer cancel()
 	for {
 		select {
-		case id := <-entry.evidence:
-			if entry.fleet.MarkLeaving(id) {
-				entry.log.Info().Str(logging.FieldServer, id).Msg("backend server is leaving")
-				entry.fellows.Leave(id, 0)
+		case <-entry.evidence.Wake():
+			first := map[string]clock.Millis{}
+			for id, notice := range entry.evidence.Take() {
+				if entry.fleet.MarkLeaving(id) {
+					first[id] = notice
+				}
 			}
+			entry.takeLeaving(first)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// noteLeaving takes in evidence from a request that a server is leaving.
-func (entry *Entry) noteLeaving(server *backend.Server) {
-	server.MarkLeaving()
-	entry.addEvidence(server.ID())
+// takeLeaving acts on the first evidence that servers are leaving: fellow nodes
+// are told, and the streams there are moved.
+func (entry *Entry) takeLeaving(leaving map[string]clock.Millis) {
+	if len(leaving) == 0 {
+		return
+	}
+	for id, notice := range leaving {
+		entry.fellows.Leave(id, notice)
+		entry.log.Info().Str(logging.FieldServer, id).Int64("noticeMillis", int64(notice)).Msg("backend server is leaving")
+	}
+	entry.counters.Add("serversLeaving", int64(len(leaving)))
+	entry.moveStreams(leaving)
 }
 
-func (entry *Entry) addEvidence(id string) {
-	select {
-	case entry.evidence <- id:
-	default:
+// noteLeaving takes in evidence from a request that a server is leaving.
+func (entry *Entry) noteLeaving(server *backend.Server) {
+	if server.MarkLeaving() {
+		entry.addEvidence(server.ID())
 	}
 }
 
-// noteFellowsEvidence takes in evidence from a fellow node.
-func (entry *Entry) noteFellowsEvidence(id string, _ clock.Millis) {
+// addEvidence takes in evidence that a server is leaving. The chooser heeds it
+// from this moment on, if the server is listed.
+func (entry *Entry) addEvidence(id string) { entry.addNotice(id, 0) }
+
+func (entry *Entry) addNotice(id string, notice clock.Millis) {
 	if server := entry.fleet.Current().Server(id); server != nil {
 		server.MarkLeaving()
 	}
-	entry.addEvidence(id)
+	entry.evidence.Add(id, notice)
 }
 
 // watchNotices follows the cloud's reclaim notices.
@@ -70,7 +92,11 @@
 		}
 		for _, notice := range notices {
 			after = max(after, notice.Sequence())
-			entry.addEvidence(notice.HostID())
+			if notice.HostID() == entry.settings.Host() {
+				entry.noteReclaim(notice.After())
+				continue
+			}
+			entry.addNotice(notice.HostID(), notice.After())
 		}
 	}
 }
--- a/internal/node/digest.go
+++ b/internal/node/digest.go
@@ -62,3 +62,12 @@
 
 // Notice returns the time from the evidence to the end, or 0 if not known.
 func (leaving Leaving) Notice() clock.Millis { return leaving.notice }
+
+// Left returns the time that was left when the evidence was told, at least a
+// millisecond, or 0 if it is not known.
+func (leaving Leaving) Left() clock.Millis {
+	if leaving.notice == 0 {
+		return 0
+	}
+	return max(leaving.notice-leaving.age, clock.Millisecond)
+}
