Commit claims in groups, with dated keys, releases and fingerprints

Change: the operations on one object gather while a write is in progress and go out as one conditional write; other nodes hand theirs to the object's owner (rendezvous) and commit by themselves if it gives no answer. A UUID of version 7 carries its creation time, which fixes its object, and objects are reused in a ring whose bucket number only rises. Other keys are kept for good, as 8 bytes after the window. A request that ends as not run releases its claim; a key that returns with another call is refused with 422.

--- a/internal/caller/callerhttp/errors.go
+++ b/internal/caller/callerhttp/errors.go
@@ -16,6 +16,9 @@
 	errorTypeOutcomeUnknown = "outcomeUnknown"
 	errorTypeIncomplete     = "incomplete"
 	errorTypeInternal       = "internal"
+	errorTypeKeyExpired     = "keyExpired"
+	errorTypeKeyAhead       = "keyAhead"
+	errorTypeKeyReused      = "keyReused"
 )
 
 // CallError says what is wrong with a caller's call.
@@ -50,6 +53,7 @@
 	var notRun *request.NotRunError
 	var unknown *request.OutcomeUnknownError
 	var incomplete *request.IncompleteError
+	var key *request.KeyError
 	status := http.StatusInternalServerError
 	switch {
 	case errors.As(err, &call):
@@ -63,12 +67,25 @@
 		status, form.Type = http.StatusBadGateway, errorTypeOutcomeUnknown
 	case errors.As(err, &incomplete):
 		status, form.Type = http.StatusGatewayTimeout, errorTypeIncomplete
+	case errors.As(err, &key):
+		status, form.Type = http.StatusUnprocessableEntity, keyErrorType(key.Problem())
 	default:
 		form.Type = errorTypeInternal
 	}
 	return status, errorsForm{Error: form}
 }
 
+func keyErrorType(problem request.KeyProblem) string {
+	switch problem {
+	case request.KeyExpired:
+		return errorTypeKeyExpired
+	case request.KeyAhead:
+		return errorTypeKeyAhead
+	default:
+		return errorTypeKeyReused
+	}
+}
+
 func writeError(writer http.ResponseWriter, id string, err error) {
 	status, form := errorOf(id, err)
 	var notRun *request.NotRunError
--- a/internal/caller/callerhttp/handler.go
+++ b/internal/caller/callerhttp/handler.go
@@ -129,7 +129,8 @@
 		return
 	}
 	defer release()
-	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), form.prompt(), handler.clock.Now())
+	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), form.prompt(), handler.clock.Now()).
+		WithFingerprint(service.FingerprintOf(message.Method, message.URL.RequestURI(), body))
 	if form.Stream {
 		handler.streamChat(writer, message, to, form)
 		return
@@ -161,7 +162,8 @@
 		return
 	}
 	defer release()
-	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), request.Prompt{}, handler.clock.Now())
+	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), request.Prompt{}, handler.clock.Now()).
+		WithFingerprint(service.FingerprintOf(message.Method, message.URL.RequestURI(), body))
 	call := service.NewCall(message.Method, message.URL.RequestURI(), message.Header.Get("Content-Type"), body)
 	answer, err := handler.call(message.Context(), to, call)
 	if err != nil {
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -2,29 +2,201 @@
 
 import (
 	"context"
+	"strconv"
 
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/clock"
 	"sapphirehead/internal/logging"
+	"sapphirehead/internal/node"
+	"sapphirehead/internal/node/nodepb"
 	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/rendezvous"
 	"sapphirehead/internal/request"
 	"sapphirehead/internal/service"
 )
 
+// Bounds of what requests wait for.
+const (
+	// forwardTimeout is how long a node waits for the owner of an object.
+	forwardTimeout = 500 * clock.Millisecond
+	// queryTimeout is how long a node waits for the holder of a claim.
+	queryTimeout = 200 * clock.Millisecond
+	// recordWait is how long an answer waits for its outcome to be recorded.
+	recordWait = 500 * clock.Millisecond
+	// settleInterval is the time between two tries of what is not recorded.
+	settleInterval = 250 * clock.Millisecond
+	// settleRestWait bounds the same before the process ends.
+	settleRestWait = 5 * clock.Second
+)
+
+func (entry *Entry) newLedger() *service.Ledger {
+	holder := entry.settings.Host() + "/" + strconv.FormatInt(entry.incarnation, 10)
+	return service.NewLedger(entry.clock, service.DefaultWindow, holder, entry.loadShard, entry.commitShard).
+		WithFellows(entry.forwardClaim, entry.askHolder, func() int { return len(entry.members.Live()) + 1 }, jittered)
+}
+
+// chat runs a chat request and ends its claim.
+func (entry *Entry) chat(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error {
+	err := entry.driver.Chat(ctx, to, deliver)
+	entry.endClaim(to, err)
+	return err
+}
+
+// call runs a call to an application service and ends its claim.
+func (entry *Entry) call(ctx context.Context, to *request.Request, call service.Call) (service.Answer, error) {
+	answer, err := entry.driver.Call(ctx, to, call)
+	entry.endClaim(to, err)
+	return answer, err
+}
+
+func (entry *Entry) endClaim(to *request.Request, err error) {
+	if to.NeedsClaim() {
+		var notRun *request.NotRunError
+		entry.ledger.End(to, errors.As(err, &notRun))
+	}
+}
+
+// claim asks for the right to run. A service that refuses repeated keys by
+// itself gets the call without a claim if the platform grants none.
 func (entry *Entry) claim(ctx context.Context, to *request.Request) (request.Claim, service.Answer) {
-	return entry.ledger.Claim(ctx, to.Account(), to.Key(), to.ID())
+	trusted := entry.refusesRepeat(to)
+	claim, answer := entry.ledger.Claim(ctx, to, trusted)
+	if claim == request.ClaimUnavailable && trusted {
+		entry.counters.Add("claimsLeftToService", 1)
+		return request.ClaimGranted, answer
+	}
+	if claim == request.ClaimUnavailable {
+		entry.counters.Add("claimsUnavailable", 1)
+	}
+	return claim, answer
+}
+
+func (entry *Entry) refusesRepeat(to *request.Request) bool {
+	row, ok := entry.inForce.Current().Pool(to.Route().Pool())
+	return ok && row.RefusesRepeat()
 }
 
+// record stores the outcome and waits for it for a short time. After that it
+// goes on without the caller.
 func (entry *Entry) record(ctx context.Context, to *request.Request, answer service.Answer) error {
-	err := entry.ledger.Record(ctx, to.Account(), to.Key(), to.ID(), answer)
+	done := make(chan error, 1)
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		err := entry.ledger.Record(ctx, to, answer, entry.refusesRepeat(to))
+		if err != nil {
+			entry.counters.Add("outcomesNotRecorded", 1)
+			entry.log.Warn().Err(err).Str(logging.FieldRequestID, to.ID()).Msg("outcome not recorded")
+		}
+		done <- err
+	}()
+	ctx, cancel := entry.clock.WithTimeout(ctx, recordWait)
+	defer cancel()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// settleClaims tries again what the platform gave no answer to.
+func (entry *Entry) settleClaims(ctx context.Context) {
+	for ctx.Err() == nil {
+		entry.ledger.Settle(ctx)
+		entry.clock.Wait(ctx, jittered(settleInterval))
+	}
+}
+
+// settleRest gives outcomes and releases a last chance before the end.
+func (entry *Entry) settleRest(kill context.Context) {
+	ctx, cancel := entry.clock.WithTimeout(kill, settleRestWait)
+	defer cancel()
+	for ctx.Err() == nil && !entry.ledger.Settle(ctx) {
+		entry.clock.Wait(ctx, jittered(settleInterval))
+	}
+}
+
+func (entry *Entry) loadShard(ctx context.Context, object string) (service.Shard, int64, error) {
+	return platformhttp.LoadShard(ctx, entry.store, object)
+}
+
+func (entry *Entry) commitShard(ctx context.Context, object string, claims service.Shard, condition int64) (int64, error) {
+	return platformhttp.CommitShard(ctx, entry.store, object, claims, condition)
+}
+
+// forwardClaim hands the operation to the owner of its object.
+func (entry *Entry) forwardClaim(ctx context.Context, operation service.Operation) (service.Verdict, bool) {
+	owner, ok := entry.claimOwner(operation.Place().Object())
+	if !ok {
+		return service.Verdict{}, false
+	}
+	call := nodepb.Call_builder{ClaimOperation: claimMessage(operation)}.Build()
+	reply, err := entry.callWithin(ctx, forwardTimeout, owner.Address(), call)
 	if err != nil {
-		entry.log.Warn().Err(err).Str(logging.FieldRequestID, to.ID()).Msg("outcome not recorded")
+		entry.counters.Add("claimForwardsFailed", 1)
+		return service.Verdict{}, true
+	}
+	return verdictOf(reply.GetClaimVerdict()), true
+}
+
+// claimOwner returns the fellow node that owns the object, and false if that
+// is this node.
+func (entry *Entry) claimOwner(object string) (node.Member, bool) {
+	hosts := []string{entry.settings.Host()}
+	members := map[string]node.Member{}
+	for _, member := range entry.members.Live() {
+		if !member.Stopping() {
+			hosts = append(hosts, member.Host())
+			members[member.Host()] = member
+		}
+	}
+	owner, ok := members[rendezvous.Best(object, hosts)]
+	return owner, ok
+}
+
+// askHolder asks the process that holds a claim whether its request never
+// runs. A process that has ended can't tell.
+func (entry *Entry) askHolder(ctx context.Context, holder, nonce string) bool {
+	for _, member := range entry.members.Live() {
+		if holder != member.Host()+"/"+strconv.FormatInt(member.Incarnation(), 10) {
+			continue
+		}
+		call := nodepb.Call_builder{ClaimQuery: nodepb.ClaimQuery_builder{Holder: &holder, Nonce: &nonce}.Build()}.Build()
+		reply, err := entry.callWithin(ctx, queryTimeout, member.Address(), call)
+		return err == nil && reply.GetClaimStatus().GetNeverRuns()
+	}
+	return false
+}
+
+// callWithin calls a fellow node and stops waiting after the timeout. The call
+// itself ends by the timeout of its link.
+func (entry *Entry) callWithin(ctx context.Context, timeout clock.Millis, address string, call *nodepb.Call) (*nodepb.Reply, error) {
+	type outcome struct {
+		reply *nodepb.Reply
+		err   error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		reply, err := entry.links.Call(context.WithoutCancel(ctx), address, call)
+		done <- outcome{reply: reply, err: err}
+	}()
+	ctx, cancel := entry.clock.WithTimeout(ctx, timeout)
+	defer cancel()
+	select {
+	case result := <-done:
+		return result.reply, result.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	return err
 }
 
-func (entry *Entry) loadShard(ctx context.Context, shard int) (service.Shard, int64, error) {
-	return platformhttp.LoadShard(ctx, entry.store, shard)
+func (entry *Entry) answerClaimOperation(message *nodepb.ClaimOperation) *nodepb.Reply {
+	verdict := entry.ledger.Serve(context.Background(), operationOf(message))
+	return nodepb.Reply_builder{ClaimVerdict: verdictMessage(verdict)}.Build()
 }
 
-func (entry *Entry) commitShard(ctx context.Context, shard int, claims service.Shard, condition int64) error {
-	return platformhttp.CommitShard(ctx, entry.store, shard, claims, condition)
+func (entry *Entry) answerClaimQuery(query *nodepb.ClaimQuery) *nodepb.Reply {
+	never := query.GetHolder() == entry.ledger.Holder() && entry.ledger.NeverRuns(query.GetNonce())
+	return nodepb.Reply_builder{ClaimStatus: nodepb.ClaimStatus_builder{NeverRuns: &never}.Build()}.Build()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -99,7 +99,7 @@
 	if settings.Cloud().Address() != "" {
 		entry.cloud = cloudhttp.New(settings.Cloud().Address(), clock, settings.Cloud().Timeout())
 	}
-	entry.ledger = service.NewLedger(clock, service.DefaultWindow, entry.loadShard, entry.commitShard)
+	entry.ledger = entry.newLedger()
 	entry.editor = operator.NewEditor(entry.loadTables, entry.commitTables)
 	entry.links = nodelink.New(clock, entry.answerCall)
 	entry.driver = entry.newDriver()
@@ -165,7 +165,7 @@
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
-	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat} {
+	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat, entry.settleClaims} {
 		group.Go(func() error {
 			loop(loops)
 			return nil
@@ -174,6 +174,7 @@
 	group.Go(func() error {
 		entry.waitForStop(stop, loops)
 		entry.drain(kill, callers)
+		entry.settleRest(kill)
 		cancel()
 		operators.Close()
 		entry.links.Close()
@@ -213,7 +214,7 @@
 
 func (entry *Entry) callerHandler() http.Handler {
 	handler := callerhttp.New(entry.clock, entry.inForce.Current, func() *caller.Accounts { return entry.accounts },
-		entry.admission.Admit, entry.isReady, newID, entry.driver.Chat, entry.driver.Call)
+		entry.admission.Admit, entry.isReady, newID, entry.chat, entry.call)
 	return handler.Router()
 }
 
--- a/internal/entry/fellows.go
+++ b/internal/entry/fellows.go
@@ -102,6 +102,10 @@
 			return errorReply(err.Error())
 		}
 		return nodepb.Reply_builder{Tables: nodepb.Tables_builder{Version: new(tables.Version()), Body: body}.Build()}.Build()
+	case nodepb.Call_ClaimOperation_case:
+		return entry.answerClaimOperation(call.GetClaimOperation())
+	case nodepb.Call_ClaimQuery_case:
+		return entry.answerClaimQuery(call.GetClaimQuery())
 	default:
 		return errorReply("unknown call")
 	}
--- a/internal/platform/platformhttp/objects.go
+++ b/internal/platform/platformhttp/objects.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/json"
-	"strconv"
 
 	"github.com/pkg/errors"
 
-	"sapphirehead/internal/clock"
 	"sapphirehead/internal/platform"
-	"sapphirehead/internal/service"
 	"sapphirehead/internal/table"
 	"sapphirehead/internal/table/tablecodec"
 )
@@ -51,78 +46,3 @@
 	_, err = store.Put(ctx, platform.KindTables, platform.TablesName, body, condition)
 	return err
 }
-
-type claimForm struct {
-	Nonce       string `json:"nonce"`
-	AtMillis    int64  `json:"atMillis"`
-	Status      int    `json:"status,omitempty"`
-	ContentType string `json:"contentType,omitempty"`
-	Body        string `json:"body,omitempty"`
-}
-
-type shardForm struct {
-	Claims map[string]claimForm `json:"claims"`
-}
-
-func shardName(shard int) string { return "shard-" + strconv.Itoa(shard) }
-
-// LoadShard reads one object of claims.
-func LoadShard(ctx context.Context, store *platform.Store, shard int) (service.Shard, int64, error) {
-	object, err := store.Get(ctx, platform.KindClaims, shardName(shard))
-	var missing *platform.NotFoundError
-	if errors.As(err, &missing) {
-		return service.NewShard(nil), platform.VersionNone, nil
-	}
-	if err != nil {
-		return service.Shard{}, 0, err
-	}
-	claims, err := DecodeShard(object.Body())
-	return claims, object.Version(), err
-}
-
-// CommitShard writes one object of claims under the condition.
-func CommitShard(ctx context.Context, store *platform.Store, shard int, claims service.Shard, condition int64) error {
-	body, err := EncodeShard(claims)
-	if err != nil {
-		return err
-	}
-	_, err = store.Put(ctx, platform.KindClaims, shardName(shard), body, condition)
-	return err
-}
-
-// DecodeShard reads the stored form of a shard.
-func DecodeShard(body []byte) (service.Shard, error) {
-	var form shardForm
-	if err := json.Unmarshal(body, &form); err != nil {
-		return service.Shard{}, errors.Wrap(err, "decode claims")
-	}
-	claims := make(map[string]service.Claim, len(form.Claims))
-	for name, stored := range form.Claims {
-		claim := service.NewClaim(stored.Nonce, clock.Millis(stored.AtMillis))
-		if stored.Status != 0 {
-			answer, err := base64.StdEncoding.DecodeString(stored.Body)
-			if err != nil {
-				return service.Shard{}, errors.Wrap(err, "decode recorded answer")
-			}
-			claim = claim.WithAnswer(service.NewAnswer(stored.Status, stored.ContentType, answer))
-		}
-		claims[name] = claim
-	}
-	return service.NewShard(claims), nil
-}
-
-// EncodeShard writes the stored form of a shard.
-func EncodeShard(shard service.Shard) ([]byte, error) {
-	form := shardForm{Claims: make(map[string]claimForm, len(shard.Claims()))}
-	for name, claim := range shard.Claims() {
-		stored := claimForm{Nonce: claim.Nonce(), AtMillis: int64(claim.At())}
-		if answer, ok := claim.Recorded(); ok {
-			stored.Status = answer.Status()
-			stored.ContentType = answer.ContentType()
-			stored.Body = base64.StdEncoding.EncodeToString(answer.Body())
-		}
-		form.Claims[name] = stored
-	}
-	body, err := json.Marshal(form)
-	return body, errors.Wrap(err, "encode claims")
-}
--- a/internal/request/action.go
+++ b/internal/request/action.go
@@ -48,7 +48,7 @@
 func (action Action) Attempt() Attempt { return action.attempt }
 
 // Err returns why the request failed; only for ActionFail. It is a
-// *NotRunError, an *OutcomeUnknownError or an *IncompleteError.
+// *NotRunError, an *OutcomeUnknownError, an *IncompleteError or a *KeyError.
 func (action Action) Err() error { return action.err }
 
 // Attempt is one try to get the answer, or the rest of it, from one server.
--- a/internal/request/errors.go
+++ b/internal/request/errors.go
@@ -72,3 +72,33 @@
 func (err *IncompleteError) Error() string {
 	return fmt.Sprintf("request %s got no whole answer: %s", err.id, err.reason)
 }
+
+// KeyProblem tells what is wrong with an idempotency key.
+type KeyProblem int
+
+// The problems of a key.
+const (
+	// KeyExpired means that the key is older than the window of claims.
+	KeyExpired KeyProblem = iota + 1
+	// KeyAhead means that the key's creation time lies in the future.
+	KeyAhead
+	// KeyReused means that the key was used for a different call.
+	KeyReused
+)
+
+// KeyError says that the request was refused for its idempotency key. This
+// attempt was not run; an earlier one with the key may have been.
+type KeyError struct {
+	problem KeyProblem
+	reason  string
+}
+
+// NewKeyError returns an error for the problem.
+func NewKeyError(problem KeyProblem, reason string) *KeyError {
+	return &KeyError{problem: problem, reason: reason}
+}
+
+// Problem returns what is wrong with the key.
+func (err *KeyError) Problem() KeyProblem { return err.problem }
+
+func (err *KeyError) Error() string { return err.reason }
--- a/internal/request/flow.go
+++ b/internal/request/flow.go
@@ -30,6 +30,13 @@
 	ClaimTaken
 	// ClaimExpired means that the key is older than the claims' window.
 	ClaimExpired
+	// ClaimAhead means that the key's creation time lies in the future.
+	ClaimAhead
+	// ClaimMismatch means that the key was used for another call.
+	ClaimMismatch
+	// ClaimNotKept means that an earlier run ended and its answer was too
+	// large to be recorded.
+	ClaimNotKept
 	// ClaimUnavailable means that the platform could not grant the right.
 	ClaimUnavailable
 )
@@ -104,8 +111,14 @@
 		return Action{kind: ActionReplay}
 	case ClaimTaken:
 		return flow.fail(NewOutcomeUnknownError(flow.request.id, "an earlier request with this key has no recorded outcome"))
+	case ClaimNotKept:
+		return flow.fail(NewOutcomeUnknownError(flow.request.id, "an earlier request with this key has run, and its answer was too large to be kept"))
 	case ClaimExpired:
-		return flow.fail(NewNotRunError("the idempotency key is older than the window of claims", 0))
+		return flow.fail(NewKeyError(KeyExpired, "the idempotency key is older than the window of claims; an earlier request with it may have run"))
+	case ClaimAhead:
+		return flow.fail(NewKeyError(KeyAhead, "the creation time in the idempotency key lies in the future"))
+	case ClaimMismatch:
+		return flow.fail(NewKeyError(KeyReused, "the idempotency key was used for a different call"))
 	default:
 		return flow.fail(NewNotRunError("the right to run could not be claimed", retryAfterNoServer))
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -61,12 +61,13 @@
 
 // Request is one request of a caller. It does not change.
 type Request struct {
-	id       string
-	account  string
-	route    route.Route
-	key      string
-	prompt   Prompt
-	received clock.Millis
+	id          string
+	account     string
+	route       route.Route
+	key         string
+	fingerprint string
+	prompt      Prompt
+	received    clock.Millis
 }
 
 // New returns a request of the client account on the route. The key is the
@@ -75,6 +76,16 @@
 	return &Request{id: id, account: account, route: on, key: key, prompt: prompt, received: received}
 }
 
+// WithFingerprint returns a copy with the digest of what the call asks for.
+func (request *Request) WithFingerprint(fingerprint string) *Request {
+	changed := *request
+	changed.fingerprint = fingerprint
+	return &changed
+}
+
+// Fingerprint returns the digest of what the call asks for, or empty.
+func (request *Request) Fingerprint() string { return request.fingerprint }
+
 // ID returns the system's identity of the request.
 func (request *Request) ID() string { return request.id }
 
--- a/internal/request/whole_test.go
+++ b/internal/request/whole_test.go
@@ -30,23 +30,23 @@
 func newDecisionSide() *decisionSide {
 	manual := clock.NewManual(1000)
 	fleet := backend.NewFleet()
-	shards := map[int]service.Shard{}
-	versions := map[int]int64{}
-	load := func(_ context.Context, shard int) (service.Shard, int64, error) {
-		return shards[shard], versions[shard], nil
+	shards := map[string]service.Shard{}
+	versions := map[string]int64{}
+	load := func(_ context.Context, object string) (service.Shard, int64, error) {
+		return shards[object], versions[object], nil
 	}
-	commit := func(_ context.Context, shard int, claims service.Shard, condition int64) error {
-		if versions[shard] != condition {
-			return platform.NewConflictError(platform.KindClaims, "", condition)
+	commit := func(_ context.Context, object string, claims service.Shard, condition int64) (int64, error) {
+		if versions[object] != condition {
+			return 0, platform.NewConflictError(platform.KindClaims, object, condition)
 		}
-		shards[shard], versions[shard] = claims, condition+1
-		return nil
+		shards[object], versions[object] = claims, condition+1
+		return condition + 1, nil
 	}
 	return &decisionSide{
 		manual:    manual,
 		fleet:     fleet,
 		admission: caller.NewAdmission(10),
-		ledger:    service.NewLedger(manual.Clock(), service.DefaultWindow, load, commit),
+		ledger:    service.NewLedger(manual.Clock(), service.DefaultWindow, "entry-a/1", load, commit),
 		chooser:   runner.NewChooser(fleet, "lj-a", func(int) int { return 0 }),
 	}
 }
@@ -95,7 +95,7 @@
 	require.True(t, notRun.OverLimit())
 
 	to := request.New("req-1", account.Name(), on, "key-1", request.Prompt{}, side.manual.Now())
-	claim, _ := side.ledger.Claim(ctx, to.Account(), to.Key(), to.ID())
+	claim, _ := side.ledger.Claim(ctx, to, false)
 	require.Equal(t, request.ClaimGranted, claim)
 
 	flow := side.flow(to)
@@ -124,11 +124,13 @@
 	text := strings.Join(flow.Tokens(), "")
 	require.Equal(t, "The log is clean", text)
 	answer := service.NewAnswer(200, "text/plain", []byte(text))
-	require.NoError(t, side.ledger.Record(ctx, to.Account(), to.Key(), to.ID(), answer))
+	require.NoError(t, side.ledger.Record(ctx, to, answer, false))
+	side.ledger.End(to, false)
 	release()
 	require.Zero(t, side.admission.InFlight())
 
-	claim, recorded := side.ledger.Claim(ctx, "garage-north", "key-1", "req-2")
+	repeat := request.New("req-2", account.Name(), on, "key-1", request.Prompt{}, side.manual.Now())
+	claim, recorded := side.ledger.Claim(ctx, repeat, false)
 	require.Equal(t, request.ClaimRecorded, claim)
 	require.Equal(t, text, string(recorded.Body()))
 }
--- a/internal/service/ledger.go
+++ b/internal/service/ledger.go
@@ -2,170 +2,239 @@
 
 import (
 	"context"
-	"maps"
+	"sync"
+	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"sapphirehead/internal/clock"
-	"sapphirehead/internal/platform"
 	"sapphirehead/internal/request"
 )
 
-// ShardCount is the number of objects over which claims are spread.
-const ShardCount = 64
-
-// DefaultWindow is how long a claim is kept.
+// DefaultWindow is how long a claim is kept with its outcome.
 const DefaultWindow = 24 * clock.Hour
 
-// maxRounds bounds how often a claim is tried again after a conflict.
-const maxRounds = 16
-
-// Claim is the right of one request to run under a key.
-type Claim struct {
-	nonce    string
-	at       clock.Millis
-	recorded bool
-	answer   Answer
+// Ledger grants claims by conditional writes to the platform.
+//
+// A call with side effects and a key runs only under a claim that has been
+// committed. The claim of a key has one place, so of two requests with one key
+// the conditional write lets one through, whatever nodes and callers believe.
+// The owner of an object gathers the operations of all nodes only to save
+// writes; a node that gets no answer from it commits by itself, under the same
+// nonce, and finds that nonce if the owner's write has landed after all.
+type Ledger struct {
+	clock   *clock.Clock
+	window  clock.Millis
+	holder  string
+	load    func(ctx context.Context, object string) (Shard, int64, error)
+	store   func(ctx context.Context, object string, shard Shard, condition int64) (int64, error)
+	forward func(ctx context.Context, operation Operation) (verdict Verdict, asked bool)
+	unrun   func(ctx context.Context, holder, nonce string) bool
+	pace    *Pace
+	jitter  func(wait clock.Millis) clock.Millis
+	backlog *backlog
+	// open holds the nonces of requests that may hold a claim and have not
+	// ended.
+	open    sync.Map
+	writers sync.Map
+	writes  atomic.Int64
+	changes atomic.Int64
+	swept   atomic.Int64
 }
 
-// NewClaim returns a claim by the nonce, taken at a wall time.
-func NewClaim(nonce string, at clock.Millis) Claim { return Claim{nonce: nonce, at: at} }
-
-// WithAnswer returns a copy with the recorded outcome.
-func (claim Claim) WithAnswer(answer Answer) Claim {
-	claim.recorded = true
-	claim.answer = answer
-	return claim
+// NewLedger returns a ledger of a node that stands alone. The holder names
+// this process among all that ever ran. The function load returns an empty
+// shard at platform.VersionNone for an object that does not exist; store
+// returns the new version or the errors of platform.Store.
+func NewLedger(
+	clock *clock.Clock,
+	window clock.Millis,
+	holder string,
+	load func(ctx context.Context, object string) (Shard, int64, error),
+	store func(ctx context.Context, object string, shard Shard, condition int64) (int64, error),
+) *Ledger {
+	return (&Ledger{clock: clock, window: window, holder: holder, load: load, store: store, backlog: newBacklog(clock)}).WithFellows(
+		func(context.Context, Operation) (Verdict, bool) { return Verdict{}, false },
+		func(context.Context, string, string) bool { return false },
+		func() int { return 1 },
+		exactly,
+	)
 }
 
-// Nonce returns which request took the claim.
-func (claim Claim) Nonce() string { return claim.nonce }
-
-// At returns the wall time at which the claim was taken.
-func (claim Claim) At() clock.Millis { return claim.at }
+// exactly is the jitter that changes nothing.
+func exactly(wait clock.Millis) clock.Millis { return wait }
+
+// WithFellows sets the seams to fellow nodes and returns the ledger. Forward
+// hands the operation to the owner of its object; asked is false if that is
+// this node, and the verdict is zero if no answer came. Unrun asks another
+// holder whether its request with the nonce never runs. Nodes counts the live
+// nodes, and jitter spreads a wait.
+func (ledger *Ledger) WithFellows(
+	forward func(ctx context.Context, operation Operation) (verdict Verdict, asked bool),
+	unrun func(ctx context.Context, holder, nonce string) bool,
+	nodes func() int,
+	jitter func(wait clock.Millis) clock.Millis,
+) *Ledger {
+	ledger.forward, ledger.unrun, ledger.jitter = forward, unrun, jitter
+	ledger.pace = NewPace(ledger.clock, nodes)
+	return ledger
+}
 
-// Recorded returns the recorded outcome, and false if there is none.
-func (claim Claim) Recorded() (Answer, bool) { return claim.answer, claim.recorded }
+// Holder returns the name of this process.
+func (ledger *Ledger) Holder() string { return ledger.holder }
 
-// Shard is the set of claims in one object. It does not change.
-type Shard struct {
-	claims map[string]Claim
+// Writes returns the number of committed writes and of operations in them.
+func (ledger *Ledger) Writes() (writes, operations int64) {
+	return ledger.writes.Load(), ledger.changes.Load()
 }
 
-// NewShard returns a shard with the claims by name.
-func NewShard(claims map[string]Claim) Shard { return Shard{claims: claims} }
-
-// Claim returns the claim with the name.
-func (shard Shard) Claim(name string) (Claim, bool) {
-	claim, ok := shard.claims[name]
-	return claim, ok
+func (ledger *Ledger) count(operations int) {
+	ledger.writes.Add(1)
+	ledger.changes.Add(int64(operations))
 }
 
-// Claims returns all claims. Callers must not change the map.
-func (shard Shard) Claims() map[string]Claim { return shard.claims }
+// Claim asks for the right to run. With request.ClaimRecorded it returns the
+// recorded answer. With request.ClaimUnavailable the request must not run,
+// unless the service itself refuses repeated keys, which the caller says by
+// trusted: then a claim that lands late is not released.
+//
+// Whoever calls Claim calls End once the request has ended.
+func (ledger *Ledger) Claim(ctx context.Context, to *request.Request, trusted bool) (request.Claim, Answer) {
+	key := NewKey(to.Account(), to.Key())
+	if claim := ledger.checkAge(key); claim != 0 {
+		return claim, Answer{}
+	}
+	operation := ledger.operation(OperationClaim, key, to)
+	verdict := ledger.decide(ctx, operation)
+	if verdict.claim == request.ClaimTaken && ledger.neverRuns(ctx, verdict) {
+		verdict = ledger.decide(ctx, operation.WithSupersedes(verdict.nonce))
+	}
+	mayLand := verdict.claim == request.ClaimUnavailable && verdict.landed && !trusted
+	if verdict.claim == request.ClaimGranted || mayLand {
+		ledger.open.Store(to.ID(), struct{}{})
+	}
+	return verdict.claim, verdict.answer
+}
 
-func (shard Shard) with(name string, claim Claim, oldest clock.Millis) Shard {
-	claims := make(map[string]Claim, len(shard.claims)+1)
-	maps.Copy(claims, shard.claims)
-	maps.DeleteFunc(claims, func(_ string, known Claim) bool { return known.at < oldest })
-	claims[name] = claim
-	return Shard{claims: claims}
+// checkAge returns 0 for a key whose claim would still be kept.
+func (ledger *Ledger) checkAge(key Key) request.Claim {
+	created, dated := key.Created()
+	now := ledger.clock.Wall()
+	switch {
+	case !dated:
+		return 0
+	case created > now+MaxAhead:
+		return request.ClaimAhead
+	case created+ledger.window < now:
+		return request.ClaimExpired
+	default:
+		return 0
+	}
 }
 
-// Ledger grants claims by conditional writes to the platform.
-type Ledger struct {
-	clock  *clock.Clock
-	window clock.Millis
-	load   func(ctx context.Context, shard int) (Shard, int64, error)
-	commit func(ctx context.Context, shard int, claims Shard, condition int64) error
+func (ledger *Ledger) neverRuns(ctx context.Context, taken Verdict) bool {
+	switch taken.holder {
+	case "":
+		return false
+	case ledger.holder:
+		return ledger.NeverRuns(taken.nonce)
+	default:
+		return ledger.unrun(ctx, taken.holder, taken.nonce)
+	}
 }
 
-// NewLedger returns a ledger. The function load returns an empty shard at
-// platform.VersionNone for an object that does not exist; commit returns the
-// errors of platform.Store.
-func NewLedger(
-	clock *clock.Clock,
-	window clock.Millis,
-	load func(ctx context.Context, shard int) (Shard, int64, error),
-	commit func(ctx context.Context, shard int, claims Shard, condition int64) error,
-) *Ledger {
-	return &Ledger{clock: clock, window: window, load: load, commit: commit}
+// NeverRuns reports whether a request of this process with the nonce ended
+// without a run.
+func (ledger *Ledger) NeverRuns(nonce string) bool { return ledger.backlog.hasReleased(nonce) }
+
+// Record stores the outcome of a run beside its claim. With trusted, a call
+// that was sent without a claim is recorded too. If the platform gives no
+// answer, Settle goes on trying.
+func (ledger *Ledger) Record(ctx context.Context, to *request.Request, answer Answer, trusted bool) error {
+	key := NewKey(to.Account(), to.Key())
+	operation := ledger.operation(OperationRecord, key, to).WithAnswer(answer, trusted)
+	verdict := ledger.decide(ctx, operation)
+	switch {
+	case verdict.claim == request.ClaimGranted:
+		return nil
+	case verdict.claim == request.ClaimUnavailable && !verdict.full:
+		ledger.backlog.add(operation)
+		return errors.New("the platform gave no answer; tried again later")
+	default:
+		return errors.New("the claim is not held by this request")
+	}
 }
 
-// ClaimName returns the name under which a client account's key is claimed.
-func ClaimName(account, key string) string { return account + "\x00" + key }
+// End reports that the request has ended and sends nothing any more. If it
+// was not run, its claim is released, so that a repeat of the key may run.
+func (ledger *Ledger) End(to *request.Request, notRun bool) {
+	_, open := ledger.open.LoadAndDelete(to.ID())
+	if open && notRun {
+		ledger.backlog.add(ledger.operation(OperationRelease, NewKey(to.Account(), to.Key()), to))
+	}
+}
 
-// ShardOf returns the shard that holds the name.
-func ShardOf(name string) int { return int(xxhash.Sum64String(name) % ShardCount) }
+// Serve carries out an operation that a fellow node forwarded.
+func (ledger *Ledger) Serve(ctx context.Context, operation Operation) Verdict {
+	return ledger.commit(ctx, operation)
+}
 
-// Claim asks for the right to run. The nonce is unique to this request. With
-// request.ClaimRecorded it returns the recorded answer.
-func (ledger *Ledger) Claim(ctx context.Context, account, key, nonce string) (request.Claim, Answer) {
-	name := ClaimName(account, key)
-	for range maxRounds {
-		shard, version, err := ledger.load(ctx, ShardOf(name))
-		if err != nil {
-			return request.ClaimUnavailable, Answer{}
-		}
-		if known, ok := shard.Claim(name); ok {
-			return verdict(known, nonce)
-		}
-		now := ledger.clock.Wall()
-		err = ledger.commit(ctx, ShardOf(name), shard.with(name, NewClaim(nonce, now), now-ledger.window), version)
-		if err == nil {
-			return request.ClaimGranted, Answer{}
+// Settle tries again what the platform gave no answer to, and reports whether
+// nothing is left.
+func (ledger *Ledger) Settle(ctx context.Context) bool {
+	down := false
+	for _, entry := range ledger.backlog.take() {
+		if !down {
+			down = ledger.decide(ctx, entry.operation).claim == request.ClaimUnavailable
 		}
-		if !worthReading(err) {
-			return request.ClaimUnavailable, Answer{}
+		if down {
+			ledger.backlog.giveBack(entry)
 		}
 	}
-	return request.ClaimUnavailable, Answer{}
+	return ledger.backlog.empty()
 }
 
-// Record stores the outcome of a run beside its claim, if it is small enough.
-func (ledger *Ledger) Record(ctx context.Context, account, key, nonce string, answer Answer) error {
-	if len(answer.body) > MaxRecordedBytes {
-		return nil
-	}
-	name := ClaimName(account, key)
-	var last error
-	for range maxRounds {
-		shard, version, err := ledger.load(ctx, ShardOf(name))
-		if err != nil {
-			return err
-		}
-		known, ok := shard.Claim(name)
-		if !ok || known.nonce != nonce {
-			return errors.New("the claim is not held by this request")
-		}
-		if known.recorded {
-			return nil
-		}
-		last = ledger.commit(ctx, ShardOf(name), shard.with(name, known.WithAnswer(answer), ledger.clock.Wall()-ledger.window), version)
-		if last == nil || !worthReading(last) {
-			return last
-		}
-	}
-	return last
+func (ledger *Ledger) operation(kind OperationKind, key Key, to *request.Request) Operation {
+	return NewOperation(kind, key.Place(), key.ID(), to.ID(), ledger.holder, to.Fingerprint())
 }
 
-func verdict(known Claim, nonce string) (request.Claim, Answer) {
-	if answer, ok := known.Recorded(); ok {
-		return request.ClaimRecorded, answer
+// decide has the operation carried out by the owner of its object, or by this
+// node if the owner gives no verdict.
+func (ledger *Ledger) decide(ctx context.Context, operation Operation) Verdict {
+	verdict, asked := ledger.forward(ctx, operation)
+	if asked && verdict.claim != 0 && verdict.claim != request.ClaimUnavailable {
+		return verdict
 	}
-	if known.nonce == nonce {
-		return request.ClaimGranted, Answer{}
+	own := ledger.commit(ctx, operation)
+	own.landed = own.landed || asked
+	return own
+}
+
+// writerIdle is how long a writer is kept without use.
+const writerIdle = 2 * clock.Minute
+
+// writerOf returns the writer of the object. Two writers of one object are
+// safe, so idle ones may be dropped at any moment.
+func (ledger *Ledger) writerOf(object string) *writer {
+	if known, ok := ledger.writers.Load(object); ok {
+		return known.(*writer)
 	}
-	return request.ClaimTaken, Answer{}
+	ledger.sweep()
+	known, _ := ledger.writers.LoadOrStore(object, newWriter(object))
+	return known.(*writer)
 }
 
-// worthReading reports whether reading back settles the error.
-func worthReading(err error) bool {
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		return true
+// sweep drops idle writers, at most once in writerIdle.
+func (ledger *Ledger) sweep() {
+	now := int64(ledger.clock.Now())
+	swept := ledger.swept.Load()
+	if now-swept < int64(writerIdle) || !ledger.swept.CompareAndSwap(swept, now) {
+		return
 	}
-	var unavailable *platform.UnavailableError
-	return errors.As(err, &unavailable) && unavailable.Unknown()
+	ledger.writers.Range(func(object, known any) bool {
+		if now-known.(*writer).used.Load() >= int64(writerIdle) {
+			ledger.writers.Delete(object)
+		}
+		return true
+	})
 }
--- /dev/null
+++ b/internal/service/operation.go
@@ -0,0 +1,130 @@
+package service
+
+import (
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+)
+
+// OperationKind tells what an operation does to a claim.
+type OperationKind int
+
+// The kinds of operation.
+const (
+	// OperationClaim asks for the right to run.
+	OperationClaim OperationKind = iota + 1
+	// OperationRecord stores the outcome of a run.
+	OperationRecord
+	// OperationRelease ends the claim of a request that never runs.
+	OperationRelease
+)
+
+// Operation is one change of one claim. It does not change itself, and doing
+// it twice has the effect of doing it once.
+type Operation struct {
+	kind        OperationKind
+	place       Place
+	id          string
+	nonce       string
+	holder      string
+	fingerprint string
+	supersedes  string
+	answer      Answer
+	oversize    bool
+	adopt       bool
+}
+
+// NewOperation returns an operation on the claim with the key id at the place,
+// by the request with the nonce in the holder's process.
+func NewOperation(kind OperationKind, place Place, id, nonce, holder, fingerprint string) Operation {
+	return Operation{kind: kind, place: place, id: id, nonce: nonce, holder: holder, fingerprint: fingerprint}
+}
+
+// WithSupersedes returns a copy that takes over the claim with the nonce, of
+// which the holder says that it never runs.
+func (operation Operation) WithSupersedes(nonce string) Operation {
+	operation.supersedes = nonce
+	return operation
+}
+
+// WithAnswer returns a copy that records the answer, or only that there was
+// one if it is larger than MaxRecordedBytes. With adopt, a call that was sent
+// without a claim is recorded as well.
+func (operation Operation) WithAnswer(answer Answer, adopt bool) Operation {
+	operation.answer, operation.adopt = answer, adopt
+	if len(answer.body) > MaxRecordedBytes || len(answer.contentType) > maxContentTypeBytes {
+		return operation.WithOversize()
+	}
+	return operation
+}
+
+// WithOversize returns a copy that records a run without its answer.
+func (operation Operation) WithOversize() Operation {
+	operation.answer, operation.oversize = Answer{}, true
+	return operation
+}
+
+// Kind returns what the operation does.
+func (operation Operation) Kind() OperationKind { return operation.kind }
+
+// Place returns where the claim is kept.
+func (operation Operation) Place() Place { return operation.place }
+
+// ID returns the key id.
+func (operation Operation) ID() string { return operation.id }
+
+// Nonce returns the request's nonce.
+func (operation Operation) Nonce() string { return operation.nonce }
+
+// Holder returns the process of the request.
+func (operation Operation) Holder() string { return operation.holder }
+
+// Fingerprint returns the digest of the call.
+func (operation Operation) Fingerprint() string { return operation.fingerprint }
+
+// Supersedes returns the nonce of a claim that may be taken over, or empty.
+func (operation Operation) Supersedes() string { return operation.supersedes }
+
+// Answer returns the outcome to record.
+func (operation Operation) Answer() Answer { return operation.answer }
+
+// Oversize reports whether the answer is too large to be recorded.
+func (operation Operation) Oversize() bool { return operation.oversize }
+
+// Adopt reports whether a call without a claim may be recorded.
+func (operation Operation) Adopt() bool { return operation.adopt }
+
+// Verdict is the result of an operation. For a record or a release,
+// request.ClaimGranted means that it is done.
+type Verdict struct {
+	claim  request.Claim
+	answer Answer
+	nonce  string
+	holder string
+	full   bool
+	landed bool
+}
+
+// NewVerdict returns a verdict. Nonce and holder are those of a claim that is
+// taken.
+func NewVerdict(claim request.Claim, answer Answer, nonce, holder string) Verdict {
+	return Verdict{claim: claim, answer: answer, nonce: nonce, holder: holder}
+}
+
+// Claim returns the result.
+func (verdict Verdict) Claim() request.Claim { return verdict.claim }
+
+// Answer returns the recorded outcome; only for request.ClaimRecorded.
+func (verdict Verdict) Answer() Answer { return verdict.answer }
+
+// Nonce returns the nonce of the claim that is in the way.
+func (verdict Verdict) Nonce() string { return verdict.nonce }
+
+// Holder returns the process that holds the claim in the way.
+func (verdict Verdict) Holder() string { return verdict.holder }
+
+// maxContentTypeBytes bounds the media type of a recorded answer.
+const maxContentTypeBytes = 128
+
+// MaxAhead is how far a key's creation time may lie ahead of this node's
+// clock, and the margin for the clocks of hosts.
+const MaxAhead = 10 * clock.Minute
--- /dev/null
+++ b/internal/service/shard.go
@@ -0,0 +1,237 @@
+package service
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+)
+
+// Room in one object, whose limit is 1,000,000 bytes. New claims leave room
+// for outcomes, and an outcome that finds none is marked as not kept.
+const (
+	// claimsRoomBytes is the room up to which new claims are taken in.
+	claimsRoomBytes = 500_000
+	// outcomesRoomBytes is the room up to which outcomes are recorded.
+	outcomesRoomBytes = 640_000
+	// MaxForgotten bounds the undated keys kept only as digests of 8 bytes.
+	MaxForgotten = 32_768
+)
+
+// Shard is the set of claims in one object. It does not change.
+type Shard struct {
+	epoch     int64
+	claims    map[string]Claim
+	forgotten []uint64
+	room      int
+}
+
+// NewShard returns the shard of a bucket with its claims by key id, and with
+// the digests of keys whose claims are no longer kept, in rising order.
+func NewShard(epoch int64, claims map[string]Claim, forgotten []uint64) Shard {
+	shard := Shard{epoch: epoch, claims: claims, forgotten: forgotten}
+	for _, claim := range claims {
+		shard.room += claim.room()
+	}
+	return shard
+}
+
+// Epoch returns the bucket of creation times that the object holds now.
+func (shard Shard) Epoch() int64 { return shard.epoch }
+
+// Claims returns all claims by key id. Callers must not change the map.
+func (shard Shard) Claims() map[string]Claim { return shard.claims }
+
+// Forgotten returns the digests of expired undated keys. Callers must not
+// change the slice.
+func (shard Shard) Forgotten() []uint64 { return shard.forgotten }
+
+// Apply carries out the operations in order and returns the next shard, one
+// verdict each, and whether anything changed.
+func (shard Shard) Apply(operations []Operation, wall, window clock.Millis) (next Shard, verdicts []Verdict, changed bool) {
+	draft := &draft{Shard: shard, wall: wall, window: window}
+	for _, operation := range operations {
+		verdicts = append(verdicts, draft.apply(operation))
+	}
+	return draft.Shard, verdicts, draft.copied
+}
+
+// draft is a shard being changed. It copies the claims before the first change.
+type draft struct {
+	Shard
+	wall   clock.Millis
+	window clock.Millis
+	copied bool
+}
+
+func (draft *draft) apply(operation Operation) Verdict {
+	if operation.place.epoch < draft.epoch {
+		return Verdict{claim: request.ClaimExpired}
+	}
+	switch operation.kind {
+	case OperationClaim:
+		return draft.claim(operation)
+	case OperationRecord:
+		return draft.record(operation)
+	case OperationRelease:
+		return draft.release(operation)
+	default:
+		return Verdict{claim: request.ClaimUnavailable}
+	}
+}
+
+func (draft *draft) claim(operation Operation) Verdict {
+	known, ok := draft.known(operation)
+	if !ok || known.state == StateReleased && known.nonce != operation.nonce {
+		return draft.take(operation)
+	}
+	switch {
+	case known.nonce == operation.nonce && known.state == StateReleased:
+		return Verdict{claim: request.ClaimUnavailable}
+	case known.nonce == operation.nonce && known.state == StateTaken:
+		return Verdict{claim: request.ClaimGranted}
+	case known.state == StateTaken && operation.supersedes != "" && known.nonce == operation.supersedes:
+		return draft.take(operation)
+	case known.fingerprint != operation.fingerprint:
+		return Verdict{claim: request.ClaimMismatch}
+	case known.state == StateRecorded:
+		return Verdict{claim: request.ClaimRecorded, answer: known.answer}
+	case known.state == StateNotKept:
+		return Verdict{claim: request.ClaimNotKept}
+	default:
+		return Verdict{claim: request.ClaimTaken, nonce: known.nonce, holder: known.holder}
+	}
+}
+
+// take stores a new claim, if there is room and the key was not forgotten.
+func (draft *draft) take(operation Operation) Verdict {
+	if draft.hasForgotten(operation.id) {
+		return Verdict{claim: request.ClaimExpired}
+	}
+	claim := NewClaim(operation.nonce, operation.holder, operation.fingerprint, draft.wall)
+	draft.advance(operation.place.epoch)
+	draft.expire()
+	if draft.room+claim.room() > claimsRoomBytes {
+		return Verdict{claim: request.ClaimUnavailable, full: true}
+	}
+	draft.put(operation, claim)
+	return Verdict{claim: request.ClaimGranted}
+}
+
+func (draft *draft) record(operation Operation) Verdict {
+	known, ok := draft.known(operation)
+	held := ok && known.nonce == operation.nonce
+	if held && (known.state == StateRecorded || known.state == StateNotKept) {
+		return Verdict{claim: request.ClaimGranted}
+	}
+	if !held {
+		if !operation.adopt || ok && known.state != StateReleased {
+			return Verdict{claim: request.ClaimTaken}
+		}
+		if verdict := draft.take(operation); verdict.claim != request.ClaimGranted {
+			return verdict
+		}
+		known = draft.claims[operation.id]
+	}
+	recorded := known.WithAnswer(operation.answer)
+	if operation.oversize || draft.room-known.room()+recorded.room() > outcomesRoomBytes {
+		recorded = known.WithState(StateNotKept)
+	}
+	draft.put(operation, recorded)
+	return Verdict{claim: request.ClaimGranted}
+}
+
+// release ends the claim of a request that never runs. Where no claim is
+// stored, its write may still be on the way: the mark refuses a copy that
+// arrives later.
+func (draft *draft) release(operation Operation) Verdict {
+	known, ok := draft.known(operation)
+	switch {
+	case !ok:
+		claim := NewClaim(operation.nonce, "", operation.fingerprint, draft.wall).WithState(StateReleased)
+		if draft.room+claim.room() <= outcomesRoomBytes {
+			draft.put(operation, claim)
+		}
+	case known.nonce == operation.nonce && known.state == StateTaken:
+		draft.put(operation, known.WithState(StateReleased))
+	}
+	return Verdict{claim: request.ClaimGranted}
+}
+
+func (draft *draft) known(operation Operation) (Claim, bool) {
+	if operation.place.epoch > draft.epoch {
+		return Claim{}, false
+	}
+	claim, ok := draft.claims[operation.id]
+	return claim, ok
+}
+
+// advance clears the object for the first claim of a later bucket: the
+// earlier bucket is older than the window.
+func (draft *draft) advance(epoch int64) {
+	if epoch > draft.epoch {
+		draft.Shard = Shard{epoch: epoch, claims: map[string]Claim{}}
+		draft.copied = true
+	}
+}
+
+func (draft *draft) put(operation Operation, claim Claim) {
+	draft.advance(operation.place.epoch)
+	draft.copy()
+	if known, ok := draft.claims[operation.id]; ok {
+		draft.room -= known.room()
+	}
+	draft.claims[operation.id] = claim
+	draft.room += claim.room()
+}
+
+func (draft *draft) copy() {
+	if draft.copied {
+		return
+	}
+	draft.copied = true
+	claims := make(map[string]Claim, len(draft.claims)+1)
+	maps.Copy(claims, draft.claims)
+	draft.claims = claims
+}
+
+// expire shrinks undated claims past the window to their digests. Dated ones
+// go with their bucket.
+func (draft *draft) expire() {
+	if draft.epoch != 0 {
+		return
+	}
+	for id, claim := range draft.claims {
+		if claim.at+draft.window+MaxAhead >= draft.wall || len(draft.forgotten) >= MaxForgotten {
+			continue
+		}
+		draft.copy()
+		delete(draft.claims, id)
+		draft.room -= claim.room()
+		if claim.state != StateReleased {
+			draft.forget(id)
+		}
+	}
+}
+
+func (draft *draft) forget(id string) {
+	digest := digestOf(id)
+	index, known := slices.BinarySearch(draft.forgotten, digest)
+	if !known {
+		draft.forgotten = slices.Insert(slices.Clone(draft.forgotten), index, digest)
+	}
+}
+
+func (shard Shard) hasForgotten(id string) bool {
+	_, known := slices.BinarySearch(shard.forgotten, digestOf(id))
+	return known
+}
+
+// digestOf returns the first 8 bytes of a key id.
+func digestOf(id string) uint64 {
+	const digits = 16
+	digest, _ := strconv.ParseUint(id[:min(len(id), digits)], 16, 64)
+	return digest
+}
