--- a/internal/service/world_test.go
+++ b/internal/service/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -63,12 +64,19 @@
 	ended      map[string]bool
 	doubtful   map[string]bool
 	violations []string
+	lateClock  bool
 }
 
-func newWorld(nodes int) *world {
+// ring is the time after which object names repeat.
+const ring = service.RingBuckets * service.BucketWidth
+
+// firstDay is when each world begins.
+const firstDay = 1_000 * clock.Hour
+
+func newWorld(nodes int, lateClock bool) *world {
 	world := &world{
-		manual: clock.NewManual(1_000 * clock.Hour), objects: map[string][]version{}, runs: map[string]int{},
-		answers: map[string]string{}, ended: map[string]bool{}, doubtful: map[string]bool{},
+		manual: clock.NewManual(firstDay), objects: map[string][]version{}, runs: map[string]int{},
+		answers: map[string]string{}, ended: map[string]bool{}, doubtful: map[string]bool{}, lateClock: lateClock,
 	}
 	for i := range nodes {
 		world.nodes = append(world.nodes, newClaimNode(world, i, 1))
@@ -76,6 +84,32 @@
 	return world
 }
 
+// day returns how many rings have passed.
+func (world *world) day() int { return int((world.manual.Now() - firstDay) / ring) }
+
+// keys returns the dated keys of this day and the one before, and two undated
+// ones that share an object.
+func (world *world) keys() []string {
+	keys := append([]string{"renewal-17", "renewal-190"}, datedKeys(world.day())...)
+	if world.day() > 0 {
+		keys = append(keys, datedKeys(world.day()-1)...)
+	}
+	return keys
+}
+
+// datedKeys returns two keys created on the day, all of which share an object.
+func datedKeys(day int) []string {
+	var keys []string
+	for i := 0; len(keys) < 2; i++ {
+		key := fmt.Sprintf("%012x", int64(firstDay+clock.Millis(day)*ring))
+		key = fmt.Sprintf("%s-%s-7000-8000-%012d", key[:8], key[8:], i)
+		if strings.HasSuffix(service.NewKey("garage", key).Place().Object(), "-7") {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // claimNode is one process. A node that is killed is replaced by another.
 type claimNode struct {
 	world  *world
@@ -95,6 +129,9 @@
 	node.owner.Store(int64(index))
 	node.ctx, node.end = context.WithCancel(context.Background())
 	skew := clock.Millis(index) * clock.Minute
+	if index == 2 && world.lateClock {
+		skew = -ring
+	}
 	wall := func() clock.Millis { return world.manual.Now() + skew }
 	node.clock = clock.New(world.manual.Now, wall, world.manual.AfterFunc)
 	node.ledger = service.NewLedger(node.clock, service.DefaultWindow, fmt.Sprintf("%d/%d", index, life), node.load, node.store).
