--- a/internal/service/writer.go
+++ b/internal/service/writer.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// fail forgets the content after a write that was refused or got no answer.
+func (replica *replica) fail(err error) {
+	replica.known = false
+	var failed *platform.UnavailableError
+	if errors.As(err, &failed) && failed.Unknown() {
+		replica.doubtful = replica.version
+	}
+}
+
 const noDoubt = int64(-1)
 
 // writer commits the operations on one object.
@@ -167,30 +176,21 @@
 // try applies the operations to the replica, or to the object if there is
 // none, and writes the result.
 func (ledger *Ledger) try(ctx context.Context, object string, replica *replica, operations []Operation) ([]Verdict, error) {
-	if replica.known {
-		_, verdicts, _ := replica.shard.Apply(operations, ledger.clock.Wall(), ledger.window)
-		if anyOutdated(verdicts) {
-			replica.known = false
-		}
-	}
-	if !replica.known {
+	next, verdicts, changed := replica.shard.Apply(operations, ledger.clock.Wall(), ledger.window)
+	if !replica.known || anyOutdated(verdicts) {
 		if err := ledger.read(ctx, object, replica); err != nil {
+			replica.known = false
 			return nil, err
 		}
+		next, verdicts, changed = replica.shard.Apply(operations, ledger.clock.Wall(), ledger.window)
 	}
-	next, verdicts, changed := replica.shard.Apply(operations, ledger.clock.Wall(), ledger.window)
 	if !changed {
 		return verdicts, nil
 	}
-	condition := replica.version
-	version, err := ledger.store(ctx, object, next, condition)
+	version, err := ledger.store(ctx, object, next, replica.version)
 	replica.written = ledger.clock.Now()
 	if err != nil {
-		replica.known = false
-		var failed *platform.UnavailableError
-		if errors.As(err, &failed) && failed.Unknown() {
-			replica.doubtful = condition
-		}
+		replica.fail(err)
 		return nil, err
 	}
 	replica.learn(next, version)
