--- a/internal/caller/callerhttp/errors.go
+++ b/internal/caller/callerhttp/errors.go
@@ -19,6 +19,8 @@
 	errorTypeKeyExpired     = "keyExpired"
 	errorTypeKeyAhead       = "keyAhead"
 	errorTypeKeyReused      = "keyReused"
+	errorTypeStreamNotFound = "streamNotFound"
+	errorTypeUnavailable    = "unavailable"
 )
 
 // CallError says what is wrong with a caller's call.
@@ -54,6 +56,7 @@
 	var unknown *request.OutcomeUnknownError
 	var incomplete *request.IncompleteError
 	var key *request.KeyError
+	var notFound *request.StreamNotFoundError
 	status := http.StatusInternalServerError
 	switch {
 	case errors.As(err, &call):
@@ -69,6 +72,8 @@
 		status, form.Type = http.StatusGatewayTimeout, errorTypeIncomplete
 	case errors.As(err, &key):
 		status, form.Type = http.StatusUnprocessableEntity, keyErrorType(key.Problem())
+	case errors.As(err, &notFound):
+		status, form.Type = http.StatusNotFound, errorTypeStreamNotFound
 	default:
 		form.Type = errorTypeInternal
 	}
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -36,20 +36,14 @@
 		WithFellows(entry.forwardClaim, entry.askHolder, func() int { return len(entry.members.Live()) + 1 }, jittered)
 }
 
-// chat runs a chat request and ends its claim.
-func (entry *Entry) chat(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error {
-	err := entry.driver.Chat(ctx, to, deliver)
-	entry.endClaim(to, err)
-	return err
-}
-
-// call runs a call to an application service and ends its claim.
-func (entry *Entry) call(ctx context.Context, to *request.Request, call service.Call) (service.Answer, error) {
-	answer, err := entry.driver.Call(ctx, to, call)
-	entry.endClaim(to, err)
-	return answer, err
+// runAnswer generates an answer and ends its claim.
+func (entry *Entry) runAnswer(ctx context.Context, answer *Answer) {
+	entry.driver.Run(ctx, answer)
+	_, err := answer.journal.State().Finished()
+	entry.endClaim(answer.Request(), err)
 }
 
+// endClaim reports to the ledger that the request has ended.
 func (entry *Entry) endClaim(to *request.Request, err error) {
 	if to.NeedsClaim() {
 		var notRun *request.NotRunError
--- a/internal/entry/fellows.go
+++ b/internal/entry/fellows.go
@@ -107,7 +107,7 @@
 	case nodepb.Call_ClaimQuery_case:
 		return entry.answerClaimQuery(call.GetClaimQuery())
 	default:
-		return errorReply("unknown call")
+		return entry.answerStreamCall(call)
 	}
 }
 
--- a/internal/service/world_test.go
+++ b/internal/service/world_test.go
@@ -197,7 +197,9 @@
 	case fateFailed, fateOld:
 		return 0, platform.NewUnavailableError(false, errDown)
 	case fateLate:
-		node.world.locked(func() { node.world.late = append(node.world.late, func() { node.world.locked(func() { _ = write() }) }) })
+		node.world.locked(func() {
+			node.world.late = append(node.world.late, func() { node.world.locked(func() { _ = write() }) })
+		})
 		return 0, platform.NewUnavailableError(true, errDown)
 	default:
 		var err error
