Test that a fellow node's recorded outcome is found

Cause: dropping the read that follows an outdated verdict passed all tests. Result: with that read dropped, the new subtest fails (taken instead of the recorded answer); with it, it passes.

--- a/internal/service/ledger_test.go
+++ b/internal/service/ledger_test.go
@@ -126,6 +126,11 @@
 		expectRecord(t, bench.first, to, "booked")
 		expectClaim(t, request.ClaimMismatch, bench.second, bench.request(key).WithFingerprint("g"))
 	})
+	t.Run("an outcome that a fellow node recorded is found", func(t *testing.T) {
+		bench, to := claimed(t, key)
+		expectRecord(t, bench.second, to, "booked")
+		require.Equal(t, "booked", expectClaim(t, request.ClaimRecorded, bench.first, bench.request(key)))
+	})
 	t.Run("another client account's key is another key", func(t *testing.T) {
 		bench, _ := claimed(t, key)
 		other := request.New("req-9", "workshop", charge, key, request.Prompt{}, 0)
