--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,10 +100,10 @@
 	if settings.Cloud().Address() != "" {
 		entry.cloud = cloudhttp.New(settings.Cloud().Address(), clock, settings.Cloud().Timeout())
 	}
-	entry.ledger = service.NewLedger(clock, service.DefaultWindow, entry.loadShard, entry.commitShard)
+	entry.ledger = entry.newLedger()
 	entry.joinFellows()
 	entry.driver = entry.newDriver()
-	entry.answers = NewAnswers(clock, entry.driver.Run)
+	entry.answers = NewAnswers(clock, entry.runAnswer)
 	return entry, entry.listen()
 }
 
@@ -167,7 +167,7 @@
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
-	for _, loop := range []func(context.Context){entry.followTables, entry.writeServers, entry.watchNotices, entry.fellows.Run, entry.sendHints} {
+	for _, loop := range []func(context.Context){entry.followTables, entry.writeServers, entry.watchNotices, entry.fellows.Run, entry.sendHints, entry.settleClaims} {
 		group.Go(func() error {
 			loop(loops)
 			return nil
@@ -175,6 +175,7 @@
 	}
 	group.Go(func() error {
 		entry.drain(kill, callers, entry.waitForStop(stop, loops))
+		entry.settleRest(kill)
 		cancel()
 		operators.Close()
 		entry.answers.Close(request.NewMovedError(""))
--- a/internal/entry/joined.go
+++ b/internal/entry/joined.go
@@ -45,6 +45,10 @@
 		return entry.fellows.Evidence()
 	case nodepb.Call_TablesQuery_case:
 		return entry.tables.Answer(call.GetTablesQuery())
+	case nodepb.Call_ClaimOperation_case:
+		return entry.answerClaimOperation(call.GetClaimOperation())
+	case nodepb.Call_ClaimQuery_case:
+		return entry.answerClaimQuery(call.GetClaimQuery())
 	default:
 		return entry.answerStreamCall(call)
 	}
