--- a/cmd/sapphire-steward/main.go
+++ b/cmd/sapphire-steward/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"expvar"
 	"fmt"
 	"os"
 
@@ -36,10 +37,14 @@
 		return err
 	}
 	log := logging.New(os.Stderr, "sapphire-steward", loaded.Host(), loaded.DataCentre())
-	program.PrintListening(map[string]string{})
-	stop, _ := program.Signals()
-	steward.New(loaded, clock.System(), log).Run(stop)
-	return nil
+	control, err := steward.New(loaded, clock.System(), log)
+	if err != nil {
+		return err
+	}
+	expvar.Publish("sapphire", control.Counters())
+	program.PrintListening(map[string]string{"operator": control.OperatorAddress()})
+	stop, kill := program.Signals()
+	return control.Run(stop, kill)
 }
 
 // Run checks the settings.
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -33,12 +33,37 @@
 // Price returns the price of one host for one hour.
 func (offer Offer) Price() float64 { return offer.price }
 
+// WithPrice returns a copy at another price for one hour.
+func (offer Offer) WithPrice(price float64) Offer {
+	offer.price = price
+	return offer
+}
+
+// Kind is what the cloud's behaviour depends on: a class of host, where it
+// stands, and whether it can be taken back.
+type Kind struct {
+	dataCentre  string
+	hostClass   string
+	reclaimable bool
+}
+
+// Kind returns the offer without its price.
+func (offer Offer) Kind() Kind {
+	return Kind{dataCentre: offer.dataCentre, hostClass: offer.hostClass, reclaimable: offer.reclaimable}
+}
+
+// DataCentre returns where the hosts are.
+func (kind Kind) DataCentre() string { return kind.dataCentre }
+
 // Host is one rented host.
 type Host struct {
-	id      string
-	pool    string
-	offer   Offer
-	leaving bool
+	id        string
+	pool      string
+	offer     Offer
+	leaving   bool
+	ready     bool
+	fixed     bool
+	requestID string
 }
 
 // NewHost returns a host of the pool, rented by the offer.
@@ -58,6 +83,34 @@
 // Leaving reports whether the host is being taken back.
 func (host Host) Leaving() bool { return host.leaving }
 
+// Ready reports whether the host serves.
+func (host Host) Ready() bool { return host.ready }
+
+// WithReady returns a copy that says whether the host serves.
+func (host Host) WithReady(ready bool) Host {
+	host.ready = ready
+	return host
+}
+
+// Fixed reports whether the host was started by others, so that it counts but
+// is not given back.
+func (host Host) Fixed() bool { return host.fixed }
+
+// WithFixed returns a copy that says whether the host was started by others.
+func (host Host) WithFixed(fixed bool) Host {
+	host.fixed = fixed
+	return host
+}
+
+// RequestID returns the identity of the call that started the host.
+func (host Host) RequestID() string { return host.requestID }
+
+// WithRequestID returns a copy started by the call with the identity.
+func (host Host) WithRequestID(requestID string) Host {
+	host.requestID = requestID
+	return host
+}
+
 // Notice announces that a host is taken back.
 type Notice struct {
 	sequence int64
--- a/internal/cloud/cloudhttp/client.go
+++ b/internal/cloud/cloudhttp/client.go
@@ -103,7 +103,7 @@
 
 func (form hostForm) host() cloud.Host {
 	offer := cloud.NewOffer(form.DataCentre, form.HostClass, form.Reclaimable, 0)
-	return cloud.NewHost(form.ID, form.Pool, offer, form.State == stateLeaving)
+	return cloud.NewHost(form.ID, form.Pool, offer, form.State == stateLeaving).WithRequestID(form.RequestID)
 }
 
 // Start rents a host for the pool. The request id makes the call idempotent.
--- /dev/null
+++ b/internal/cloud/demand.go
@@ -0,0 +1,110 @@
+package cloud
+
+import (
+	"math"
+	"slices"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/pool"
+	"sapphirehead/internal/route"
+)
+
+const (
+	// targetUse is the share of a host's slots that is to be busy. The rest
+	// takes up the changes between two looks at the load.
+	targetUse = 0.7
+	// demandWindow is the time for which a peak of demand holds hosts.
+	demandWindow = 15 * clock.Minute
+	// protectedWorth is the share of a pool's worth that must survive the loss
+	// of a data centre's reclaimable hosts.
+	protectedWorth = 0.8
+	// leastKnown is the share of a pool's hosts whose load must be known before
+	// the demand may be seen to fall.
+	leastKnown = 0.8
+)
+
+// sample is the demand at one time.
+type sample struct {
+	at    clock.Millis
+	hosts int
+}
+
+// Demand turns the load of a pool into a number of hosts. It rises at once and
+// falls only after it was lower for a while, which carries a pool through the
+// day and lets it shrink at night to the floor in its row.
+type Demand struct {
+	clock   *clock.Clock
+	samples []sample
+}
+
+// NewDemand returns a demand without observations.
+func NewDemand(clock *clock.Clock) *Demand { return &Demand{clock: clock} }
+
+// Observe takes in that busy requests run or wait at known of the pool's hosts,
+// which work on slots requests each. If too few are known, the load counts for
+// all of them in proportion but lets the demand not fall.
+func (demand *Demand) Observe(busy, known, hosts, slots int) {
+	now := demand.clock.Now()
+	scaled := float64(busy)
+	if known > 0 {
+		scaled *= max(float64(hosts)/float64(known), 1)
+	}
+	wanted := int(math.Ceil(scaled / (float64(slots) * targetUse)))
+	if float64(known) < leastKnown*float64(hosts) {
+		wanted = max(wanted, demand.Hosts(), hosts)
+	}
+	demand.samples = slices.DeleteFunc(demand.samples, func(old sample) bool {
+		return now-old.at >= demandWindow || old.hosts <= wanted
+	})
+	demand.samples = append(demand.samples, sample{at: now, hosts: wanted})
+}
+
+// Hosts returns the number of hosts for the highest demand of late.
+func (demand *Demand) Hosts() int {
+	most := 0
+	for _, old := range demand.samples {
+		most = max(most, old.hosts)
+	}
+	return most
+}
+
+// NeedOf returns what a pool needs for the demand. Routes are what the tables
+// join to the pool; share says what part of the pool's demand a route has.
+func NeedOf(row pool.Pool, routes []route.Route, share func(route route.Route) float64, demand int) Need {
+	target := max(demand, row.MinHosts())
+	protected := int(math.Ceil(protectedShare(routes, share) * float64(target)))
+	return NewNeed(target, protected, row.MaxHosts(), row.HostClasses())
+}
+
+// protectedShare returns the share of demand of the worthiest routes that
+// together have protectedWorth of the worth.
+func protectedShare(routes []route.Route, share func(route route.Route) float64) float64 {
+	sorted := slices.Clone(routes)
+	slices.SortStableFunc(sorted, func(a, b route.Route) int {
+		switch {
+		case a.Worth() > b.Worth():
+			return -1
+		case a.Worth() < b.Worth():
+			return 1
+		default:
+			return 0
+		}
+	})
+	allWorth, allShares := 0.0, 0.0
+	for _, row := range sorted {
+		allWorth += row.Worth() * share(row)
+		allShares += share(row)
+	}
+	worth, shares := 0.0, 0.0
+	for _, row := range sorted {
+		if worth >= protectedWorth*allWorth {
+			break
+		}
+		worth += row.Worth() * share(row)
+		shares += share(row)
+	}
+	if allShares == 0 {
+		return 0
+	}
+	return shares / allShares
+}
--- /dev/null
+++ b/internal/cloud/plan.go
@@ -0,0 +1,250 @@
+package cloud
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Need is how many hosts a pool needs.
+type Need struct {
+	target    int
+	protected int
+	maxHosts  int
+	classes   []string
+}
+
+// NewNeed returns a need of target hosts, of which protected must be left after
+// the loss of any one data centre's reclaimable hosts, with at most maxHosts
+// hosts of the given classes.
+func NewNeed(target, protected, maxHosts int, classes []string) Need {
+	target = min(max(target, 0), maxHosts)
+	return Need{target: target, protected: min(max(protected, 0), target), maxHosts: maxHosts, classes: slices.Clone(classes)}
+}
+
+// Target returns the number of hosts for the whole demand.
+func (need Need) Target() int { return need.target }
+
+// Protected returns the number of hosts for the worthiest routes.
+func (need Need) Protected() int { return need.protected }
+
+// Plan is what to do about the hosts of one pool.
+type Plan struct {
+	starts    []Offer
+	drains    []Host
+	protected int
+}
+
+// Starts returns an offer for each host to start.
+func (plan Plan) Starts() []Offer { return slices.Clone(plan.starts) }
+
+// Drains returns the hosts to give back gracefully.
+func (plan Plan) Drains() []Host { return slices.Clone(plan.drains) }
+
+// Protected returns how many hosts the planned mix has left after the loss of
+// any data centre's reclaimable hosts, at most as many as needed.
+func (plan Plan) Protected() int { return plan.protected }
+
+// keepFactor is the share of its price at which a running host is weighed
+// against a new one, so that small changes of prices move no hosts.
+const keepFactor = 0.8
+
+// Planner decides which hosts a pool rents.
+//
+// The mix is the cheapest that has target hosts and keeps protected ones when
+// any one data centre takes back its reclaimable hosts. With T hosts in all, a
+// data centre may have at most T - protected reclaimable ones. For a given T
+// the cheapest mix is found by taking offers in order of price up to that
+// bound, and the cheapest T wins:
+//
+//	protected 4, reclaimable 1.00 in three data centres, on demand 3.00
+//	T=4  four on demand                        12.00
+//	T=6  two reclaimable in each data centre    6.00
+//
+// Hosts on demand serve the protected need only: what is worth less waits until
+// reclaimable hosts can be had again. Offers that the cloud refuses count only
+// the hosts that they already have.
+type Planner struct {
+	price   func(offer Offer) float64
+	blocked func(kind Kind) bool
+}
+
+// NewPlanner returns a planner. The function price returns the price with the
+// risk of a reclaim, blocked whether starts of a kind are refused for now.
+func NewPlanner(price func(offer Offer) float64, blocked func(kind Kind) bool) *Planner {
+	return &Planner{price: price, blocked: blocked}
+}
+
+// share is a number of hosts that can be had by one offer at one price.
+type share struct {
+	offer Offer
+	price float64
+	limit int
+	live  bool
+}
+
+// mix is the number of hosts by kind.
+type mix map[Kind]int
+
+func (mix mix) total() int {
+	sum := 0
+	for _, count := range mix {
+		sum += count
+	}
+	return sum
+}
+
+// surviving returns the hosts left after the loss of the worst data centre.
+func (mix mix) surviving() int {
+	lost := map[string]int{}
+	worst := 0
+	for kind, count := range mix {
+		if kind.reclaimable {
+			lost[kind.dataCentre] += count
+			worst = max(worst, lost[kind.dataCentre])
+		}
+	}
+	return mix.total() - worst
+}
+
+// Plan returns which hosts to start and to give back. Hosts that leave or are
+// given back already must not be among hosts.
+func (planner *Planner) Plan(need Need, offers []Offer, hosts []Host) Plan {
+	live, ready := mix{}, mix{}
+	for _, host := range hosts {
+		live[host.offer.Kind()]++
+		if host.ready {
+			ready[host.offer.Kind()]++
+		}
+	}
+	shares := planner.shares(need, offers, hosts, live)
+	ideal, protected := cheapest(need, shares)
+	plan := Plan{protected: protected, starts: startsOf(ideal, live, shares)}
+	plan.drains = planner.drains(need, protected, ideal, live, ready, hosts)
+	return plan
+}
+
+// shares lists what can be had, cheapest first.
+func (planner *Planner) shares(need Need, offers []Offer, hosts []Host, live mix) []share {
+	var shares []share
+	seen := map[Kind]bool{}
+	for _, offer := range offers {
+		if !slices.Contains(need.classes, offer.hostClass) || seen[offer.Kind()] {
+			continue
+		}
+		seen[offer.Kind()] = true
+		price := planner.price(offer)
+		shares = append(shares, share{offer: offer, price: price * keepFactor, limit: live[offer.Kind()], live: true})
+		if !planner.blocked(offer.Kind()) {
+			shares = append(shares, share{offer: offer, price: price, limit: need.maxHosts})
+		}
+	}
+	for _, host := range hosts {
+		if kind := host.offer.Kind(); !seen[kind] {
+			seen[kind] = true
+			shares = append(shares, share{offer: host.offer, price: planner.price(host.offer), limit: live[kind], live: true})
+		}
+	}
+	slices.SortStableFunc(shares, func(a, b share) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.offer.dataCentre, b.offer.dataCentre), cmp.Compare(a.offer.hostClass, b.offer.hostClass))
+	})
+	return shares
+}
+
+// cheapest returns the cheapest mix for the need, and how much of the protected
+// need it meets. It gives up hosts beyond the protected need first, and then
+// protection.
+func cheapest(need Need, shares []share) (mix, int) {
+	for protected := need.protected; protected >= 0; protected-- {
+		best, bestCost := mix(nil), math.Inf(1)
+		for total := need.target; total <= need.maxHosts && total <= need.target+protected; total++ {
+			if candidate, cost, ok := fill(total, protected, need.protected, shares); ok && cost < bestCost {
+				best, bestCost = candidate, cost
+			}
+		}
+		for total := need.target - 1; best == nil && total >= max(protected, 1); total-- {
+			if candidate, _, ok := fill(total, protected, need.protected, shares); ok {
+				best = candidate
+			}
+		}
+		if best != nil {
+			return best, protected
+		}
+	}
+	return mix{}, 0
+}
+
+// fill takes total hosts in order of price, with at most total - protected
+// reclaimable ones in each data centre and at most onDemand others.
+func fill(total, protected, onDemand int, shares []share) (mix, float64, bool) {
+	filled, cost := mix{}, 0.0
+	reclaimable := map[string]int{}
+	left := total
+	for _, share := range shares {
+		take := min(share.limit, left)
+		if share.offer.reclaimable {
+			take = min(take, total-protected-reclaimable[share.offer.dataCentre])
+			reclaimable[share.offer.dataCentre] += max(take, 0)
+		} else {
+			take = min(take, onDemand)
+			onDemand -= max(take, 0)
+		}
+		if take > 0 {
+			filled[share.offer.Kind()] += take
+			cost += float64(take) * share.price
+			left -= take
+		}
+	}
+	return filled, cost, left == 0
+}
+
+func startsOf(ideal, live mix, shares []share) []Offer {
+	var starts []Offer
+	for _, share := range shares {
+		if share.live {
+			continue
+		}
+		for range ideal[share.offer.Kind()] - live[share.offer.Kind()] {
+			starts = append(starts, share.offer)
+		}
+	}
+	return starts
+}
+
+// drains returns the hosts that the ideal mix does not have, the dearest first,
+// as far as the hosts that serve meet the need without them.
+func (planner *Planner) drains(need Need, protected int, ideal, live, ready mix, hosts []Host) []Host {
+	candidates := slices.Clone(hosts)
+	slices.SortStableFunc(candidates, func(a, b Host) int {
+		return cmp.Or(compareReady(a, b), cmp.Compare(planner.price(b.offer), planner.price(a.offer)), cmp.Compare(b.id, a.id))
+	})
+	var drains []Host
+	for _, host := range candidates {
+		kind := host.offer.Kind()
+		if host.fixed || live[kind] <= ideal[kind] {
+			continue
+		}
+		if host.ready {
+			ready[kind]--
+			if ready.total() < need.target || ready.surviving() < protected {
+				ready[kind]++
+				continue
+			}
+		}
+		live[kind]--
+		drains = append(drains, host)
+	}
+	return drains
+}
+
+// compareReady orders hosts that do not serve yet first.
+func compareReady(a, b Host) int {
+	switch {
+	case a.ready == b.ready:
+		return 0
+	case b.ready:
+		return -1
+	default:
+		return 1
+	}
+}
--- /dev/null
+++ b/internal/operator/leases.go
@@ -0,0 +1,44 @@
+package operator
+
+import "sapphirehead/internal/clock"
+
+// LeaseStatus is what a steward reports about one lease.
+type LeaseStatus struct {
+	name   string
+	holder string
+	held   bool
+	fence  int64
+	left   clock.Millis
+	rank   int
+}
+
+// NewLeaseStatus returns the report about a lease that the host holds, as far
+// as the reporting steward knows.
+func NewLeaseStatus(name, holder string, rank int) LeaseStatus {
+	return LeaseStatus{name: name, holder: holder, rank: rank}
+}
+
+// WithHolding returns a copy that the reporting steward holds itself under the
+// fencing number, for the time left unless it renews.
+func (status LeaseStatus) WithHolding(fence int64, left clock.Millis) LeaseStatus {
+	status.held, status.fence, status.left = true, fence, left
+	return status
+}
+
+// Name returns the name of the lease.
+func (status LeaseStatus) Name() string { return status.name }
+
+// Holder returns the host that holds the lease, or nothing.
+func (status LeaseStatus) Holder() string { return status.holder }
+
+// Held reports whether the reporting steward holds the lease.
+func (status LeaseStatus) Held() bool { return status.held }
+
+// Fence returns the fencing number of a held lease.
+func (status LeaseStatus) Fence() int64 { return status.fence }
+
+// Left returns the time until a held lease ends unless it is renewed.
+func (status LeaseStatus) Left() clock.Millis { return status.left }
+
+// Rank returns the steward's place among those that may hold the lease.
+func (status LeaseStatus) Rank() int { return status.rank }
--- /dev/null
+++ b/internal/platform/lease_machine_test.go
@@ -0,0 +1,394 @@
+package platform_test
+
+import (
+	"cmp"
+	"context"
+	"flag"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/platform"
+)
+
+const (
+	leaseDuration = 10 * clock.Second
+	longestOrder  = 2 * clock.Second
+	stewards      = 3
+)
+
+// TestMain runs more and longer sequences than the library does by itself. The
+// command line may say otherwise.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.checks", "500")
+	_ = flag.Set("rapid.steps", "80")
+	m.Run()
+}
+
+// pick draws a number below n from single bits, as the library's own draws of
+// numbers prefer small ones.
+func pick(t *rapid.T, n int) int {
+	value := 0
+	for range 6 {
+		value *= 2
+		if rapid.Bool().Draw(t, "bit") {
+			value++
+		}
+	}
+	return value % n
+}
+
+func pickFrom[V any](t *rapid.T, values ...V) V { return values[pick(t, len(values))] }
+
+// leaseStore is one lease object whose calls fail as drawn.
+type leaseStore struct {
+	t       *rapid.T
+	manual  *clock.Manual
+	calm    bool
+	version int64
+	record  platform.LeaseRecord
+	delayed []func()
+	// appliedAt is when the last write took effect.
+	appliedAt clock.Millis
+	// meanwhile lets others act while a call is under way.
+	meanwhile func(t *rapid.T)
+}
+
+func (store *leaseStore) pass() {
+	if !store.calm {
+		if len(store.delayed) > 0 && rapid.Bool().Draw(store.t, "late effect now") {
+			store.takeLate()
+		}
+		store.meanwhile(store.t)
+		store.manual.Advance(clock.Millis(pickFrom(store.t, 0, 0, 0, 0, 0, 0, 3000, 12000)))
+	}
+}
+
+// takeLate lets the oldest write under way take effect.
+func (store *leaseStore) takeLate() {
+	if len(store.delayed) > 0 {
+		late := store.delayed[0]
+		store.delayed = store.delayed[1:]
+		late()
+	}
+}
+
+func (store *leaseStore) fault() string {
+	if store.calm {
+		return "none"
+	}
+	return pickFrom(store.t, "none", "none", "none", "none", "none", "none", "down", "lost answer", "late effect")
+}
+
+func (store *leaseStore) read(context.Context, string) (platform.LeaseRecord, int64, error) {
+	store.pass()
+	if store.fault() == "down" {
+		return platform.LeaseRecord{}, 0, platform.NewUnavailableError(false, errors.New("down"))
+	}
+	record, version := store.record, store.version
+	store.pass()
+	return record, version, nil
+}
+
+func (store *leaseStore) apply(record platform.LeaseRecord, condition int64) bool {
+	if store.version != condition {
+		return false
+	}
+	store.record, store.version, store.appliedAt = record, condition+1, store.manual.Now()
+	return true
+}
+
+func (store *leaseStore) write(_ context.Context, name string, record platform.LeaseRecord, condition int64) (int64, error) {
+	store.pass()
+	unknown := platform.NewUnavailableError(true, errors.New("no answer"))
+	switch store.fault() {
+	case "down":
+		return 0, platform.NewUnavailableError(false, errors.New("down"))
+	case "lost answer":
+		store.apply(record, condition)
+		return 0, unknown
+	case "late effect":
+		store.delayed = append(store.delayed, func() { store.apply(record, condition) })
+		return 0, unknown
+	}
+	if !store.apply(record, condition) {
+		return 0, platform.NewConflictError(platform.KindLeases, name, condition)
+	}
+	version := store.version
+	store.pass()
+	return version, nil
+}
+
+// order is one order from the decision to send it to its arrival.
+type order struct {
+	steward int
+	lease   *platform.Lease
+	fence   int64
+	sentAt  clock.Millis
+	sent    bool
+}
+
+// leaseMachine is several stewards over one lease and two runners, of which one
+// refuses old fencing numbers and one ignores them.
+type leaseMachine struct {
+	store    *leaseStore
+	leases   [stewards]*platform.Lease
+	paused   [stewards]bool
+	calling  [stewards]bool
+	started  int
+	pending  []*order
+	checking int64
+	ignoring int64
+	lastOf   *platform.Lease
+	last     int64
+}
+
+func newLeaseMachine(t *rapid.T) *leaseMachine {
+	machine := &leaseMachine{store: &leaseStore{t: t, manual: clock.NewManual(1000)}}
+	machine.store.meanwhile = func(t *rapid.T) {
+		if pick(t, 4) == 0 {
+			machine.keep(t, machine.index(t))
+		}
+	}
+	for i := range machine.leases {
+		machine.restart(i)
+	}
+	return machine
+}
+
+func (machine *leaseMachine) restart(i int) {
+	machine.started++
+	machine.leases[i] = platform.NewLease(machine.store.manual.Clock(), "orders.runners.lj-a", strconv.Itoa(i), strconv.Itoa(machine.started),
+		leaseDuration, machine.store.read, machine.store.write)
+}
+
+// keep lets a process look after the lease, unless it is at it.
+func (machine *leaseMachine) keep(t *rapid.T, i int) {
+	if machine.calling[i] {
+		return
+	}
+	machine.calling[i] = true
+	defer func() { machine.calling[i] = false }()
+	_ = machine.leases[i].Keep(context.Background(), pickFrom[clock.Millis](t, 0, 0, 0, 3000))
+}
+
+func (machine *leaseMachine) decide(i int) {
+	holding, held := machine.leases[i].Holding()
+	if held && holding.Waited(machine.store.manual.Now(), longestOrder) {
+		machine.pending = append(machine.pending, &order{steward: i, lease: machine.leases[i], fence: holding.Fence()})
+	}
+}
+
+// move takes the order one step further: it is sent if the lease covers it, and
+// then arrives, at the runner that ignores numbers within twice the time for
+// which its sender waits.
+func (machine *leaseMachine) move(at int) {
+	order := machine.pending[at]
+	now := machine.store.manual.Now()
+	if !order.sent && order.lease.Covers(order.fence, longestOrder) {
+		order.sent, order.sentAt = true, now
+		return
+	}
+	machine.pending = append(machine.pending[:at], machine.pending[at+1:]...)
+	if !order.sent {
+		return
+	}
+	machine.checking = max(machine.checking, order.fence)
+	if now < order.sentAt+2*longestOrder {
+		if order.fence < machine.ignoring {
+			machine.store.t.Fatalf("a runner that ignores numbers went back from %d to %d", machine.ignoring, order.fence)
+		}
+		machine.ignoring = order.fence
+	}
+}
+
+// check is the oracle: at most one holder at any time, and each holder's number
+// is higher than those of the holders before it.
+func (machine *leaseMachine) check(t *rapid.T) {
+	holders := 0
+	for _, lease := range machine.leases {
+		holding, held := lease.Holding()
+		if !held {
+			continue
+		}
+		holders++
+		if lease != machine.lastOf && holding.Fence() <= machine.last {
+			t.Fatalf("fencing number %d does not rise over %d", holding.Fence(), machine.last)
+		}
+		machine.lastOf, machine.last = lease, holding.Fence()
+	}
+	if holders > 1 {
+		t.Fatalf("%d processes hold the lease", holders)
+	}
+}
+
+// edges returns the instants to come at which a rule changes its answer.
+func (machine *leaseMachine) edges() []clock.Millis {
+	var edges []clock.Millis
+	add := func(instants ...clock.Millis) {
+		for _, instant := range instants {
+			if instant > machine.store.manual.Now() {
+				edges = append(edges, instant)
+			}
+		}
+	}
+	for _, lease := range machine.leases {
+		if holding, held := lease.Holding(); held {
+			add(holding.Until()-longestOrder-1, holding.Until()-1, holding.Until(), holding.Since()+longestOrder)
+		}
+	}
+	for _, order := range machine.pending {
+		if order.sent {
+			add(order.sentAt + 2*longestOrder - 1)
+		}
+	}
+	add(machine.store.appliedAt + leaseDuration)
+	return edges
+}
+
+func (machine *leaseMachine) index(t *rapid.T) int {
+	return pick(t, stewards)
+}
+
+// hasOrders reports whether orders of the lease are under way, while which a
+// steward does not give it back.
+func (machine *leaseMachine) hasOrders(lease *platform.Lease) bool {
+	for _, order := range machine.pending {
+		if order.lease == lease {
+			return true
+		}
+	}
+	return false
+}
+
+// step is one drawn action.
+func (machine *leaseMachine) step(t *rapid.T) {
+	manual := machine.store.manual
+	switch i := machine.index(t); pick(t, 16) {
+	case 0, 1, 2:
+		machine.keep(t, i)
+	case 3:
+		for j := range machine.leases {
+			if !machine.paused[j] {
+				machine.keep(t, j)
+			}
+		}
+	case 4, 5:
+		for j := range machine.leases {
+			machine.decide(j)
+		}
+	case 6, 7, 8, 9:
+		if len(machine.pending) > 0 {
+			machine.move(pick(t, len(machine.pending)))
+		}
+	case 10, 11:
+		if edges := machine.edges(); len(edges) > 0 {
+			manual.Advance(pickFrom(t, edges...) - manual.Now())
+		}
+	case 12:
+		manual.Advance(pickFrom[clock.Millis](t, 100, 1900, 3900, 10000))
+	case 13:
+		machine.paused[i] = !machine.paused[i]
+	case 14:
+		machine.store.takeLate()
+	default:
+		machine.end(t, i)
+	}
+}
+
+// end kills and restarts a process, or gives its lease back.
+func (machine *leaseMachine) end(t *rapid.T, i int) {
+	if pick(t, 2) == 0 {
+		machine.restart(i)
+	} else if !machine.hasOrders(machine.leases[i]) {
+		_ = machine.leases[i].Release(context.Background())
+	}
+}
+
+// settle lets the faults end and checks that one steward ends up ordering.
+func (machine *leaseMachine) settle(t *rapid.T) {
+	machine.store.calm = true
+	for range 20 {
+		_ = machine.leases[0].Keep(context.Background(), 0)
+		machine.check(t)
+		machine.store.manual.Advance(leaseDuration / 3)
+	}
+	_ = machine.leases[0].Keep(context.Background(), 0)
+	holding, held := machine.leases[0].Holding()
+	if !held || !holding.Waited(machine.store.manual.Now(), longestOrder) {
+		t.Fatal("nobody may order after the faults have ended")
+	}
+	machine.pending = nil
+	machine.decide(0)
+	machine.move(0)
+	machine.move(0)
+	if machine.ignoring != holding.Fence() || machine.checking != holding.Fence() {
+		t.Fatalf("runners follow %d and %d: the newest is %d", machine.checking, machine.ignoring, holding.Fence())
+	}
+}
+
+// TestLeasesAndOrders draws deaths, pauses, outages, lost answers and late
+// effects at every step of taking, renewing and ordering.
+func TestLeasesAndOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := newLeaseMachine(t)
+		t.Repeat(map[string]func(*rapid.T){"step": machine.step, "": machine.check})
+		machine.settle(t)
+	})
+}
+
+// arrival is an order on its way to a runner that ignores fencing numbers.
+type arrival struct {
+	at    clock.Millis
+	fence int64
+}
+
+// TestSuccession lets two stewards order as often as they may while the first
+// is paused and wakes, or is cut off from the store, and orders take up to
+// twice the time for which their sender waits. A runner that ignores fencing numbers never goes back.
+func TestSuccession(t *testing.T) {
+	const tick = 500 * clock.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		machine := newLeaseMachine(t)
+		machine.store.calm = true
+		manual, ignoring := machine.store.manual, int64(0)
+		var decided [2]platform.Holding
+		var arrivals []arrival
+		paused := [2]int{pick(t, 40), 60}
+		awake := [2]int{paused[0] + pick(t, 60), 100}
+		cut := pick(t, 40)
+		for i := range 120 {
+			for who, lease := range machine.leases[:2] {
+				if i >= paused[who] && i < awake[who] {
+					continue
+				}
+				if lease.Covers(decided[who].Fence(), longestOrder) {
+					delay := pickFrom(t, 0, tick, longestOrder, 2*longestOrder-1)
+					arrivals = append(arrivals, arrival{at: manual.Now() + delay, fence: decided[who].Fence()})
+				}
+				if who != 0 || i < cut || i >= cut+30 {
+					_ = lease.Keep(context.Background(), 0)
+				}
+				if holding, held := lease.Holding(); held && holding.Waited(manual.Now(), longestOrder) {
+					decided[who] = holding
+				}
+			}
+			machine.check(t)
+			manual.Advance(tick)
+			slices.SortStableFunc(arrivals, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+			for len(arrivals) > 0 && arrivals[0].at <= manual.Now() {
+				if arrivals[0].fence < ignoring {
+					t.Fatalf("the runner went back from %d to %d", ignoring, arrivals[0].fence)
+				}
+				ignoring, arrivals = arrivals[0].fence, arrivals[1:]
+			}
+		}
+		if ignoring != machine.last {
+			t.Fatalf("the runner follows %d: the newest is %d", ignoring, machine.last)
+		}
+	})
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -18,6 +18,7 @@
 	KindTables = "tables"
 	KindClaims = "claims"
 	KindLeases = "leases"
+	KindDrains = "drains"
 )
 
 // TablesName is the name of the one object that holds both tables.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -81,6 +81,7 @@
 	kind          Kind
 	models        []Model
 	hostClass     string
+	otherClasses  []string
 	minHosts      int
 	maxHosts      int
 	slots         int
@@ -110,6 +111,18 @@
 // HostClass returns the class of host that the pool runs on.
 func (pool Pool) HostClass() string { return pool.hostClass }
 
+// HostClasses returns every class of host that the pool may run on, the first
+// of which is HostClass.
+func (pool Pool) HostClasses() []string {
+	if pool.hostClass == "" {
+		return nil
+	}
+	return append([]string{pool.hostClass}, pool.otherClasses...)
+}
+
+// OtherClasses returns the classes of host beside HostClass.
+func (pool Pool) OtherClasses() []string { return slices.Clone(pool.otherClasses) }
+
 // MinHosts returns the least number of hosts wanted.
 func (pool Pool) MinHosts() int { return pool.minHosts }
 
@@ -140,6 +153,7 @@
 // Equal reports whether both rows say the same, leaving the revision aside.
 func (pool Pool) Equal(other Pool) bool {
 	same := slices.EqualFunc(pool.models, other.models, Model.Equal)
+	same = same && slices.Equal(pool.otherClasses, other.otherClasses)
 	return same && pool.name == other.name && pool.kind == other.kind && pool.hostClass == other.hostClass &&
 		pool.minHosts == other.minHosts && pool.maxHosts == other.maxHosts && pool.slots == other.slots &&
 		pool.ignoresFence == other.ignoresFence && pool.refusesRepeat == other.refusesRepeat
@@ -159,6 +173,12 @@
 	return pool
 }
 
+// WithOtherClasses returns a copy that may also run on the given classes.
+func (pool Pool) WithOtherClasses(classes ...string) Pool {
+	pool.otherClasses = slices.Clone(classes)
+	return pool
+}
+
 // WithSlots returns a copy with the given slots for each backend server.
 func (pool Pool) WithSlots(slots int) Pool {
 	pool.slots = slots
--- a/internal/runner/order.go
+++ b/internal/runner/order.go
@@ -6,8 +6,14 @@
 	"sapphirehead/internal/pool"
 )
 
-// RoleServe is the role of a runner that answers requests.
-const RoleServe = "serve"
+// Roles of a runner.
+const (
+	// RoleServe is the role of a runner that answers requests.
+	RoleServe = "serve"
+	// RoleDrain is the role of a runner that finishes its requests, takes no
+	// new ones and says that it is leaving.
+	RoleDrain = "drain"
+)
 
 // Order states the wanted condition of a runner whole, so that a late or
 // doubled order does no harm beyond being corrected.
@@ -33,9 +39,11 @@
 
 // State is what a runner says of its condition.
 type State struct {
-	fence  int64
-	models []pool.Model
-	role   string
+	fence   int64
+	models  []pool.Model
+	role    string
+	running int
+	queued  int
 }
 
 // NewState returns the condition of a runner.
@@ -46,6 +54,31 @@
 // Fence returns the highest fencing number that the runner has seen.
 func (state State) Fence() int64 { return state.fence }
 
+// WithLoad returns a copy with the requests that run and wait at the runner.
+func (state State) WithLoad(running, queued int) State {
+	state.running, state.queued = running, queued
+	return state
+}
+
+// Models returns the models that the runner serves.
+func (state State) Models() []pool.Model { return slices.Clone(state.models) }
+
+// Role returns the role of the runner.
+func (state State) Role() string { return state.role }
+
+// Busy returns the number of requests that run and wait at the runner.
+func (state State) Busy() int { return state.running + state.queued }
+
+// Serves reports whether the runner serves exactly these weights and adapters.
+func (state State) Serves(model pool.Model) bool {
+	return slices.ContainsFunc(state.models, model.Equal)
+}
+
+// ServesName reports whether the runner serves any version under the name.
+func (state State) ServesName(name string) bool {
+	return slices.ContainsFunc(state.models, func(model pool.Model) bool { return model.Name() == name })
+}
+
 // Fulfils reports whether the runner is in the ordered condition.
 func (state State) Fulfils(order Order) bool {
 	return state.role == order.role && slices.EqualFunc(state.models, order.models, pool.Model.Equal)
@@ -63,3 +96,12 @@
 func (err *OldFenceError) Fence() int64 { return err.fence }
 
 func (err *OldFenceError) Error() string { return "the runner has seen a newer fencing number" }
+
+// NotPermittedError says that an order was not sent because the lease did not
+// cover it at the moment of sending.
+type NotPermittedError struct{}
+
+// NewNotPermittedError returns the error.
+func NewNotPermittedError() *NotPermittedError { return &NotPermittedError{} }
+
+func (err *NotPermittedError) Error() string { return "the lease does not cover the order" }
--- /dev/null
+++ b/internal/runner/rollout.go
@@ -0,0 +1,205 @@
+package runner
+
+import (
+	"cmp"
+	"slices"
+
+	"sapphirehead/internal/pool"
+)
+
+// Condition is what the steward knows of one runner of a pool.
+type Condition struct {
+	id       string
+	state    State
+	known    bool
+	draining bool
+	changing bool
+}
+
+// NewCondition returns the condition of a runner that did not answer.
+func NewCondition(id string) Condition { return Condition{id: id} }
+
+// WithState returns a copy with the runner's own report.
+func (condition Condition) WithState(state State) Condition {
+	condition.state, condition.known = state, true
+	return condition
+}
+
+// WithDraining returns a copy that says whether the runner is to be given back.
+func (condition Condition) WithDraining(draining bool) Condition {
+	condition.draining = draining
+	return condition
+}
+
+// WithChanging returns a copy that says whether an order to load was sent a
+// short while ago.
+func (condition Condition) WithChanging(changing bool) Condition {
+	condition.changing = changing
+	return condition
+}
+
+// serves reports whether the runner answers requests for the name.
+func (condition Condition) serves(name string) bool {
+	return condition.known && !condition.draining && condition.state.role == RoleServe && condition.state.ServesName(name)
+}
+
+// Step is one order that a rollout wants to be sent now.
+type Step struct {
+	id       string
+	models   []pool.Model
+	role     string
+	loads    []pool.Model
+	priority float64
+}
+
+// ID returns which runner the order is for.
+func (step Step) ID() string { return step.id }
+
+// Models returns the models that the runner is to serve.
+func (step Step) Models() []pool.Model { return slices.Clone(step.models) }
+
+// Role returns the wanted role.
+func (step Step) Role() string { return step.role }
+
+// Loads returns the models whose weights the runner must load for the order.
+func (step Step) Loads() []pool.Model { return slices.Clone(step.loads) }
+
+// Rollout brings the runners of a pool to the wanted models a few at a time.
+//
+// A runner that loads weights may be unable to serve meanwhile. So at most
+// surge serving runners change at the same time, and one that is the last to serve a
+// wanted model keeps what it serves beside what it loads, and drops the old
+// version only once the new one is there:
+//
+//	wanted desk v2; the only runner serves desk v1
+//	  step 1: serve desk v1 and desk v2
+//	  step 2: serve desk v2
+//
+// An order that loads nothing is sent at once.
+type Rollout struct {
+	wanted []pool.Model
+	worth  func(model pool.Model) float64
+	surge  int
+}
+
+// NewRollout returns a rollout of the wanted models. The function worth says
+// what a model's routes are worth.
+func NewRollout(wanted []pool.Model, worth func(model pool.Model) float64, surge int) *Rollout {
+	return &Rollout{wanted: slices.Clone(wanted), worth: worth, surge: max(surge, 1)}
+}
+
+// Steps returns the orders to send now: first those that load nothing, then
+// loads, the most worth to callers first.
+func (rollout *Rollout) Steps(conditions []Condition) []Step {
+	changing := 0
+	for _, condition := range conditions {
+		if condition.changing && rollout.useful(condition) {
+			changing++
+		}
+	}
+	var steps, loading []Step
+	for _, condition := range conditions {
+		step, needed := rollout.step(condition)
+		switch {
+		case !needed:
+		case condition.draining && rollout.isLast(condition, conditions):
+		case len(step.loads) == 0:
+			steps = append(steps, step)
+		case !condition.changing:
+			step.priority = rollout.priority(step, conditions)
+			loading = append(loading, step)
+		}
+	}
+	slices.SortStableFunc(loading, func(a, b Step) int { return cmp.Compare(b.priority, a.priority) })
+	return append(steps, rollout.admit(loading, conditions, rollout.surge-changing)...)
+}
+
+// useful reports whether the runner serves a wanted name.
+func (rollout *Rollout) useful(condition Condition) bool {
+	return slices.ContainsFunc(rollout.wanted, func(model pool.Model) bool { return condition.serves(model.Name()) })
+}
+
+// isLast reports whether no other runner serves a wanted name that this one
+// serves.
+func (rollout *Rollout) isLast(condition Condition, conditions []Condition) bool {
+	return slices.ContainsFunc(rollout.wanted, func(model pool.Model) bool {
+		return condition.state.ServesName(model.Name()) && !slices.ContainsFunc(conditions, func(other Condition) bool {
+			return other.id != condition.id && other.serves(model.Name())
+		})
+	})
+}
+
+// step returns what the runner is to become, leaving other runners aside.
+func (rollout *Rollout) step(condition Condition) (Step, bool) {
+	if !condition.known || (condition.state.role == RoleDrain && !condition.draining) {
+		return Step{}, false
+	}
+	step := Step{id: condition.id, models: rollout.wanted, role: RoleServe}
+	if condition.draining {
+		step.models, step.role = condition.state.models, RoleDrain
+	}
+	for _, model := range step.models {
+		if !condition.state.Serves(model) {
+			step.loads = append(step.loads, model)
+		}
+	}
+	return step, !condition.state.Fulfils(NewOrder(0, step.models, step.role))
+}
+
+// priority is the worth of the models that the step loads. A model that no
+// runner serves counts so much more that it goes first.
+func (rollout *Rollout) priority(step Step, conditions []Condition) float64 {
+	const unserved = 1000
+	sum := 0.0
+	for _, model := range step.loads {
+		worth := rollout.worth(model)
+		if !slices.ContainsFunc(conditions, func(other Condition) bool { return other.serves(model.Name()) }) {
+			worth *= unserved
+		}
+		sum += worth
+	}
+	return sum
+}
+
+// admit returns the steps for runners that serve nothing wanted and the first
+// limit of the others. Each runner that changes counts as not serving for those
+// after it.
+func (rollout *Rollout) admit(loading []Step, conditions []Condition, limit int) []Step {
+	away := map[string]bool{}
+	for _, condition := range conditions {
+		away[condition.id] = condition.changing
+	}
+	var admitted []Step
+	for _, step := range loading {
+		at := slices.IndexFunc(conditions, func(condition Condition) bool { return condition.id == step.id })
+		if rollout.useful(conditions[at]) {
+			if limit <= 0 {
+				continue
+			}
+			limit--
+		}
+		if kept := rollout.lastServed(step, conditions, away); len(kept) > 0 {
+			step.models = append(slices.Clone(step.models), kept...)
+		}
+		away[step.id] = true
+		admitted = append(admitted, step)
+	}
+	return admitted
+}
+
+// lastServed returns the models of the runner that it must keep while it
+// loads, because no other runner serves them under a wanted name.
+func (rollout *Rollout) lastServed(step Step, conditions []Condition, away map[string]bool) []pool.Model {
+	at := slices.IndexFunc(conditions, func(condition Condition) bool { return condition.id == step.id })
+	var kept []pool.Model
+	for _, model := range conditions[at].state.models {
+		wanted := slices.ContainsFunc(rollout.wanted, func(other pool.Model) bool { return other.Name() == model.Name() })
+		elsewhere := slices.ContainsFunc(conditions, func(other Condition) bool {
+			return other.id != step.id && !away[other.id] && other.serves(model.Name())
+		})
+		if wanted && !elsewhere && !slices.ContainsFunc(step.models, model.Equal) {
+			kept = append(kept, model)
+		}
+	}
+	return kept
+}
--- a/internal/runner/runnerhttp/order.go
+++ b/internal/runner/runnerhttp/order.go
@@ -23,14 +23,48 @@
 	Adapters []string `json:"adapters,omitempty"`
 }
 
+// orderForm is an order.
 type orderForm struct {
 	Fence  int64       `json:"fence"`
 	Models []modelForm `json:"models"`
 	Role   string      `json:"role"`
 }
 
-// Order sends an order. Errors: *runner.OldFenceError.
-func (client *Client) Order(ctx context.Context, server *backend.Server, order runner.Order) error {
+// stateForm is a runner's report of its condition. Fields that the steward
+// does not use are left out.
+type stateForm struct {
+	Fence   int64       `json:"fence"`
+	Models  []modelForm `json:"models"`
+	Role    string      `json:"role"`
+	Running int         `json:"running"`
+	Queued  int         `json:"queued"`
+}
+
+// permittedBody is the body of an order. It asks for the permit when the
+// connection takes the first byte, so that a process which was paused while it
+// opened the connection sends nothing under a lease that has lapsed.
+type permittedBody struct {
+	permit func() bool
+	reader *bytes.Reader
+	asked  bool
+}
+
+func newPermittedBody(permit func() bool, data []byte) *permittedBody {
+	return &permittedBody{permit: permit, reader: bytes.NewReader(data)}
+}
+
+// Read returns the order's bytes if the permit is given.
+func (body *permittedBody) Read(buffer []byte) (int, error) {
+	if !body.asked && !body.permit() {
+		return 0, runner.NewNotPermittedError()
+	}
+	body.asked = true
+	return body.reader.Read(buffer)
+}
+
+// Order sends an order if permit agrees at the moment of sending. Errors:
+// *runner.NotPermittedError, *runner.OldFenceError.
+func (client *Client) Order(ctx context.Context, server *backend.Server, order runner.Order, permit func() bool) error {
 	form := orderForm{Fence: order.Fence(), Role: order.Role(), Models: []modelForm{}}
 	for _, model := range order.Models() {
 		form.Models = append(form.Models, modelForm{Name: model.Name(), Version: model.Version(), Adapters: model.Adapters()})
@@ -39,10 +73,11 @@
 	if err != nil {
 		return err
 	}
-	message, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+server.Address()+"/v1/orders", bytes.NewReader(body))
+	message, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+server.Address()+"/v1/orders", newPermittedBody(permit, body))
 	if err != nil {
 		return err
 	}
+	message.ContentLength = int64(len(body))
 	answer, err := client.http.Do(message)
 	if err != nil {
 		return errors.Wrap(err, "send order")
@@ -69,11 +104,14 @@
 		return runner.State{}, errors.Wrap(err, "ask for the runner's state")
 	}
 	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return runner.State{}, errors.Errorf("state: status %s", answer.Status)
+	}
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxStateBytes))
 	if err != nil {
 		return runner.State{}, errors.Wrap(err, "read the runner's state")
 	}
-	var form orderForm
+	var form stateForm
 	if err := json.Unmarshal(data, &form); err != nil {
 		return runner.State{}, errors.Wrap(err, "decode the runner's state")
 	}
@@ -81,5 +119,5 @@
 	for _, model := range form.Models {
 		models = append(models, pool.NewModel(model.Name, model.Version, model.Adapters...))
 	}
-	return runner.NewState(form.Fence, models, form.Role), nil
+	return runner.NewState(form.Fence, models, form.Role).WithLoad(form.Running, form.Queued), nil
 }
--- a/internal/standin/demo/system.go
+++ b/internal/standin/demo/system.go
@@ -61,6 +61,10 @@
 
 [weightStore]
 address = %q
+
+[entry]
+address = %q
+token = %q
 `
 
 // system is the set of processes of the demonstration.
@@ -136,8 +140,12 @@
 }
 
 func (system *system) startStewards() error {
-	for _, host := range []struct{ name, dataCentre string }{{"entry-a", "lj-a"}, {"entry-b", "lj-b"}} {
-		content := fmt.Sprintf(stewardSettings, host.name, host.dataCentre, system.platform.Address("api"), system.cloud.Address("api"), system.weights.Address("api"))
+	for _, host := range []struct {
+		name, dataCentre string
+		entry            *harness.Process
+	}{{"entry-a", "lj-a", system.entryA}, {"entry-b", "lj-b", system.entryB}} {
+		content := fmt.Sprintf(stewardSettings, host.name, host.dataCentre, system.platform.Address("api"), system.cloud.Address("api"),
+			system.weights.Address("api"), host.entry.Address("operator"), operatorToken)
 		file, err := system.harness.WriteFile(host.name+"-steward.toml", content)
 		if err != nil {
 			return err
--- a/internal/standin/runnerstandin/control.go
+++ b/internal/standin/runnerstandin/control.go
@@ -136,6 +136,7 @@
 	runner.fence = max(runner.fence, form.Fence)
 	runner.models = slices.Clone(form.Models)
 	runner.role = form.Role
+	runner.leaving = runner.leaving || form.Role == "drain"
 	writer.WriteHeader(http.StatusNoContent)
 }
 
--- /dev/null
+++ b/internal/steward/hosts.go
@@ -0,0 +1,397 @@
+package steward
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/cloud"
+	"sapphirehead/internal/logging"
+	"sapphirehead/internal/platform"
+	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/pool"
+	"sapphirehead/internal/route"
+	"sapphirehead/internal/runner"
+	"sapphirehead/internal/table"
+)
+
+// Times of the control of hosts.
+const (
+	// bootTimeout is how long a started host may take to be listed before it is
+	// given back.
+	bootTimeout = 10 * clock.Minute
+	// settleTime is how long a drained runner must have been idle before its
+	// host is given back, so that a request just sent to it is seen.
+	settleTime = 3 * clock.Second
+	// maxAttempts bounds how often one round goes on to other kinds of host
+	// after refused starts.
+	maxAttempts = 4
+)
+
+// hosts starts the hosts of one pool and gives them back. It is used by one
+// goroutine at a time, but for noticed.
+type hosts struct {
+	steward   *Steward
+	lease     *platform.Lease
+	pool      string
+	risk      *cloud.Risk
+	backoff   *cloud.Backoff
+	demand    *cloud.Demand
+	starts    *cloud.Starts
+	fence     int64
+	firstSeen map[string]clock.Millis
+	drainedAt map[string]clock.Millis
+	idleSince map[string]clock.Millis
+	mutex     sync.Mutex
+	kinds     map[string]cloud.Kind
+}
+
+func (steward *Steward) newHostsKeeper(pool string) *keeper {
+	keeper := steward.newKeeper(hostsLease(pool), pool, "")
+	hosts := &hosts{
+		steward:   steward,
+		lease:     keeper.lease,
+		pool:      pool,
+		risk:      cloud.NewRisk(steward.clock),
+		backoff:   cloud.NewBackoff(steward.clock, steward.random),
+		demand:    cloud.NewDemand(steward.clock),
+		starts:    cloud.NewStarts(hostsLease(pool)),
+		firstSeen: map[string]clock.Millis{},
+		drainedAt: map[string]clock.Millis{},
+		idleSince: map[string]clock.Millis{},
+		kinds:     map[string]cloud.Kind{},
+	}
+	keeper.round = hosts.round
+	keeper.noticed = func(hostID string) {
+		hosts.noticed(hostID)
+		keeper.wakeUp()
+	}
+	return keeper
+}
+
+// survey is what one round knows of the pool's hosts.
+type survey struct {
+	row     pool.Pool
+	tables  *table.Tables
+	offers  []cloud.Offer
+	rented  []cloud.Host
+	servers map[string]*backend.Server
+	leaving map[string]bool
+	states  map[string]runner.State
+	drains  []string
+	version int64
+}
+
+func (hosts *hosts) round(ctx context.Context, holding platform.Holding) error {
+	steward := hosts.steward
+	timeout := steward.settings.Cloud().Timeout()
+	if !holding.Waited(steward.clock.Now(), timeout) {
+		return nil
+	}
+	if holding.Fence() != hosts.fence {
+		hosts.fence = holding.Fence()
+		hosts.demand = cloud.NewDemand(steward.clock)
+		hosts.starts.Under(holding.Fence())
+	}
+	survey, err := hosts.survey(ctx)
+	if err != nil {
+		return err
+	}
+	if err := hosts.finishDrains(ctx, holding, survey); err != nil {
+		return err
+	}
+	planned := hosts.planned(survey)
+	plan := hosts.plan(survey, planned)
+	for range maxAttempts {
+		started, refused := hosts.start(ctx, holding, plan.Starts())
+		planned = append(planned, started...)
+		if !refused {
+			break
+		}
+		plan = hosts.plan(survey, planned)
+	}
+	return hosts.drain(ctx, holding, survey, plan.Drains())
+}
+
+// survey reads offers, hosts, drains and the state of every runner.
+func (hosts *hosts) survey(ctx context.Context) (*survey, error) {
+	steward := hosts.steward
+	tables, _ := steward.tables()
+	survey := &survey{tables: tables, servers: map[string]*backend.Server{}, leaving: map[string]bool{}, states: map[string]runner.State{}}
+	var ok bool
+	if survey.row, ok = tables.Pool(hosts.pool); !ok {
+		return nil, errors.Errorf("pool %q is no longer in the tables", hosts.pool)
+	}
+	var err error
+	if survey.offers, err = steward.cloud.Offers(ctx); err != nil {
+		return nil, err
+	}
+	rented, err := steward.cloud.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if survey.drains, survey.version, err = platformhttp.LoadDrains(ctx, steward.store, hosts.pool); err != nil {
+		return nil, err
+	}
+	hosts.starts.Listed(rented)
+	for _, host := range rented {
+		if host.Pool() == hosts.pool {
+			survey.rented = append(survey.rented, host)
+		}
+	}
+	var asked []*backend.Server
+	for _, listed := range steward.view.Load().pool(hosts.pool) {
+		server := listed.Server()
+		survey.servers[server.ID()] = server
+		survey.leaving[server.ID()] = listed.Leaving()
+		asked = append(asked, server)
+	}
+	hosts.askStates(ctx, survey, asked)
+	hosts.learn(survey)
+	return survey, nil
+}
+
+func (hosts *hosts) askStates(ctx context.Context, survey *survey, servers []*backend.Server) {
+	steward := hosts.steward
+	var mutex sync.Mutex
+	steward.each(ctx, len(servers), func(ctx context.Context, i int) {
+		ctx, cancel := steward.clock.WithTimeout(ctx, stateTimeout)
+		defer cancel()
+		state, err := steward.runners.State(ctx, servers[i])
+		if err != nil {
+			return
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		survey.states[servers[i].ID()] = state
+	})
+}
+
+// learn takes in prices' risk and demand.
+func (hosts *hosts) learn(survey *survey) {
+	counts := map[cloud.Kind]int{}
+	hosts.mutex.Lock()
+	for _, host := range survey.rented {
+		hosts.kinds[host.ID()] = host.Offer().Kind()
+		counts[host.Offer().Kind()]++
+		if _, seen := hosts.firstSeen[host.ID()]; !seen {
+			hosts.firstSeen[host.ID()] = hosts.steward.clock.Now()
+		}
+	}
+	hosts.mutex.Unlock()
+	for kind, count := range counts {
+		hosts.risk.Observe(kind, count)
+	}
+	busy := 0
+	for _, state := range survey.states {
+		busy += state.Busy()
+	}
+	hosts.demand.Observe(busy, len(survey.states), len(survey.servers), survey.row.Slots())
+}
+
+// noticed takes in a reclaim notice.
+func (hosts *hosts) noticed(hostID string) {
+	hosts.mutex.Lock()
+	kind, known := hosts.kinds[hostID]
+	hosts.mutex.Unlock()
+	if known {
+		hosts.risk.Noticed(kind)
+	}
+}
+
+// planned returns the hosts that the plan may count on, those started by others
+// included.
+func (hosts *hosts) planned(survey *survey) []cloud.Host {
+	var planned []cloud.Host
+	known := map[string]bool{}
+	for _, host := range survey.rented {
+		known[host.ID()] = true
+		state, answered := survey.states[host.ID()]
+		if host.Leaving() || survey.leaving[host.ID()] || slices.Contains(survey.drains, host.ID()) {
+			continue
+		}
+		ready := answered && state.Role() == runner.RoleServe && len(state.Models()) > 0
+		planned = append(planned, priced(host, survey.offers).WithReady(ready))
+	}
+	for id, server := range survey.servers {
+		if !known[id] && !survey.leaving[id] {
+			offer := cloud.NewOffer(server.DataCentre(), survey.row.HostClass(), true, 0)
+			planned = append(planned, cloud.NewHost(id, hosts.pool, offer, false).WithReady(true).WithFixed(true))
+		}
+	}
+	slices.SortFunc(planned, func(a, b cloud.Host) int {
+		if a.ID() < b.ID() {
+			return -1
+		}
+		return 1
+	})
+	return planned
+}
+
+// priced returns the host at the price of its offer.
+func priced(host cloud.Host, offers []cloud.Offer) cloud.Host {
+	for _, offer := range offers {
+		if offer.Kind() == host.Offer().Kind() {
+			return cloud.NewHost(host.ID(), host.Pool(), offer, host.Leaving())
+		}
+	}
+	return host
+}
+
+func (hosts *hosts) plan(survey *survey, planned []cloud.Host) cloud.Plan {
+	blocked := func(kind cloud.Kind) bool { return hosts.backoff.Blocked(kind) || hosts.risk.Wave(kind) }
+	var routes []route.Route
+	for _, row := range survey.tables.Routes() {
+		if row.Pool() == hosts.pool {
+			routes = append(routes, row)
+		}
+	}
+	equal := func(route.Route) float64 { return 1 }
+	need := cloud.NeedOf(survey.row, routes, equal, hosts.demand.Hosts())
+	return cloud.NewPlanner(hosts.risk.Price, blocked).Plan(need, survey.offers, planned)
+}
+
+// start starts hosts and reports whether the cloud refused any.
+func (hosts *hosts) start(ctx context.Context, holding platform.Holding, offers []cloud.Offer) (started []cloud.Host, refused bool) {
+	steward := hosts.steward
+	names := make([]string, 0, len(offers))
+	for _, offer := range offers {
+		names = append(names, hosts.starts.Next(offer.Kind(), names))
+	}
+	var mutex sync.Mutex
+	steward.each(ctx, len(offers), func(ctx context.Context, i int) {
+		if hosts.backoff.Blocked(offers[i].Kind()) || !hosts.lease.Covers(holding.Fence(), steward.settings.Cloud().Timeout()) {
+			hosts.starts.Settled(names[i])
+			return
+		}
+		host, err := steward.cloud.Start(context.WithoutCancel(ctx), offers[i], hosts.pool, names[i])
+		mutex.Lock()
+		defer mutex.Unlock()
+		var noCapacity *cloud.NoCapacityError
+		switch {
+		case err == nil:
+			hosts.starts.Settled(names[i])
+			hosts.backoff.Started(offers[i].Kind())
+			started = append(started, cloud.NewHost(host.ID(), hosts.pool, offers[i], false))
+			steward.counters.Add("hostsStarted", 1)
+		case errors.As(err, &noCapacity):
+			hosts.starts.Settled(names[i])
+			hosts.backoff.Refused(offers[i].Kind())
+			refused = true
+			steward.counters.Add("startsRefused", 1)
+		default:
+			steward.counters.Add("startsUnanswered", 1)
+		}
+		steward.log.Info().Err(err).Str(logging.FieldServer, host.ID()).Str("pool", hosts.pool).
+			Str("startedIn", offers[i].DataCentre()).Bool("reclaimable", offers[i].Reclaimable()).Msg("host asked for")
+	})
+	return started, refused
+}
+
+// drain writes down which hosts are to be given back. The holders of the
+// pool's leases for orders read it and order them to drain. Hosts that say by
+// themselves that they leave are given back too.
+func (hosts *hosts) drain(ctx context.Context, holding platform.Holding, survey *survey, chosen []cloud.Host) error {
+	steward := hosts.steward
+	var wanted []string
+	for _, host := range survey.rented {
+		listed := slices.Contains(survey.drains, host.ID())
+		picked := slices.ContainsFunc(chosen, func(other cloud.Host) bool { return other.ID() == host.ID() })
+		if listed || picked || (survey.leaving[host.ID()] && !host.Leaving()) || hosts.stuck(survey, host) {
+			wanted = append(wanted, host.ID())
+		}
+	}
+	slices.Sort(wanted)
+	if slices.Equal(wanted, survey.drains) || !hosts.lease.Covers(holding.Fence(), steward.settings.Platform().Timeout()) {
+		return nil
+	}
+	steward.counters.Add("drainsWritten", 1)
+	return platformhttp.CommitDrains(ctx, steward.store, hosts.pool, wanted, survey.version)
+}
+
+// stuck reports whether a started host has not come up in time.
+func (hosts *hosts) stuck(survey *survey, host cloud.Host) bool {
+	_, listed := survey.servers[host.ID()]
+	return !listed && hosts.steward.clock.Now()-hosts.firstSeen[host.ID()] >= bootTimeout
+}
+
+// finishDrains gives back hosts that have drained or had time enough.
+func (hosts *hosts) finishDrains(ctx context.Context, holding platform.Holding, survey *survey) error {
+	steward := hosts.steward
+	var firstErr error
+	for _, host := range survey.rented {
+		if !slices.Contains(survey.drains, host.ID()) || !hosts.drained(survey, host) {
+			continue
+		}
+		if !hosts.lease.Covers(holding.Fence(), steward.settings.Cloud().Timeout()) {
+			return nil
+		}
+		if err := steward.cloud.Stop(context.WithoutCancel(ctx), host.ID()); err != nil {
+			firstErr = err
+			continue
+		}
+		steward.counters.Add("hostsStopped", 1)
+		steward.log.Info().Str(logging.FieldServer, host.ID()).Str("pool", hosts.pool).Msg("host given back")
+	}
+	return firstErr
+}
+
+// drained reports whether the host may be given back: its runner was idle for a
+// while after it took the order to drain, or the grace has passed since then. A
+// runner that was not ordered to drain yet keeps its host.
+func (hosts *hosts) drained(survey *survey, host cloud.Host) bool {
+	id, now := host.ID(), hosts.steward.clock.Now()
+	if _, known := hosts.drainedAt[id]; !known {
+		hosts.drainedAt[id] = now
+	}
+	state, answered := survey.states[id]
+	if answered && state.Role() != runner.RoleDrain {
+		hosts.drainedAt[id] = now
+	}
+	if !answered || state.Role() != runner.RoleDrain || state.Busy() > 0 {
+		delete(hosts.idleSince, id)
+	} else if _, known := hosts.idleSince[id]; !known {
+		hosts.idleSince[id] = now
+	}
+	idleSince, idle := hosts.idleSince[id]
+	return idle && now-idleSince >= settleTime || now-hosts.drainedAt[id] >= hosts.steward.settings.DrainGrace() || hosts.stuck(survey, host)
+}
+
+// watchNotices follows the cloud's reclaim notices while the steward keeps
+// hosts of any pool. The first answer may tell of the past, and only marks the
+// place from which to go on.
+func (steward *Steward) watchNotices(ctx context.Context) {
+	after, begun := int64(0), false
+	for ctx.Err() == nil {
+		if !steward.keepsHosts() {
+			begun = false
+			steward.clock.Wait(ctx, steward.jittered(steward.settings.Round()))
+			continue
+		}
+		notices, err := steward.cloud.Notices(ctx, after)
+		if err != nil {
+			steward.clock.Wait(ctx, steward.jittered(steward.settings.Round()))
+			continue
+		}
+		for _, notice := range notices {
+			after = max(after, notice.Sequence())
+			for _, keeper := range steward.allKeepers() {
+				if begun {
+					keeper.noticed(notice.HostID())
+				}
+			}
+		}
+		begun = true
+	}
+}
+
+func (steward *Steward) keepsHosts() bool {
+	return slices.ContainsFunc(steward.allKeepers(), func(keeper *keeper) bool {
+		_, held := keeper.lease.Holding()
+		return held && keeper.dataCentre == ""
+	})
+}
--- /dev/null
+++ b/internal/steward/orders.go
@@ -0,0 +1,213 @@
+package steward
+
+import (
+	"context"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/logging"
+	"sapphirehead/internal/platform"
+	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/pool"
+	"sapphirehead/internal/runner"
+	"sapphirehead/internal/table"
+	"sapphirehead/internal/weightstore"
+)
+
+const fieldLease = "lease"
+
+// Times of the control of runners.
+const (
+	// orderTimeout is the longest that an order may be under way. A lease must
+	// be held for longer when the order is sent.
+	orderTimeout = 2 * clock.Second
+	// stateTimeout bounds a question to a runner.
+	stateTimeout = 1 * clock.Second
+	// loadTimeout is how long a runner may take to load weights before it gets
+	// the order again.
+	loadTimeout = 60 * clock.Second
+	// drainsInterval is the time between two looks at the hosts to drain.
+	drainsInterval = 5 * clock.Second
+	// surgeShare is the part of a data centre's runners that may load weights
+	// at the same time, as a divisor.
+	surgeShare = 4
+)
+
+// orderedLoad is a load that a runner was ordered to do.
+type orderedLoad struct {
+	at     clock.Millis
+	models []pool.Model
+}
+
+// doneBy reports whether the runner serves what it was ordered to load.
+func (ordered orderedLoad) doneBy(state runner.State) bool {
+	return !slices.ContainsFunc(ordered.models, func(model pool.Model) bool { return !state.Serves(model) })
+}
+
+// orders brings the runners of one pool in one data centre to the condition
+// that the tables want. It is used by one goroutine at a time.
+type orders struct {
+	steward    *Steward
+	lease      *platform.Lease
+	pool       string
+	dataCentre string
+	ordered    map[string]orderedLoad
+	drains     []string
+	drainsAt   clock.Millis
+}
+
+func (steward *Steward) newOrdersKeeper(pool, dataCentre string) *keeper {
+	keeper := steward.newKeeper(ordersLease(pool, dataCentre), pool, dataCentre)
+	orders := &orders{steward: steward, lease: keeper.lease, pool: pool, dataCentre: dataCentre, ordered: map[string]orderedLoad{}}
+	keeper.round = orders.round
+	return keeper
+}
+
+func (orders *orders) round(ctx context.Context, holding platform.Holding) error {
+	tables, _ := orders.steward.tables()
+	row, ok := tables.Pool(orders.pool)
+	if !ok || (row.IgnoresFence() && !holding.Waited(orders.steward.clock.Now(), orderTimeout)) {
+		return nil
+	}
+	if err := orders.loadDrains(ctx); err != nil {
+		return err
+	}
+	var servers []*backend.Server
+	for _, listed := range orders.steward.view.Load().pool(orders.pool) {
+		drained := slices.Contains(orders.drains, listed.Server().ID())
+		if listed.Server().DataCentre() == orders.dataCentre && (drained || !listed.Leaving()) {
+			servers = append(servers, listed.Server())
+		}
+	}
+	conditions := orders.conditions(ctx, servers)
+	rollout := runner.NewRollout(row.Models(), worthOf(tables, row), len(servers)/surgeShare)
+	steps := orders.reserve(ctx, tables, row, rollout.Steps(conditions))
+	orders.steward.each(ctx, len(steps), func(ctx context.Context, i int) {
+		at := slices.IndexFunc(servers, func(server *backend.Server) bool { return server.ID() == steps[i].ID() })
+		orders.send(ctx, holding, servers[at], steps[i])
+	})
+	for _, step := range steps {
+		if len(step.Loads()) > 0 {
+			orders.ordered[step.ID()] = orderedLoad{at: orders.steward.clock.Now(), models: step.Loads()}
+		}
+	}
+	return nil
+}
+
+func (orders *orders) loadDrains(ctx context.Context) error {
+	now := orders.steward.clock.Now()
+	if orders.drainsAt != 0 && now-orders.drainsAt < drainsInterval {
+		return nil
+	}
+	drains, _, err := platformhttp.LoadDrains(ctx, orders.steward.store, orders.pool)
+	if err != nil {
+		return err
+	}
+	orders.drains, orders.drainsAt = drains, now
+	return nil
+}
+
+// conditions asks every runner for its state.
+func (orders *orders) conditions(ctx context.Context, servers []*backend.Server) []runner.Condition {
+	steward := orders.steward
+	conditions := make([]runner.Condition, len(servers))
+	now := steward.clock.Now()
+	steward.each(ctx, len(servers), func(ctx context.Context, i int) {
+		ctx, cancel := steward.clock.WithTimeout(ctx, stateTimeout)
+		defer cancel()
+		id := servers[i].ID()
+		ordered, changing := orders.ordered[id]
+		state, err := steward.runners.State(ctx, servers[i])
+		changing = changing && now-ordered.at < loadTimeout && (err != nil || !ordered.doneBy(state))
+		conditions[i] = runner.NewCondition(id).WithDraining(slices.Contains(orders.drains, id)).WithChanging(changing)
+		if err == nil {
+			conditions[i] = conditions[i].WithState(state)
+		}
+	})
+	return conditions
+}
+
+// worthOf returns the worth of the routes that ask for a model.
+func worthOf(tables *table.Tables, row pool.Pool) func(model pool.Model) float64 {
+	return func(model pool.Model) float64 {
+		worth := 0.0
+		for _, route := range tables.Routes() {
+			if route.Pool() == row.Name() && (route.Model() == model.Name() || slices.Contains(model.Adapters(), route.Model())) {
+				worth += route.Worth()
+			}
+		}
+		return worth
+	}
+}
+
+// reserve asks the weight store for the loads of the steps, in their order, and
+// returns the steps that may be sent now.
+func (orders *orders) reserve(ctx context.Context, tables *table.Tables, row pool.Pool, steps []runner.Step) []runner.Step {
+	worth := worthOf(tables, row)
+	most := 0.0
+	for _, route := range tables.Routes() {
+		most = max(most, route.Worth())
+	}
+	var granted []runner.Step
+	for _, step := range steps {
+		if orders.reserveStep(ctx, step, worth, most) {
+			granted = append(granted, step)
+		}
+	}
+	return granted
+}
+
+func (orders *orders) reserveStep(ctx context.Context, step runner.Step, worth func(model pool.Model) float64, most float64) bool {
+	steward := orders.steward
+	for _, model := range step.Loads() {
+		load := weightstore.NewLoad(step.ID(), model.Name(), model.Version())
+		if steward.pacer.Granted(load) {
+			continue
+		}
+		if !steward.pacer.MayAsk() {
+			return false
+		}
+		err := steward.weights.Reserve(ctx, model.Name(), model.Version())
+		var limit *weightstore.LimitError
+		if errors.As(err, &limit) {
+			steward.counters.Add("loadsLimited", 1)
+			steward.pacer.Limited(limit.RetryAfter(), worth(model), most)
+			return false
+		}
+		if err != nil {
+			steward.counters.Add("loadsFailed", 1)
+			return false
+		}
+		steward.pacer.Grant(load)
+	}
+	return true
+}
+
+// send sends one order, if the lease covers it at the moment of sending. An
+// order that has begun is finished when the steward stops.
+func (orders *orders) send(ctx context.Context, holding platform.Holding, server *backend.Server, step runner.Step) {
+	steward := orders.steward
+	ctx, cancel := steward.clock.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	defer cancel()
+	order := runner.NewOrder(holding.Fence(), step.Models(), step.Role())
+	err := steward.runners.Order(ctx, server, order, func() bool { return orders.lease.Covers(holding.Fence(), orderTimeout) })
+	var old *runner.OldFenceError
+	var refused *runner.NotPermittedError
+	switch {
+	case err == nil:
+		steward.counters.Add("ordersSent", 1)
+		for _, model := range step.Loads() {
+			steward.pacer.Used(weightstore.NewLoad(step.ID(), model.Name(), model.Version()))
+		}
+	case errors.As(err, &old):
+		steward.counters.Add("ordersOldFence", 1)
+	case errors.As(err, &refused):
+		steward.counters.Add("ordersNotPermitted", 1)
+	default:
+		steward.counters.Add("ordersFailed", 1)
+	}
+	steward.log.Info().Err(err).Str(logging.FieldServer, server.ID()).Int64("fence", order.Fence()).Str("role", order.Role()).Msg("order sent")
+}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -1,194 +1,282 @@
 // Package steward assembles the control of the fleet on one entry host. Every
-// entry host runs one; a lease for each pool and data centre decides which of
-// them acts, so no host is set aside. The death of a steward cuts no request.
+// entry host runs one, and leases decide which of them acts, so no host is set
+// aside. The death of a steward cuts no request.
+//
+// There are two kinds of lease. "orders.<pool>.<dataCentre>" allows orders to
+// the pool's runners there; "hosts.<pool>" allows starting hosts of the pool and
+// giving them back. A runner takes orders under one lease only, so the fencing
+// numbers that it sees come from one object and can be compared.
+//
+// Each lease has a keeper, which renews it or waits for it, and, while it is
+// held, a round of control every so often in a goroutine of its own. A runner
+// that does not answer delays neither the renewal nor another pool. Nothing is
+// kept: after a restart the state is read from the platform, the cloud and the
+// runners again.
 package steward
 
 import (
 	"context"
-	"strconv"
-	"strings"
+	"crypto/rand"
+	"encoding/hex"
+	"expvar"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
-	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
-	"sapphirehead/internal/cloud"
 	"sapphirehead/internal/cloud/cloudhttp"
-	"sapphirehead/internal/logging"
+	"sapphirehead/internal/operator"
+	"sapphirehead/internal/operator/operatorhttp"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/pool"
-	"sapphirehead/internal/runner"
 	"sapphirehead/internal/runner/runnerhttp"
 	"sapphirehead/internal/settings"
+	"sapphirehead/internal/table"
+	"sapphirehead/internal/weightstore"
 	"sapphirehead/internal/weightstore/weightstorehttp"
 )
 
-// Times of the control of one runner.
 const (
 	connectTimeout = 500 * clock.Millisecond
-	// orderTimeout is the longest that an order may be under way. A lease must
-	// be held for longer when the order is sent.
-	orderTimeout = 2 * clock.Second
+	// maxCalls bounds the calls to runners and the cloud that are under way.
+	maxCalls = 64
 )
 
 // Steward controls the pools whose leases it holds.
 type Steward struct {
-	settings *settings.Steward
-	clock    *clock.Clock
-	log      zerolog.Logger
-	platform *platformhttp.Client
-	store    *platform.Store
-	cloud    *cloudhttp.Client
-	weights  *weightstorehttp.Client
-	runners  *runnerhttp.Client
-	leases   map[string]*platform.Lease
-	serial   int
+	settings    *settings.Steward
+	clock       *clock.Clock
+	log         zerolog.Logger
+	random      func() float64
+	incarnation string
+	counters    *expvar.Map
+	platform    *platformhttp.Client
+	store       *platform.Store
+	entry       *operatorhttp.Client
+	cloud       *cloudhttp.Client
+	weights     *weightstorehttp.Client
+	pacer       *weightstore.Pacer
+	runners     *runnerhttp.Client
+	calls       *semaphore.Weighted
+	inForce     *table.InForce
+	view        atomic.Pointer[view]
+	listener    net.Listener
+	mutex       sync.Mutex
+	keepers     map[string]*keeper
 }
 
-// New returns a steward that holds no lease.
-func New(settings *settings.Steward, clock *clock.Clock, log zerolog.Logger) *Steward {
+// New returns a steward that holds no lease. It listens for operators if the
+// settings name an address.
+func New(settings *settings.Steward, clock *clock.Clock, log zerolog.Logger) (*Steward, error) {
 	client := platformhttp.New(settings.Platform().Address(), clock, settings.Platform().Timeout())
-	return &Steward{
-		settings: settings,
-		clock:    clock,
-		log:      log,
-		platform: client,
-		store:    client.Store(),
-		cloud:    cloudhttp.New(settings.Cloud().Address(), clock, settings.Cloud().Timeout()),
-		weights:  weightstorehttp.New(settings.WeightStore().Address(), clock, settings.WeightStore().Timeout()),
-		runners:  runnerhttp.New(clock, connectTimeout),
-		leases:   map[string]*platform.Lease{},
+	steward := &Steward{
+		settings:    settings,
+		clock:       clock,
+		log:         log,
+		random:      mathrand.Float64,
+		incarnation: newIncarnation(settings.Host()),
+		counters:    new(expvar.Map).Init(),
+		platform:    client,
+		store:       client.Store(),
+		cloud:       cloudhttp.New(settings.Cloud().Address(), clock, settings.Cloud().Timeout()),
+		weights:     weightstorehttp.New(settings.WeightStore().Address(), clock, settings.WeightStore().Timeout()),
+		pacer:       weightstore.NewPacer(clock, mathrand.Float64),
+		runners:     runnerhttp.New(clock, connectTimeout),
+		calls:       semaphore.NewWeighted(maxCalls),
+		inForce:     table.NewInForce(),
+		keepers:     map[string]*keeper{},
 	}
+	steward.view.Store(&view{})
+	if settings.Entry().Address() != "" {
+		steward.entry = operatorhttp.NewClient(settings.Entry().Address(), settings.EntryToken(), clock, settings.Entry().Timeout())
+	}
+	if settings.OperatorListen() == "" {
+		return steward, nil
+	}
+	var err error
+	steward.listener, err = net.Listen("tcp", settings.OperatorListen())
+	return steward, errors.Wrap(err, "listen")
 }
 
-// Run controls until the context ends.
-func (steward *Steward) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := steward.round(ctx); err != nil && ctx.Err() == nil {
-			steward.log.Warn().Err(err).Msg("round of control failed")
-		}
-		steward.clock.Wait(ctx, steward.settings.Round())
+func newIncarnation(host string) string {
+	var bytes [8]byte
+	rand.Read(bytes[:])
+	return host + "." + hex.EncodeToString(bytes[:])
+}
+
+// Counters returns the steward's metrics.
+func (steward *Steward) Counters() *expvar.Map { return steward.counters }
+
+// OperatorAddress returns the address on which operators are served, or
+// nothing.
+func (steward *Steward) OperatorAddress() string {
+	if steward.listener == nil {
+		return ""
 	}
+	return steward.listener.Addr().String()
 }
 
-func (steward *Steward) round(ctx context.Context) error {
-	tables, _, err := platformhttp.LoadTables(ctx, steward.store)
-	if err != nil {
-		return err
+// Run controls until stop ends. Then it finishes the orders in progress and
+// gives its leases back, for at most the time in the settings. When kill ends,
+// it returns at once.
+func (steward *Steward) Run(stop, kill context.Context) error {
+	ended, end := context.WithCancel(kill)
+	defer end()
+	operators := &http.Server{Handler: operatorhttp.StewardRouter(steward.settings.OperatorToken(), steward.Leases, steward.refuse)}
+	group := &errgroup.Group{}
+	if steward.listener != nil {
+		group.Go(func() error {
+			if err := operators.Serve(steward.listener); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
 	}
-	hosts, err := steward.platform.Hosts(ctx)
-	if err != nil {
-		return err
+	var keepers sync.WaitGroup
+	group.Go(func() error {
+		steward.follow(stop, ended, &keepers)
+		return nil
+	})
+	group.Go(func() error {
+		steward.watchNotices(stop)
+		return nil
+	})
+	group.Go(func() error {
+		select {
+		case <-stop.Done():
+		case <-ended.Done():
+		}
+		steward.finish(ended, &keepers)
+		end()
+		operators.Close()
+		return nil
+	})
+	return group.Wait()
+}
+
+// finish waits for the keepers, which stop by themselves, for a bounded time.
+func (steward *Steward) finish(ctx context.Context, keepers *sync.WaitGroup) {
+	done := make(chan struct{})
+	go func() {
+		keepers.Wait()
+		close(done)
+	}()
+	late := make(chan struct{})
+	cancel := steward.clock.AfterFunc(steward.settings.StopGrace(), func() { close(late) })
+	defer cancel()
+	select {
+	case <-done:
+		steward.log.Info().Msg("stopped: leases given back")
+	case <-late:
+		steward.log.Warn().Msg("stopped: leases not given back in time")
+	case <-ctx.Done():
 	}
-	for _, row := range tables.Pools() {
-		if row.Kind() != pool.KindRunner {
-			continue
+}
+
+// follow refreshes the view and runs a keeper for each lease that the tables
+// and the backend servers call for.
+func (steward *Steward) follow(stop, ended context.Context, group *sync.WaitGroup) {
+	for stop.Err() == nil {
+		if err := steward.refresh(stop); err != nil && stop.Err() == nil {
+			steward.counters.Add("refreshesFailed", 1)
+			steward.log.Warn().Err(err).Msg("tables or backend servers could not be read")
 		}
-		if err := steward.controlPool(ctx, row, hosts); err != nil {
-			return err
+		for _, missing := range steward.missingKeepers() {
+			missing.cancelled, missing.cancel = context.WithCancel(stop)
+			group.Go(func() { missing.run(ended) })
 		}
+		steward.clock.Wait(stop, steward.jittered(steward.settings.Round()))
 	}
-	return nil
 }
 
-func (steward *Steward) controlPool(ctx context.Context, row pool.Pool, hosts []backend.Listed) error {
-	lease := steward.lease(row.Name() + "." + steward.settings.DataCentre())
-	if err := steward.keep(ctx, lease); err != nil {
-		return err
-	}
-	if !lease.Held(orderTimeout) {
-		return nil
+// missingKeepers returns a keeper for each lease that has none, and stops those
+// whose pool is gone.
+func (steward *Steward) missingKeepers() []*keeper {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	wanted := map[string]bool{}
+	var missing []*keeper
+	want := func(name string, create func() *keeper) {
+		wanted[name] = true
+		if steward.keepers[name] == nil {
+			steward.keepers[name] = create()
+			missing = append(missing, steward.keepers[name])
+		}
 	}
-	live := 0
-	for _, listed := range hosts {
-		server := listed.Server()
-		if server.Pool() != row.Name() || listed.Leaving() {
+	for _, row := range steward.inForce.Current().Pools() {
+		if row.Kind() != pool.KindRunner {
 			continue
 		}
-		live++
-		if server.DataCentre() == steward.settings.DataCentre() {
-			steward.correct(ctx, lease, row, server)
+		if row.HostClass() != "" {
+			want(hostsLease(row.Name()), func() *keeper { return steward.newHostsKeeper(row.Name()) })
+		}
+		for _, dataCentre := range steward.view.Load().dataCentres(row.Name()) {
+			want(ordersLease(row.Name(), dataCentre), func() *keeper { return steward.newOrdersKeeper(row.Name(), dataCentre) })
 		}
 	}
-	if live < row.MinHosts() {
-		return steward.start(ctx, lease, row)
+	for name, keeper := range steward.keepers {
+		if _, pooled := steward.inForce.Current().Pool(keeper.pool); !wanted[name] && !pooled {
+			keeper.cancel()
+			delete(steward.keepers, name)
+		}
 	}
-	return nil
+	return missing
 }
 
-func (steward *Steward) lease(name string) *platform.Lease {
-	lease, ok := steward.leases[name]
-	if !ok {
-		lease = platform.NewLease(steward.clock, name, steward.settings.Host(), steward.settings.Lease())
-		steward.leases[name] = lease
+func hostsLease(pool string) string { return "hosts." + pool }
+
+func ordersLease(pool, dataCentre string) string { return "orders." + pool + "." + dataCentre }
+
+func (steward *Steward) allKeepers() []*keeper {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	keepers := make([]*keeper, 0, len(steward.keepers))
+	for _, keeper := range steward.keepers {
+		keepers = append(keepers, keeper)
 	}
-	return lease
+	return keepers
 }
 
-// keep observes the lease and takes or renews it if it may. A lost answer
-// counts as not held.
-func (steward *Steward) keep(ctx context.Context, lease *platform.Lease) error {
-	object, err := steward.store.Get(ctx, platform.KindLeases, lease.Name())
-	var missing *platform.NotFoundError
-	if err != nil && !errors.As(err, &missing) {
-		return err
+// Leases returns what the steward knows of each lease that it follows.
+func (steward *Steward) Leases() []operator.LeaseStatus {
+	var leases []operator.LeaseStatus
+	for _, keeper := range steward.allKeepers() {
+		leases = append(leases, keeper.status())
 	}
-	ours := lease.Held(0) && object.Version() == lease.Fence()
-	lease.Observe(object.Version())
-	if !ours && !lease.MayTake() {
-		lease.Lost()
-		return nil
-	}
-	sentAt := steward.clock.Now()
-	version, err := steward.store.Put(ctx, platform.KindLeases, lease.Name(), []byte(lease.Holder()), object.Version())
-	if err != nil {
-		lease.Lost()
-		return err
-	}
-	lease.Taken(version, sentAt)
-	return nil
+	return leases
 }
 
-// correct brings a runner into the condition that the pool wants.
-func (steward *Steward) correct(ctx context.Context, lease *platform.Lease, row pool.Pool, server *backend.Server) {
-	ctx, cancel := steward.clock.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	order := runner.NewOrder(lease.Fence(), row.Models(), runner.RoleServe)
-	state, err := steward.runners.State(ctx, server)
-	if err != nil || state.Fulfils(order) {
-		return
-	}
-	for _, model := range row.Models() {
-		if err := steward.weights.Reserve(ctx, model.Name(), model.Version()); err != nil {
-			steward.log.Info().Err(err).Str(logging.FieldServer, server.ID()).Msg("load waits for the weight store")
-			return
-		}
-	}
-	if !lease.Held(orderTimeout) {
-		return
-	}
-	err = steward.runners.Order(ctx, server, order)
-	steward.log.Info().Err(err).Str(logging.FieldServer, server.ID()).Int64("fence", order.Fence()).Msg("order sent")
+func (steward *Steward) refuse(remote, reason string) {
+	steward.log.Warn().Str("remote", remote).Str("reason", reason).Msg("operator refused")
 }
 
-func (steward *Steward) start(ctx context.Context, lease *platform.Lease, row pool.Pool) error {
-	if !lease.Held(orderTimeout) {
-		return nil
-	}
-	steward.serial++
-	parts := []string{steward.settings.Host(), row.Name(), strconv.FormatInt(lease.Fence(), 10), strconv.Itoa(steward.serial)}
-	offer := cloud.NewOffer(steward.settings.DataCentre(), row.HostClass(), true, 0)
-	host, err := steward.cloud.Start(ctx, offer, row.Name(), strings.Join(parts, "."))
-	var refused *cloud.NoCapacityError
-	if errors.As(err, &refused) {
-		steward.log.Info().Err(err).Msg("host not started")
-		return nil
-	}
-	if err != nil {
-		return err
+// jittered returns the time less up to a tenth, so that stewards don't act in
+// step.
+func (steward *Steward) jittered(millis clock.Millis) clock.Millis {
+	return millis - clock.Millis(float64(millis)*0.1*steward.random())
+}
+
+// each runs the call for every number below count, several at a time, within
+// the bound on calls of the whole steward.
+func (steward *Steward) each(ctx context.Context, count int, call func(ctx context.Context, i int)) {
+	group := &errgroup.Group{}
+	for i := range count {
+		if steward.calls.Acquire(ctx, 1) != nil {
+			break
+		}
+		group.Go(func() error {
+			defer steward.calls.Release(1)
+			call(ctx, i)
+			return nil
+		})
 	}
-	steward.log.Info().Str(logging.FieldServer, host.ID()).Str("pool", row.Name()).Msg("host started")
-	return nil
+	group.Wait()
 }
--- /dev/null
+++ b/internal/steward/view.go
@@ -0,0 +1,126 @@
+package steward
+
+import (
+	"context"
+	"slices"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/operator"
+	"sapphirehead/internal/platform"
+	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/table"
+)
+
+const (
+	// maxTablesAge is how long the steward acts on tables that it could not
+	// confirm.
+	maxTablesAge = 60 * clock.Second
+	// tablesInterval is the time between two reads of the tables while the entry
+	// host says that nothing changed.
+	tablesInterval = 30 * clock.Second
+)
+
+// view is what the steward knows of the system at one time.
+type view struct {
+	servers    []backend.Listed
+	candidates []platform.Candidate
+	loadedAt   clock.Millis
+	usableTill clock.Millis
+}
+
+// pool returns the backend servers of a pool.
+func (view *view) pool(name string) []backend.Listed {
+	var servers []backend.Listed
+	for _, listed := range view.servers {
+		if listed.Server().Pool() == name {
+			servers = append(servers, listed)
+		}
+	}
+	return servers
+}
+
+// dataCentres returns where the pool has backend servers.
+func (view *view) dataCentres(pool string) []string {
+	var names []string
+	for _, listed := range view.pool(pool) {
+		if name := listed.Server().DataCentre(); !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// refresh replaces the view. The entry host beside the steward tells the
+// version in force, fellow nodes and backend servers without a call to the
+// platform. Without it the platform is asked for tables and hosts.
+//
+// The steward acts on no tables older than any it has seen or the entry host
+// has in force. Tables that could not be confirmed for maxTablesAge are not
+// acted on either.
+func (steward *Steward) refresh(ctx context.Context) error {
+	next := *steward.view.Load()
+	floor := int64(-1)
+	if status, ok := steward.askEntry(ctx); ok {
+		floor = status.Self().TablesVersion()
+		next.servers, next.candidates = serversOf(status), candidatesOf(status)
+	} else {
+		servers, err := steward.platform.Hosts(ctx)
+		if err != nil {
+			return err
+		}
+		next.servers = servers
+	}
+	now := steward.clock.Now()
+	if floor != steward.inForce.Current().Version() || next.loadedAt == 0 || now-next.loadedAt >= tablesInterval {
+		tables, _, err := platformhttp.LoadTables(ctx, steward.store)
+		if err != nil {
+			steward.view.Store(&next)
+			return err
+		}
+		steward.inForce.Offer(tables)
+		next.loadedAt = now
+	}
+	if steward.inForce.Current().Version() >= floor {
+		next.usableTill = now + maxTablesAge
+	}
+	steward.view.Store(&next)
+	return nil
+}
+
+func (steward *Steward) askEntry(ctx context.Context) (operator.Status, bool) {
+	if steward.entry == nil {
+		return operator.Status{}, false
+	}
+	status, err := steward.entry.Status(ctx)
+	if err != nil {
+		steward.counters.Add("entryUnanswered", 1)
+		return operator.Status{}, false
+	}
+	return status, true
+}
+
+func serversOf(status operator.Status) []backend.Listed {
+	servers := make([]backend.Listed, 0, len(status.Servers()))
+	for _, server := range status.Servers() {
+		listed := backend.NewServer(server.ID(), server.Address(), server.DataCentre(), "", server.Pool())
+		servers = append(servers, backend.NewListed(listed, server.Leaving()))
+	}
+	return servers
+}
+
+func candidatesOf(status operator.Status) []platform.Candidate {
+	var candidates []platform.Candidate
+	for _, member := range status.Members() {
+		if !member.Stopping() {
+			candidates = append(candidates, platform.NewCandidate(member.Host(), member.DataCentre()))
+		}
+	}
+	return append(candidates, platform.NewCandidate(status.Self().Host(), status.Self().DataCentre()))
+}
+
+// tables returns the tables to act on, and false if there are none that may be
+// acted on now.
+func (steward *Steward) tables() (*table.Tables, bool) {
+	return steward.inForce.Current(), steward.clock.Now() < steward.view.Load().usableTill
+}
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"sapphirehead/internal/pool"
@@ -132,6 +133,14 @@
 	if row.Slots() <= 0 {
 		report("slots", fmt.Sprintf("is %d: allowed is 1 or more", row.Slots()))
 	}
+	if len(row.OtherClasses()) > 0 && row.HostClass() == "" {
+		report("otherClasses", "a pool with other classes needs a hostClass")
+	}
+	for i, class := range row.HostClasses() {
+		if class == "" || slices.Contains(row.HostClasses()[:i], class) {
+			report("otherClasses", fmt.Sprintf("%q is empty or named twice", class))
+		}
+	}
 	switch row.Kind() {
 	case pool.KindRunner:
 		if len(row.Models()) == 0 {
--- a/internal/table/tablecodec/tablecodec.go
+++ b/internal/table/tablecodec/tablecodec.go
@@ -45,6 +45,7 @@
 	Kind          string      `json:"kind" toml:"kind"`
 	Models        []modelForm `json:"models,omitempty" toml:"models,omitempty"`
 	HostClass     string      `json:"hostClass,omitempty" toml:"hostClass,omitempty"`
+	OtherClasses  []string    `json:"otherClasses,omitempty" toml:"otherClasses,omitempty"`
 	MinHosts      int         `json:"minHosts,omitempty" toml:"minHosts,omitempty"`
 	MaxHosts      int         `json:"maxHosts,omitempty" toml:"maxHosts,omitempty"`
 	Slots         int         `json:"slots,omitempty" toml:"slots,omitempty"`
@@ -164,7 +165,7 @@
 		slots = pool.DefaultSlots
 	}
 	return pool.New(form.Name, kind).WithModels(models...).
-		WithHosts(form.HostClass, form.MinHosts, form.MaxHosts).WithSlots(slots).
+		WithHosts(form.HostClass, form.MinHosts, form.MaxHosts).WithOtherClasses(form.OtherClasses...).WithSlots(slots).
 		WithIgnoresFence(form.IgnoresFence).WithRefusesRepeat(form.RefusesRepeat).WithRevision(form.Revision)
 }
 
@@ -200,6 +201,7 @@
 		Name:          row.Name(),
 		Kind:          row.Kind().String(),
 		HostClass:     row.HostClass(),
+		OtherClasses:  row.OtherClasses(),
 		MinHosts:      row.MinHosts(),
 		MaxHosts:      row.MaxHosts(),
 		Slots:         row.Slots(),
