--- a/internal/cloud/demand.go
+++ b/internal/cloud/demand.go
@@ -71,7 +71,7 @@
 // NeedOf returns what a pool needs for the demand. Routes are what the tables
 // join to the pool; share says what part of the pool's demand a route has.
 func NeedOf(row pool.Pool, routes []route.Route, share func(route route.Route) float64, demand int) Need {
-	target := max(demand, row.MinHosts())
+	target := min(max(demand, row.MinHosts()), row.MaxHosts())
 	protected := int(math.Ceil(protectedShare(routes, share) * float64(target)))
 	return NewNeed(target, protected, row.MaxHosts(), row.HostClasses())
 }
--- /dev/null
+++ b/internal/cloud/learning_test.go
@@ -0,0 +1,139 @@
+package cloud_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/cloud"
+	"sapphirehead/internal/pool"
+	"sapphirehead/internal/route"
+)
+
+// expectBlocked checks whether starts of the kind have to wait.
+func expectBlocked(t *testing.T, backoff *cloud.Backoff, blocked bool) {
+	t.Helper()
+	require.Equal(t, blocked, backoff.Blocked(offers[0].Kind()))
+}
+
+func TestBackoff(t *testing.T) {
+	manual := clock.NewManual(1000)
+	backoff := cloud.NewBackoff(manual.Clock(), func() float64 { return 0.5 })
+	t.Run("waits after a refusal, for this kind only", func(t *testing.T) {
+		backoff.Refused(offers[0].Kind())
+		expectBlocked(t, backoff, true)
+		require.False(t, backoff.Blocked(offers[1].Kind()))
+		manual.Advance(5 * clock.Second)
+		expectBlocked(t, backoff, false)
+	})
+	t.Run("doubles, and refusals sent together count once", func(t *testing.T) {
+		backoff.Refused(offers[0].Kind())
+		backoff.Refused(offers[0].Kind())
+		manual.Advance(10*clock.Second - 1)
+		expectBlocked(t, backoff, true)
+		manual.Advance(1)
+		expectBlocked(t, backoff, false)
+	})
+	t.Run("a start ends it", func(t *testing.T) {
+		backoff.Refused(offers[0].Kind())
+		backoff.Started(offers[0].Kind())
+		expectBlocked(t, backoff, false)
+	})
+}
+
+func TestRisk(t *testing.T) {
+	manual := clock.NewManual(1000)
+	risk := cloud.NewRisk(manual.Clock())
+	kind := offers[0].Kind()
+	risk.Observe(kind, 10)
+	t.Run("a kind that is taken back often looks dearer", func(t *testing.T) {
+		before := risk.Price(offers[0])
+		risk.Noticed(kind)
+		require.Greater(t, risk.Price(offers[0]), before)
+		require.InDelta(t, 3.0, risk.Price(offers[3]), 0, "on demand")
+		require.False(t, risk.Wave(kind))
+	})
+	t.Run("half of the hosts at once is a wave, for a while", func(t *testing.T) {
+		for range 4 {
+			risk.Noticed(kind)
+		}
+		require.True(t, risk.Wave(kind))
+		manual.Advance(5 * clock.Minute)
+		require.False(t, risk.Wave(kind))
+	})
+	t.Run("quiet hours make it cheaper again", func(t *testing.T) {
+		before := risk.Price(offers[0])
+		manual.Advance(12 * clock.Hour)
+		require.Less(t, risk.Price(offers[0]), before)
+	})
+}
+
+// expectDemand takes in a load and checks the hosts for it.
+func expectDemand(t *testing.T, demand *cloud.Demand, busy, known, hosts, wanted int) {
+	t.Helper()
+	demand.Observe(busy, known, hosts, 10)
+	require.Equal(t, wanted, demand.Hosts())
+}
+
+func TestDemand(t *testing.T) {
+	manual := clock.NewManual(1000)
+	demand := cloud.NewDemand(manual.Clock())
+	t.Run("rises at once", func(t *testing.T) {
+		expectDemand(t, demand, 7, 5, 5, 1)
+		expectDemand(t, demand, 35, 5, 5, 5)
+	})
+	t.Run("falls after the window", func(t *testing.T) {
+		manual.Advance(15*clock.Minute - 1)
+		expectDemand(t, demand, 7, 5, 5, 5)
+		manual.Advance(1)
+		expectDemand(t, demand, 7, 5, 5, 1)
+	})
+	t.Run("does not fall while runners do not answer", func(t *testing.T) {
+		manual.Advance(15 * clock.Minute)
+		expectDemand(t, demand, 0, 3, 5, 5)
+	})
+}
+
+func TestNeed(t *testing.T) {
+	row := pool.New("runners", pool.KindRunner).WithHosts("gpu", 2, 10)
+	equal := func(route.Route) float64 { return 1 }
+	routes := []route.Route{
+		route.New("drafts", route.KindChat, "runners").WithWorth(1),
+		route.New("desk", route.KindChat, "runners").WithWorth(9),
+	}
+	expectNeed := func(t *testing.T, demand, target, protected int, routes ...route.Route) {
+		t.Helper()
+		need := cloud.NeedOf(row, routes, equal, demand)
+		require.Equal(t, target, need.Target())
+		require.Equal(t, protected, need.Protected())
+	}
+	t.Run("the worthiest routes are protected", func(t *testing.T) { expectNeed(t, 8, 8, 4, routes...) })
+	t.Run("a single route is protected whole", func(t *testing.T) { expectNeed(t, 8, 8, 8, routes[1]) })
+	t.Run("at night the floor holds", func(t *testing.T) { expectNeed(t, 0, 2, 1, routes...) })
+	t.Run("the pool's bound holds", func(t *testing.T) { expectNeed(t, 50, 10, 5, routes...) })
+}
+
+func TestStarts(t *testing.T) {
+	starts := cloud.NewStarts("hosts.runners")
+	starts.Under(41)
+	kind, other := offers[0].Kind(), offers[1].Kind()
+	t.Run("calls sent together have names of their own", func(t *testing.T) {
+		first := starts.Next(kind, nil)
+		require.Equal(t, "hosts.runners.41.1", first)
+		require.Equal(t, "hosts.runners.41.2", starts.Next(kind, []string{first}))
+	})
+	t.Run("a call whose answer was lost is repeated under its name", func(t *testing.T) {
+		starts.Settled("hosts.runners.41.2")
+		require.Equal(t, "hosts.runners.41.1", starts.Next(kind, nil))
+		require.Equal(t, "hosts.runners.41.3", starts.Next(other, nil))
+	})
+	t.Run("a listed host settles its call", func(t *testing.T) {
+		starts.Listed([]cloud.Host{cloud.NewHost("host-1", "runners", offers[0], false).WithRequestID("hosts.runners.41.1")})
+		require.Equal(t, "hosts.runners.41.4", starts.Next(kind, nil))
+	})
+	t.Run("a new lease starts new names", func(t *testing.T) {
+		starts.Under(42)
+		require.Equal(t, "hosts.runners.42.1", starts.Next(kind, nil))
+	})
+}
--- /dev/null
+++ b/internal/cloud/plan_test.go
@@ -0,0 +1,159 @@
+package cloud_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"sapphirehead/internal/cloud"
+)
+
+var offers = []cloud.Offer{
+	cloud.NewOffer("lj-a", "gpu", true, 1.0),
+	cloud.NewOffer("lj-b", "gpu", true, 1.1),
+	cloud.NewOffer("lj-c", "gpu", true, 1.2),
+	cloud.NewOffer("lj-a", "gpu", false, 3.0),
+	cloud.NewOffer("lj-b", "gpu-large", true, 0.9),
+}
+
+var gpu = []string{"gpu"}
+
+func price(offer cloud.Offer) float64 { return offer.Price() }
+
+func free(cloud.Kind) bool { return false }
+
+// rented returns ready hosts of the offer.
+func rented(offer cloud.Offer, ids ...string) []cloud.Host {
+	var hosts []cloud.Host
+	for _, id := range ids {
+		hosts = append(hosts, cloud.NewHost(id, "runners", offer, false).WithReady(true))
+	}
+	return hosts
+}
+
+// expectPlan checks how many hosts are started by each offer and which are
+// given back.
+func expectPlan(t *testing.T, plan cloud.Plan, starts map[cloud.Offer]int, drains ...string) {
+	t.Helper()
+	got := map[cloud.Offer]int{}
+	for _, offer := range plan.Starts() {
+		got[offer]++
+	}
+	require.Equal(t, starts, got, "starts")
+	var drained []string
+	for _, host := range plan.Drains() {
+		drained = append(drained, host.ID())
+	}
+	require.Equal(t, drains, drained, "drains")
+}
+
+func TestPlan(t *testing.T) {
+	planner := cloud.NewPlanner(price, free)
+	blocked := func(kinds ...cloud.Kind) *cloud.Planner {
+		return cloud.NewPlanner(price, func(kind cloud.Kind) bool { return slices.Contains(kinds, kind) })
+	}
+	none := map[cloud.Offer]int{}
+	t.Run("the whole need is protected: spread with headroom, not on demand", func(t *testing.T) {
+		plan := planner.Plan(cloud.NewNeed(4, 4, 20, gpu), offers, nil)
+		expectPlan(t, plan, map[cloud.Offer]int{offers[0]: 2, offers[1]: 2, offers[2]: 2})
+		require.Equal(t, 4, plan.Protected())
+	})
+	t.Run("nothing protected: the cheapest", func(t *testing.T) {
+		expectPlan(t, planner.Plan(cloud.NewNeed(4, 0, 20, gpu), offers, nil), map[cloud.Offer]int{offers[0]: 4})
+	})
+	t.Run("another class of the pool is cheaper", func(t *testing.T) {
+		plan := planner.Plan(cloud.NewNeed(4, 0, 20, []string{"gpu", "gpu-large"}), offers, nil)
+		expectPlan(t, plan, map[cloud.Offer]int{offers[4]: 4})
+	})
+	t.Run("a refused data centre is left out", func(t *testing.T) {
+		plan := blocked(offers[0].Kind()).Plan(cloud.NewNeed(4, 2, 20, gpu), offers, nil)
+		expectPlan(t, plan, map[cloud.Offer]int{offers[1]: 2, offers[2]: 2})
+	})
+	t.Run("every reclaimable kind is refused: on demand for the protected need only", func(t *testing.T) {
+		plan := blocked(offers[0].Kind(), offers[1].Kind(), offers[2].Kind()).Plan(cloud.NewNeed(6, 3, 20, gpu), offers, nil)
+		expectPlan(t, plan, map[cloud.Offer]int{offers[3]: 3})
+	})
+	t.Run("everything is refused: what runs stays", func(t *testing.T) {
+		all := blocked(offers[0].Kind(), offers[1].Kind(), offers[2].Kind(), offers[3].Kind())
+		expectPlan(t, all.Plan(cloud.NewNeed(6, 3, 20, gpu), offers, rented(offers[0], "h1", "h2")), none)
+	})
+	t.Run("small differences of price move no hosts", func(t *testing.T) {
+		expectPlan(t, planner.Plan(cloud.NewNeed(2, 0, 20, gpu), offers, rented(offers[2], "h1", "h2")), none)
+	})
+	t.Run("the dearest go when the need falls", func(t *testing.T) {
+		hosts := append(rented(offers[0], "h1", "h2"), rented(offers[3], "h3")...)
+		expectPlan(t, planner.Plan(cloud.NewNeed(2, 0, 20, gpu), offers, hosts), none, "h3")
+	})
+	t.Run("a host goes only once its replacement serves", func(t *testing.T) {
+		hosts := rented(offers[3], "h3")
+		need := cloud.NewNeed(1, 0, 20, gpu)
+		expectPlan(t, planner.Plan(need, offers, hosts), map[cloud.Offer]int{offers[0]: 1})
+		hosts = append(hosts, cloud.NewHost("h4", "runners", offers[0], false))
+		expectPlan(t, planner.Plan(need, offers, hosts), none)
+		hosts[1] = hosts[1].WithReady(true)
+		expectPlan(t, planner.Plan(need, offers, hosts), none, "h3")
+	})
+	t.Run("hosts of others count and stay", func(t *testing.T) {
+		hosts := []cloud.Host{cloud.NewHost("other", "runners", offers[0].WithPrice(0), false).WithReady(true).WithFixed(true)}
+		expectPlan(t, planner.Plan(cloud.NewNeed(2, 0, 20, gpu), offers, hosts), map[cloud.Offer]int{offers[0]: 1})
+		expectPlan(t, planner.Plan(cloud.NewNeed(0, 0, 20, gpu), offers, hosts), none)
+	})
+	t.Run("no more than the pool allows", func(t *testing.T) {
+		plan := planner.Plan(cloud.NewNeed(9, 9, 4, gpu), offers, nil)
+		require.Len(t, plan.Starts(), 4)
+	})
+}
+
+// surviving returns the hosts that are left after the loss of any data centre's
+// reclaimable hosts.
+func surviving(counts []int) int {
+	total, lost := 0, map[string]int{}
+	worst := 0
+	for i, count := range counts {
+		total += count
+		if offers[i].Reclaimable() {
+			lost[offers[i].DataCentre()] += count
+			worst = max(worst, lost[offers[i].DataCentre()])
+		}
+	}
+	return total - worst
+}
+
+// leastCost tries every mix of the first four offers.
+func leastCost(target, protected, most int) float64 {
+	best := math.Inf(1)
+	for code := range int(math.Pow(float64(most+1), 4)) {
+		counts := []int{code % (most + 1), code / (most + 1) % (most + 1), code / (most + 1) / (most + 1) % (most + 1), code / (most + 1) / (most + 1) / (most + 1)}
+		total, cost := 0, 0.0
+		for i, count := range counts {
+			total += count
+			cost += float64(count) * offers[i].Price()
+		}
+		if total >= target && total <= most && surviving(counts) >= protected && counts[3] <= protected {
+			best = min(best, cost)
+		}
+	}
+	return best
+}
+
+// TestPlanIsCheapest compares the plan with a search over every mix.
+func TestPlanIsCheapest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		most := rapid.IntRange(1, 9).Draw(t, "max")
+		target := rapid.IntRange(0, most).Draw(t, "target")
+		protected := rapid.IntRange(0, target).Draw(t, "protected")
+		plan := cloud.NewPlanner(price, free).Plan(cloud.NewNeed(target, protected, most, gpu), offers, nil)
+		counts, cost := make([]int, 4), 0.0
+		for _, offer := range plan.Starts() {
+			counts[slices.Index(offers, offer)]++
+			cost += offer.Price()
+		}
+		if least := leastCost(target, protected, most); math.Abs(cost-least) > 1e-9 || surviving(counts) < protected {
+			t.Fatal(fmt.Sprintf("mix %v costs %.2f and keeps %d: the cheapest costs %.2f", counts, cost, surviving(counts), least))
+		}
+	})
+}
