--- a/internal/standin/cloudstandin/cloud.go
+++ b/internal/standin/cloudstandin/cloud.go
@@ -54,9 +54,9 @@
 
 const (
 	stateStarting = "starting"
-	stateLive    = "live"
-	stateLeaving = "leaving"
-	stateGone    = "gone"
+	stateLive     = "live"
+	stateLeaving  = "leaving"
+	stateGone     = "gone"
 )
 
 // Cloud is the state of the stand-in.
--- a/internal/steward/hosts.go
+++ b/internal/steward/hosts.go
@@ -171,7 +171,7 @@
 	})
 }
 
-// learn takes in prices' risk and demand.
+// learn takes in hosts, risk and demand, and forgets hosts that are gone.
 func (hosts *hosts) learn(survey *survey) {
 	counts := map[cloud.Kind]int{}
 	hosts.mutex.Lock()
@@ -182,6 +182,14 @@
 			hosts.firstSeen[host.ID()] = hosts.steward.clock.Now()
 		}
 	}
+	for id := range hosts.kinds {
+		if _, listed := survey.servers[id]; !listed && !isRented(survey, id) {
+			delete(hosts.kinds, id)
+			delete(hosts.firstSeen, id)
+			delete(hosts.drainedAt, id)
+			delete(hosts.idleSince, id)
+		}
+	}
 	hosts.mutex.Unlock()
 	for kind, count := range counts {
 		hosts.risk.Observe(kind, count)
@@ -193,6 +201,10 @@
 	hosts.demand.Observe(busy, len(survey.states), len(survey.servers), survey.row.Slots())
 }
 
+func isRented(survey *survey, id string) bool {
+	return slices.ContainsFunc(survey.rented, func(host cloud.Host) bool { return host.ID() == id })
+}
+
 // noticed takes in a reclaim notice.
 func (hosts *hosts) noticed(hostID string) {
 	hosts.mutex.Lock()
@@ -218,7 +230,7 @@
 		planned = append(planned, priced(host, survey.offers).WithReady(ready))
 	}
 	for id, server := range survey.servers {
-		if !known[id] && !survey.leaving[id] {
+		if !known[id] && !survey.leaving[id] && !hosts.wasRented(id) && survey.states[id].Role() != runner.RoleDrain {
 			offer := cloud.NewOffer(server.DataCentre(), survey.row.HostClass(), true, 0)
 			planned = append(planned, cloud.NewHost(id, hosts.pool, offer, false).WithReady(true).WithFixed(true))
 		}
@@ -232,6 +244,15 @@
 	return planned
 }
 
+// wasRented reports whether the cloud listed the host earlier. The platform's
+// list may show it for a while after it was given back.
+func (hosts *hosts) wasRented(id string) bool {
+	hosts.mutex.Lock()
+	defer hosts.mutex.Unlock()
+	_, known := hosts.kinds[id]
+	return known
+}
+
 // priced returns the host at the price of its offer.
 func priced(host cloud.Host, offers []cloud.Offer) cloud.Host {
 	for _, offer := range offers {
--- a/internal/steward/orders.go
+++ b/internal/steward/orders.go
@@ -21,9 +21,10 @@
 
 // Times of the control of runners.
 const (
-	// orderTimeout is the longest that an order may be under way. A lease must
-	// be held for longer when the order is sent.
-	orderTimeout = 2 * clock.Second
+	// maxOrderTimeout is the longest that an order may be under way.
+	maxOrderTimeout = 2 * clock.Second
+	// ordersPerLease is how often the longest order fits into a lease.
+	ordersPerLease = 4
 	// stateTimeout bounds a question to a runner.
 	stateTimeout = 1 * clock.Second
 	// loadTimeout is how long a runner may take to load weights before it gets
@@ -69,7 +70,7 @@
 func (orders *orders) round(ctx context.Context, holding platform.Holding) error {
 	tables, _ := orders.steward.tables()
 	row, ok := tables.Pool(orders.pool)
-	if !ok || (row.IgnoresFence() && !holding.Waited(orders.steward.clock.Now(), orderTimeout)) {
+	if !ok || (row.IgnoresFence() && !holding.Waited(orders.steward.clock.Now(), maxOrderTimeout)) {
 		return nil
 	}
 	if err := orders.loadDrains(ctx); err != nil {
@@ -186,19 +187,25 @@
 	return true
 }
 
+// orderTimeout returns how long an order may be under way. A lease must be held
+// for longer when the order is sent.
+func (steward *Steward) orderTimeout() clock.Millis {
+	return min(maxOrderTimeout, steward.settings.Lease()/ordersPerLease)
+}
+
 // send sends one order, if the lease covers it at the moment of sending. An
 // order that has begun is finished when the steward stops.
 func (orders *orders) send(ctx context.Context, holding platform.Holding, server *backend.Server, step runner.Step) {
 	steward := orders.steward
-	ctx, cancel := steward.clock.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	ctx, cancel := steward.clock.WithTimeout(context.WithoutCancel(ctx), steward.orderTimeout())
 	defer cancel()
 	order := runner.NewOrder(holding.Fence(), step.Models(), step.Role())
-	err := steward.runners.Order(ctx, server, order, func() bool { return orders.lease.Covers(holding.Fence(), orderTimeout) })
+	err := steward.runners.Order(ctx, server, order, func() bool { return orders.lease.Covers(holding.Fence(), steward.orderTimeout()) })
 	var old *runner.OldFenceError
 	var refused *runner.NotPermittedError
 	switch {
 	case err == nil:
-		steward.counters.Add("ordersSent", 1)
+		steward.counters.Add("ordersDone", 1)
 		for _, model := range step.Loads() {
 			steward.pacer.Used(weightstore.NewLoad(step.ID(), model.Name(), model.Version()))
 		}
@@ -209,5 +216,6 @@
 	default:
 		steward.counters.Add("ordersFailed", 1)
 	}
-	steward.log.Info().Err(err).Str(logging.FieldServer, server.ID()).Int64("fence", order.Fence()).Str("role", order.Role()).Msg("order sent")
+	steward.log.Info().Err(err).Str(logging.FieldServer, server.ID()).Int64("fence", order.Fence()).Str("role", order.Role()).
+		Bool("done", err == nil).Msg("order sent")
 }
--- a/internal/table/conflict.go
+++ b/internal/table/conflict.go
@@ -153,6 +153,7 @@
 		{"kind", row.Kind().String()},
 		{"models", "[" + strings.Join(models, " ") + "]"},
 		{"hostClass", fmt.Sprintf("%q", row.HostClass())},
+		{"otherClasses", fmt.Sprintf("%q", row.OtherClasses())},
 		{"minHosts", fmt.Sprint(row.MinHosts())},
 		{"maxHosts", fmt.Sprint(row.MaxHosts())},
 		{"slots", fmt.Sprint(row.Slots())},
