Prove whole answers between entry hosts and runners in one process

Cause: the new parts had no tests. Writing them showed five faults, each mended here: tokens were published before their place, so a hint could be left out; a killed process could still hand over; hints of answers taken over named the wrong node in the request id; a returning caller with another prompt got the first one's answer; asking fellow nodes raced on its context.

Seen to fail: each of the five faults turned a subtest red before it was mended (TestEntryHostDies, TestPlannedStop 'the fellow node that took it dies', the race detector); TestReclaimedRunner and TestBrokenStreams hung or failed until the stand-in's list of hosts was put right.

--- /dev/null
+++ b/internal/entry/answers_test.go
@@ -0,0 +1,275 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+)
+
+var longChat = chat{content: "Summarise the renewal history of account 5", maxTokens: 12, stream: true}
+
+// openAll lets every runner but the given one generate until the test ends.
+func (cluster *cluster) openAll(but *testRunner) {
+	for _, runner := range cluster.runners {
+		if runner != but {
+			go runner.gate.open(cluster.t.Context())
+		}
+	}
+}
+
+// TestBrokenStreams checks that the answer is whole whatever becomes of the
+// runner or of the connection to it in mid-stream.
+func TestBrokenStreams(t *testing.T) {
+	begin := func(t *testing.T) (*cluster, *clock.Manual, *stream, *testRunner) {
+		manual := clock.NewManual(1000)
+		cluster := newCluster(t, manual.Clock(), 2, 1)
+		opened, runner := cluster.begin(0, longChat)
+		runner.gate.step(3)
+		opened.read(4)
+		return cluster, manual, opened, runner
+	}
+	t.Run("runner killed", func(t *testing.T) {
+		cluster, _, opened, runner := begin(t)
+		runner.kill()
+		cluster.openAll(runner)
+		expectWhole(t, longChat, opened)
+	})
+	t.Run("connections silent for good, new ones work", func(t *testing.T) {
+		cluster, manual, opened, runner := begin(t)
+		before := runner.listener.accepted.Load()
+		runner.listener.silence()
+		runner.gate.step(2)
+		manual.Advance(silenceBetweenFloor)
+		cluster.openAll(nil)
+		expectWhole(t, longChat, opened)
+		require.Greater(t, runner.listener.accepted.Load(), before)
+		require.Zero(t, runner.recomputed(t), "resumed, not run again")
+	})
+}
+
+// TestReclaimedRunner checks that a stream has left its runner before that goes,
+// and what the move costs.
+func TestReclaimedRunner(t *testing.T) {
+	const notice = 400 * clock.Millisecond
+	move := func(t *testing.T, chat chat) int64 {
+		t.Helper()
+		cluster := newCluster(t, clock.NewManual(1000).Clock(), 2, 1)
+		opened, runner := cluster.begin(0, chat)
+		next := cluster.other(runner)
+		cluster.entries[0].addNotice(runner.id, notice)
+		next.gate.step(2)
+		opened.read(2)
+		runner.kill()
+		cluster.openAll(runner)
+		expectWhole(t, chat, opened)
+		return next.recomputed(t)
+	}
+	t.Run("short context: continued elsewhere", func(t *testing.T) {
+		require.Positive(t, move(t, longChat))
+	})
+	t.Run("long context: the KV cache moves, nothing is recomputed", func(t *testing.T) {
+		long := longChat
+		for range 10 {
+			long.content += " and then the pressure drop before and after"
+		}
+		require.Zero(t, move(t, long))
+	})
+}
+
+// TestReturn checks what a caller gets that comes back with Last-Event-ID.
+func TestReturn(t *testing.T) {
+	begin := func(t *testing.T) (*cluster, *stream, *testRunner) {
+		cluster := newCluster(t, clock.NewManual(1000).Clock(), 2, 2)
+		opened, runner := cluster.begin(0, longChat)
+		runner.gate.step(3)
+		opened.read(4)
+		opened.body.Close()
+		return cluster, opened, runner
+	}
+	for i, name := range []string{"same entry host", "another entry host"} {
+		t.Run("repeats the request at the "+name, func(t *testing.T) {
+			cluster, opened, runner := begin(t)
+			cluster.openAll(nil)
+			expectWhole(t, longChat, opened, cluster.post(i, opened.lastID, longChat))
+			require.Zero(t, runner.recomputed(t))
+		})
+		t.Run("asks for the stream at the "+name, func(t *testing.T) {
+			cluster, opened, _ := begin(t)
+			cluster.openAll(nil)
+			expectWhole(t, longChat, opened, cluster.send(i, http.MethodGet, "/v1/streams/"+opened.id(), testAccount, opened.lastID, nil))
+		})
+		t.Run("repeats another request at the "+name+": not found", func(t *testing.T) {
+			cluster, opened, _ := begin(t)
+			another := longChat
+			another.content += "?"
+			expectError(t, cluster.post(i, opened.lastID, another), http.StatusNotFound, "streamNotFound")
+		})
+		t.Run("another client account at the "+name+": not found", func(t *testing.T) {
+			cluster, opened, _ := begin(t)
+			expectError(t, cluster.send(i, http.MethodGet, "/v1/streams/"+opened.id(), otherKey, opened.lastID, nil), http.StatusNotFound, "streamNotFound")
+		})
+	}
+	t.Run("with an id that is none", func(t *testing.T) {
+		cluster, _, _ := begin(t)
+		expectError(t, cluster.post(0, "req-1:2", longChat), http.StatusBadRequest, "badRequest")
+	})
+}
+
+// TestEntryHostDies checks a caller's return after the unannounced death of the
+// entry host that served it.
+func TestEntryHostDies(t *testing.T) {
+	begin := func(t *testing.T, chat chat, hinted bool) (*cluster, *stream, *testRunner) {
+		cluster := newCluster(t, clock.System(), 2, 2)
+		opened, runner := cluster.begin(0, chat)
+		first := cluster.entries[0]
+		if hinted {
+			require.NoError(t, first.tellHints(t.Context(), first.answers.Active()))
+		}
+		cluster.kill(0)
+		return cluster, opened, runner
+	}
+	seeded := longChat
+	seeded.seed = 7
+	t.Run("the hint leads to the stream", func(t *testing.T) {
+		cluster, opened, runner := begin(t, longChat, true)
+		cluster.openAll(nil)
+		expectWhole(t, longChat, opened, cluster.post(1, opened.lastID, longChat))
+		require.Zero(t, runner.recomputed(t))
+	})
+	t.Run("the hint leads to the stream without the prompt", func(t *testing.T) {
+		cluster, opened, _ := begin(t, longChat, true)
+		cluster.openAll(nil)
+		expectWhole(t, longChat, opened, cluster.send(1, http.MethodGet, "/v1/streams/"+opened.id(), testAccount, opened.lastID, nil))
+	})
+	t.Run("the hint is of another prompt: not found", func(t *testing.T) {
+		cluster, opened, _ := begin(t, longChat, true)
+		expectError(t, cluster.post(1, opened.lastID, seeded), http.StatusNotFound, "streamNotFound")
+	})
+	t.Run("the runner dies too, sampled: incomplete", func(t *testing.T) {
+		cluster, opened, runner := begin(t, longChat, true)
+		runner.kill()
+		expectError(t, cluster.post(1, opened.lastID, longChat), http.StatusGatewayTimeout, "incomplete")
+	})
+	t.Run("the runner dies too, with a seed: run again", func(t *testing.T) {
+		cluster, opened, runner := begin(t, seeded, true)
+		runner.kill()
+		cluster.openAll(runner)
+		expectWhole(t, seeded, opened, cluster.post(1, opened.lastID, seeded))
+	})
+	t.Run("nobody knows of it, sampled: incomplete", func(t *testing.T) {
+		cluster, _, _ := begin(t, longChat, false)
+		unknown := request.EventID(request.NewID(cluster.entries[0].tag(), [12]byte{1}), 1)
+		expectError(t, cluster.post(1, unknown, longChat), http.StatusGatewayTimeout, "incomplete")
+	})
+}
+
+// TestPlannedStop checks that a stopping entry host hands over what does not
+// fit into its grace, and that callers get the rest elsewhere.
+func TestPlannedStop(t *testing.T) {
+	begin := func(t *testing.T, entries int) (*cluster, *stream) {
+		cluster := newCluster(t, clock.System(), 1, entries)
+		opened, _ := cluster.begin(0, longChat)
+		return cluster, opened
+	}
+	stop := func(cluster *cluster, i int) {
+		cluster.stops[i]()
+		<-cluster.ended[i]
+	}
+	t.Run("streaming caller: cut without an end mark, returns", func(t *testing.T) {
+		cluster, opened := begin(t, 2)
+		stop(cluster, 0)
+		require.Error(t, opened.rest())
+		cluster.openAll(nil)
+		expectWhole(t, longChat, opened, cluster.post(1, opened.lastID, longChat))
+	})
+	t.Run("two one after the other", func(t *testing.T) {
+		cluster, opened := begin(t, 3)
+		stop(cluster, 0)
+		require.Error(t, opened.rest())
+		stop(cluster, 1)
+		cluster.openAll(nil)
+		expectWhole(t, longChat, opened, cluster.post(2, opened.lastID, longChat))
+	})
+	t.Run("two at once", func(t *testing.T) {
+		cluster, opened := begin(t, 3)
+		cluster.stops[1]()
+		stop(cluster, 0)
+		<-cluster.ended[1]
+		require.Error(t, opened.rest())
+		cluster.openAll(nil)
+		expectWhole(t, longChat, opened, cluster.post(2, opened.lastID, longChat))
+	})
+	t.Run("the fellow node that took it dies", func(t *testing.T) {
+		cluster, opened := begin(t, 3)
+		stop(cluster, 0)
+		require.Error(t, opened.rest())
+		holder := 1
+		if _, ok := cluster.entries[2].answers.Find(opened.id()); ok {
+			holder = 2
+		}
+		require.NoError(t, cluster.entries[holder].tellHints(t.Context(), cluster.entries[holder].answers.Active()))
+		cluster.kill(holder)
+		cluster.openAll(nil)
+		expectWhole(t, longChat, opened, cluster.post(3-holder, opened.lastID, longChat))
+	})
+	t.Run("what fits the grace is not cut", func(t *testing.T) {
+		cluster, opened := begin(t, 2)
+		cluster.openAll(nil)
+		stop(cluster, 0)
+		expectWhole(t, longChat, opened)
+	})
+	t.Run("caller that waits for the whole: sent to another entry host", func(t *testing.T) {
+		cluster := newCluster(t, clock.System(), 1, 2)
+		whole := longChat
+		whole.stream = false
+		answered := make(chan *stream, 1)
+		go func() { answered <- cluster.post(0, "", whole) }()
+		cluster.firstTimer().gate.step(2)
+		stop(cluster, 0)
+		answer := <-answered
+		require.Equal(t, http.StatusSeeOther, answer.status)
+		cluster.openAll(nil)
+		result := cluster.send(1, http.MethodGet, answer.header.Get("Location"), testAccount, "", nil)
+		require.Equal(t, http.StatusOK, result.status)
+		expectCompletion(t, whole, result)
+	})
+	t.Run("reclaimed by the cloud: within the notice", func(t *testing.T) {
+		cluster, opened := begin(t, 2)
+		cluster.entries[0].noteReclaim(2 * clock.Second)
+		<-cluster.ended[0]
+		require.Error(t, opened.rest())
+		cluster.openAll(nil)
+		expectWhole(t, longChat, opened, cluster.post(1, opened.lastID, longChat))
+	})
+	t.Run("second signal: stops at once", func(t *testing.T) {
+		cluster := newCluster(t, clock.NewManual(1000).Clock(), 1, 1)
+		cluster.begin(0, longChat)
+		cluster.stops[0]()
+		cluster.kill(0)
+	})
+}
+
+// TestCallerLeaves checks that a generation outlives its caller's connection for
+// the grace, and no longer.
+func TestCallerLeaves(t *testing.T) {
+	manual := clock.NewManual(1000)
+	cluster := newCluster(t, manual.Clock(), 1, 1)
+	opened, _ := cluster.begin(0, longChat)
+	answer, ok := cluster.entries[0].answers.Find(opened.id())
+	require.True(t, ok)
+	opened.body.Close()
+	for answer.readers.Load() > 0 {
+		require.NoError(t, clock.System().Wait(context.Background(), 1))
+	}
+	manual.Advance(returnGrace - 1)
+	require.NoError(t, answer.ctx.Err())
+	manual.Advance(1)
+	<-answer.finished
+	_, err := answer.journal.State().Finished()
+	require.True(t, isUnattended(err), "%v", err)
+}
--- /dev/null
+++ b/internal/entry/cluster_test.go
@@ -0,0 +1,443 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node"
+	"sapphirehead/internal/pool"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
+	"sapphirehead/internal/settings"
+	"sapphirehead/internal/standin/platformstandin"
+	"sapphirehead/internal/standin/runnerstandin"
+	"sapphirehead/internal/table"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	testModel   = "desk-small"
+	testAccount = "key-garage-north"
+	otherKey    = "key-garage-south"
+)
+
+// gate is a clock whose timers fire only when the test steps.
+type gate struct{ timers chan func() }
+
+func newGate() *gate { return &gate{timers: make(chan func(), 1024)} }
+
+func (gate *gate) clock() *clock.Clock {
+	now := func() clock.Millis { return 0 }
+	return clock.New(now, now, func(_ clock.Millis, fire func()) func() bool {
+		gate.timers <- fire
+		return func() bool { return false }
+	})
+}
+
+// step fires as many timers, waiting for each to be set.
+func (gate *gate) step(count int) {
+	for range count {
+		(<-gate.timers)()
+	}
+}
+
+// open fires all timers from now on.
+func (gate *gate) open(ctx context.Context) {
+	for {
+		select {
+		case fire := <-gate.timers:
+			fire()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// silentListener accepts connections whose writes vanish once silenced, while
+// later connections work.
+type silentListener struct {
+	net.Listener
+	silenced atomic.Int64
+	accepted atomic.Int64
+}
+
+type silentConnection struct {
+	net.Conn
+	number   int64
+	listener *silentListener
+}
+
+func (listener *silentListener) Accept() (net.Conn, error) {
+	connection, err := listener.Listener.Accept()
+	return &silentConnection{Conn: connection, number: listener.accepted.Add(1), listener: listener}, err
+}
+
+func (listener *silentListener) silence() { listener.silenced.Store(listener.accepted.Load()) }
+
+func (connection *silentConnection) Write(data []byte) (int, error) {
+	if connection.number <= connection.listener.silenced.Load() {
+		return len(data), nil
+	}
+	return connection.Conn.Write(data)
+}
+
+// testRunner is a stand-in runner that generates a token for each step.
+type testRunner struct {
+	id       string
+	gate     *gate
+	standin  *runnerstandin.Runner
+	listener *silentListener
+	server   *httptest.Server
+	end      context.CancelFunc
+}
+
+func newTestRunner(t *testing.T, id string) *testRunner {
+	life, end := context.WithCancel(context.Background())
+	gate := newGate()
+	standin := runnerstandin.New(life, gate.clock(), id, 8, 1, []string{testModel}, false)
+	server := httptest.NewUnstartedServer(standin.Router())
+	listener := &silentListener{Listener: server.Listener}
+	server.Listener = listener
+	server.Config.ErrorLog = nil
+	server.Start()
+	runner := &testRunner{id: id, gate: gate, standin: standin, listener: listener, server: server, end: end}
+	t.Cleanup(runner.kill)
+	return runner
+}
+
+func (runner *testRunner) address() string { return strings.TrimPrefix(runner.server.URL, "http://") }
+
+// kill takes the runner down without warning.
+func (runner *testRunner) kill() {
+	runner.end()
+	runner.server.CloseClientConnections()
+	runner.server.Close()
+}
+
+// recomputed returns how many tokens the runner read again.
+func (runner *testRunner) recomputed(t *testing.T) int64 {
+	answer, err := http.Get(runner.server.URL + "/v1/state")
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	var form struct {
+		Recomputed int64 `json:"recomputed"`
+	}
+	require.NoError(t, json.NewDecoder(answer.Body).Decode(&form))
+	return form.Recomputed
+}
+
+// atOnce returns a clock on which no time passes: what is due now fires, so the
+// platform's list of hosts does not lag, and nothing else does.
+func atOnce() *clock.Clock {
+	now := func() clock.Millis { return 0 }
+	return clock.New(now, now, func(delay clock.Millis, fire func()) func() bool {
+		if delay <= 0 {
+			fire()
+		}
+		return func() bool { return false }
+	})
+}
+
+// cluster is a set of entry hosts before the same runners, in one process.
+type cluster struct {
+	t       *testing.T
+	clock   *clock.Clock
+	runners map[string]*testRunner
+	entries []*Entry
+	stops   []context.CancelFunc
+	kills   []context.CancelFunc
+	ended   []chan struct{}
+}
+
+const testSettings = `host = "entry-%d"
+dataCentre = "lj-a"
+[caller]
+listen = "127.0.0.1:0"
+[operator]
+listen = "127.0.0.1:0"
+token = "token-of-operators"
+[node]
+listen = "127.0.0.1:0"
+[platform]
+address = %q
+[stop]
+readyOffMillis = 1
+graceMillis = 1000
+[[clientAccounts]]
+name = "garage-north"
+key = %q
+[[clientAccounts]]
+name = "garage-south"
+key = %q
+`
+
+// newCluster starts runners and entry hosts that know each other, with the
+// tables in force. All entry hosts read the same clock.
+func newCluster(t *testing.T, clock *clock.Clock, runners, entries int) *cluster {
+	cluster := &cluster{t: t, clock: clock, runners: map[string]*testRunner{}}
+	platform := httptest.NewServer(platformstandin.New(atOnce(), 0).Router())
+	t.Cleanup(platform.Close)
+	t.Cleanup(func() { http.DefaultTransport.(*http.Transport).CloseIdleConnections() })
+	platformAddress := strings.TrimPrefix(platform.URL, "http://")
+	for i := range runners {
+		runner := newTestRunner(t, fmt.Sprintf("runner-%d", i+1))
+		cluster.runners[runner.id] = runner
+		host := platformstandin.Host{ID: runner.id, Address: runner.address(), DataCentre: "lj-a", HostClass: "gpu-small", Pool: "runners", State: "live"}
+		require.NoError(t, platformstandin.Register(t.Context(), platformAddress, host))
+	}
+	for i := range entries {
+		loaded, err := settings.ParseEntry("test", fmt.Appendf(nil, testSettings, i+1, platformAddress, testAccount, otherKey))
+		require.NoError(t, err)
+		entry, err := New(loaded, clock, zerolog.Nop())
+		require.NoError(t, err)
+		cluster.entries = append(cluster.entries, entry)
+	}
+	cluster.introduce()
+	for _, entry := range cluster.entries {
+		cluster.run(entry)
+	}
+	return cluster
+}
+
+// introduce makes runners, tables and fellow nodes known before any loop runs.
+func (cluster *cluster) introduce() {
+	var listed []backend.Listed
+	for _, runner := range cluster.runners {
+		listed = append(listed, backend.NewListed(backend.NewServer(runner.id, runner.address(), "lj-a", "gpu-small", "runners"), false))
+	}
+	tables := table.New(1, []route.Route{route.New("desk", route.KindChat, "runners").WithModel(testModel)},
+		[]pool.Pool{pool.New("runners", pool.KindRunner).WithModels(pool.NewModel(testModel, "v1")).WithHosts("gpu-small", 1, 9)}, nil)
+	var members []node.Member
+	for _, entry := range cluster.entries {
+		members = append(members, entry.self())
+	}
+	for _, entry := range cluster.entries {
+		entry.fleet.Update(listed)
+		entry.putInForce(tables)
+		entry.ready.Store(true)
+		entry.members.Merge(members)
+	}
+}
+
+func (cluster *cluster) run(entry *Entry) {
+	stop, cancelStop := context.WithCancel(context.Background())
+	kill, cancelKill := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = entry.Run(stop, kill)
+	}()
+	cluster.stops = append(cluster.stops, cancelStop)
+	cluster.kills = append(cluster.kills, cancelKill)
+	cluster.ended = append(cluster.ended, ended)
+	cluster.t.Cleanup(func() {
+		cancelKill()
+		cancelStop()
+		<-ended
+	})
+}
+
+// kill ends an entry host without warning.
+func (cluster *cluster) kill(i int) {
+	cluster.kills[i]()
+	<-cluster.ended[i]
+}
+
+// other returns a runner besides the given one.
+func (cluster *cluster) other(than *testRunner) *testRunner {
+	for _, runner := range cluster.runners {
+		if runner != than {
+			return runner
+		}
+	}
+	return nil
+}
+
+// chat is what a test caller sends.
+type chat struct {
+	content   string
+	maxTokens int
+	seed      int64
+	stream    bool
+}
+
+func (chat chat) body() []byte {
+	body, _ := json.Marshal(map[string]any{
+		"model": testModel, "messages": []map[string]string{{"role": "user", "content": chat.content}},
+		"max_tokens": chat.maxTokens, "seed": chat.seed, "stream": chat.stream,
+	})
+	return body
+}
+
+func (chat chat) expected() []string {
+	return runnerstandin.Answer(testModel, []string{chat.content}, chat.seed, chat.maxTokens)
+}
+
+// stream is a caller's view of a streamed answer.
+type stream struct {
+	t       *testing.T
+	status  int
+	header  http.Header
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+	lastID  string
+	text    string
+}
+
+func (cluster *cluster) send(i int, method, path, key, lastEventID string, body []byte) *stream {
+	cluster.t.Helper()
+	message, err := http.NewRequestWithContext(cluster.t.Context(), method, "http://"+cluster.entries[i].CallerAddress()+path, bytes.NewReader(body))
+	require.NoError(cluster.t, err)
+	message.Header.Set("Authorization", "Bearer "+key)
+	if lastEventID != "" {
+		message.Header.Set("Last-Event-ID", lastEventID)
+	}
+	client := &http.Client{
+		Transport:     &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	answer, err := client.Do(message)
+	require.NoError(cluster.t, err)
+	cluster.t.Cleanup(func() { answer.Body.Close() })
+	return &stream{t: cluster.t, status: answer.StatusCode, header: answer.Header, body: answer.Body, scanner: bufio.NewScanner(answer.Body)}
+}
+
+func (cluster *cluster) post(i int, lastEventID string, chat chat) *stream {
+	cluster.t.Helper()
+	return cluster.send(i, http.MethodPost, "/v1/chat/completions", testAccount, lastEventID, chat.body())
+}
+
+// begin sends a chat to an entry host and has the runner that gets it read the
+// prompt and generate the first token.
+func (cluster *cluster) begin(i int, chat chat) (*stream, *testRunner) {
+	answered := make(chan *stream, 1)
+	go func() { answered <- cluster.post(i, "", chat) }()
+	runner := cluster.firstTimer()
+	runner.gate.step(1)
+	opened := <-answered
+	opened.read(1)
+	return opened, runner
+}
+
+// firstTimer waits for the next timer of any runner, fires it and returns the
+// runner.
+func (cluster *cluster) firstTimer() *testRunner {
+	var runners []*testRunner
+	var cases []reflect.SelectCase
+	for _, runner := range cluster.runners {
+		runners = append(runners, runner)
+		cases = append(cases, reflect.SelectCase{Dir: reflect.SelectRecv, Chan: reflect.ValueOf(runner.gate.timers)})
+	}
+	chosen, fire, _ := reflect.Select(cases)
+	fire.Interface().(func())()
+	return runners[chosen]
+}
+
+func (stream *stream) id() string {
+	id, _, _ := strings.Cut(stream.lastID, ":")
+	return id
+}
+
+// next reads one event. It returns false at the end mark and an error if the
+// stream was cut before.
+func (stream *stream) next() (bool, error) {
+	for stream.scanner.Scan() {
+		line := stream.scanner.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			stream.lastID = id
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return false, nil
+		}
+		var form struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		require.NoError(stream.t, json.Unmarshal([]byte(data), &form))
+		for _, choice := range form.Choices {
+			stream.text += choice.Delta.Content
+		}
+		return true, nil
+	}
+	return false, fmt.Errorf("cut after %q: %w", stream.text, io.ErrUnexpectedEOF)
+}
+
+// read reads until the caller holds the number of tokens.
+func (stream *stream) read(tokens int) {
+	stream.t.Helper()
+	for {
+		if _, held, _ := request.ParseEventID(stream.lastID); held >= tokens {
+			return
+		}
+		more, err := stream.next()
+		require.NoError(stream.t, err)
+		require.True(stream.t, more)
+	}
+}
+
+// rest reads until the end mark and returns an error if there is none.
+func (stream *stream) rest() error {
+	for {
+		more, err := stream.next()
+		if err != nil || !more {
+			return err
+		}
+	}
+}
+
+func expectWhole(t *testing.T, chat chat, parts ...*stream) {
+	t.Helper()
+	require.NoError(t, parts[len(parts)-1].rest())
+	text := ""
+	for _, part := range parts {
+		text += part.text
+	}
+	require.Equal(t, strings.Join(chat.expected(), ""), text)
+}
+
+func expectError(t *testing.T, answer *stream, status int, kind string) {
+	t.Helper()
+	body, err := io.ReadAll(answer.body)
+	require.NoError(t, err)
+	require.Equal(t, status, answer.status, "%s", body)
+	require.Contains(t, string(body), fmt.Sprintf("%q:%q", "type", kind))
+}
+
+func expectCompletion(t *testing.T, chat chat, answer *stream) {
+	t.Helper()
+	var form struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	require.NoError(t, json.NewDecoder(answer.body).Decode(&form))
+	require.Len(t, form.Choices, 1)
+	require.Equal(t, strings.Join(chat.expected(), ""), form.Choices[0].Message.Content)
+}
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -58,7 +58,7 @@
 	entry.clock.Wait(kill, readyOff)
 	entry.admission.Close()
 	reserve := min(handOverTime, grace/2)
-	if !entry.awaitIdle(kill, grace-reserve) {
+	if !entry.awaitIdle(kill, grace-reserve) && kill.Err() == nil {
 		ctx, cancel := entry.clock.WithTimeout(kill, reserve)
 		entry.handOver(ctx)
 		cancel()
@@ -74,13 +74,14 @@
 }
 
 // stopTimes returns the times for the balancer and for requests in progress.
-// Without notice of a reclaim they are as set.
+// Without notice of a reclaim they are as set; otherwise a quarter of the
+// notice is left over for the end of the process.
 func stopTimes(readyOff, grace, notice clock.Millis) (off, left clock.Millis) {
 	if notice == 0 {
 		return readyOff, grace
 	}
-	off = min(readyOff, notice/4)
-	return off, min(grace, max(notice-off-lastAnswersTime, 1))
+	off = min(readyOff, notice/8)
+	return off, min(grace, notice*3/4-off)
 }
 
 // awaitIdle waits until nothing is in progress, and reports whether that came
--- a/internal/entry/hints.go
+++ b/internal/entry/hints.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"google.golang.org/protobuf/proto"
+
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/node/nodepb"
@@ -42,21 +44,52 @@
 			continue
 		}
 		if successors[0].Host() != last {
-			last = successors[0].Host()
 			waiting = entry.answers.Active()
 		}
-		message := entry.hintsMessage(waiting)
-		if len(message.GetHints()) == 0 {
-			continue
-		}
-		call := nodepb.Call_builder{Hints: message}.Build()
-		if _, err := entry.links.Call(ctx, successors[0].Address(), call); err != nil {
+		last = successors[0].Host()
+		if err := entry.tellHints(ctx, waiting); err != nil {
 			entry.counters.Add("hintsFailed", 1)
 			last = ""
+		}
+	}
+}
+
+// tellHints tells where the answers are generated: for a node's own answers its
+// successor, for those taken over the successor of the node that accepted them,
+// where their callers are looked for.
+func (entry *Entry) tellHints(ctx context.Context, answers []*Answer) error {
+	var last error
+	for address, hints := range entry.hintsByAddress(answers) {
+		call := nodepb.Call_builder{Hints: nodepb.Hints_builder{Sender: new(entry.tag()), Hints: hints}.Build()}.Build()
+		if _, err := entry.links.Call(ctx, address, call); err != nil {
+			last = err
+			continue
+		}
+		entry.counters.Add("hintsSent", int64(len(hints)))
+		entry.counters.Add("hintBytes", int64(proto.Size(call)))
+	}
+	return last
+}
+
+func (entry *Entry) hintsByAddress(answers []*Answer) map[string][]*nodepb.Hint {
+	hints := map[string][]*nodepb.Hint{}
+	live := entry.members.Live()
+	for _, answer := range answers {
+		state := answer.journal.State()
+		server, streamID := state.Place()
+		if finished, _ := state.Finished(); finished || server == nil || !answer.Request().Streamed() {
 			continue
 		}
-		entry.counters.Add("hintsSent", int64(len(message.GetHints())))
+		tag, _ := request.ParseID(answer.Request().ID())
+		if successors := node.Successors(tag, live, 1); len(successors) > 0 {
+			message := hintMessage(answer.Request(), server.ID(), streamID, entry.clock.Now())
+			if tag != entry.tag() {
+				message.SetTag(tag)
+			}
+			hints[successors[0].Address()] = append(hints[successors[0].Address()], message)
+		}
 	}
+	return hints
 }
 
 // awaitHints collects answers that have a new place for a short time after the
@@ -79,19 +112,6 @@
 	}
 }
 
-func (entry *Entry) hintsMessage(answers []*Answer) *nodepb.Hints {
-	var hints []*nodepb.Hint
-	for _, answer := range answers {
-		state := answer.journal.State()
-		server, streamID := state.Place()
-		if finished, _ := state.Finished(); finished || server == nil || !answer.Request().Streamed() {
-			continue
-		}
-		hints = append(hints, hintMessage(answer.Request(), server.ID(), streamID, entry.clock.Now()))
-	}
-	return nodepb.Hints_builder{Owner: new(entry.tag()), Hints: hints}.Build()
-}
-
 func hintMessage(to *request.Request, serverID, streamID string, now clock.Millis) *nodepb.Hint {
 	_, random, _ := request.SplitID(to.ID())
 	return nodepb.Hint_builder{
@@ -105,16 +125,20 @@
 	}.Build()
 }
 
-// hintOf reads a hint of the owner's.
-func hintOf(message *nodepb.Hint, owner uint32, now clock.Millis) node.Hint {
+// hintOf reads a hint whose request was accepted by the node with the tag,
+// unless the hint names another.
+func hintOf(message *nodepb.Hint, tag uint32, now clock.Millis) node.Hint {
 	var random [12]byte
 	copy(random[:], message.GetRequest())
-	return node.NewHint(request.NewID(owner, random), message.GetAccountHash(), message.GetPromptHash(), message.GetRoute(),
+	if message.HasTag() {
+		tag = message.GetTag()
+	}
+	return node.NewHint(request.NewID(tag, random), message.GetAccountHash(), message.GetPromptHash(), message.GetRoute(),
 		message.GetServerId(), message.GetStreamId(), now+clock.Millis(message.GetLeftMillis()))
 }
 
 func (entry *Entry) takeHints(message *nodepb.Hints) {
 	for _, hint := range message.GetHints() {
-		entry.hints.Keep(hintOf(hint, message.GetOwner(), entry.clock.Now()))
+		entry.hints.Keep(hintOf(hint, message.GetSender(), entry.clock.Now()))
 	}
 }
--- a/internal/entry/returns.go
+++ b/internal/entry/returns.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if answer.Request().Account() != back.Account() {
+	if !back.Matches(answer.Request()) {
 		return nil, nil, request.NewStreamNotFoundError(back.ID())
 	}
 	return answer.Request(), answer.Follow, nil
@@ -76,7 +76,7 @@
 	if stream != nil {
 		return entry.adoptStream(stream)
 	}
-	if answer, ok := entry.answers.Find(back.ID()); ok {
+	if answer, ok := entry.answers.Find(back.ID()); ok && back.Matches(answer.Request()) {
 		return entry.adoptAgain(answer), nil
 	}
 	if hinted {
@@ -152,11 +152,11 @@
 		})
 	}
 	tag, _ := request.ParseID(back.ID())
+	patience, stop := ctx, func() {}
+	defer func() { stop() }()
 	for range candidates {
-		if hinted {
-			var stop context.CancelFunc
-			ctx, stop = entry.clock.WithTimeout(ctx, hintPatience)
-			defer stop()
+		if hinted && patience == ctx {
+			patience, stop = entry.clock.WithTimeout(ctx, hintPatience)
 		}
 		select {
 		case reply := <-replies:
@@ -166,7 +166,7 @@
 			case reply.HasHint():
 				hint, hinted = hintOf(reply.GetHint(), tag, entry.clock.Now()), true
 			}
-		case <-ctx.Done():
+		case <-patience.Done():
 			return nil, hint, hinted
 		}
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -206,23 +206,21 @@
 }
 
 // publish brings the journal up to the flow, and ends attempts that the flow
-// has abandoned.
+// has abandoned. The place goes first: who sees tokens also sees whence.
 func (run *run) publish() {
 	journal := run.answer.journal
-	journal.Advance(run.flow.Tokens())
+	if server, streamID, ok := run.flow.Place(); ok {
+		if known, knownID := journal.State().Place(); known != server || knownID != streamID {
+			journal.Locate(server, streamID)
+			run.driver.located(run.answer)
+		}
+	}
 	if len(run.flow.Tokens()) > 0 {
 		run.answer.firstAt.CompareAndSwap(0, int64(run.driver.clock.Now()))
 	}
-	server, streamID, ok := run.flow.Place()
-	if !ok {
-		return
-	}
-	if known, knownID := journal.State().Place(); known != server || knownID != streamID {
-		journal.Locate(server, streamID)
-		run.driver.located(run.answer)
-	}
+	journal.Advance(run.flow.Tokens())
 	for number := range run.cancels {
-		if !run.flow.InProgress(number) {
+		if !run.flow.Done() && !run.flow.InProgress(number) {
 			run.abandon(number)
 		}
 	}
--- a/internal/request/flow.go
+++ b/internal/request/flow.go
@@ -84,6 +84,9 @@
 // InProgress reports whether the attempt is one whose messages still count.
 func (flow *Flow) InProgress(attempt int) bool { return flow.find(attempt) != nil }
 
+// Done reports whether the flow has ended.
+func (flow *Flow) Done() bool { return flow.state == flowDone }
+
 // Place returns the server and the stream from which the answer comes now.
 func (flow *Flow) Place() (server *backend.Server, streamID string, ok bool) {
 	if flow.state != flowAttempting || flow.current.streamID == "" {
--- a/internal/request/return.go
+++ b/internal/request/return.go
@@ -74,6 +74,13 @@
 // Prompt returns the repeated prompt, and false if there is none.
 func (back Return) Prompt() (Prompt, bool) { return back.prompt, back.hasPrompt }
 
+// Matches reports whether the caller may have the answer to the request: it is
+// of the same client account and, where both are known, has the same prompt.
+func (back Return) Matches(to *Request) bool {
+	samePrompt := !back.hasPrompt || to.promptUnknown || back.prompt.Hash() == to.prompt.Hash()
+	return back.account == to.account && samePrompt
+}
+
 // EventID returns the id of an event after which the caller holds count tokens.
 func EventID(id string, count int) string { return id + ":" + strconv.Itoa(count) }
 
