--- /dev/null
+++ b/internal/backend/leaving_test.go
@@ -0,0 +1,223 @@
+package backend_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/runner"
+)
+
+func listOf(leaving bool, ids ...string) []backend.Listed {
+	var list []backend.Listed
+	for _, id := range ids {
+		list = append(list, backend.NewListed(backend.NewServer(id, id+":1", "lj-a", "gpu-small", "runners"), leaving))
+	}
+	return list
+}
+
+func expectLeaving(t *testing.T, fleet *backend.Fleet, id string, leaving bool) {
+	t.Helper()
+	require.Equal(t, leaving, fleet.Current().Server(id).Leaving())
+}
+
+func TestLeaving(t *testing.T) {
+	t.Run("an older list does not bring it back", func(t *testing.T) {
+		fleet := backend.NewFleet()
+		fleet.Update(listOf(false, "a"))
+		require.True(t, fleet.MarkLeaving("a"))
+		fleet.Update(listOf(false, "a"))
+		expectLeaving(t, fleet, "a", true)
+	})
+	t.Run("evidence before the server is listed", func(t *testing.T) {
+		fleet := backend.NewFleet()
+		require.True(t, fleet.MarkLeaving("a"))
+		require.False(t, fleet.MarkLeaving("a"))
+		fleet.Update(listOf(false, "a"))
+		expectLeaving(t, fleet, "a", true)
+	})
+	t.Run("a list that has lost it for a while and shows it again", func(t *testing.T) {
+		fleet := backend.NewFleet()
+		fleet.Update(listOf(true, "a"))
+		for range 100 {
+			fleet.Update(nil)
+		}
+		fleet.Update(listOf(false, "a"))
+		expectLeaving(t, fleet, "a", true)
+	})
+	t.Run("the list is the first evidence once", func(t *testing.T) {
+		fleet := backend.NewFleet()
+		require.Equal(t, []string{"a"}, fleet.Update(listOf(true, "a")))
+		require.Empty(t, fleet.Update(listOf(true, "a")))
+	})
+	t.Run("the mark of a server long gone is dropped", func(t *testing.T) {
+		fleet := backend.NewFleet()
+		fleet.MarkLeaving("a")
+		for range 10_000 {
+			fleet.Update(nil)
+		}
+		require.Equal(t, []string{"a"}, fleet.Leaving())
+		fleet.Update(nil)
+		require.Empty(t, fleet.Leaving())
+	})
+}
+
+func TestEvidence(t *testing.T) {
+	t.Run("is held once for each id, with the notice", func(t *testing.T) {
+		evidence := backend.NewEvidence()
+		for range 5_000 {
+			evidence.Add("a", 0)
+		}
+		evidence.Add("b", 3*clock.Second)
+		evidence.Add("b", 0)
+		<-evidence.Wake()
+		require.Equal(t, map[string]clock.Millis{"a": 0, "b": 3 * clock.Second}, evidence.Take())
+		require.Empty(t, evidence.Take())
+	})
+	t.Run("none is lost while it is taken", func(t *testing.T) {
+		evidence := backend.NewEvidence()
+		const writers, each = 4, 500
+		done := make(chan struct{})
+		for writer := range writers {
+			go func() {
+				for i := range each {
+					evidence.Add(fmt.Sprintf("%d-%d", writer, i), 0)
+				}
+				done <- struct{}{}
+			}()
+		}
+		taken := map[string]clock.Millis{}
+		for ended := 0; ended < writers; {
+			select {
+			case <-done:
+				ended++
+			case <-evidence.Wake():
+				for id, notice := range evidence.Take() {
+					taken[id] = notice
+				}
+			}
+		}
+		for id, notice := range evidence.Take() {
+			taken[id] = notice
+		}
+		require.Len(t, taken, writers*each)
+	})
+}
+
+// leavingNode is what one node of the machine knows.
+type leavingNode struct {
+	fleet    *backend.Fleet
+	evidence *backend.Evidence
+	chooser  *runner.Chooser
+}
+
+// leavingMachine holds several nodes that hear of leaving servers in any order:
+// by notice, from a runner's answer, from each other and from lists that lag by
+// any number of versions. The oracle is the set of servers of which any node
+// has had evidence, with the time of the first.
+type leavingMachine struct {
+	manual  *clock.Manual
+	nodes   []*leavingNode
+	lists   [][]backend.Listed
+	leaving map[string]bool
+	left    map[string]clock.Millis
+}
+
+var machineServers = []string{"a", "b", "c", "d"}
+
+func newLeavingMachine() *leavingMachine {
+	machine := &leavingMachine{manual: clock.NewManual(1000), leaving: map[string]bool{}, left: map[string]clock.Millis{}}
+	machine.list()
+	for range 3 {
+		fleet := backend.NewFleet()
+		fleet.Update(machine.lists[0])
+		machine.nodes = append(machine.nodes, &leavingNode{
+			fleet: fleet, evidence: backend.NewEvidence(), chooser: runner.NewChooser(fleet, "lj-a", func(int) int { return 0 }),
+		})
+	}
+	return machine
+}
+
+// list adds the platform's true list as its latest version.
+func (machine *leavingMachine) list() {
+	var list []backend.Listed
+	for _, id := range machineServers {
+		list = append(list, listOf(machine.leaving[id], id)...)
+	}
+	machine.lists = append(machine.lists, list)
+}
+
+// learn is evidence at a node. The time of the first counts.
+func (machine *leavingMachine) learn(node *leavingNode, id string) {
+	if _, known := machine.left[id]; !known {
+		machine.left[id] = machine.manual.Now()
+	}
+	if server := node.fleet.Current().Server(id); server != nil {
+		server.MarkLeaving()
+	}
+	node.evidence.Add(id, 0)
+}
+
+// write is the turn of a node's writer, which tells the others what is new.
+func (machine *leavingMachine) write(node *leavingNode, list []backend.Listed) {
+	news := node.fleet.Update(list)
+	for id := range node.evidence.Take() {
+		if node.fleet.MarkLeaving(id) {
+			news = append(news, id)
+		}
+	}
+	for _, id := range news {
+		for _, other := range machine.nodes {
+			machine.learn(other, id)
+		}
+	}
+}
+
+// TestLeavingMachine checks that two seconds after the first evidence at any
+// node no node chooses the server, whatever lists and reports come later.
+func TestLeavingMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := newLeavingMachine()
+		draw := func(t *rapid.T) *leavingNode { return rapid.SampledFrom(machine.nodes).Draw(t, "node") }
+		server := func(t *rapid.T) string { return rapid.SampledFrom(machineServers).Draw(t, "server") }
+		t.Repeat(map[string]func(*rapid.T){
+			"": machine.check,
+			"leaves": func(t *rapid.T) {
+				machine.leaving[server(t)] = true
+				machine.list()
+			},
+			"evidence": func(t *rapid.T) { machine.learn(draw(t), server(t)) },
+			"write": func(t *rapid.T) {
+				machine.write(draw(t), rapid.SampledFrom(machine.lists).Draw(t, "list"))
+			},
+			"write without the list's servers": func(t *rapid.T) { machine.write(draw(t), nil) },
+			"two seconds": func(t *rapid.T) {
+				for range 2 {
+					for _, node := range machine.nodes {
+						machine.write(node, rapid.SampledFrom(machine.lists).Draw(t, "list"))
+					}
+				}
+				machine.manual.Advance(2 * clock.Second)
+			},
+		})
+	})
+}
+
+func (machine *leavingMachine) check(t *rapid.T) {
+	for _, node := range machine.nodes {
+		var exclude []string
+		for {
+			chosen, ok := node.chooser.Choose("runners", exclude)
+			if !ok {
+				break
+			}
+			exclude = append(exclude, chosen.ID())
+			first, left := machine.left[chosen.ID()]
+			require.False(t, left && machine.manual.Now() >= first+2*clock.Second, "%s is leaving since %d and is chosen at %d", chosen.ID(), first, machine.manual.Now())
+		}
+	}
+}
--- /dev/null
+++ b/internal/runner/runnerhttp/client_test.go
@@ -0,0 +1,112 @@
+package runnerhttp_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
+	"sapphirehead/internal/runner"
+	"sapphirehead/internal/runner/runnerhttp"
+)
+
+// opened returns the stream that a runner with the handler gives to request
+// req-1, in the mode.
+func opened(t *testing.T, mode request.AttemptMode, handler http.HandlerFunc) (*runner.Stream, error) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	client := runnerhttp.New(clock.System(), clock.Second)
+	t.Cleanup(client.Close)
+	one := backend.NewServer("runner-1", strings.TrimPrefix(server.URL, "http://"), "lj-a", "gpu-small", "runners")
+	to := request.New("req-1", "garage-north", route.New("desk", route.KindChat, "runners"), "", request.Prompt{}, 0)
+	flow := request.NewFlow(to, clock.NewManual(0).Clock(), func(*request.Request, []string) (*backend.Server, bool) { return one, true },
+		func(*request.Request) bool { return true })
+	action := flow.Start()
+	if mode == request.AttemptResume {
+		flow.Stream(1, "stream-1")
+		action = flow.Broken(1, request.CauseCut)
+	}
+	stream, err := client.Open(t.Context(), to, action.Attempt())
+	if err == nil {
+		t.Cleanup(stream.Close)
+	}
+	return stream, err
+}
+
+func expectCause(t *testing.T, cause request.Cause, err error) {
+	t.Helper()
+	var broken *runner.BrokenError
+	require.ErrorAs(t, err, &broken)
+	require.Equal(t, cause, broken.Cause())
+}
+
+func writing(text string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("X-Stream-Id", "stream-1")
+		fmt.Fprint(writer, text)
+	}
+}
+
+func TestEvents(t *testing.T) {
+	first := func(t *testing.T, text string) (runner.Event, error) {
+		t.Helper()
+		stream, err := opened(t, request.AttemptFresh, writing(text))
+		require.NoError(t, err)
+		return stream.Next()
+	}
+	t.Run("a comment is life without tokens", func(t *testing.T) {
+		event, err := first(t, ": queued\n\n")
+		require.NoError(t, err)
+		require.Empty(t, event.Tokens())
+		_, ended := event.Ended()
+		require.False(t, ended)
+	})
+	t.Run("tokens and the word of leaving", func(t *testing.T) {
+		event, err := first(t, `data: {"sapphire":{"offset":3,"tokens":["a"],"leaving":true}}`+"\n\n")
+		require.NoError(t, err)
+		require.Equal(t, runner.NewEvent(3, []string{"a"}).WithLeaving(true), event)
+	})
+	t.Run("no end mark: cut", func(t *testing.T) {
+		_, err := first(t, "")
+		expectCause(t, request.CauseCut, err)
+	})
+	t.Run("what can't be decoded: invalid", func(t *testing.T) {
+		_, err := first(t, "data: {\n\n")
+		expectCause(t, request.CauseInvalid, err)
+	})
+	t.Run("negative offset: invalid", func(t *testing.T) {
+		_, err := first(t, `data: {"sapphire":{"offset":-1}}`+"\n\n")
+		expectCause(t, request.CauseInvalid, err)
+	})
+}
+
+func TestOpen(t *testing.T) {
+	expect := func(name string, mode request.AttemptMode, cause request.Cause, header, value string, status int) {
+		t.Run(name, func(t *testing.T) {
+			_, err := opened(t, mode, func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set(header, value)
+				writer.WriteHeader(status)
+			})
+			if cause == 0 {
+				require.NoError(t, err)
+				return
+			}
+			expectCause(t, cause, err)
+		})
+	}
+	const ok = http.StatusOK
+	expect("echo of the request", request.AttemptFresh, 0, "X-Request-Id", "req-1", ok)
+	expect("answer to another request", request.AttemptFresh, request.CauseInvalid, "X-Request-Id", "req-2", ok)
+	expect("resumed stream", request.AttemptResume, 0, "X-Stream-Id", "stream-1", ok)
+	expect("another stream than asked for", request.AttemptResume, request.CauseInvalid, "X-Stream-Id", "stream-2", ok)
+	expect("not run", request.AttemptFresh, request.CauseRefused, "X-Leaving", "true", http.StatusServiceUnavailable)
+	expect("stream not known", request.AttemptResume, request.CauseGone, "X-Leaving", "true", http.StatusNotFound)
+}
