--- a/internal/entry/returns.go
+++ b/internal/entry/returns.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if answer.Request().Account() != back.Account() {
+	if !back.Matches(answer.Request()) {
 		return nil, nil, request.NewStreamNotFoundError(back.ID())
 	}
 	return answer.Request(), answer.Follow, nil
@@ -78,7 +78,7 @@
 	if stream != nil {
 		return entry.adoptStream(stream)
 	}
-	if answer, ok := entry.answers.Find(back.ID()); ok {
+	if answer, ok := entry.answers.Find(back.ID()); ok && back.Matches(answer.Request()) {
 		return entry.adoptAgain(answer), nil
 	}
 	if hinted {
@@ -154,11 +154,11 @@
 		})
 	}
 	tag, _ := request.ParseID(back.ID())
+	patience, stop := ctx, func() {}
+	defer func() { stop() }()
 	for range candidates {
-		if hinted {
-			var stop context.CancelFunc
-			ctx, stop = entry.clock.WithTimeout(ctx, hintPatience)
-			defer stop()
+		if hinted && patience == ctx {
+			patience, stop = entry.clock.WithTimeout(ctx, hintPatience)
 		}
 		select {
 		case reply := <-replies:
@@ -168,7 +168,7 @@
 			case reply.HasHint():
 				hint, hinted = hintOf(reply.GetHint(), tag, entry.clock.Now()), true
 			}
-		case <-ctx.Done():
+		case <-patience.Done():
 			return nil, hint, hinted
 		}
 	}
