--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,8 +3,8 @@
 //
 // Writers and readers are apart. The request path reads the tables in force,
 // the backend servers and the fellow nodes from immutable snapshots. Three
-// loops write them: tables (watch of the platform), servers (list of hosts,
-// notices and evidence from requests, one goroutine) and fellows (heartbeats).
+// loops write them: tables (TablesFollower), servers (list of hosts, notices
+// and evidence from requests, one goroutine) and fellow nodes (Fellows).
 package entry
 
 import (
@@ -28,7 +28,6 @@
 	"sapphirehead/internal/logging"
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/node/nodelink"
-	"sapphirehead/internal/operator"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/request"
@@ -50,8 +49,6 @@
 	log         zerolog.Logger
 	counters    *expvar.Map
 	incarnation int64
-	sequence    atomic.Int64
-	ready       atomic.Bool
 	stopping    atomic.Bool
 	inForce     *table.InForce
 	fleet       *backend.Fleet
@@ -60,13 +57,15 @@
 	located     chan *Answer
 	reclaimed   chan clock.Millis
 	members     *node.Members
+	contact     *node.Contact
+	fellows     *Fellows
+	tables      *TablesFollower
 	accounts    *caller.Accounts
 	admission   *caller.Admission
 	platform    *platformhttp.Client
 	store       *platform.Store
 	cloud       *cloudhttp.Client
 	ledger      *service.Ledger
-	editor      *operator.Editor
 	links       *nodelink.Links
 	driver      *Driver
 	answers     *Answers
@@ -93,7 +92,6 @@
 		hints:       node.NewHints(clock),
 		located:     make(chan *Answer, maxHintsWaiting),
 		reclaimed:   newReclaimed(),
-		members:     node.NewMembers(clock, settings.Host(), node.DefaultSilence),
 		accounts:    accountsOf(settings),
 		admission:   caller.NewAdmission(settings.MaxInFlight()),
 		platform:    platformhttp.New(settings.Platform().Address(), clock, settings.Platform().Timeout()),
@@ -102,11 +100,10 @@
 	if settings.Cloud().Address() != "" {
 		entry.cloud = cloudhttp.New(settings.Cloud().Address(), clock, settings.Cloud().Timeout())
 	}
-	entry.ledger = service.NewLedger(clock, service.DefaultWindow, entry.loadShard, entry.commitShard)
-	entry.editor = operator.NewEditor(entry.loadTables, entry.commitTables, entry.newestTables, entry.alarmOlderStore)
-	entry.links = nodelink.New(clock, entry.answerCall)
+	entry.ledger = entry.newLedger()
+	entry.joinFellows()
 	entry.driver = entry.newDriver()
-	entry.answers = NewAnswers(clock, entry.driver.Run)
+	entry.answers = NewAnswers(clock, entry.runAnswer)
 	return entry, entry.listen()
 }
 
@@ -170,7 +167,7 @@
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
-	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat, entry.sendHints} {
+	for _, loop := range []func(context.Context){entry.followTables, entry.writeServers, entry.watchNotices, entry.fellows.Run, entry.sendHints, entry.settleClaims} {
 		group.Go(func() error {
 			loop(loops)
 			return nil
@@ -178,6 +175,7 @@
 	}
 	group.Go(func() error {
 		entry.drain(kill, callers, entry.waitForStop(stop, loops))
+		entry.settleRest(kill)
 		cancel()
 		operators.Close()
 		entry.answers.Close(request.NewMovedError(""))
@@ -201,7 +199,7 @@
 	return handler.Router()
 }
 
-func (entry *Entry) isReady() bool { return entry.ready.Load() && !entry.stopping.Load() }
+func (entry *Entry) isReady() bool { return entry.contact.InTouch() && !entry.stopping.Load() }
 
 // newID returns a new identity of a request.
 func (entry *Entry) newID() string {
--- a/internal/table/rules.go
+++ b/internal/table/rules.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"unicode"
 
@@ -150,6 +151,14 @@
 	if row.Slots() <= 0 || row.Slots() > maxSlots {
 		checker.report("slots", "is %d: allowed is 1 to %d", row.Slots(), maxSlots)
 	}
+	if len(row.OtherClasses()) > 0 && row.HostClass() == "" {
+		checker.report("otherClasses", "a pool with other classes needs a hostClass")
+	}
+	for i, class := range row.HostClasses() {
+		if class == "" || slices.Contains(row.HostClasses()[:i], class) {
+			checker.report("otherClasses", "%q is empty or named twice", class)
+		}
+	}
 	switch row.Kind() {
 	case pool.KindRunner:
 		checker.models(row)
