Let the links' flush timer fire in tests of entry hosts with a frozen clock

Cause: merged links wait a millisecond of the node's clock before they write; the tests of answers freeze that clock, so calls between entry hosts never left (TestReturn cut after 4 s). Ruled out: membership, hints.

Change: the test's entry hosts fire timers of a millisecond at once.

Result: go test -race ./internal/entry passes.

--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -156,6 +156,18 @@
 	})
 }
 
+// withoutFlushDelay returns a clock that fires the timers of links, which wait
+// a millisecond for more bytes, at once, even while the time stands still.
+func withoutFlushDelay(base *clock.Clock) *clock.Clock {
+	return clock.New(base.Now, base.Wall, func(delay clock.Millis, fire func()) func() bool {
+		if delay <= clock.Millisecond {
+			go fire()
+			return func() bool { return false }
+		}
+		return base.AfterFunc(delay, fire)
+	})
+}
+
 // cluster is a set of entry hosts before the same runners, in one process.
 type cluster struct {
 	t       *testing.T
@@ -206,7 +218,7 @@
 	for i := range entries {
 		loaded, err := settings.ParseEntry("test", fmt.Appendf(nil, testSettings, i+1, platformAddress, testAccount, otherKey))
 		require.NoError(t, err)
-		entry, err := New(loaded, clock, zerolog.Nop())
+		entry, err := New(loaded, withoutFlushDelay(clock), zerolog.Nop())
 		require.NoError(t, err)
 		cluster.entries = append(cluster.entries, entry)
 	}
@@ -227,13 +239,14 @@
 		[]pool.Pool{pool.New("runners", pool.KindRunner).WithModels(pool.NewModel(testModel, "v1")).WithHosts("gpu-small", 1, 9)}, nil)
 	var members []node.Member
 	for _, entry := range cluster.entries {
-		members = append(members, entry.self())
+		members = append(members, entry.members.Self())
 	}
 	for _, entry := range cluster.entries {
 		entry.fleet.Update(listed)
-		entry.putInForce(tables)
-		entry.ready.Store(true)
-		entry.members.Merge(members)
+		entry.inForce.Offer(tables)
+		entry.contact.StoreAnswered()
+		entry.contact.Started()
+		entry.members.Take(node.NewDigest(members[0], members[1:], nil, 0), true)
 	}
 }
 
