--- a/internal/faultmatrix/fault.go
+++ b/internal/faultmatrix/fault.go
@@ -206,7 +206,7 @@
 }
 
 // silenceConnections silences every open connection, or the next one if none
-// is open.
+// is open, and one link between nodes.
 func (world *world) silenceConnections(at moment) {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
@@ -217,6 +217,7 @@
 		connection.silence()
 	}
 	world.silence = len(world.open) == 0
+	world.silentLink = true
 }
 
 // deliverOldOrders delivers an order that was held back under an old number
--- a/internal/faultmatrix/node.go
+++ b/internal/faultmatrix/node.go
@@ -2,19 +2,23 @@
 
 import (
 	"context"
+	"expvar"
+	"fmt"
 	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/caller"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/entry"
 	"sapphirehead/internal/node"
-	"sapphirehead/internal/operator"
+	"sapphirehead/internal/node/nodepb"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/rendezvous"
 	"sapphirehead/internal/request"
 	"sapphirehead/internal/runner"
 	"sapphirehead/internal/service"
@@ -23,9 +27,14 @@
 
 // Times of a node's loops.
 const (
-	beatInterval  = 500 * clock.Millisecond
-	hostsInterval = 500 * clock.Millisecond
-	retryInterval = 500 * clock.Millisecond
+	hostsInterval  = 500 * clock.Millisecond
+	settleInterval = 250 * clock.Millisecond
+	// forwardTimeout is how long a node waits for the owner of a claim's object.
+	forwardTimeout = 500 * clock.Millisecond
+	// linkTime is the time of one call between nodes, one way.
+	linkTime = 1 * clock.Millisecond
+	// linkTimeout is when a silent link is given up.
+	linkTimeout = 1 * clock.Second
 	// readyOff is how long a stopping node still takes requests.
 	readyOff = 20 * clock.Millisecond
 	// handOverAfter is how long a stopping node waits before it hands over.
@@ -108,59 +117,80 @@
 	name        string
 	dataCentre  string
 	incarnation int64
-	sequence    atomic.Int64
 	stopping    atomic.Bool
-	ready       atomic.Bool
 	life        context.Context
 	cancel      context.CancelFunc
 	inForce     *table.InForce
 	highest     int64
 	fleet       *backend.Fleet
 	members     *node.Members
+	contact     *node.Contact
+	fellows     *entry.Fellows
+	tables      *entry.TablesFollower
 	admission   *caller.Admission
 	account     *caller.Account
 	store       *platform.Store
 	ledger      *service.Ledger
-	editor      *operator.Editor
 	driver      *entry.Driver
 	answers     *entry.Answers
 	notices     int
-	// writer keeps the writers of fleet and members apart: each has but one.
+	// writer keeps the writers of the fleet apart: it has but one.
 	writer sync.Mutex
 }
 
+// seeds are the nodes that every node knows from its settings.
+var seeds = []string{"entry-0", "entry-1", "entry-2"}
+
 func (world *world) newNode(name, dataCentre string, incarnation int64) *entryNode {
 	created := &entryNode{
 		process: newProcess(), world: world, name: name, dataCentre: dataCentre, incarnation: incarnation,
-		inForce: table.NewInForce(), fleet: backend.NewFleet(), members: node.NewMembers(world.clock, name, node.DefaultSilence),
+		inForce: table.NewInForce(), fleet: backend.NewFleet(),
 		admission: caller.NewAdmission(100), account: caller.NewAccount("garage-north", 0),
 	}
 	created.life, created.cancel = context.WithCancel(context.Background())
 	created.store = world.store.client(created.gate)
-	created.build()
+	created.joinFellows()
+	created.joinClaims()
+	created.joinServers()
 	return created
 }
 
-// build joins the decisions to the world. It is the one place that follows the
-// constructors of the system.
-func (entryNode *entryNode) build() {
-	world := entryNode.world
-	entryNode.ledger = service.NewLedger(world.clock, service.DefaultWindow,
-		func(ctx context.Context, shard int) (service.Shard, int64, error) {
-			return platformhttp.LoadShard(ctx, entryNode.store, shard)
-		},
-		func(ctx context.Context, shard int, claims service.Shard, condition int64) error {
-			return platformhttp.CommitShard(ctx, entryNode.store, shard, claims, condition)
-		})
-	entryNode.editor = operator.NewEditor(
+// joinFellows, joinClaims and joinServers follow the constructors of the
+// system as sapphire-entry uses them.
+func (entryNode *entryNode) joinFellows() {
+	world, counters := entryNode.world, new(expvar.Map).Init()
+	entryNode.members = node.NewMembers(world.clock, entryNode.self, world.random, seeds)
+	entryNode.contact = node.NewContact(world.clock, entryNode.members)
+	entryNode.tables = entry.NewTablesFollower(world.clock, entryNode.members, entryNode.contact, entryNode.inForce,
 		func(ctx context.Context) (*table.Tables, int64, error) {
 			return platformhttp.LoadTables(ctx, entryNode.store)
 		},
+		func(ctx context.Context, after int64) (*table.Tables, int64, error) {
+			return platformhttp.WatchTables(ctx, entryNode.store, after)
+		},
 		func(ctx context.Context, tables *table.Tables, condition int64) error {
 			world.at(StepEdit, moment{node: entryNode})
 			return platformhttp.CommitTables(ctx, entryNode.store, tables, condition)
 		},
-		entryNode.newest, func(*table.Tables, *table.Tables) {})
+		entryNode.call, func() { entryNode.fellows.PassOn() }, zerolog.Nop(), counters)
+	entryNode.fellows = entry.NewFellows(world.clock, entryNode.members, seeds, entryNode.call, func() {},
+		entryNode.learnLeaving, entryNode.tables.Ahead, counters)
+}
+
+func (entryNode *entryNode) joinClaims() {
+	holder := fmt.Sprintf("%s/%d", entryNode.name, entryNode.incarnation)
+	entryNode.ledger = service.NewLedger(entryNode.world.clock, service.DefaultWindow, holder,
+		func(ctx context.Context, object string) (service.Shard, int64, error) {
+			return platformhttp.LoadShard(ctx, entryNode.store, object)
+		},
+		func(ctx context.Context, object string, shard service.Shard, condition int64) (int64, error) {
+			return platformhttp.CommitShard(ctx, entryNode.store, object, shard, condition)
+		}).WithFellows(entryNode.forward, entryNode.unrun, func() int { return len(entryNode.members.Live()) + 1 },
+		func(wait clock.Millis) clock.Millis { return wait })
+}
+
+func (entryNode *entryNode) joinServers() {
+	world := entryNode.world
 	chooser := runner.NewChooser(entryNode.fleet, entryNode.dataCentre, world.random)
 	entryNode.driver = entry.NewDriver(world.clock,
 		func(to *request.Request, exclude []string) (*backend.Server, bool) {
@@ -192,127 +222,142 @@
 	server.Failed()
 }
 
-func (entryNode *entryNode) claim(ctx context.Context, to *request.Request) (request.Claim, service.Answer) {
-	entryNode.world.at(StepClaim, moment{node: entryNode})
-	return entryNode.ledger.Claim(ctx, to.Account(), to.Key(), to.ID())
-}
+func (entryNode *entryNode) ready() bool { return entryNode.contact.InTouch() }
 
-func (entryNode *entryNode) record(ctx context.Context, to *request.Request, answer service.Answer) error {
-	entryNode.world.at(StepRecord, moment{node: entryNode})
-	return entryNode.ledger.Record(ctx, to.Account(), to.Key(), to.ID(), answer)
+func (entryNode *entryNode) self() node.Member {
+	return node.NewMember(entryNode.name, entryNode.name, entryNode.dataCentre, entryNode.incarnation).
+		WithNews(0, entryNode.inForce.Current().Version(), entryNode.ready(), entryNode.stopping.Load())
 }
 
-// start boots the node: it takes the newest tables from the store or a fellow
-// node before it is ready.
-func (entryNode *entryNode) start() {
-	for _, loop := range []func(){entryNode.watch, entryNode.beat, entryNode.list, entryNode.heed} {
-		entryNode.world.group.Go(loop)
+// call carries a call to a fellow node and its reply back.
+func (entryNode *entryNode) call(ctx context.Context, address string, call *nodepb.Call) (*nodepb.Reply, error) {
+	other, err := entryNode.reach(ctx, address)
+	if err != nil {
+		return nil, err
 	}
-}
-
-// kill ends the process without warning.
-func (entryNode *entryNode) kill() {
-	entryNode.end()
-	entryNode.cancel()
-	entryNode.world.group.Go(func() { entryNode.answers.Close(errDead) })
-}
-
-// wait sleeps unless the node dies, and reports whether it lives.
-func (entryNode *entryNode) wait(delay clock.Millis) bool {
-	return entryNode.world.clock.Wait(entryNode.life, delay) == nil && entryNode.gate(entryNode.life) == nil
-}
-
-func (entryNode *entryNode) watch() {
-	version := int64(-1)
-	for entryNode.gate(entryNode.life) == nil {
-		var tables *table.Tables
-		var err error
-		if version < 0 {
-			tables, version, err = platformhttp.LoadTables(entryNode.life, entryNode.store)
-		} else {
-			tables, version, err = platformhttp.WatchTables(entryNode.life, entryNode.store, version)
-		}
-		if err != nil {
-			version = -1
-			entryNode.wait(retryInterval)
-			continue
-		}
-		entryNode.put(tables)
+	reply := other.reply(call)
+	if err := entryNode.world.back(ctx, entryNode, other); err != nil {
+		return nil, err
 	}
+	return reply, nil
 }
 
-// newest returns the highest tables in force at this node and those it reaches.
-func (entryNode *entryNode) newest(ctx context.Context) (*table.Tables, error) {
+// reach returns the node at the address once a call has come there.
+func (entryNode *entryNode) reach(ctx context.Context, address string) (*entryNode, error) {
 	if err := entryNode.gate(ctx); err != nil {
 		return nil, err
 	}
+	entryNode.world.at(StepSpread, moment{node: entryNode})
+	entryNode.world.clock.Wait(ctx, linkTime)
 	for _, other := range entryNode.world.others(entryNode) {
-		if tables := other.inForce.Current(); entryNode.world.linked(entryNode, other) && tables.Version() > entryNode.inForce.Current().Version() {
-			entryNode.put(tables)
+		if other.name == address {
+			return other, entryNode.gate(ctx)
 		}
 	}
-	return entryNode.inForce.Current(), nil
+	return nil, errRefused
 }
 
-// put offers tables and checks that the version in force never falls.
-func (entryNode *entryNode) put(tables *table.Tables) {
-	entryNode.inForce.Offer(tables)
-	entryNode.world.check(func(tally *tally) {
-		version := entryNode.inForce.Current().Version()
-		if version < entryNode.highest {
-			tally.violate("reverted: %s went from version %d to %d", entryNode.name, entryNode.highest, version)
+func (entryNode *entryNode) reply(call *nodepb.Call) *nodepb.Reply {
+	switch call.WhichBody() {
+	case nodepb.Call_Heartbeat_case:
+		return entryNode.fellows.Heartbeat(call.GetHeartbeat())
+	case nodepb.Call_MembersQuery_case:
+		return entryNode.fellows.Members()
+	case nodepb.Call_EvidenceQuery_case:
+		return entryNode.fellows.Evidence()
+	default:
+		return entryNode.tables.Answer(call.GetTablesQuery())
+	}
+}
+
+// forward hands an operation on claims to the owner of its object.
+func (entryNode *entryNode) forward(ctx context.Context, operation service.Operation) (service.Verdict, bool) {
+	hosts := []string{entryNode.name}
+	for _, member := range entryNode.members.Live() {
+		if !member.Stopping() {
+			hosts = append(hosts, member.Host())
 		}
-		entryNode.highest = max(entryNode.highest, version)
-	})
-	if entryNode.inForce.Current().Version() > 0 {
-		entryNode.ready.Store(true)
 	}
+	owner := rendezvous.Best(operation.Place().Object(), hosts)
+	if owner == entryNode.name {
+		return service.Verdict{}, false
+	}
+	ctx, cancel := entryNode.world.clock.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	other, err := entryNode.reach(ctx, owner)
+	if err != nil {
+		return service.Verdict{}, true
+	}
+	verdict := other.ledger.Serve(ctx, operation)
+	if entryNode.world.back(ctx, entryNode, other) != nil {
+		return service.Verdict{}, true
+	}
+	return verdict, true
 }
 
-// beat exchanges news with every other node.
-func (entryNode *entryNode) beat() {
-	for entryNode.gate(entryNode.life) == nil {
-		entryNode.world.at(StepSpread, moment{node: entryNode})
-		for _, other := range entryNode.world.others(entryNode) {
-			if entryNode.gate(entryNode.life) != nil {
-				return
-			}
-			entryNode.exchange(other)
+// unrun asks the process that holds a claim whether its request never runs.
+func (entryNode *entryNode) unrun(ctx context.Context, holder, nonce string) bool {
+	for _, other := range entryNode.world.others(entryNode) {
+		if other.ledger.Holder() != holder {
+			continue
 		}
-		entryNode.wait(beatInterval)
+		reached, err := entryNode.reach(ctx, other.name)
+		return err == nil && reached == other && other.ledger.NeverRuns(nonce)
 	}
+	return false
 }
 
-func (entryNode *entryNode) self() node.Member {
-	return node.NewMember(entryNode.name, entryNode.name, entryNode.dataCentre, entryNode.incarnation).
-		WithNews(entryNode.sequence.Add(1), entryNode.inForce.Current().Version(), entryNode.ready.Load(), entryNode.stopping.Load())
+func (entryNode *entryNode) claim(ctx context.Context, to *request.Request) (request.Claim, service.Answer) {
+	entryNode.world.at(StepClaim, moment{node: entryNode})
+	return entryNode.ledger.Claim(ctx, to, false)
 }
 
-// exchange is one heartbeat and its answer.
-func (entryNode *entryNode) exchange(other *entryNode) {
-	if !entryNode.world.linked(entryNode, other) {
-		return
+func (entryNode *entryNode) record(ctx context.Context, to *request.Request, answer service.Answer) error {
+	entryNode.world.at(StepRecord, moment{node: entryNode})
+	return entryNode.ledger.Record(context.WithoutCancel(ctx), to, answer, false)
+}
+
+// endClaim reports to the ledger that a call has ended.
+func (entryNode *entryNode) endClaim(to *request.Request, err error) {
+	if to.NeedsClaim() {
+		var notRun *request.NotRunError
+		entryNode.ledger.End(to, errors.As(err, &notRun))
 	}
-	entryNode.tell(other)
-	other.tell(entryNode)
 }
 
-// tell gives the other node this node's news.
-func (entryNode *entryNode) tell(other *entryNode) {
-	other.writer.Lock()
-	other.members.Merge(append([]node.Member{entryNode.self()}, entryNode.members.Live()...))
-	other.writer.Unlock()
-	for _, server := range entryNode.fleet.Current().Servers() {
-		if server.Leaving() {
-			other.learnLeaving(server.ID(), 0)
-		}
+// start boots the node.
+func (entryNode *entryNode) start() {
+	loops := []func(){
+		func() { entryNode.tables.Run(entryNode.life, entryNode.fellows.Greet) },
+		func() { entryNode.fellows.Run(entryNode.life) },
+		entryNode.list, entryNode.heed, entryNode.settleClaims,
 	}
-	if tables := entryNode.inForce.Current(); tables.Version() > other.inForce.Current().Version() {
-		other.put(tables)
+	for _, loop := range loops {
+		entryNode.world.group.Go(loop)
 	}
 }
 
-// list follows the lagging list of hosts.
+// kill ends the process without warning.
+func (entryNode *entryNode) kill() {
+	entryNode.end()
+	entryNode.cancel()
+	entryNode.world.group.Go(func() { entryNode.answers.Close(errDead) })
+}
+
+// wait sleeps unless the node dies, and reports whether it lives.
+func (entryNode *entryNode) wait(delay clock.Millis) bool {
+	return entryNode.world.clock.Wait(entryNode.life, delay) == nil && entryNode.gate(entryNode.life) == nil
+}
+
+// settleClaims tries again what the store gave no answer to.
+func (entryNode *entryNode) settleClaims() {
+	for entryNode.wait(settleInterval) {
+		entryNode.ledger.Settle(entryNode.life)
+	}
+}
+
+// list follows the lagging list of hosts, and checks that the version of the
+// tables in force never falls.
 func (entryNode *entryNode) list() {
 	for entryNode.gate(entryNode.life) == nil {
 		if listed, ok := entryNode.world.listed(); ok {
@@ -320,6 +365,13 @@
 			entryNode.fleet.Update(listed)
 			entryNode.writer.Unlock()
 		}
+		version := entryNode.inForce.Current().Version()
+		if version < entryNode.highest {
+			entryNode.world.check(func(tally *tally) {
+				tally.violate("reverted: %s went from version %d to %d", entryNode.name, entryNode.highest, version)
+			})
+		}
+		entryNode.highest = max(entryNode.highest, version)
 		entryNode.wait(hostsInterval)
 	}
 }
@@ -351,6 +403,7 @@
 	if !first {
 		return
 	}
+	entryNode.fellows.Leave(id, notice)
 	if notice == 0 {
 		notice = assumedNotice
 	}
@@ -389,7 +442,7 @@
 func (entryNode *entryNode) handOver(answer *entry.Answer) {
 	entryNode.world.at(StepHandOver, moment{node: entryNode})
 	for _, other := range entryNode.world.others(entryNode) {
-		if other.stopping.Load() || entryNode.gate(entryNode.life) != nil || !entryNode.world.linked(entryNode, other) {
+		if other.stopping.Load() || entryNode.gate(entryNode.life) != nil {
 			continue
 		}
 		err := answer.Release(entryNode.life, func(state *request.JournalState) error {
--- a/internal/faultmatrix/steward.go
+++ b/internal/faultmatrix/steward.go
@@ -19,6 +19,9 @@
 	// orderTime is the longest that an order may be under way.
 	orderTime = 500 * clock.Millisecond
 	leaseName = "runners"
+	// holdBack is the time by which stewards of a lower rank leave a free lease
+	// to others.
+	holdBack = 500 * clock.Millisecond
 )
 
 // steward is the control of the runners' pool from one entry host.
@@ -27,30 +30,52 @@
 	world      *world
 	name       string
 	dataCentre string
+	holdBack   clock.Millis
 	life       context.Context
 	cancel     context.CancelFunc
 	store      *platform.Store
 	lease      *platform.Lease
-	until      atomic.Int64
-	serial     int
+	// until is when the lease ends that the store has granted, bound the latest
+	// end that the steward may believe in.
+	until  atomic.Int64
+	bound  atomic.Int64
+	serial int
 }
 
-// holds reports whether the steward believes that it holds the lease.
-func (steward *steward) holds() bool {
-	return steward.until.Load() > int64(steward.world.clock.Now())
-}
-
-func (world *world) addSteward(name, dataCentre string) {
-	created := &steward{process: newProcess(), world: world, name: name, dataCentre: dataCentre}
+func (world *world) addSteward(name, dataCentre string, holdBack clock.Millis) {
+	created := &steward{process: newProcess(), world: world, name: name, dataCentre: dataCentre, holdBack: holdBack}
 	created.life, created.cancel = context.WithCancel(context.Background())
 	created.store = world.store.client(created.gate)
-	created.lease = platform.NewLease(world.clock, leaseName, name, leaseDuration)
+	created.lease = platform.NewLease(world.clock, leaseName, name, name+"/1", leaseDuration,
+		func(ctx context.Context, name string) (platform.LeaseRecord, int64, error) {
+			return platformhttp.LoadLease(ctx, created.store, name)
+		}, created.write)
 	world.mutex.Lock()
 	world.stewards = append(world.stewards, created)
 	world.mutex.Unlock()
 	world.group.Go(created.run)
 }
 
+// write commits the lease, and notes until when it lasts by the clock.
+func (steward *steward) write(ctx context.Context, name string, record platform.LeaseRecord, condition int64) (int64, error) {
+	steward.world.at(StepRenew, moment{steward: steward})
+	until := int64(steward.world.clock.Now() + leaseDuration)
+	version, err := platformhttp.CommitLease(ctx, steward.store, name, record, condition)
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) {
+		steward.bound.Store(max(steward.bound.Load(), until))
+	}
+	if err == nil {
+		steward.until.Store(until)
+	}
+	return version, err
+}
+
+// holds reports whether the store's grant of the lease to the steward lasts.
+func (steward *steward) holds() bool {
+	return steward.until.Load() > int64(steward.world.clock.Now())
+}
+
 func (steward *steward) run() {
 	for steward.gate(steward.life) == nil {
 		steward.round(steward.life)
@@ -67,7 +92,11 @@
 	if !ok {
 		return
 	}
-	if steward.keep(ctx) != nil || !steward.lease.Held(orderTime) {
+	if steward.lease.Keep(ctx, steward.holdBack) != nil {
+		return
+	}
+	holding, held := steward.lease.Holding()
+	if !held {
 		return
 	}
 	live := 0
@@ -76,61 +105,32 @@
 			continue
 		}
 		live++
-		steward.correct(ctx, host, row.Models())
+		if !host.ignoresFence || holding.Waited(steward.world.clock.Now(), orderTime) {
+			steward.correct(ctx, holding, host, row.Models())
+		}
 	}
 	if live < row.MinHosts() {
-		steward.begin(ctx)
-	}
-}
-
-// keep takes or renews the lease if it may.
-func (steward *steward) keep(ctx context.Context) error {
-	object, err := steward.store.Get(ctx, platform.KindLeases, leaseName)
-	var missing *platform.NotFoundError
-	if err != nil && !errors.As(err, &missing) {
-		return err
+		steward.begin(ctx, holding)
 	}
-	ours := steward.lease.Held(0) && object.Version() == steward.lease.Fence()
-	steward.lease.Observe(object.Version())
-	if !ours && !steward.lease.MayTake() {
-		steward.lost()
-		return nil
-	}
-	sentAt := steward.world.clock.Now()
-	steward.world.at(StepRenew, moment{steward: steward})
-	version, err := steward.store.Put(ctx, platform.KindLeases, leaseName, []byte(steward.name), object.Version())
-	if err != nil {
-		steward.lost()
-		return err
-	}
-	steward.lease.Taken(version, sentAt)
-	steward.until.Store(int64(sentAt + leaseDuration))
-	return nil
-}
-
-func (steward *steward) lost() {
-	steward.lease.Lost()
-	steward.until.Store(0)
 }
 
 // correct orders a runner into the wanted condition.
-func (steward *steward) correct(ctx context.Context, host *host, models []pool.Model) {
+func (steward *steward) correct(ctx context.Context, holding platform.Holding, host *host, models []pool.Model) {
 	if steward.gate(ctx) != nil || host.fulfils(models) || steward.world.limited() {
 		return
 	}
 	steward.world.at(StepOrder, moment{steward: steward, host: host})
-	if steward.gate(ctx) != nil || !steward.lease.Held(orderTime) {
+	if steward.gate(ctx) != nil || !steward.lease.Covers(holding.Fence(), orderTime) {
 		return
 	}
-	fence := steward.lease.Fence()
 	steward.world.clock.Wait(ctx, connectTime)
-	steward.world.sent(steward, host, fence)
-	host.obey(fence, models)
+	steward.world.sent(steward, host, holding.Fence())
+	host.obey(holding.Fence(), models)
 }
 
 // begin starts a replacement unless the cloud refuses.
-func (steward *steward) begin(ctx context.Context) {
-	if steward.gate(ctx) != nil || !steward.lease.Held(orderTime) {
+func (steward *steward) begin(ctx context.Context, holding platform.Holding) {
+	if steward.gate(ctx) != nil || !steward.lease.Covers(holding.Fence(), orderTime) {
 		return
 	}
 	refused := false
@@ -140,7 +140,7 @@
 	}
 	steward.serial++
 	started := steward.world.addHost(fmt.Sprintf("%s-%d", steward.name, steward.serial), steward.dataCentre, poolRunners)
-	started.obey(steward.lease.Fence(), nil)
+	started.obey(holding.Fence(), nil)
 }
 
 // limited reports whether the weight store refuses further loads.
@@ -153,7 +153,7 @@
 // sent checks that an order comes from the one steward whose lease has not
 // lapsed.
 func (world *world) sent(from *steward, to *host, fence int64) {
-	if !from.holds() {
+	if from.bound.Load() <= int64(world.clock.Now()) {
 		world.check(func(tally *tally) {
 			tally.violate("lease: %s ordered %s under %d after its lease", from.name, to.id, fence)
 		})
