Estimate the first token of each candidate runner

Cause: the choice by least known work knew neither the prompt nor the queue of prompt tokens, so seven nodes recomputed prefixes everywhere.

Change: the placer estimates queue (lagged report corrected by what this node began and sent since), prefill of tokens not in the prefix index, and distance; picks at random within the noise; looks at 64 candidates at most (rendezvous subset); keeps a circuit for each server.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -176,6 +176,16 @@
 // the slice.
 func (snapshot *Snapshot) Pool(name string) []*Server { return snapshot.byPool[name] }
 
+// Pools returns the names of the pools that have servers, in no particular
+// order.
+func (snapshot *Snapshot) Pools() []string {
+	names := make([]string, 0, len(snapshot.byPool))
+	for name := range snapshot.byPool {
+		names = append(names, name)
+	}
+	return names
+}
+
 // Server returns the server with the id, or nil.
 func (snapshot *Snapshot) Server(id string) *Server { return snapshot.byID[id] }
 
--- /dev/null
+++ b/internal/runner/placer.go
@@ -0,0 +1,212 @@
+package runner
+
+import (
+	"slices"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+)
+
+// The placer estimates for each candidate when the first token of a request
+// would come from it:
+//
+//	first token = way there and back
+//	            + wait for a slot of the batch
+//	            + (prompt tokens waiting there + tokens not in its prefix cache) / prefill rate
+//
+// The queue is the server's lagged report, corrected by what this node has
+// begun and ended there since. Several nodes act on the same report, so the
+// placer does not take the one best candidate but any of those whose estimate
+// is within the noise of the reports.
+//
+// Example: A has the prompt's 1,600 tokens cached but 4 requests more than
+// slots; B is idle. At 10 tokens a millisecond, B's prefill costs 160 ms, the
+// wait at A more than a second, so B is chosen and the hot prefix spreads.
+
+// MaxCandidates bounds the servers that one decision looks at. In a larger
+// pool each node keeps a subset of this size by rendezvous hashing.
+const MaxCandidates = 64
+
+const (
+	// noiseMillis is the difference of estimates that means nothing.
+	noiseMillis = 8.0
+	// workWeight counts a prefill once more, because it slows down everybody
+	// in the batch.
+	workWeight = 1.0
+	// crowdMillis is what one more request in a batch costs those in it.
+	crowdMillis = 12.0
+	// rampMillis is the handicap of a server that has just begun.
+	rampMillis = 400.0
+)
+
+// Estimate is what the placer expects of one server.
+type Estimate struct {
+	server     *backend.Server
+	firstToken float64
+	queue      float64
+	work       int
+	score      float64
+}
+
+// Server returns the server.
+func (estimate Estimate) Server() *backend.Server { return estimate.server }
+
+// FirstToken returns the expected time to the first token in milliseconds.
+func (estimate Estimate) FirstToken() float64 { return estimate.firstToken }
+
+// Queue returns the part of it that is spent waiting in milliseconds.
+func (estimate Estimate) Queue() float64 { return estimate.queue }
+
+// Prefill returns the time to read the prompt in milliseconds.
+func (estimate Estimate) Prefill() float64 {
+	return float64(estimate.work) / estimate.server.Work().PrefillTokens()
+}
+
+// Work returns the tokens that the server would have to read.
+func (estimate Estimate) Work() int { return estimate.work }
+
+// Placer chooses model runners. It may be used from any goroutine.
+type Placer struct {
+	clock    *clock.Clock
+	fleet    *backend.Fleet
+	index    *Index
+	node     string
+	distance func(server *backend.Server) float64
+	slots    func(pool string) int
+	random   func(n int) int
+	subsets  subsets
+}
+
+// NewPlacer returns a placer for the node. Distance is the time in
+// milliseconds of the way to a server and back; slots are the places in the
+// batch of a pool's servers; random returns a number from 0 to n-1.
+func NewPlacer(
+	clock *clock.Clock,
+	fleet *backend.Fleet,
+	index *Index,
+	node string,
+	distance func(server *backend.Server) float64,
+	slots func(pool string) int,
+	random func(n int) int,
+) *Placer {
+	return &Placer{clock: clock, fleet: fleet, index: index, node: node, distance: distance, slots: slots, random: random}
+}
+
+// Refresh prepares the candidates of the fleet's current snapshot, so that no
+// request has to.
+func (placer *Placer) Refresh() { placer.subsets.of(placer.fleet.Current(), placer.node) }
+
+// Place returns the server for an attempt whose prompt has the chain and which
+// goes on after so many tokens of the answer. It counts the prompt as sent.
+func (placer *Placer) Place(to *request.Request, chain Chain, offset int, exclude []string) (Estimate, bool) {
+	estimate, ok := placer.pick(to, chain, offset, exclude)
+	if !ok {
+		return estimate, false
+	}
+	now := placer.clock.Now()
+	estimate.server.Circuit().Begin(now)
+	estimate.server.Work().Send(estimate.work)
+	placer.index.Learn(estimate.server, chain)
+	return estimate, true
+}
+
+// Outlook returns the estimate of the best server without choosing it.
+func (placer *Placer) Outlook(to *request.Request, chain Chain) (Estimate, bool) {
+	return placer.pick(to, chain, 0, nil)
+}
+
+func (placer *Placer) pick(to *request.Request, chain Chain, offset int, exclude []string) (Estimate, bool) {
+	candidates := placer.subsets.of(placer.fleet.Current(), placer.node).candidates(to.Route().Pool())
+	if len(candidates) == 0 {
+		return Estimate{}, false
+	}
+	round := newRound(placer, to, chain, offset)
+	var estimates [MaxCandidates]Estimate
+	count, best := 0, 0
+	for _, candidate := range candidates {
+		server := candidate.server
+		if server.Leaving() || !server.Circuit().Allows(round.now) || slices.Contains(exclude, server.ID()) {
+			continue
+		}
+		estimates[count] = round.estimate(candidate)
+		if estimates[count].score < estimates[best].score {
+			best = count
+		}
+		count++
+	}
+	if count == 0 {
+		return placer.lastResort(candidates, exclude)
+	}
+	return placer.amongNear(estimates[:count], estimates[best].score+noiseMillis), true
+}
+
+// amongNear picks at random among the estimates up to the limit.
+func (placer *Placer) amongNear(estimates []Estimate, limit float64) Estimate {
+	near := 0
+	for i := range estimates {
+		if estimates[i].score <= limit {
+			estimates[near] = estimates[i]
+			near++
+		}
+	}
+	return estimates[placer.random(near)]
+}
+
+// lastResort returns a server with an open circuit, rather than none.
+func (placer *Placer) lastResort(candidates []candidate, exclude []string) (Estimate, bool) {
+	start := placer.random(len(candidates))
+	for i := range candidates {
+		server := candidates[(start+i)%len(candidates)].server
+		if !server.Leaving() && !slices.Contains(exclude, server.ID()) {
+			return Estimate{server: server}, true
+		}
+	}
+	return Estimate{}, false
+}
+
+// round is what the estimates of one decision share.
+type round struct {
+	placer *Placer
+	now    clock.Millis
+	chain  Chain
+	tokens int
+	found  matches
+	slots  int
+}
+
+func newRound(placer *Placer, to *request.Request, chain Chain, offset int) round {
+	return round{
+		placer: placer, now: placer.clock.Now(), chain: chain, tokens: chain.tokens + offset,
+		found: placer.index.match(chain), slots: placer.slots(to.Route().Pool()),
+	}
+}
+
+func (round *round) estimate(candidate candidate) Estimate {
+	server := candidate.server
+	cached := float64(round.found.depth(candidate.holder)*BlockTokens) * server.Cache().Confidence()
+	work := float64(round.tokens) - cached
+	rate := server.Work().PrefillTokens()
+	running, waiting := round.queue(server, rate)
+	queue := waiting / rate
+	if over := running - float64(round.slots) + 1; over > 0 {
+		queue += over * server.Work().ServeMillis() / float64(round.slots)
+	}
+	firstToken := round.placer.distance(server) + queue + work/rate
+	score := firstToken + workWeight*work/rate + crowdMillis*running
+	score += rampMillis * (1 - server.Circuit().Ramp(round.now))
+	return Estimate{server: server, firstToken: firstToken, queue: queue, work: int(work), score: score}
+}
+
+// queue returns the requests in progress at the server and the prompt tokens
+// that wait there: its report, corrected by what this node did since.
+func (round *round) queue(server *backend.Server, rate float64) (running, waiting float64) {
+	own, sent := server.InFlight(), server.Work().Sent()
+	load := server.Load()
+	if load == nil {
+		return float64(own), 0
+	}
+	others := max(0, int64(load.Running()+load.Queued())-load.Own())
+	waiting = float64(load.Tokens()) + float64(sent-load.Sent()) - rate*float64(round.now-load.At())
+	return float64(own + others), max(0, waiting)
+}
