Refuse early by deadline, worth for cost and fair share

Change: a gate for each pool refuses what the estimate puts past its target, and by a controller on the queue at the best server the share of the offered cost with the least worth; accounts above their max-min share count less.

--- a/cmd/sapphire-measure/main.go
+++ b/cmd/sapphire-measure/main.go
@@ -11,12 +11,13 @@
 )
 
 type commandLine struct {
-	Seeds  int  `help:"Number of seeds for each policy." default:"20"`
-	ByKind bool `help:"Add the worth served by kind and account."`
+	Seeds  int      `help:"Number of seeds for each policy." default:"20"`
+	Policy []string `help:"Only these policies, and random for comparison."`
+	ByKind bool     `help:"Add the worth served by kind and account."`
 }
 
 func main() {
 	var line commandLine
 	parsed := kong.Parse(&line, kong.Name("sapphire-measure"), kong.Description("Measures the policy against plain ones in virtual time."))
-	parsed.FatalIfErrorf(measure.Run(os.Stdout, measure.NewOptions(line.Seeds, measure.Policies(), line.ByKind)))
+	parsed.FatalIfErrorf(measure.Run(os.Stdout, measure.NewOptions(line.Seeds, measure.Policies(line.Policy...), line.ByKind)))
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -16,12 +16,13 @@
 	name     string
 	inFlight *atomic.Int64
 	limit    int
+	usage    *usage
 }
 
 // NewAccount returns a client account that may have limit requests in flight
 // at this node, or any number if limit is 0.
 func NewAccount(name string, limit int) *Account {
-	return &Account{name: name, inFlight: &atomic.Int64{}, limit: limit}
+	return &Account{name: name, inFlight: &atomic.Int64{}, limit: limit, usage: &usage{}}
 }
 
 // Name returns the name of the account.
--- a/internal/measure/node.go
+++ b/internal/measure/node.go
@@ -68,8 +68,12 @@
 	ended      bool
 	moving     *backend.Server
 	target     *backend.Server
+	estimate   runner.Estimate
 }
 
+// offset returns the number of tokens that the caller has.
+func (call *call) offset() int { return len(call.flow.Tokens()) }
+
 // start admits a request and runs it.
 func (node *node) start(drawn arrival) {
 	run := node.run
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -8,6 +8,7 @@
 	"sapphirehead/internal/caller"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
 	"sapphirehead/internal/runner"
 )
 
@@ -148,10 +149,85 @@
 	}}
 }
 
+// ours is the policy of the entry hosts.
+func ours() Policy {
+	return Policy{name: "ours", build: func(node *node) decisions {
+		random := nodeRandom(node)
+		index := runner.NewIndex(runner.DefaultIndexSets)
+		distance := func(server *backend.Server) float64 { return 2 * node.latency(server.DataCentre()).millis() }
+		slots := func(string) int { return engineSlots }
+		placer := runner.NewPlacer(node.run.clock, node.fleet, index, node.name, distance, slots, random.IntN)
+		chooser := runner.NewChooser(node.fleet, node.dc, random.IntN)
+		admission := caller.NewAdmission(nodeInFlight)
+		made := plain(node, func(call *call, exclude []string) (*backend.Server, bool) {
+			if call.to.Route().Kind() == route.KindService {
+				return chooser.Choose(call.to.Route().Pool(), exclude)
+			}
+			estimate, ok := placer.Place(call.to, call.chain, call.offset(), exclude)
+			call.estimate = estimate
+			return estimate.Server(), ok
+		})
+		gate := caller.NewGate(random.Float64)
+		made.admit = func(call *call) (func(), error) {
+			if call.to.Route().Kind() == route.KindChat {
+				estimate, _ := placer.Outlook(call.to, call.chain)
+				cost := estimate.Prefill() + float64(call.to.Prompt().MaxTokens())*gapMillis
+				offer := caller.NewOffer(node.accounts[call.drawn.account], call.to.Route(), estimate.FirstToken(), estimate.Queue(), cost)
+				if err := gate.Admit(offer); err != nil {
+					return nil, err
+				}
+			}
+			return admission.Admit(node.accounts[call.drawn.account])
+		}
+		made.tick = func() {
+			gate.Tick()
+			caller.ShareFairly(node.accounts)
+		}
+		made.events = index.Apply
+		made.first = func(call *call, _ *job) { learnFirst(node, call) }
+		made.ended = func(call *call, server *backend.Server, cause request.Cause) { learnEnd(node, call, server, cause) }
+		return made
+	}}
+}
+
+// gapMillis is the expected time between two tokens.
+const gapMillis = 25.0
+
+// quietSlots is the number of own requests at a server up to which its first
+// token tells the prefill rate.
+const quietSlots = 2
+
+func learnFirst(node *node, call *call) {
+	server := call.attempt.Server()
+	if load := server.Load(); load != nil && load.Queued() == 0 && load.Tokens() == 0 && server.InFlight() <= quietSlots {
+		taken := clock.Millis((node.run.timeline.now-call.sentAt)/microsPerMilli) - clock.Millis(2*node.latency(server.DataCentre()).millis())
+		server.Work().ObservePrefill(call.estimate.Work(), taken)
+	}
+}
+
+func learnEnd(node *node, call *call, server *backend.Server, cause request.Cause) {
+	now := node.run.clock.Now()
+	if cause != 0 {
+		server.Circuit().Failed(now)
+		return
+	}
+	server.Circuit().Succeeded(now)
+	if call.firstToken > 0 {
+		server.Work().ObserveServe(clock.Millis((call.lastToken - call.firstToken) / microsPerMilli))
+	}
+}
+
 // Policies returns our policy first, then the baselines; the first of them,
-// random, is what the weighted measures are relative to.
-func Policies() []Policy {
-	return append([]Policy{frame()}, Baselines()...)
+// random, is what the weighted measures are relative to. With names, only
+// those and random are returned.
+func Policies(names ...string) []Policy {
+	all := append([]Policy{ours(), frame()}, Baselines()...)
+	if len(names) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(all, func(policy Policy) bool {
+		return policy.name != baselineName && !slices.Contains(names, policy.name)
+	})
 }
 
 // Baselines returns the policies to be ahead of.
