Guess what fellow nodes do where a report is old

Change: a report counts less with its age; in its place comes the mean of the candidates, moved towards this node's own share there, as fellow nodes meet the same prompts. A request more in a batch costs 40 ms.

--- a/internal/runner/placer.go
+++ b/internal/runner/placer.go
@@ -30,12 +30,18 @@
 
 const (
 	// noiseMillis is the difference of estimates that means nothing.
-	noiseMillis = 8.0
+	noiseMillis = 25.0
 	// workWeight counts a prefill once more, because it slows down everybody
 	// in the batch.
 	workWeight = 1.0
+	// freshMillis is the age at which a report counts half.
+	freshMillis = 300.0
+	// likeness is how far fellow nodes are taken to do what this node does, and
+	// ownFloor what it counts to have at a server where it has nothing.
+	likeness = 0.3
+	ownFloor = 0.5
 	// crowdMillis is what one more request in a batch costs those in it.
-	crowdMillis = 12.0
+	crowdMillis = 40.0
 	// rampMillis is the handicap of a server that has just begun.
 	rampMillis = 400.0
 )
@@ -122,6 +128,7 @@
 		return Estimate{}, false
 	}
 	round := newRound(placer, to, chain, offset)
+	round.lookAround(candidates)
 	var estimates [MaxCandidates]Estimate
 	count, best := 0, 0
 	for _, candidate := range candidates {
@@ -173,6 +180,8 @@
 	tokens int
 	found  matches
 	slots  int
+	others float64
+	own    float64
 }
 
 func newRound(placer *Placer, to *request.Request, chain Chain, offset int) round {
@@ -202,11 +211,42 @@
 // that wait there: its report, corrected by what this node did since.
 func (round *round) queue(server *backend.Server, rate float64) (running, waiting float64) {
 	own, sent := server.InFlight(), server.Work().Sent()
+	guess := round.others * (1 - likeness + likeness*(float64(own)+ownFloor)/(round.own+ownFloor))
 	load := server.Load()
 	if load == nil {
-		return float64(own), 0
+		return float64(own) + guess, 0
 	}
-	others := max(0, int64(load.Running()+load.Queued())-load.Own())
+	fresh := freshMillis / (freshMillis + float64(max(0, round.now-load.At())))
+	others := fresh*float64(othersOf(load)) + (1-fresh)*guess
 	waiting = float64(load.Tokens()) + float64(sent-load.Sent()) - rate*float64(round.now-load.At())
-	return float64(own + others), max(0, waiting)
+	return float64(own) + others, max(0, waiting)
+}
+
+// othersOf returns the requests of fellow nodes in a report.
+func othersOf(load *backend.Load) int64 {
+	return max(0, int64(load.Running()+load.Queued())-load.Own())
+}
+
+// lookAround takes the mean, over the candidates, of the requests of this node
+// and of fellow nodes. An old report tells less of a server than what fellow
+// nodes, which meet the same prompts, probably do: much the same as this one.
+func (round *round) lookAround(candidates []candidate) {
+	others, own, weight, live := 0.0, 0.0, 0.0, 0.0
+	for i := range candidates {
+		server := candidates[i].server
+		if server.Leaving() {
+			continue
+		}
+		own += float64(server.InFlight())
+		live++
+		if load := server.Load(); load != nil {
+			fresh := freshMillis / (freshMillis + float64(max(0, round.now-load.At())))
+			others += fresh * float64(othersOf(load))
+			weight += fresh
+		}
+	}
+	round.own = own / max(live, 1)
+	if weight > 0 {
+		round.others = others / weight
+	}
 }
