Refuse nothing without a queue, compare hosts by one read speed

With a refused share of 0 the cut lay at the least density offered lately, and what came below it was refused. The read speed learned from first tokens was too high, as nobody knows how much of a prompt was cached, so prefixes moved too easily.

Change: no cut without a refused share; the gate hears the shortest queue, not that of the chosen server; a read speed of the pool from the time between tokens; late first tokens count more; the controller moves twice as fast.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -30,12 +30,15 @@
 	cache      Cache
 	work       Work
 	circuit    Circuit
+	speed      atomic.Pointer[Speed]
 }
 
 // NewServer returns a live backend server without load. The address is a host
 // and port over TCP.
 func NewServer(id, address, dataCentre, hostClass, pool string) *Server {
-	return &Server{id: id, address: address, dataCentre: dataCentre, hostClass: hostClass, pool: pool}
+	server := &Server{id: id, address: address, dataCentre: dataCentre, hostClass: hostClass, pool: pool}
+	server.speed.Store(newSpeed(&mean{}))
+	return server
 }
 
 // ID returns the identity of the server; a replaced host gets a new one.
@@ -89,6 +92,9 @@
 // Work returns what this node has sent to the server and how fast it is.
 func (server *Server) Work() *Work { return &server.work }
 
+// Speed returns how fast servers of this host class in this pool are.
+func (server *Server) Speed() *Speed { return server.speed.Load() }
+
 // Circuit returns the state of the circuit to the server.
 func (server *Server) Circuit() *Circuit { return &server.circuit }
 
@@ -220,11 +226,18 @@
 type Fleet struct {
 	current atomic.Pointer[Snapshot]
 	left    map[string]bool
+	speeds  map[speedKey]*Speed
+	gaps    map[string]*mean
+}
+
+type speedKey struct {
+	pool      string
+	hostClass string
 }
 
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
-	fleet := &Fleet{left: map[string]bool{}}
+	fleet := &Fleet{left: map[string]bool{}, speeds: map[speedKey]*Speed{}, gaps: map[string]*mean{}}
 	fleet.current.Store(newSnapshot(nil))
 	return fleet
 }
@@ -241,6 +254,7 @@
 		server := known.Server(listed.server.id)
 		if server == nil || server.address != listed.server.address {
 			server = listed.server
+			server.speed.Store(fleet.speedOf(server))
 		}
 		if listed.leaving || fleet.left[server.id] {
 			fleet.left[server.id] = true
@@ -251,6 +265,18 @@
 	fleet.current.Store(newSnapshot(servers))
 }
 
+// speedOf returns the speed that the server shares with its host class.
+func (fleet *Fleet) speedOf(server *Server) *Speed {
+	key := speedKey{pool: server.pool, hostClass: server.hostClass}
+	if fleet.speeds[key] == nil {
+		if fleet.gaps[server.pool] == nil {
+			fleet.gaps[server.pool] = &mean{}
+		}
+		fleet.speeds[key] = newSpeed(fleet.gaps[server.pool])
+	}
+	return fleet.speeds[key]
+}
+
 // MarkLeaving records evidence that a server is leaving, even one that the
 // list does not show yet. It reports whether this was the first evidence.
 func (fleet *Fleet) MarkLeaving(id string) bool {
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -7,12 +7,16 @@
 	"sapphirehead/internal/clock"
 )
 
-// Speeds of a server of which nothing is known yet.
+// Speeds of a host class of which nothing is known yet.
 const (
-	defaultPrefillTokens = 10.0
-	defaultServeMillis   = 3000.0
+	defaultGapMillis   = 15.0
+	defaultServeMillis = 3000.0
+	// tokensPerGap is the number of prompt tokens that a server reads in the
+	// time between two tokens of an answer. The read speed itself can't be seen
+	// from outside, as nobody knows how much of a prompt was cached there.
+	tokensPerGap = 150.0
 	// speedWeight is the weight of one observation in a running mean.
-	speedWeight = 0.1
+	speedWeight = 0.05
 )
 
 // mean is a running mean that many goroutines may update. A lost update costs
@@ -33,12 +37,9 @@
 	mean.bits.Store(math.Float64bits(known + (value-known)*weight))
 }
 
-// Work is what this node has sent to one server, and the speed that its
-// answers showed.
+// Work is what this node has sent to one server.
 type Work struct {
-	sent    atomic.Int64
-	prefill mean
-	serve   mean
+	sent atomic.Int64
 }
 
 // Send counts prompt tokens that the server will have to read for this node.
@@ -47,22 +48,36 @@
 // Sent returns the prompt tokens sent so far.
 func (work *Work) Sent() int64 { return work.sent.Load() }
 
-// PrefillTokens returns the prompt tokens that the server reads in a
-// millisecond.
-func (work *Work) PrefillTokens() float64 { return work.prefill.value(defaultPrefillTokens) }
+// Speed is how fast the servers of one host class are, as answers showed.
+type Speed struct {
+	gap   mean
+	serve mean
+	pool  *mean
+}
 
-// ServeMillis returns the mean time that a request stays in the batch.
-func (work *Work) ServeMillis() float64 { return work.serve.value(defaultServeMillis) }
+func newSpeed(pool *mean) *Speed { return &Speed{pool: pool} }
 
-// ObservePrefill takes in that the server read tokens in the time, without a
-// queue before them.
-func (work *Work) ObservePrefill(tokens int, taken clock.Millis) {
-	if tokens > 0 && taken > 0 {
-		work.prefill.observe(float64(tokens)/float64(taken), speedWeight, defaultPrefillTokens)
-	}
+// GapMillis returns the mean time between two tokens of an answer.
+func (speed *Speed) GapMillis() float64 { return speed.gap.value(defaultGapMillis) }
+
+// PrefillTokens returns the prompt tokens that a server reads in a millisecond.
+// It is the same for all classes of the pool: where faster hosts were credited
+// with faster reads, cold prefixes crowded into their caches.
+func (speed *Speed) PrefillTokens() float64 {
+	return tokensPerGap / max(speed.pool.value(defaultGapMillis), 1)
 }
 
-// ObserveServe takes in the time from first to last token of an answer.
-func (work *Work) ObserveServe(taken clock.Millis) {
-	work.serve.observe(float64(taken), speedWeight, defaultServeMillis)
+// ServeMillis returns the mean time that a request stays in the batch.
+func (speed *Speed) ServeMillis() float64 { return speed.serve.value(defaultServeMillis) }
+
+// Observe takes in that an answer took the time from its first token to its
+// last, with so many tokens after the first.
+func (speed *Speed) Observe(taken clock.Millis, tokens int) {
+	if tokens <= 0 {
+		return
+	}
+	gap := float64(taken) / float64(tokens)
+	speed.gap.observe(gap, speedWeight, defaultGapMillis)
+	speed.pool.observe(gap, speedWeight, defaultGapMillis)
+	speed.serve.observe(float64(taken), speedWeight, defaultServeMillis)
 }
--- a/internal/caller/gate.go
+++ b/internal/caller/gate.go
@@ -28,7 +28,7 @@
 	wantedQueue = 150.0
 	// gainPerTick is the change of the refused share for a queue twice as long
 	// as wanted.
-	gainPerTick = 0.015
+	gainPerTick = 0.03
 	// maxRefusedShare keeps some requests coming, whose answers tell the load.
 	maxRefusedShare = 0.95
 	// queueWeight is the weight of one estimate in the mean queue.
@@ -139,6 +139,9 @@
 		total += float64(gate.offered[i].Load())
 	}
 	left := refused * total
+	if left <= 0 {
+		return &cut{}
+	}
 	for i := range gate.offered {
 		cost := float64(gate.offered[i].Load())
 		if cost > 0 && cost >= left {
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -171,8 +171,8 @@
 		made.admit = func(call *call) (func(), error) {
 			if call.to.Route().Kind() == route.KindChat {
 				estimate, _ := placer.Outlook(call.to, call.chain)
-				cost := estimate.Prefill() + float64(call.to.Prompt().MaxTokens())*gapMillis
-				offer := caller.NewOffer(node.accounts[call.drawn.account], call.to.Route(), estimate.FirstToken(), estimate.Queue(), cost)
+				cost := estimate.Prefill() + float64(call.to.Prompt().MaxTokens())*estimate.Server().Speed().GapMillis()
+				offer := caller.NewOffer(node.accounts[call.drawn.account], call.to.Route(), estimate.FirstToken(), estimate.LeastQueue(), cost)
 				if err := gate.Admit(offer); err != nil {
 					return nil, err
 				}
@@ -184,27 +184,11 @@
 			caller.ShareFairly(node.accounts)
 		}
 		made.events = index.Apply
-		made.first = func(call *call, _ *job) { learnFirst(node, call) }
 		made.ended = func(call *call, server *backend.Server, cause request.Cause) { learnEnd(node, call, server, cause) }
 		return made
 	}}
 }
 
-// gapMillis is the expected time between two tokens.
-const gapMillis = 25.0
-
-// quietSlots is the number of own requests at a server up to which its first
-// token tells the prefill rate.
-const quietSlots = 2
-
-func learnFirst(node *node, call *call) {
-	server := call.attempt.Server()
-	if load := server.Load(); load != nil && load.Queued() == 0 && load.Tokens() == 0 && server.InFlight() <= quietSlots {
-		taken := clock.Millis((node.run.timeline.now-call.sentAt)/microsPerMilli) - clock.Millis(2*node.latency(server.DataCentre()).millis())
-		server.Work().ObservePrefill(call.estimate.Work(), taken)
-	}
-}
-
 func learnEnd(node *node, call *call, server *backend.Server, cause request.Cause) {
 	now := node.run.clock.Now()
 	if cause != 0 {
@@ -213,7 +197,7 @@
 	}
 	server.Circuit().Succeeded(now)
 	if call.firstToken > 0 {
-		server.Work().ObserveServe(clock.Millis((call.lastToken - call.firstToken) / microsPerMilli))
+		server.Speed().Observe(clock.Millis((call.lastToken-call.firstToken)/microsPerMilli), call.drawn.answer-1)
 	}
 }
 
--- a/internal/runner/placer.go
+++ b/internal/runner/placer.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"slices"
 
 	"sapphirehead/internal/backend"
@@ -33,7 +34,7 @@
 	noiseMillis = 25.0
 	// workWeight counts a prefill once more, because it slows down everybody
 	// in the batch.
-	workWeight = 1.0
+	workWeight = 2.0
 	// freshMillis is the age at which a report counts half.
 	freshMillis = 300.0
 	// likeness is how far fellow nodes are taken to do what this node does, and
@@ -41,7 +42,11 @@
 	likeness = 0.3
 	ownFloor = 0.5
 	// crowdMillis is what one more request in a batch costs those in it.
-	crowdMillis = 40.0
+	crowdMillis = 80.0
+	// lateWeight counts the time by which the first token would come later than
+	// the safe share of its target.
+	lateWeight = 1.0
+	safeShare  = 0.5
 	// rampMillis is the handicap of a server that has just begun.
 	rampMillis = 400.0
 )
@@ -51,6 +56,7 @@
 	server     *backend.Server
 	firstToken float64
 	queue      float64
+	least      float64
 	work       int
 	score      float64
 }
@@ -64,9 +70,12 @@
 // Queue returns the part of it that is spent waiting in milliseconds.
 func (estimate Estimate) Queue() float64 { return estimate.queue }
 
+// LeastQueue returns the queue at the server where it is shortest.
+func (estimate Estimate) LeastQueue() float64 { return estimate.least }
+
 // Prefill returns the time to read the prompt in milliseconds.
 func (estimate Estimate) Prefill() float64 {
-	return float64(estimate.work) / estimate.server.Work().PrefillTokens()
+	return float64(estimate.work) / estimate.server.Speed().PrefillTokens()
 }
 
 // Work returns the tokens that the server would have to read.
@@ -130,7 +139,7 @@
 	round := newRound(placer, to, chain, offset)
 	round.lookAround(candidates)
 	var estimates [MaxCandidates]Estimate
-	count, best := 0, 0
+	count, best, least := 0, 0, math.Inf(1)
 	for _, candidate := range candidates {
 		server := candidate.server
 		if server.Leaving() || !server.Circuit().Allows(round.now) || slices.Contains(exclude, server.ID()) {
@@ -140,12 +149,15 @@
 		if estimates[count].score < estimates[best].score {
 			best = count
 		}
+		least = min(least, estimates[count].queue)
 		count++
 	}
 	if count == 0 {
 		return placer.lastResort(candidates, exclude)
 	}
-	return placer.amongNear(estimates[:count], estimates[best].score+noiseMillis), true
+	chosen := placer.amongNear(estimates[:count], estimates[best].score+noiseMillis)
+	chosen.least = least
+	return chosen, true
 }
 
 // amongNear picks at random among the estimates up to the limit.
@@ -180,6 +192,7 @@
 	tokens int
 	found  matches
 	slots  int
+	target float64
 	others float64
 	own    float64
 }
@@ -188,6 +201,7 @@
 	return round{
 		placer: placer, now: placer.clock.Now(), chain: chain, tokens: chain.tokens + offset,
 		found: placer.index.match(chain), slots: placer.slots(to.Route().Pool()),
+		target: float64(to.Route().FirstToken()),
 	}
 }
 
@@ -195,14 +209,15 @@
 	server := candidate.server
 	cached := float64(round.found.depth(candidate.holder)*BlockTokens) * server.Cache().Confidence()
 	work := float64(round.tokens) - cached
-	rate := server.Work().PrefillTokens()
+	rate := server.Speed().PrefillTokens()
 	running, waiting := round.queue(server, rate)
 	queue := waiting / rate
 	if over := running - float64(round.slots) + 1; over > 0 {
-		queue += over * server.Work().ServeMillis() / float64(round.slots)
+		queue += over * server.Speed().ServeMillis() / float64(round.slots)
 	}
 	firstToken := round.placer.distance(server) + queue + work/rate
 	score := firstToken + workWeight*work/rate + crowdMillis*running
+	score += lateWeight * max(0, firstToken-safeShare*round.target)
 	score += rampMillis * (1 - server.Circuit().Ramp(round.now))
 	return Estimate{server: server, firstToken: firstToken, queue: queue, work: int(work), score: score}
 }
