--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -81,3 +81,29 @@
 	speed.pool.observe(gap, speedWeight, defaultGapMillis)
 	speed.serve.observe(float64(taken), speedWeight, defaultServeMillis)
 }
+
+// speeds holds the speed of each host class of each pool. It belongs to the
+// fleet's writer.
+type speeds struct {
+	byClass map[speedKey]*Speed
+	gaps    map[string]*mean
+}
+
+type speedKey struct {
+	pool      string
+	hostClass string
+}
+
+func newSpeeds() *speeds { return &speeds{byClass: map[speedKey]*Speed{}, gaps: map[string]*mean{}} }
+
+// of returns the speed that the server shares with its host class.
+func (speeds *speeds) of(server *Server) *Speed {
+	key := speedKey{pool: server.pool, hostClass: server.hostClass}
+	if speeds.byClass[key] == nil {
+		if speeds.gaps[server.pool] == nil {
+			speeds.gaps[server.pool] = &mean{}
+		}
+		speeds.byClass[key] = newSpeed(speeds.gaps[server.pool])
+	}
+	return speeds.byClass[key]
+}
--- a/internal/standin/harness/harness.go
+++ b/internal/standin/harness/harness.go
@@ -38,6 +38,9 @@
 // Address returns the named address on which the program listens.
 func (process *Process) Address(name string) string { return process.addresses[name] }
 
+// PID returns the process's number in the operating system.
+func (process *Process) PID() int { return process.command.Process.Pid }
+
 // Log returns what the program wrote to standard error.
 func (process *Process) Log() string { return process.log.String() }
 
@@ -162,6 +165,19 @@
 	}
 }
 
+// Running returns the names of processes that have not ended.
+func (harness *Harness) Running() []string {
+	harness.mutex.Lock()
+	defer harness.mutex.Unlock()
+	var running []string
+	for _, process := range harness.processes {
+		if process.Signal(syscall.Signal(0)) == nil {
+			running = append(running, process.name)
+		}
+	}
+	return running
+}
+
 // Logs returns the logs of all processes.
 func (harness *Harness) Logs() string {
 	harness.mutex.Lock()
