Wire placer, gate, limits, retry budget and circuits into the entry host

Cause: the entry host chose by least known work, admitted by count alone and retried without bound.

Routes get maxInFlight and ratePerSecond for each client account; each of N live nodes takes one N-th, at least one request, by atomics. The prompt extension carries sapphire.priority (the worth) to the engines. Callers' admission now sees the request.

Ruled out for now: borrowing the unused share of fellow nodes, which needs their use in the heartbeat; the share of one N-th never exceeds the limit unless it is below the number of nodes.

--- /dev/null
+++ b/internal/backend/circuit_test.go
@@ -0,0 +1,81 @@
+package backend
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/clock"
+)
+
+// expectAllows checks from when on the circuit lets attempts through.
+func expectAllows(t *testing.T, circuit *Circuit, from clock.Millis) {
+	t.Helper()
+	require.False(t, circuit.Allows(from-1))
+	require.True(t, circuit.Allows(from))
+}
+
+func opened(at clock.Millis) *Circuit {
+	circuit := &Circuit{}
+	for range failuresToOpen {
+		circuit.Failed(at)
+	}
+	return circuit
+}
+
+func TestCircuit(t *testing.T) {
+	t.Run("a success between failures keeps it closed", func(t *testing.T) {
+		circuit := &Circuit{}
+		for range 10 {
+			circuit.Failed(5)
+			circuit.Failed(5)
+			require.True(t, circuit.Allows(5))
+			circuit.Succeeded(5)
+		}
+	})
+	t.Run("failures in a row open it for a while", func(t *testing.T) {
+		expectAllows(t, opened(100), 100+openLeast)
+	})
+	t.Run("half open, one attempt decides", func(t *testing.T) {
+		circuit := opened(100)
+		probe := 100 + openLeast
+		circuit.Begin(probe)
+		expectAllows(t, circuit, probe+probeTimeout)
+		circuit.Failed(probe + 10)
+		expectAllows(t, circuit, probe+10+2*openLeast)
+	})
+	t.Run("after a success it is loaded slowly", func(t *testing.T) {
+		circuit := opened(100)
+		circuit.Succeeded(5000)
+		require.True(t, circuit.Allows(5000))
+		require.InDelta(t, 0.5, circuit.Ramp(5000+slowStartMillis/2), 0.01)
+		require.InDelta(t, 1, circuit.Ramp(5000+slowStartMillis), 0)
+	})
+}
+
+func TestRetryBudget(t *testing.T) {
+	take := func(budget *RetryBudget) (taken int) {
+		for budget.Take() {
+			taken++
+		}
+		return taken
+	}
+	t.Run("at first there are a few", func(t *testing.T) {
+		require.Equal(t, budgetStart, take(NewRetryBudget()))
+	})
+	t.Run("successes pay a share", func(t *testing.T) {
+		budget := NewRetryBudget()
+		take(budget)
+		for range 100 {
+			budget.Succeeded()
+		}
+		require.Equal(t, successShare, take(budget))
+	})
+	t.Run("it is bounded", func(t *testing.T) {
+		budget := NewRetryBudget()
+		for range 100_000 {
+			budget.Succeeded()
+		}
+		require.Equal(t, budgetMost, take(budget))
+	})
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -5,6 +5,9 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
+	"strings"
 	"sync/atomic"
 
 	"sapphirehead/internal/clock"
@@ -39,6 +42,13 @@
 // NewAccounts returns the accounts by the hash of their keys.
 func NewAccounts(byHash map[string]*Account) *Accounts { return &Accounts{byHash: byHash} }
 
+// All returns every account, in order of name.
+func (accounts *Accounts) All() []*Account {
+	all := slices.Collect(maps.Values(accounts.byHash))
+	slices.SortFunc(all, func(a, b *Account) int { return strings.Compare(a.name, b.name) })
+	return all
+}
+
 // HashKey returns the form in which keys are kept.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/internal/caller/callerhttp/handler.go
+++ b/internal/caller/callerhttp/handler.go
@@ -42,7 +42,7 @@
 	clock    *clock.Clock
 	tables   func() *table.Tables
 	accounts func() *caller.Accounts
-	admit    func(account *caller.Account) (release func(), err error)
+	admit    func(account *caller.Account, to *request.Request) (release func(), err error)
 	ready    func() bool
 	newID    func() string
 	chat     func(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error
@@ -55,13 +55,14 @@
 type Follow func(ctx context.Context, offset int, deliver func(offset int, tokens []string) error) error
 
 // New returns a handler over the seams of a node. Chat delivers tokens in
-// order and returns nil once the answer is whole. Find returns the answer for
+// order and returns nil once the answer is whole. Admit gets no request when a
+// caller returns for an answer. Find returns the answer for
 // which a caller returns.
 func New(
 	clock *clock.Clock,
 	tables func() *table.Tables,
 	accounts func() *caller.Accounts,
-	admit func(account *caller.Account) (release func(), err error),
+	admit func(account *caller.Account, to *request.Request) (release func(), err error),
 	ready func() bool,
 	newID func() string,
 	chat func(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error,
@@ -139,13 +140,13 @@
 		writeError(writer, id, newCallError(http.StatusNotFound, "modelNotFound", "there is no model "+strconv.Quote(form.Model)+": GET /v1/models lists them"))
 		return
 	}
-	release, err := handler.admit(account)
+	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), form.prompt(), handler.clock.Now()).WithStreamed(form.Stream)
+	release, err := handler.admit(account, to)
 	if err != nil {
 		writeError(writer, id, err)
 		return
 	}
 	defer release()
-	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), form.prompt(), handler.clock.Now()).WithStreamed(form.Stream)
 	follow := func(ctx context.Context, _ int, deliver func(offset int, tokens []string) error) error {
 		return handler.chat(ctx, to, deliver)
 	}
@@ -174,13 +175,13 @@
 		writeError(writer, id, err)
 		return
 	}
-	release, err := handler.admit(account)
+	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), request.Prompt{}, handler.clock.Now())
+	release, err := handler.admit(account, to)
 	if err != nil {
 		writeError(writer, id, err)
 		return
 	}
 	defer release()
-	to := request.New(id, account.Name(), on, message.Header.Get(HeaderKey), request.Prompt{}, handler.clock.Now())
 	call := service.NewCall(message.Method, message.URL.RequestURI(), message.Header.Get("Content-Type"), body)
 	answer, err := handler.call(message.Context(), to, call)
 	if err != nil {
--- a/internal/caller/callerhttp/returns.go
+++ b/internal/caller/callerhttp/returns.go
@@ -82,7 +82,7 @@
 		return
 	}
 	writer.Header().Set(HeaderRequestID, back.ID())
-	release, err := handler.admit(account)
+	release, err := handler.admit(account, nil)
 	if err != nil {
 		writer.Header().Set("Retry-After", retryAfterReturn)
 		writeError(writer, back.ID(), newCallError(http.StatusServiceUnavailable, errorTypeUnavailable, "the answer can't be read here now: ask again"))
--- a/internal/caller/gate_test.go
+++ b/internal/caller/gate_test.go
@@ -81,6 +81,12 @@
 		require.Equal(t, 75, run.admitted["desk"])
 		require.Less(t, run.admitted["reports"], 60)
 	})
+	t.Run("past all of the least worth, a share of the next goes", func(t *testing.T) {
+		run := newGateRun(account("garage-north"))
+		run.offer(run.accounts[0], deskRoute, 0, 10)
+		run.offer(run.accounts[0], reportsRoute, 0, 10)
+		require.Equal(t, &cut{bucket: bucketOf(2), share: 0.5}, run.gate.cutOf(0.75))
+	})
 	t.Run("an account within its share is served before one far above", func(t *testing.T) {
 		run := newGateRun(account("large"), account("small"))
 		for range 200 {
--- /dev/null
+++ b/internal/caller/limits.go
@@ -0,0 +1,119 @@
+package caller
+
+import (
+	"maps"
+	"sync/atomic"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
+)
+
+// Limits of a route hold for each client account over all entry hosts without
+// a call to the platform: each of N live nodes takes one N-th of the limit, but
+// at least one request. The balancer spreads an account's requests evenly, so
+// little of a limit is left unused.
+//
+//	maxInFlight 30, ratePerSecond 70, 7 nodes -> 4 in flight and 10 a second here
+//
+// A rate is kept as the time at which the account will have used up what came
+// so far (the theoretical arrival time), so it needs one atomic and no timer.
+
+// burstMillis is how far ahead of its rate an account may be.
+const burstMillis = 1000
+
+type limitKey struct {
+	account string
+	route   string
+}
+
+// usedLimit is what an account uses of a route here.
+type usedLimit struct {
+	inFlight atomic.Int64
+	// due is in microseconds.
+	due atomic.Int64
+}
+
+// Limits counts what accounts use of routes. It may be used from any goroutine.
+type Limits struct {
+	clock *clock.Clock
+	nodes func() int
+	used  atomic.Pointer[map[limitKey]*usedLimit]
+}
+
+// NewLimits returns limits for one of so many live nodes.
+func NewLimits(clock *clock.Clock, nodes func() int) *Limits {
+	limits := &Limits{clock: clock, nodes: nodes}
+	limits.used.Store(&map[limitKey]*usedLimit{})
+	return limits
+}
+
+// Admit counts a request of the account on the route. It returns the function
+// to call when the request has ended, or a *request.NotRunError.
+func (limits *Limits) Admit(account *Account, on route.Route) (release func(), err error) {
+	if on.MaxInFlight() == 0 && on.RatePerSecond() == 0 {
+		return func() {}, nil
+	}
+	used, nodes := limits.of(limitKey{account: account.Name(), route: on.Name()}), max(limits.nodes(), 1)
+	if here := shareOf(on.MaxInFlight(), nodes); here > 0 && used.inFlight.Add(1) > here {
+		used.inFlight.Add(-1)
+		return nil, request.NewOverLimitError("the client account has too many requests of this route in flight", retryAfterLimit)
+	} else if here == 0 {
+		used.inFlight.Add(1)
+	}
+	if wait := limits.takeRate(used, on.RatePerSecond(), nodes); wait > 0 {
+		used.inFlight.Add(-1)
+		return nil, request.NewOverLimitError("the client account sends requests of this route too fast", wait)
+	}
+	var released atomic.Bool
+	return func() {
+		if !released.Swap(true) {
+			used.inFlight.Add(-1)
+		}
+	}, nil
+}
+
+func shareOf(limit, nodes int) int64 {
+	if limit == 0 {
+		return 0
+	}
+	return int64(max(limit/nodes, 1))
+}
+
+// takeRate moves the time at which the account is due, or returns how long it
+// has to wait.
+func (limits *Limits) takeRate(used *usedLimit, perSecond float64, nodes int) clock.Millis {
+	if perSecond == 0 {
+		return 0
+	}
+	const microsPerSecond = 1_000_000
+	cost := int64(microsPerSecond * float64(nodes) / perSecond)
+	burst := max(burstMillis*microsPerSecond/1000, cost)
+	now := int64(limits.clock.Now()) * microsPerSecond / 1000
+	for {
+		known := used.due.Load()
+		due := max(known, now) + cost
+		if due-now > burst {
+			return max(clock.Millis((due-now-burst)*1000/microsPerSecond), 1)
+		}
+		if used.due.CompareAndSwap(known, due) {
+			return 0
+		}
+	}
+}
+
+// of returns what the account uses of the route. The map is copied for each
+// new pair, of which there are few.
+func (limits *Limits) of(key limitKey) *usedLimit {
+	for {
+		known := limits.used.Load()
+		if used := (*known)[key]; used != nil {
+			return used
+		}
+		changed := maps.Clone(*known)
+		changed[key] = &usedLimit{}
+		if limits.used.CompareAndSwap(known, &changed) {
+			return changed[key]
+		}
+	}
+}
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 
+	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/request"
 )
@@ -222,6 +223,15 @@
 	return max((answer.answers.clock.Now()-first)/(tokens-1), 1)
 }
 
+// observeSpeed tells the server's host class how long the answer took, if all of
+// it came from there.
+func (answer *Answer) observeSpeed(server *backend.Server) {
+	first, tokens := clock.Millis(answer.firstAt.Load()), len(answer.journal.State().Tokens())
+	if first > 0 && answer.start == nil {
+		server.Speed().Observe(answer.answers.clock.Now()-first, tokens-1)
+	}
+}
+
 // replaceable reports whether the answer was given up here and may be taken up
 // again: another node goes on with it, or its caller stayed away.
 func (answer *Answer) replaceable() bool {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,7 +11,6 @@
 	"context"
 	"crypto/rand"
 	"expvar"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -32,7 +31,6 @@
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/request"
-	"sapphirehead/internal/runner"
 	"sapphirehead/internal/runner/runnerhttp"
 	"sapphirehead/internal/service"
 	"sapphirehead/internal/service/servicehttp"
@@ -62,6 +60,8 @@
 	members     *node.Members
 	accounts    *caller.Accounts
 	admission   *caller.Admission
+	choosing    *choosing
+	runners     *runnerhttp.Client
 	platform    *platformhttp.Client
 	store       *platform.Store
 	cloud       *cloudhttp.Client
@@ -105,6 +105,8 @@
 	entry.ledger = service.NewLedger(clock, service.DefaultWindow, entry.loadShard, entry.commitShard)
 	entry.editor = operator.NewEditor(entry.loadTables, entry.commitTables, entry.newestTables, entry.alarmOlderStore)
 	entry.links = nodelink.New(clock, entry.answerCall)
+	entry.runners = runnerhttp.New(entry.clock, connectTimeout)
+	entry.choosing = newChoosing(entry)
 	entry.driver = entry.newDriver()
 	entry.answers = NewAnswers(clock, entry.driver.Run)
 	return entry, entry.listen()
@@ -119,13 +121,9 @@
 }
 
 func (entry *Entry) newDriver() *Driver {
-	chooser := runner.NewChooser(entry.fleet, entry.settings.DataCentre(), mathrand.IntN)
-	choose := func(to *request.Request, exclude []string) (*backend.Server, bool) {
-		return chooser.Choose(to.Route().Pool(), exclude)
-	}
-	runners := runnerhttp.New(entry.clock, connectTimeout)
+	runners := entry.runners
 	services := servicehttp.New(connectTimeout)
-	return NewDriver(entry.clock, choose, func(*request.Request) bool { return true }, entry.claim, entry.record,
+	return NewDriver(entry.clock, entry.choosing.choose, entry.choosing.retry, entry.claim, entry.record,
 		runners.Open, runners.Cancel, services.Call, entry.noteLeaving, entry.countAttempt,
 		runners.Renew, entry.noteLocated)
 }
@@ -170,7 +168,7 @@
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
-	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat, entry.sendHints} {
+	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat, entry.sendHints, entry.balance, entry.followCaches} {
 		group.Go(func() error {
 			loop(loops)
 			return nil
@@ -197,7 +195,7 @@
 
 func (entry *Entry) callerHandler() http.Handler {
 	handler := callerhttp.New(entry.clock, entry.inForce.Current, func() *caller.Accounts { return entry.accounts },
-		entry.admission.Admit, entry.isReady, entry.newID, entry.chat, entry.call, entry.find)
+		entry.choosing.admit, entry.isReady, entry.newID, entry.chat, entry.call, entry.find)
 	return handler.Router()
 }
 
@@ -211,6 +209,7 @@
 }
 
 func (entry *Entry) countAttempt(to *request.Request, server *backend.Server, cause request.Cause) {
+	entry.choosing.ended(to, server, cause)
 	if cause == 0 {
 		server.Succeeded()
 		entry.counters.Add("attemptsSucceeded", 1)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -184,6 +184,7 @@
 	}
 	if action.Kind() == request.ActionFinish {
 		run.finisher = event.attempt
+		run.answer.observeSpeed(server)
 		run.driver.attempts(run.answer.Request(), server, 0)
 	}
 	return action
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -14,6 +14,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -159,6 +160,10 @@
 // Deadline returns when the whole answer is due.
 func (request *Request) Deadline() clock.Millis { return request.received + request.route.Deadline() }
 
+// Priority returns the rank that engines give the request in their queues: its
+// worth as a whole number.
+func (request *Request) Priority() int { return int(math.Round(request.route.Worth())) }
+
 // NeedsClaim reports whether the right to run must be claimed first.
 func (request *Request) NeedsClaim() bool { return request.route.NonIdempotent() && request.key != "" }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -71,6 +71,8 @@
 	betweenTokens clock.Millis
 	deadline      clock.Millis
 	nonIdempotent bool
+	maxInFlight   int
+	ratePerSecond float64
 	revision      int64
 }
 
@@ -118,6 +120,14 @@
 // most once.
 func (route Route) NonIdempotent() bool { return route.nonIdempotent }
 
+// MaxInFlight returns how many requests of one client account may be in flight
+// on the route over all entry hosts, or 0 for any number.
+func (route Route) MaxInFlight() int { return route.maxInFlight }
+
+// RatePerSecond returns how many requests of one client account are taken on
+// the route each second over all entry hosts, or 0 for any number.
+func (route Route) RatePerSecond() float64 { return route.ratePerSecond }
+
 // Revision returns the version of the tables that last changed the row.
 func (route Route) Revision() int64 { return route.revision }
 
@@ -153,6 +163,13 @@
 	return route
 }
 
+// WithLimits returns a copy with limits for each client account; 0 is none.
+func (route Route) WithLimits(maxInFlight int, ratePerSecond float64) Route {
+	route.maxInFlight = maxInFlight
+	route.ratePerSecond = ratePerSecond
+	return route
+}
+
 // WithRevision returns a copy that was last changed at the given version.
 func (route Route) WithRevision(revision int64) Route {
 	route.revision = revision
--- a/internal/runner/runnerhttp/client.go
+++ b/internal/runner/runnerhttp/client.go
@@ -72,6 +72,7 @@
 type extensionForm struct {
 	RequestID string   `json:"requestId,omitempty"`
 	Tokens    []string `json:"tokens,omitempty"`
+	Priority  int      `json:"priority,omitempty"`
 }
 
 type promptForm struct {
@@ -164,7 +165,7 @@
 	for _, turn := range prompt.Messages() {
 		form.Messages = append(form.Messages, messageForm{Role: turn.Role(), Content: turn.Content()})
 	}
-	form.Sapphire = &extensionForm{RequestID: to.ID(), Tokens: attempt.Tokens()}
+	form.Sapphire = &extensionForm{RequestID: to.ID(), Tokens: attempt.Tokens(), Priority: to.Priority()}
 	body, err := json.Marshal(form)
 	if err != nil {
 		return nil, err
--- a/internal/table/conflict.go
+++ b/internal/table/conflict.go
@@ -141,6 +141,8 @@
 		{"betweenTokensMillis", fmt.Sprint(row.BetweenTokens())},
 		{"deadlineMillis", fmt.Sprint(row.Deadline())},
 		{"nonIdempotent", fmt.Sprint(row.NonIdempotent())},
+		{"maxInFlight", fmt.Sprint(row.MaxInFlight())},
+		{"ratePerSecond", fmt.Sprint(row.RatePerSecond())},
 	}
 }
 
--- a/internal/table/rules.go
+++ b/internal/table/rules.go
@@ -107,6 +107,12 @@
 	if row.FirstToken() <= 0 || row.FirstToken() > row.Deadline() {
 		checker.report("firstTokenMillis", "is %d: allowed is 1 to deadlineMillis (%d)", row.FirstToken(), row.Deadline())
 	}
+	if row.MaxInFlight() < 0 {
+		checker.report("maxInFlight", "is %d: allowed is 0 for any number, or more", row.MaxInFlight())
+	}
+	if row.RatePerSecond() < 0 {
+		checker.report("ratePerSecond", "is %v: allowed is 0 for any number, or more", row.RatePerSecond())
+	}
 	if row.BetweenTokens() <= 0 || row.BetweenTokens() > row.Deadline() {
 		checker.report("betweenTokensMillis", "is %d: allowed is 1 to deadlineMillis (%d)", row.BetweenTokens(), row.Deadline())
 	}
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -78,6 +78,8 @@
 		"space in a name":      {chatRoute("a b", 1), "name"},
 		"name too long":        {chatRoute(strings.Repeat("a", 129), 1), "name"},
 		"target over deadline": {desk.WithTargets(61_000, 52, 60_000), "firstTokenMillis"},
+		"negative in flight":   {desk.WithLimits(-1, 0), "maxInFlight"},
+		"negative rate":        {desk.WithLimits(0, -1), "ratePerSecond"},
 		"gap over deadline":    {desk.WithTargets(1000, 61_000, 60_000), "betweenTokensMillis"},
 		"no deadline":          {desk.WithTargets(1000, 52, -1), "deadlineMillis"},
 		"service on runners":   {route.New("a", route.KindService, "runners").WithPath("/a"), "pool"},
--- a/internal/table/tablecodec/tablecodec.go
+++ b/internal/table/tablecodec/tablecodec.go
@@ -31,6 +31,8 @@
 	BetweenTokensMillis int64   `json:"betweenTokensMillis,omitempty" toml:"betweenTokensMillis,omitempty"`
 	DeadlineMillis      int64   `json:"deadlineMillis,omitempty" toml:"deadlineMillis,omitempty"`
 	NonIdempotent       bool    `json:"nonIdempotent,omitempty" toml:"nonIdempotent,omitempty"`
+	MaxInFlight         int     `json:"maxInFlight,omitempty" toml:"maxInFlight,omitempty"`
+	RatePerSecond       float64 `json:"ratePerSecond,omitempty" toml:"ratePerSecond,omitempty"`
 	Revision            int64   `json:"revision,omitempty" toml:"revision,omitempty"`
 }
 
@@ -144,7 +146,7 @@
 			orDefault(form.BetweenTokensMillis, row.BetweenTokens()),
 			orDefault(form.DeadlineMillis, row.Deadline()),
 		).
-		WithNonIdempotent(form.NonIdempotent).WithRevision(form.Revision)
+		WithNonIdempotent(form.NonIdempotent).WithLimits(form.MaxInFlight, form.RatePerSecond).WithRevision(form.Revision)
 }
 
 func orDefault(millis int64, fallback clock.Millis) clock.Millis {
@@ -191,6 +193,8 @@
 		BetweenTokensMillis: int64(row.BetweenTokens()),
 		DeadlineMillis:      int64(row.Deadline()),
 		NonIdempotent:       row.NonIdempotent(),
+		MaxInFlight:         row.MaxInFlight(),
+		RatePerSecond:       row.RatePerSecond(),
 		Revision:            row.Revision(),
 	}
 }
