Move streams off leaving runners and honour worth in the measurement

Cause: the wave condition let every stream on a taken runner break.

Change: nodes plan with request.PlanMove in three rounds, those of more worth and then those due first; engines get the worth as priority; retries go through the budget.

--- a/internal/measure/node.go
+++ b/internal/measure/node.go
@@ -66,8 +66,7 @@
 	lastToken  micros
 	sentAt     micros
 	ended      bool
-	moving     *backend.Server
-	target     *backend.Server
+	moved      int
 	estimate   runner.Estimate
 }
 
@@ -90,10 +89,6 @@
 	}
 	created.release = release
 	choose := func(_ *request.Request, exclude []string) (*backend.Server, bool) {
-		if target := created.target; target != nil && !target.Leaving() {
-			created.target = nil
-			return target, true
-		}
 		return node.decisions.choose(created, exclude)
 	}
 	created.flow = request.NewFlow(to, run.clock, choose, func(*request.Request) bool { return node.decisions.retry(created) })
@@ -139,7 +134,11 @@
 		return
 	}
 	engine := run.engineByID[attempt.Server().ID()]
-	run.timeline.after(call.node.latency(engine.dc), func() { call.arrive(engine, attempt) })
+	way := call.node.latency(engine.dc)
+	if attempt.Mode() == request.AttemptTransfer {
+		way += call.transferTime(attempt)
+	}
+	run.timeline.after(way, func() { call.arrive(engine, attempt) })
 }
 
 // arrive is the request's arrival at a runner.
@@ -178,8 +177,7 @@
 		segments := append(append([]segment{}, call.drawn.segments...), segment{source: call.drawn.source, blocks: attempt.Offset() / runner.BlockTokens})
 		blocks, tail = chainOf(segments), attempt.Offset()%runner.BlockTokens
 	}
-	imported := call.moving == attempt.Server()
-	call.moving = nil
+	imported := attempt.Mode() == request.AttemptTransfer
 	return &job{
 		call: call, attempt: attempt.Number(), blocks: blocks, tail: tail, wanted: call.drawn.answer - attempt.Offset(),
 		priority: call.node.decisions.priority(call), imported: imported,
@@ -236,6 +234,10 @@
 	}
 	call.node.decisions.ended(call, attempt.Server(), cause)
 	call.handle(call.flow.Broken(attempt.Number(), cause))
+	if old := call.moved; old != 0 && !call.ended {
+		call.moved = 0
+		call.handle(call.flow.Broken(old, request.CauseCut))
+	}
 }
 
 func (call *call) drop() {
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -133,6 +133,7 @@
 			}
 			return chosen, ok
 		})
+		made.priority = func(call *call) int { return call.to.Priority() }
 		made.events = index.Apply
 		return made
 	}}
@@ -168,6 +169,7 @@
 			return estimate.Server(), ok
 		})
 		gate := caller.NewGate(random.Float64)
+		budget := backend.NewRetryBudget()
 		made.admit = func(call *call) (func(), error) {
 			if call.to.Route().Kind() == route.KindChat {
 				estimate, _ := placer.Outlook(call.to, call.chain)
@@ -179,23 +181,33 @@
 			}
 			return admission.Admit(node.accounts[call.drawn.account])
 		}
+		made.leaving = func(servers []*backend.Server, until clock.Millis) { recoverStreams(node, servers, until, moveRounds) }
 		made.tick = func() {
 			gate.Tick()
 			caller.ShareFairly(node.accounts)
 		}
+		made.priority = func(call *call) int { return call.to.Priority() }
 		made.events = index.Apply
-		made.ended = func(call *call, server *backend.Server, cause request.Cause) { learnEnd(node, call, server, cause) }
+		made.retry = func(*call) bool { return budget.Take() }
+		made.ended = func(call *call, server *backend.Server, cause request.Cause) {
+			learnEnd(node, budget, call, server, cause)
+		}
 		return made
 	}}
 }
 
-func learnEnd(node *node, call *call, server *backend.Server, cause request.Cause) {
+func learnEnd(node *node, budget *backend.RetryBudget, call *call, server *backend.Server, cause request.Cause) {
 	now := node.run.clock.Now()
-	if cause != 0 {
+	switch {
+	case cause != 0 && server.Leaving():
+		budget.Refund()
+		return
+	case cause != 0:
 		server.Circuit().Failed(now)
 		return
 	}
 	server.Circuit().Succeeded(now)
+	budget.Succeeded()
 	if call.firstToken > 0 {
 		server.Speed().Observe(clock.Millis((call.lastToken-call.firstToken)/microsPerMilli), call.drawn.answer-1)
 	}
--- /dev/null
+++ b/internal/measure/recovery.go
@@ -0,0 +1,72 @@
+package measure
+
+import (
+	"cmp"
+	"slices"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
+	"sapphirehead/internal/runner"
+)
+
+// moveRounds is how often a node looks at its streams on leaving servers.
+const moveRounds = 3
+
+// Speed of a transfer of KV cache between fake runners.
+const (
+	transferPerToken = 125 * micros(1)
+	transferBase     = 20 * microsPerMilli
+)
+
+func (call *call) transferTime(attempt request.Attempt) micros {
+	return transferBase + micros(call.chain.Tokens()+attempt.Offset())*transferPerToken
+}
+
+// recoverStreams plans for the node's streams on leaving servers, those of more
+// worth and then those due first, in rounds until the servers go.
+func recoverStreams(node *node, servers []*backend.Server, until clock.Millis, rounds int) {
+	now := node.run.clock.Now()
+	if rounds == 0 || now >= until {
+		return
+	}
+	for _, call := range node.callsAt(servers) {
+		call.move(until - now)
+	}
+	next := microsOf(until-now) / micros(rounds)
+	node.run.timeline.after(next, func() { recoverStreams(node, servers, until, rounds-1) })
+}
+
+func (node *node) callsAt(servers []*backend.Server) []*call {
+	var there []*call
+	for call := range node.run.open {
+		if call.node == node && call.job != nil && slices.Contains(servers, call.attempt.Server()) {
+			there = append(there, call)
+		}
+	}
+	slices.SortFunc(there, func(a, b *call) int {
+		return cmp.Or(cmp.Compare(b.to.Route().Worth(), a.to.Route().Worth()), cmp.Compare(a.to.Deadline(), b.to.Deadline()),
+			cmp.Compare(a.to.ID(), b.to.ID()))
+	})
+	return there
+}
+
+// move carries out the plan for one stream.
+func (call *call) move(notice clock.Millis) {
+	if call.to.Route().Kind() != route.KindChat {
+		return
+	}
+	perToken := clock.Millis(call.attempt.Server().Speed().GapMillis()) + 1
+	state := request.NewStreamState(len(call.chain.Blocks())*runner.BlockTokens, call.offset(), call.to.Prompt().MaxTokens(), perToken, notice)
+	planned := request.PlanMove(state)
+	if planned == request.MoveStay {
+		return
+	}
+	old := call.attempt.Number()
+	action := call.flow.Move(planned == request.MoveTransfer)
+	if action.Kind() == request.ActionAttempt {
+		call.moved = old
+		call.handle(action)
+	}
+}
