--- /dev/null
+++ b/internal/runner/bench_test.go
@@ -0,0 +1,65 @@
+package runner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+)
+
+// benchSizes are the runners of a pool: today's and those of the target.
+var benchSizes = []int{10, 100, 1000, 3700}
+
+// steady returns a clock without the lock of the manual one.
+func steady() *clock.Clock {
+	now := func() clock.Millis { return 1000 }
+	return clock.New(now, now, nil)
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, runners := range benchSizes {
+		b.Run(fmt.Sprintf("runners=%d", runners), func(b *testing.B) {
+			placing := newPlacing(runners, rand.IntN)
+			for i := range runners {
+				placing.report(i, i%8, 0, 100*(i%5))
+			}
+			placing.placer.clock = steady()
+			placing.placer.Refresh()
+			chains := make([]Chain, 64)
+			for i := range chains {
+				chains[i] = chainFrom(1000*i, 100)
+			}
+			b.ReportAllocs()
+			b.RunParallel(func(loop *testing.PB) {
+				for i := 0; loop.Next(); i++ {
+					placing.placer.Place(placing.to, chains[i%len(chains)], 0, nil)
+				}
+			})
+		})
+	}
+}
+
+func BenchmarkPrefixLookup(b *testing.B) {
+	placing := newPlacing(10, rand.IntN)
+	chain := chainFrom(0, 100)
+	placing.index.Learn(placing.server(3), chain)
+	b.ReportAllocs()
+	b.RunParallel(func(loop *testing.PB) {
+		for loop.Next() {
+			placing.index.Cached(placing.server(3), chain)
+		}
+	})
+}
+
+func BenchmarkChain(b *testing.B) {
+	prompt := request.NewPrompt("desk-small", []request.Message{request.NewMessage("user", strings.Repeat("filter ", 1600))}, 0, 0)
+	b.ReportAllocs()
+	b.RunParallel(func(loop *testing.PB) {
+		for loop.Next() {
+			ChainOf(prompt)
+		}
+	})
+}
--- /dev/null
+++ b/internal/runner/placer_test.go
@@ -0,0 +1,156 @@
+package runner
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
+)
+
+// placing is a placer over runners named runner-0 and so on, in virtual time.
+type placing struct {
+	manual *clock.Manual
+	fleet  *backend.Fleet
+	index  *Index
+	placer *Placer
+	to     *request.Request
+}
+
+func newPlacing(runners int, random func(n int) int) *placing {
+	placing := &placing{manual: clock.NewManual(1000), fleet: backend.NewFleet(), index: NewIndex(1 << 10)}
+	var list []backend.Listed
+	for i := range runners {
+		id := fmt.Sprintf("runner-%d", i)
+		list = append(list, backend.NewListed(backend.NewServer(id, id+":1", "lj-a", "gpu-small", "runners"), false))
+	}
+	placing.fleet.Update(list)
+	far := func(*backend.Server) float64 { return 1 }
+	placing.placer = NewPlacer(placing.manual.Clock(), placing.fleet, placing.index, "entry-1", far, func(string) int { return 8 }, random)
+	placing.to = request.New("req-1", "garage-north", route.New("desk", route.KindChat, "runners"), "", request.Prompt{}, 1000)
+	return placing
+}
+
+func (placing *placing) server(i int) *backend.Server {
+	return placing.fleet.Current().Server(fmt.Sprintf("runner-%d", i))
+}
+
+func (placing *placing) report(i, running, queued, tokens int) {
+	placing.server(i).Report(backend.NewLoad(placing.manual.Now(), running, queued, tokens))
+}
+
+// expectPlaced checks which runner is chosen for a prompt.
+func (placing *placing) expectPlaced(t *testing.T, chain Chain, runner int, exclude ...string) Estimate {
+	t.Helper()
+	estimate, ok := placing.placer.Place(placing.to, chain, 0, exclude)
+	require.True(t, ok)
+	require.Equal(t, placing.server(runner).ID(), estimate.Server().ID())
+	return estimate
+}
+
+func chainFrom(first, blocks int) Chain {
+	var hashes []uint64
+	for i := range blocks {
+		hashes = append(hashes, uint64(first+i+1)*0x9e3779b97f4a7c15)
+	}
+	return NewChain(hashes, blocks*BlockTokens)
+}
+
+func firstOf(int) int { return 0 }
+
+func TestPlace(t *testing.T) {
+	long := chainFrom(0, 100)
+	t.Run("a cached prefix is followed", func(t *testing.T) {
+		placing := newPlacing(3, firstOf)
+		placing.index.Learn(placing.server(2), long)
+		require.Zero(t, placing.expectPlaced(t, long, 2).Work())
+	})
+	t.Run("a hot prefix spreads once its runner is full", func(t *testing.T) {
+		placing := newPlacing(2, firstOf)
+		placing.index.Learn(placing.server(0), long)
+		placing.report(0, 8, 4, 0)
+		placing.report(1, 0, 0, 0)
+		placing.expectPlaced(t, long, 1)
+	})
+	t.Run("prompts sent since the report count", func(t *testing.T) {
+		placing := newPlacing(2, firstOf)
+		placing.report(0, 0, 0, 0)
+		placing.report(1, 0, 0, 400)
+		placing.expectPlaced(t, long, 0)
+		placing.expectPlaced(t, chainFrom(1000, 100), 1)
+	})
+	t.Run("a failing runner is left alone until its circuit closes", func(t *testing.T) {
+		placing := newPlacing(2, firstOf)
+		for range 3 {
+			placing.server(0).Circuit().Failed(placing.manual.Now())
+		}
+		placing.expectPlaced(t, long, 1)
+	})
+	t.Run("excluded and leaving ones are never chosen", func(t *testing.T) {
+		placing := newPlacing(3, firstOf)
+		placing.fleet.MarkLeaving("runner-0")
+		placing.expectPlaced(t, long, 2, "runner-1")
+		_, ok := placing.placer.Place(placing.to, long, 0, []string{"runner-1", "runner-2"})
+		require.False(t, ok)
+	})
+	t.Run("nodes do not herd on one of equal candidates", func(t *testing.T) {
+		chosen := map[string]bool{}
+		for node := range 7 {
+			placing := newPlacing(10, func(n int) int { return node % n })
+			estimate, _ := placing.placer.Place(placing.to, long, 0, nil)
+			chosen[estimate.Server().ID()] = true
+		}
+		require.Len(t, chosen, 7)
+	})
+	t.Run("at size a node looks at a bounded subset", func(t *testing.T) {
+		placing := newPlacing(3700, firstOf)
+		placing.placer.Refresh()
+		subset := placing.placer.subsets.of(placing.fleet.Current(), "entry-1")
+		require.Len(t, subset.candidates("runners"), MaxCandidates)
+	})
+}
+
+func TestIndex(t *testing.T) {
+	chain := chainFrom(0, 10)
+	known := func(events ...CacheEvent) (cached int) {
+		placing := newPlacing(1, firstOf)
+		placing.index.Apply(placing.server(0), events)
+		return placing.index.Cached(placing.server(0), chain)
+	}
+	stored := func(sequence int64, block int) CacheEvent {
+		return NewCacheEvent(sequence, chain.Blocks()[block], true)
+	}
+	t.Run("events make a prefix known", func(t *testing.T) {
+		require.Equal(t, 2*BlockTokens, known(stored(1, 0), stored(2, 1)))
+	})
+	t.Run("a removed block is forgotten", func(t *testing.T) {
+		require.Equal(t, BlockTokens, known(stored(1, 0), stored(2, 1), NewCacheEvent(3, chain.Blocks()[1], false)))
+	})
+	t.Run("a gap lowers the confidence only", func(t *testing.T) {
+		cached := known(stored(1, 0), stored(2, 1), stored(9, 2))
+		require.Greater(t, cached, 2*BlockTokens/2)
+		require.Less(t, cached, 3*BlockTokens)
+	})
+	t.Run("late events are passed over", func(t *testing.T) {
+		require.Equal(t, BlockTokens, known(stored(5, 0), stored(4, 1)))
+	})
+	t.Run("memory is bounded: old blocks go", func(t *testing.T) {
+		placing := newPlacing(2, firstOf)
+		placing.index.Learn(placing.server(0), chain)
+		for i := range 2000 {
+			placing.index.Learn(placing.server(1), chainFrom(1000+10*i, 10))
+		}
+		require.Zero(t, placing.index.Cached(placing.server(0), chain))
+	})
+	t.Run("a replaced block keeps none of its holders", func(t *testing.T) {
+		placing, other := newPlacing(2, firstOf), chainFrom(1000, indexWays)
+		index := NewIndex(1)
+		index.Learn(placing.server(0), chainFrom(0, indexWays))
+		index.Learn(placing.server(1), other)
+		require.Zero(t, index.Cached(placing.server(0), other))
+	})
+}
