Choose runners in the matrix by the placer, with cache events and their gaps

The nodes of the matrix place chats by the prefix index, read cache events of which every second may go missing, and spend the retry budget. Every fault now has an effect after every step, so no cell is out of reach.

--- a/internal/faultmatrix/fault.go
+++ b/internal/faultmatrix/fault.go
@@ -7,7 +7,9 @@
 	"sapphirehead/internal/pool"
 )
 
-// Fault is one thing that fails.
+// Fault is one thing that fails. It can come at every step: what concerns a
+// connection, a write or an order takes the next one if the step has none, and
+// what lasts goes on to the end of the round.
 type Fault int
 
 // The faults.
@@ -66,14 +68,6 @@
 	heldBack = 2 * clock.Millisecond
 )
 
-// NotApplicable says why a fault can't come at a step.
-func (fault Fault) NotApplicable(Step) string {
-	if fault == FaultCacheEventGap {
-		return "the choice does not read cache events in this world: the prefix index has a machine of its own"
-	}
-	return ""
-}
-
 // strike makes the fault happen at the moment.
 func (world *world) strike(fault Fault, at moment) {
 	switch fault {
@@ -109,6 +103,7 @@
 		world.set(func() { world.staleList = world.currentList() })
 		world.reclaim(world.runnerAt(at), reclaimNotice)
 	case FaultCacheEventGap:
+		world.setGaps(true)
 	case FaultEntryReclaimed:
 		world.reclaimEntry(at)
 	case FaultWeightLimit:
@@ -175,6 +170,15 @@
 	}
 }
 
+// setGaps lets every second cache event go missing, or none.
+func (world *world) setGaps(gaps bool) {
+	for _, host := range world.allHosts() {
+		host.mutex.Lock()
+		host.gaps = gaps
+		host.mutex.Unlock()
+	}
+}
+
 // pauseHolder pauses the steward that holds the lease until after it lapsed.
 func (world *world) pauseHolder() {
 	for _, steward := range world.stewards {
--- a/internal/faultmatrix/host.go
+++ b/internal/faultmatrix/host.go
@@ -53,6 +53,11 @@
 	fence        int64
 	streams      map[string]*generation
 	serial       int
+	// events are the changes of the prefix cache; while gaps is set, every
+	// second one is not published.
+	events   []runner.CacheEvent
+	sequence int64
+	gaps     bool
 }
 
 // generation is one answer in the making. It goes on without a connection.
@@ -130,6 +135,31 @@
 	return created
 }
 
+// cache stores the blocks of a prompt and publishes the changes.
+func (host *host) cache(chain runner.Chain) {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	for _, block := range chain.Blocks() {
+		host.sequence++
+		if !host.gaps || host.sequence%2 == 0 {
+			host.events = append(host.events, runner.NewCacheEvent(host.sequence, block, true))
+		}
+	}
+}
+
+// cacheEvents returns the published changes after the number.
+func (host *host) cacheEvents(after int64) []runner.CacheEvent {
+	host.mutex.Lock()
+	defer host.mutex.Unlock()
+	var events []runner.CacheEvent
+	for _, event := range host.events {
+		if event.Sequence() > after {
+			events = append(events, event)
+		}
+	}
+	return events
+}
+
 func (host *host) stream(id string) *generation {
 	host.mutex.Lock()
 	defer host.mutex.Unlock()
@@ -275,11 +305,12 @@
 		}
 		world.newWork(node, host)
 		world.ran(to)
+		host.cache(runner.ChainOf(to.Prompt()))
 		return host.generate(world.clock.Now(), content, len(attempt.Tokens())), 0
 	}
 }
 
-func contentOf(to *request.Request) string { return to.Prompt().Messages()[0].Content() }
+func contentOf(to *request.Request) string { return to.Prompt().Messages()[1].Content() }
 
 // reader reads a generation over one connection.
 type reader struct {
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -23,12 +23,6 @@
 // expectHolds runs one cell and fails with what was violated.
 func expectHolds(t *testing.T, report func(result faultmatrix.Result), step faultmatrix.Step, faults ...faultmatrix.Fault) {
 	t.Helper()
-	for _, fault := range faults {
-		if fault.NotApplicable(step) != "" {
-			report(faultmatrix.ResultNotApplicable)
-			return
-		}
-	}
 	report(faultmatrix.ResultFails)
 	synctest.Test(t, func(t *testing.T) {
 		require.Empty(t, faultmatrix.Run(bubbleClock(), seed, step, faults...))
--- a/internal/faultmatrix/node.go
+++ b/internal/faultmatrix/node.go
@@ -18,8 +18,10 @@
 	"sapphirehead/internal/node/nodepb"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/pool"
 	"sapphirehead/internal/rendezvous"
 	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
 	"sapphirehead/internal/runner"
 	"sapphirehead/internal/service"
 	"sapphirehead/internal/table"
@@ -35,6 +37,10 @@
 	linkTime = 1 * clock.Millisecond
 	// linkTimeout is when a silent link is given up.
 	linkTimeout = 1 * clock.Second
+	// cacheInterval is the time between two readings of cache events.
+	cacheInterval = 1 * clock.Second
+	// indexSets is the size of the prefix index.
+	indexSets = 64
 	// readyOff is how long a stopping node still takes requests.
 	readyOff = 20 * clock.Millisecond
 	// handOverAfter is how long a stopping node waits before it hands over.
@@ -133,6 +139,8 @@
 	ledger      *service.Ledger
 	driver      *entry.Driver
 	answers     *entry.Answers
+	index       *runner.Index
+	budget      *backend.RetryBudget
 	notices     int
 	// writer keeps the writers of the fleet apart: it has but one.
 	writer sync.Mutex
@@ -191,13 +199,26 @@
 
 func (entryNode *entryNode) joinServers() {
 	world := entryNode.world
-	chooser := runner.NewChooser(entryNode.fleet, entryNode.dataCentre, world.random)
+	distance := func(server *backend.Server) float64 {
+		if server.DataCentre() == entryNode.dataCentre {
+			return 0
+		}
+		return 1
+	}
+	entryNode.index = runner.NewIndex(indexSets)
+	placer := runner.NewPlacer(world.clock, entryNode.fleet, entryNode.index, entryNode.name, distance, func(string) int { return pool.DefaultSlots }, world.random)
+	services := runner.NewChooser(entryNode.fleet, entryNode.dataCentre, world.random)
+	entryNode.budget = backend.NewRetryBudget()
 	entryNode.driver = entry.NewDriver(world.clock,
 		func(to *request.Request, exclude []string) (*backend.Server, bool) {
 			world.at(StepChoose, moment{node: entryNode})
-			return chooser.Choose(to.Route().Pool(), exclude)
+			if to.Route().Kind() == route.KindService {
+				return services.Choose(to.Route().Pool(), exclude)
+			}
+			estimate, ok := placer.Place(to, runner.ChainOf(to.Prompt()), 0, exclude)
+			return estimate.Server(), ok
 		},
-		func(*request.Request) bool { return true },
+		func(*request.Request) bool { return entryNode.budget.Take() },
 		entryNode.claim, entryNode.record,
 		func(ctx context.Context, to *request.Request, attempt request.Attempt) (*runner.Stream, error) {
 			return world.attempt(ctx, entryNode, to, attempt)
@@ -209,17 +230,32 @@
 			return world.call(ctx, entryNode, server, from, call)
 		},
 		func(server *backend.Server) { entryNode.learnLeaving(server.ID(), 0) },
-		func(_ *request.Request, server *backend.Server, cause request.Cause) { count(server, cause) },
+		func(_ *request.Request, server *backend.Server, cause request.Cause) { entryNode.ended(server, cause) },
 		func(*backend.Server) {}, func(*entry.Answer) {})
 	entryNode.answers = entry.NewAnswers(world.clock, entryNode.driver.Run)
 }
 
-func count(server *backend.Server, cause request.Cause) {
-	if cause == 0 {
-		server.Succeeded()
-		return
+// ended takes in how an attempt ended.
+func (entryNode *entryNode) ended(server *backend.Server, cause request.Cause) {
+	now := entryNode.world.clock.Now()
+	switch {
+	case cause == 0:
+		server.Circuit().Succeeded(now)
+		entryNode.budget.Succeeded()
+	case server.Leaving():
+		entryNode.budget.Refund()
+	default:
+		server.Circuit().Failed(now)
+	}
+}
+
+// followCaches reads the runners' cache events.
+func (entryNode *entryNode) followCaches() {
+	for entryNode.wait(cacheInterval) {
+		for _, server := range entryNode.fleet.Current().Pool(poolRunners) {
+			entryNode.index.Apply(server, entryNode.world.host(server.ID()).cacheEvents(server.Cache().Sequence()))
+		}
 	}
-	server.Failed()
 }
 
 func (entryNode *entryNode) ready() bool { return entryNode.contact.InTouch() }
@@ -330,7 +366,7 @@
 	loops := []func(){
 		func() { entryNode.tables.Run(entryNode.life, entryNode.fellows.Greet) },
 		func() { entryNode.fellows.Run(entryNode.life) },
-		entryNode.list, entryNode.heed, entryNode.settleClaims,
+		entryNode.list, entryNode.heed, entryNode.settleClaims, entryNode.followCaches,
 	}
 	for _, loop := range loops {
 		entryNode.world.group.Go(loop)
--- a/internal/faultmatrix/report.go
+++ b/internal/faultmatrix/report.go
@@ -14,10 +14,9 @@
 
 // The results.
 const (
-	ResultPasses        Result = "passes"
-	ResultFails         Result = "fails"
-	ResultKnownRed      Result = "known red"
-	ResultNotApplicable Result = "n/a"
+	ResultPasses   Result = "passes"
+	ResultFails    Result = "fails"
+	ResultKnownRed Result = "known red"
 )
 
 // Results collects the results of cells from many goroutines.
@@ -82,7 +81,6 @@
 
 func (results *Results) writeSingle(text *strings.Builder) {
 	counts := map[Result]int{}
-	var reasons []string
 	rows := ""
 	for _, fault := range Faults() {
 		rows += "| " + fault.String()
@@ -90,17 +88,11 @@
 			result := resultOf(results.single[fault], step)
 			counts[result]++
 			rows += " | " + mark(result)
-			if reason := fault.NotApplicable(step); reason != "" {
-				reasons = append(reasons, fmt.Sprintf("- %s / %s: %s", fault, step, reason))
-			}
 		}
 		rows += " |\n"
 	}
-	fmt.Fprintf(text, "One fault (%s). `+` passes, `-` not applicable, `red` known red, `FAILS` fails.\n\n", summary(counts))
+	fmt.Fprintf(text, "One fault (%s). `+` passes, `red` known red, `FAILS` fails.\n\n", summary(counts))
 	fmt.Fprintf(text, "| fault | %s |\n|%s\n%s\n", strings.Join(stepNames, " | "), strings.Repeat("---|", len(stepNames)+1), rows)
-	if len(reasons) > 0 {
-		fmt.Fprintf(text, "Not applicable:\n\n%s\n\n", strings.Join(reasons, "\n"))
-	}
 }
 
 // writePairs gives for each two faults the number of steps that pass.
@@ -145,8 +137,6 @@
 	switch result {
 	case ResultPasses:
 		return "+"
-	case ResultNotApplicable:
-		return "-"
 	case ResultKnownRed:
 		return "red"
 	default:
--- a/internal/faultmatrix/scenario.go
+++ b/internal/faultmatrix/scenario.go
@@ -47,6 +47,9 @@
 	serviceDeadline = 3 * clock.Second
 )
 
+// instructions begin every prompt, and fill some blocks of a prefix cache.
+var instructions = strings.Repeat("You read logs of bake cycles and draft cleaning reports for garages. ", 6)
+
 func firstModels() []pool.Model { return []pool.Model{pool.NewModel(modelName, firstVersion)} }
 
 // firstTables are the tables at the beginning.
@@ -247,7 +250,7 @@
 
 func (world *world) newRequest(node *entryNode, id, row, key, content string) *request.Request {
 	on, _ := node.inForce.Current().Route(row)
-	prompt := request.NewPrompt(on.Model(), []request.Message{request.NewMessage("user", content)}, 0, 1)
+	prompt := request.NewPrompt(on.Model(), []request.Message{request.NewMessage("system", instructions), request.NewMessage("user", content)}, 0, 1)
 	return request.New(id, "garage-north", on, key, prompt, world.clock.Now())
 }
 
--- a/internal/faultmatrix/world.go
+++ b/internal/faultmatrix/world.go
@@ -334,6 +334,7 @@
 	world.mutex.Lock()
 	world.silence, world.reorder, world.refuse, world.limit, world.silentLink, world.staleList = false, false, false, false, false, nil
 	world.mutex.Unlock()
+	world.setGaps(false)
 	for _, steward := range world.stewards {
 		steward.wake()
 	}
