--- a/internal/standin/chaos/load.go
+++ b/internal/standin/chaos/load.go
@@ -25,7 +25,7 @@
 	maxRefusals = 3
 	// tryTimeout is when a caller gives a connection up and tries another
 	// entry host.
-	tryTimeout = 12 * clock.Second
+	tryTimeout = 9 * clock.Second
 	// backoff is the wait after a failed try, times the number of tries.
 	backoff    = 20 * clock.Millisecond
 	maxBackoff = 500 * clock.Millisecond
