Count how fast each route and client account burns its error budget

Cause: operators could not see whether requests keep their routes' targets.

Change: internal/burn counts each request's outcome by route and client account in rings of buckets, without a mutex: a stale bucket is replaced by a compare-and-swap, so no count is lost.

Weighed: zeroing a bucket in place. Two threads at the turn of a minute then lose what was counted between the swap and the zeroing.

--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,205 @@
+package burn_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/burn"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
+)
+
+const (
+	objective = 0.95
+	account   = "garage-north"
+	start     = 100 * 24 * clock.Hour
+)
+
+var desk = route.New("desk", route.KindChat, "runners").WithWorth(5).WithTargets(1900, 52, 10_000)
+
+// expectOutcome checks how a request that takes the given steps is counted.
+func expectOutcome(t *testing.T, want burn.Outcome, worth float64, run func(manual *clock.Manual, watch *burn.Watch) error) {
+	t.Helper()
+	manual := clock.NewManual(start)
+	meter := burn.New(manual.Clock(), objective, burn.DefaultSeries)
+	watch := meter.Begin(request.New("req-1", account, desk, "key", request.Prompt{}, manual.Now()))
+	watch.End(run(manual, watch))
+	rows := meter.Report().Rows()
+	require.Len(t, rows, 1)
+	counts := rows[0].Counts(burn.Window5Minutes)
+	require.Equal(t, int64(1), counts.Of(want), "outcome %s", want)
+	require.Equal(t, int64(1), counts.Total())
+	require.InDelta(t, worth, counts.Worth(), 0)
+}
+
+// tokens delivers tokens at the given gaps.
+func tokens(manual *clock.Manual, watch *burn.Watch, gaps ...clock.Millis) {
+	for _, gap := range gaps {
+		manual.Advance(gap)
+		watch.Tokens()
+	}
+}
+
+func TestOutcome(t *testing.T) {
+	t.Run("in time", func(t *testing.T) {
+		expectOutcome(t, burn.Good, 5, func(manual *clock.Manual, watch *burn.Watch) error {
+			tokens(manual, watch, 1900, 52, 52)
+			return nil
+		})
+	})
+	t.Run("first token late", func(t *testing.T) {
+		expectOutcome(t, burn.LateFirst, 5, func(manual *clock.Manual, watch *burn.Watch) error {
+			tokens(manual, watch, 1901, 52)
+			return nil
+		})
+	})
+	t.Run("one gap of ten late", func(t *testing.T) {
+		expectOutcome(t, burn.LateBetween, 5, func(manual *clock.Manual, watch *burn.Watch) error {
+			tokens(manual, watch, 10, 53, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+			return nil
+		})
+	})
+	t.Run("service without tokens late", func(t *testing.T) {
+		expectOutcome(t, burn.LateFirst, 5, func(manual *clock.Manual, _ *burn.Watch) error {
+			manual.Advance(1901)
+			return nil
+		})
+	})
+	t.Run("whole answer after the deadline", func(t *testing.T) {
+		expectOutcome(t, burn.LateWhole, 0, func(manual *clock.Manual, watch *burn.Watch) error {
+			tokens(manual, watch, 100)
+			manual.Advance(10_000)
+			return nil
+		})
+	})
+	t.Run("no whole answer at the deadline", func(t *testing.T) {
+		expectOutcome(t, burn.LateWhole, 0, func(manual *clock.Manual, _ *burn.Watch) error {
+			manual.Advance(10_000)
+			return request.NewIncompleteError("req-1", "the deadline has passed")
+		})
+	})
+	t.Run("refused", func(t *testing.T) {
+		expectOutcome(t, burn.Refused, 0, func(*clock.Manual, *burn.Watch) error { return request.NewNotRunError("no room", 0) })
+	})
+	t.Run("outcome unknown", func(t *testing.T) {
+		expectOutcome(t, burn.Failed, 0, func(*clock.Manual, *burn.Watch) error {
+			return request.NewOutcomeUnknownError("req-1", "cut")
+		})
+	})
+	t.Run("a charge that is replayed has no worth again", func(t *testing.T) {
+		expectOutcome(t, burn.Good, 0, func(_ *clock.Manual, watch *burn.Watch) error {
+			watch.Replayed()
+			return nil
+		})
+	})
+	t.Run("a caller that went away is not counted", func(t *testing.T) {
+		meter := burn.New(clock.NewManual(start).Clock(), objective, burn.DefaultSeries)
+		meter.Begin(request.New("req-1", account, desk, "", request.Prompt{}, start)).End(errors.Wrap(context.Canceled, "deliver"))
+		require.Empty(t, meter.Report().Rows())
+	})
+}
+
+func count(meter *burn.Meter, good, bad int) {
+	for range good {
+		meter.Count("desk", account, burn.Good, 1)
+	}
+	for range bad {
+		meter.Count("desk", account, burn.Refused, 0)
+	}
+}
+
+// expectTotals checks the number of requests in each window.
+func expectTotals(t *testing.T, report burn.Report, minutes5, hour, hours6 int64) {
+	t.Helper()
+	row := report.Rows()[0]
+	totals := []int64{row.Counts(burn.Window5Minutes).Total(), row.Counts(burn.Window1Hour).Total(), row.Counts(burn.Window6Hours).Total()}
+	require.Equal(t, []int64{minutes5, hour, hours6}, totals)
+}
+
+func TestWindows(t *testing.T) {
+	manual := clock.NewManual(start)
+	meter := burn.New(manual.Clock(), objective, burn.DefaultSeries)
+	count(meter, 95, 5)
+	t.Run("now", func(t *testing.T) { expectTotals(t, meter.Report(), 100, 100, 100) })
+	t.Run("rate 1 spends the budget", func(t *testing.T) {
+		require.InDelta(t, 1, meter.Report().Rows()[0].Counts(burn.Window1Hour).Rate(objective), 1e-9)
+	})
+	manual.Advance(5 * clock.Minute)
+	t.Run("after 5 minutes", func(t *testing.T) { expectTotals(t, meter.Report(), 0, 100, 100) })
+	count(meter, 1, 0)
+	manual.Advance(55 * clock.Minute)
+	t.Run("after 1 hour", func(t *testing.T) { expectTotals(t, meter.Report(), 0, 1, 101) })
+	manual.Advance(5 * clock.Hour)
+	t.Run("after 6 hours", func(t *testing.T) { expectTotals(t, meter.Report(), 0, 0, 0) })
+	count(meter, 1, 0)
+	manual.Advance(61 * clock.Minute)
+	count(meter, 1, 0)
+	t.Run("a bucket used again starts from nothing", func(t *testing.T) { expectTotals(t, meter.Report(), 1, 1, 2) })
+}
+
+func TestAlarm(t *testing.T) {
+	expectAlarm := func(t *testing.T, want burn.Alarm, bad, bad5 int64) {
+		t.Helper()
+		windows := [burn.Windows]burn.Counts{}
+		windows[burn.Window5Minutes] = burn.NewCounts([burn.Outcomes]int64{burn.Good: 100 - bad5, burn.Refused: bad5}, 0)
+		windows[burn.Window1Hour] = burn.NewCounts([burn.Outcomes]int64{burn.Good: 100 - bad, burn.Refused: bad}, 0)
+		windows[burn.Window6Hours] = windows[burn.Window1Hour]
+		require.Equal(t, want, burn.NewRow("desk", account, windows).Alarm(objective))
+	}
+	t.Run("fast", func(t *testing.T) { expectAlarm(t, burn.AlarmFast, 73, 73) })
+	t.Run("fast ends with its cause", func(t *testing.T) { expectAlarm(t, burn.AlarmSlow, 73, 0) })
+	t.Run("slow", func(t *testing.T) { expectAlarm(t, burn.AlarmSlow, 31, 31) })
+	t.Run("none", func(t *testing.T) { expectAlarm(t, burn.AlarmNone, 29, 100) })
+}
+
+func TestMerge(t *testing.T) {
+	manual := clock.NewManual(start)
+	a, b := burn.New(manual.Clock(), objective, burn.DefaultSeries), burn.New(manual.Clock(), objective, burn.DefaultSeries)
+	count(a, 3, 1)
+	count(b, 1, 1)
+	b.Count("desk", "garage-south", burn.Good, 2)
+	merged := burn.Merge(a.Report(), b.Report().WithMissing(1))
+	t.Run("rows of one pair are added", func(t *testing.T) { expectTotals(t, merged, 6, 6, 6) })
+	t.Run("nodes are counted", func(t *testing.T) {
+		require.Equal(t, 2, merged.Nodes())
+		require.Equal(t, 1, merged.Missing())
+	})
+	t.Run("accounts of a route are added", func(t *testing.T) {
+		require.Len(t, merged.Routes(), 1)
+		require.Equal(t, int64(7), merged.Routes()[0].Counts(burn.Window1Hour).Total())
+		require.InDelta(t, 6, merged.Routes()[0].Counts(burn.Window1Hour).Worth(), 0)
+	})
+	t.Run("points of one time are added", func(t *testing.T) {
+		require.Len(t, merged.Points(), 1)
+		require.Equal(t, int64(7), merged.Points()[0].Counts().Total())
+	})
+}
+
+func TestManyAtOnce(t *testing.T) {
+	const threads, each = 8, 1000
+	manual := clock.NewManual(start)
+	meter := burn.New(manual.Clock(), objective, 3)
+	var group sync.WaitGroup
+	for thread := range threads {
+		group.Go(func() {
+			for i := range each {
+				meter.Count("desk", string(rune('a'+(thread+i)%threads)), burn.Good, 1)
+				if thread == 0 {
+					manual.Advance(20 * clock.Second)
+				}
+			}
+		})
+	}
+	group.Wait()
+	t.Run("no count is lost", func(t *testing.T) {
+		require.Equal(t, int64(threads*each), meter.Report().Routes()[0].Counts(burn.Window6Hours).Total())
+	})
+	t.Run("accounts beyond the bound share one row", func(t *testing.T) {
+		require.Len(t, meter.Report().Rows(), 4)
+	})
+}
