--- a/cmd/sapphire-entry/main.go
+++ b/cmd/sapphire-entry/main.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	log := logging.New(os.Stderr, "sapphire-entry", loaded.Host(), loaded.DataCentre())
+	log := logging.New(os.Stderr, loaded.LogLevel(), "sapphire-entry", loaded.Host(), loaded.DataCentre())
 	host, err := entry.New(loaded, clock.System(), log)
 	if err != nil {
 		return err
--- a/cmd/sapphire-steward/main.go
+++ b/cmd/sapphire-steward/main.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	log := logging.New(os.Stderr, "sapphire-steward", loaded.Host(), loaded.DataCentre())
+	log := logging.New(os.Stderr, loaded.LogLevel(), "sapphire-steward", loaded.Host(), loaded.DataCentre())
 	program.PrintListening(map[string]string{})
 	stop, _ := program.Signals()
 	steward.New(loaded, clock.System(), log).Run(stop)
--- /dev/null
+++ b/internal/entry/burn.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"sapphirehead/internal/burn"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node/nodepb"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/service"
+)
+
+// watchKey finds the burn watch of a request in its context.
+type watchKey struct{}
+
+// measuredChat runs a chat and counts how it kept its route's targets.
+func (entry *Entry) measuredChat(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error {
+	watch := entry.meter.Begin(to)
+	err := entry.driver.Chat(context.WithValue(ctx, watchKey{}, watch), to, func(offset int, tokens []string) error {
+		watch.Tokens()
+		return deliver(offset, tokens)
+	})
+	watch.End(err)
+	return err
+}
+
+// measuredCall runs a call and counts how it kept its route's targets.
+func (entry *Entry) measuredCall(ctx context.Context, to *request.Request, call service.Call) (service.Answer, error) {
+	watch := entry.meter.Begin(to)
+	answer, err := entry.driver.Call(context.WithValue(ctx, watchKey{}, watch), to, call)
+	watch.End(err)
+	return answer, err
+}
+
+// measuredClaim asks for the right to run, and notes a recorded answer, whose
+// worth was counted with the run itself.
+func (entry *Entry) measuredClaim(ctx context.Context, to *request.Request) (request.Claim, service.Answer) {
+	claim, answer := entry.claim(ctx, to)
+	if watch, ok := ctx.Value(watchKey{}).(*burn.Watch); ok && claim == request.ClaimRecorded {
+		watch.Replayed()
+	}
+	return claim, answer
+}
+
+// burnTimeout bounds the collection of reports from fellow nodes.
+const burnTimeout = 3 * clock.Second
+
+// burnOfAll merges this node's report with those of the live fellow nodes.
+func (entry *Entry) burnOfAll(ctx context.Context) burn.Report {
+	ctx, cancel := entry.clock.WithTimeout(ctx, burnTimeout)
+	defer cancel()
+	members := entry.members.Live()
+	reports := make([]burn.Report, len(members)+1)
+	reports[len(members)] = entry.meter.Report()
+	var group sync.WaitGroup
+	for i, member := range members {
+		group.Go(func() { reports[i] = entry.burnOf(ctx, member.Address()) })
+	}
+	group.Wait()
+	return burn.Merge(reports...)
+}
+
+func (entry *Entry) burnOf(ctx context.Context, address string) burn.Report {
+	reply, err := entry.links.Call(ctx, address, nodepb.Call_builder{BurnQuery: &nodepb.BurnQuery{}}.Build())
+	if err != nil || !reply.HasBurnReport() {
+		return burn.Report{}.WithMissing(1)
+	}
+	return burnReportOf(reply.GetBurnReport())
+}
+
+func burnReportMessage(report burn.Report) *nodepb.BurnReport {
+	message := &nodepb.BurnReport{}
+	message.SetObjective(report.Objective())
+	var rows []*nodepb.BurnRow
+	for _, row := range report.Rows() {
+		encoded := &nodepb.BurnRow{}
+		encoded.SetRoute(row.Route())
+		encoded.SetAccount(row.Account())
+		var windows []*nodepb.BurnCounts
+		for window := range burn.Windows {
+			windows = append(windows, countsMessage(row.Counts(burn.Window(window))))
+		}
+		encoded.SetWindows(windows)
+		rows = append(rows, encoded)
+	}
+	message.SetRows(rows)
+	var points []*nodepb.BurnPoint
+	for _, point := range report.Points() {
+		encoded := &nodepb.BurnPoint{}
+		encoded.SetRoute(point.Route())
+		encoded.SetAtMillis(int64(point.At()))
+		encoded.SetCounts(countsMessage(point.Counts()))
+		points = append(points, encoded)
+	}
+	message.SetPoints(points)
+	return message
+}
+
+func countsMessage(counts burn.Counts) *nodepb.BurnCounts {
+	message := &nodepb.BurnCounts{}
+	var by []int64
+	for outcome := range burn.Outcomes {
+		by = append(by, counts.Of(burn.Outcome(outcome)))
+	}
+	message.SetByOutcome(by)
+	message.SetWorthMillis(counts.WorthMillis())
+	return message
+}
+
+func burnReportOf(message *nodepb.BurnReport) burn.Report {
+	rows := make([]burn.Row, 0, len(message.GetRows()))
+	for _, row := range message.GetRows() {
+		var windows [burn.Windows]burn.Counts
+		for i, counts := range row.GetWindows() {
+			if i < len(windows) {
+				windows[i] = countsOf(counts)
+			}
+		}
+		rows = append(rows, burn.NewRow(row.GetRoute(), row.GetAccount(), windows))
+	}
+	points := make([]burn.Point, 0, len(message.GetPoints()))
+	for _, point := range message.GetPoints() {
+		points = append(points, burn.NewPoint(point.GetRoute(), clock.Millis(point.GetAtMillis()), countsOf(point.GetCounts())))
+	}
+	return burn.NewReport(message.GetObjective(), 1, 0, rows, points)
+}
+
+func countsOf(message *nodepb.BurnCounts) burn.Counts {
+	var by [burn.Outcomes]int64
+	for i, count := range message.GetByOutcome() {
+		if i < len(by) {
+			by[i] = count
+		}
+	}
+	return burn.NewCounts(by, message.GetWorthMillis())
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sapphirehead/internal/backend"
+	"sapphirehead/internal/burn"
 	"sapphirehead/internal/caller"
 	"sapphirehead/internal/caller/callerhttp"
 	"sapphirehead/internal/clock"
@@ -64,9 +65,13 @@
 	store       *platform.Store
 	cloud       *cloudhttp.Client
 	ledger      *service.Ledger
-	editor      *operator.Editor
 	links       *nodelink.Links
 	driver      *Driver
+	meter       *burn.Meter
+	history     *operator.History
+	secured     secured
+	asked       context.Context
+	askedToStop context.CancelFunc
 	listeners   listeners
 }
 
@@ -100,20 +105,17 @@
 		entry.cloud = cloudhttp.New(settings.Cloud().Address(), clock, settings.Cloud().Timeout())
 	}
 	entry.ledger = service.NewLedger(clock, service.DefaultWindow, entry.loadShard, entry.commitShard)
-	entry.editor = operator.NewEditor(entry.loadTables, entry.commitTables)
-	entry.links = nodelink.New(clock, entry.answerCall)
+	entry.history = operator.NewHistory(entry.loadHistory, entry.commitHistory)
+	entry.meter = burn.New(clock, settings.Objective(), burn.DefaultSeries)
+	entry.asked, entry.askedToStop = context.WithCancel(context.Background())
+	if err := entry.loadKeys(); err != nil {
+		return nil, err
+	}
+	entry.links = nodelink.New(clock, entry.dialNode, entry.answerCall)
 	entry.driver = entry.newDriver()
 	return entry, entry.listen()
 }
 
-func accountsOf(settings *settings.Entry) *caller.Accounts {
-	byHash := map[string]*caller.Account{}
-	for _, account := range settings.Accounts() {
-		byHash[caller.HashKey(account.Key())] = caller.NewAccount(account.Name(), account.MaxInFlight())
-	}
-	return caller.NewAccounts(byHash)
-}
-
 func (entry *Entry) newDriver() *Driver {
 	chooser := runner.NewChooser(entry.fleet, entry.settings.DataCentre(), mathrand.IntN)
 	choose := func(to *request.Request, exclude []string) (*backend.Server, bool) {
@@ -121,7 +123,7 @@
 	}
 	runners := runnerhttp.New(entry.clock, connectTimeout)
 	services := servicehttp.New(connectTimeout)
-	return NewDriver(entry.clock, choose, func(*request.Request) bool { return true }, entry.claim, entry.record,
+	return NewDriver(entry.clock, choose, func(*request.Request) bool { return true }, entry.measuredClaim, entry.record,
 		runners.Open, runners.Cancel, services.Call, entry.noteLeaving, entry.countAttempt)
 }
 
@@ -135,9 +137,9 @@
 		listener, err = net.Listen("tcp", address)
 		return listener
 	}
-	entry.listeners.caller = open(entry.settings.CallerListen())
-	entry.listeners.operator = open(entry.settings.OperatorListen())
-	entry.listeners.node = open(entry.settings.NodeListen())
+	entry.listeners.caller = secureListener(entry.secured.caller, open(entry.settings.CallerListen()))
+	entry.listeners.operator = secureListener(entry.secured.operator, open(entry.settings.OperatorListen()))
+	entry.listeners.node = secureListener(entry.secured.node, open(entry.settings.NodeListen()))
 	return errors.Wrap(err, "listen")
 }
 
@@ -160,12 +162,12 @@
 	loops, cancel := context.WithCancel(kill)
 	defer cancel()
 	group, loops := errgroup.WithContext(loops)
-	callers := &http.Server{Handler: entry.callerHandler()}
-	operators := &http.Server{Handler: entry.operatorHandler()}
+	callers := &http.Server{Handler: entry.callerHandler(), ErrorLog: entry.handshakes("caller")}
+	operators := &http.Server{Handler: entry.operatorHandler(), ErrorLog: entry.handshakes("operator")}
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
-	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat} {
+	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat, entry.watchKeys} {
 		group.Go(func() error {
 			loop(loops)
 			return nil
@@ -186,6 +188,7 @@
 func (entry *Entry) waitForStop(stop, loops context.Context) {
 	select {
 	case <-stop.Done():
+	case <-entry.asked.Done():
 	case <-loops.Done():
 	}
 }
@@ -213,7 +216,7 @@
 
 func (entry *Entry) callerHandler() http.Handler {
 	handler := callerhttp.New(entry.clock, entry.inForce.Current, func() *caller.Accounts { return entry.accounts },
-		entry.admission.Admit, entry.isReady, newID, entry.driver.Chat, entry.driver.Call)
+		entry.admission.Admit, entry.isReady, newID, entry.measuredChat, entry.measuredCall)
 	return handler.Router()
 }
 
--- a/internal/entry/fellows.go
+++ b/internal/entry/fellows.go
@@ -102,6 +102,11 @@
 			return errorReply(err.Error())
 		}
 		return nodepb.Reply_builder{Tables: nodepb.Tables_builder{Version: new(tables.Version()), Body: body}.Build()}.Build()
+	case nodepb.Call_BurnQuery_case:
+		return nodepb.Reply_builder{BurnReport: burnReportMessage(entry.meter.Report())}.Build()
+	case nodepb.Call_Drain_case:
+		entry.stopFor(call.GetDrain().GetOperator())
+		return nodepb.Reply_builder{Draining: &nodepb.Draining{}}.Build()
 	default:
 		return errorReply("unknown call")
 	}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -2,10 +2,18 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/node/nodepb"
 	"sapphirehead/internal/operator"
 	"sapphirehead/internal/operator/operatorhttp"
+	"sapphirehead/internal/platform"
+	"sapphirehead/internal/pool"
 	"sapphirehead/internal/table"
 )
 
@@ -14,19 +22,87 @@
 	var servers []operator.ServerStatus
 	for _, server := range entry.fleet.Current().Servers() {
 		servers = append(servers, operator.NewServerStatus(
-			server.ID(), server.Address(), server.DataCentre(), server.Pool(), server.Leaving(), server.InFlight(), server.Failures(),
+			server.ID(), server.Address(), server.DataCentre(), server.Pool(), server.Leaving(), circuitOf(server), server.InFlight(), server.Failures(),
 		))
 	}
 	return operator.NewStatus(entry.self(), entry.members.Live(), servers)
 }
 
+// circuitOf names the state of a backend server's circuit.
+func circuitOf(*backend.Server) string { return "closed" }
+
 func (entry *Entry) operatorHandler() http.Handler {
 	stored := func(ctx context.Context) (*table.Tables, error) {
 		tables, _, err := entry.loadTables(ctx)
 		return tables, err
 	}
-	refuse := func(remote, reason string) {
-		entry.log.Warn().Str("remote", remote).Str("reason", reason).Msg("operator refused")
+	return operatorhttp.New(entry.operatorToken, entry.commitEdit, stored, entry.readHistory, entry.status, entry.leases,
+		entry.drainNode, entry.drainServer, entry.burnOfAll, entry.refuseOperator).Router()
+}
+
+func (entry *Entry) refuseOperator(remote, name, reason string) {
+	entry.counters.Add("operatorsRefused", 1)
+	entry.log.Warn().Str("remote", remote).Str("operator", name).Str("reason", reason).Msg("operator refused")
+}
+
+// leases reads the lease of each pool of runners in each known data centre.
+func (entry *Entry) leases(ctx context.Context) ([]operator.LeaseStatus, error) {
+	dataCentres := map[string]bool{entry.settings.DataCentre(): true}
+	for _, member := range entry.members.Live() {
+		dataCentres[member.DataCentre()] = true
+	}
+	for _, server := range entry.fleet.Current().Servers() {
+		dataCentres[server.DataCentre()] = true
+	}
+	var leases []operator.LeaseStatus
+	for _, row := range entry.inForce.Current().Pools() {
+		if row.Kind() != pool.KindRunner {
+			continue
+		}
+		for _, dataCentre := range slices.Sorted(maps.Keys(dataCentres)) {
+			name := row.Name() + "." + dataCentre
+			object, err := entry.store.Get(ctx, platform.KindLeases, name)
+			var missing *platform.NotFoundError
+			if errors.As(err, &missing) {
+				continue
+			}
+			if err != nil {
+				return nil, err
+			}
+			leases = append(leases, operator.NewLeaseStatus(name, string(object.Body()), object.Version()))
+		}
 	}
-	return operatorhttp.New(entry.settings.OperatorToken(), entry.commitEdit, stored, entry.status, refuse).Router()
+	return leases, nil
+}
+
+// drainServer takes in an operator's word that a backend server is leaving.
+// It spreads to fellow nodes like any other evidence.
+func (entry *Entry) drainServer(by, id string) error {
+	if entry.fleet.Current().Server(id) == nil {
+		return operator.NewNotFoundError("backend server", id)
+	}
+	entry.log.Info().Str("operator", by).Str("backendServer", id).Msg("operator drains a backend server")
+	entry.addEvidence(id)
+	return nil
+}
+
+// drainNode asks this node or a fellow node to stop gracefully.
+func (entry *Entry) drainNode(ctx context.Context, by, host string) error {
+	if host == entry.settings.Host() {
+		entry.stopFor(by)
+		return nil
+	}
+	for _, member := range entry.members.Live() {
+		if member.Host() == host {
+			_, err := entry.links.Call(ctx, member.Address(), nodepb.Call_builder{Drain: nodepb.Drain_builder{Operator: &by}.Build()}.Build())
+			return err
+		}
+	}
+	return operator.NewNotFoundError("entry host", host)
+}
+
+// stopFor begins the graceful stop that an operator asked for.
+func (entry *Entry) stopFor(by string) {
+	entry.log.Info().Str("operator", by).Msg("operator drains this entry host")
+	entry.askedToStop()
 }
--- /dev/null
+++ b/internal/entry/secure.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"context"
+	"log" //nolint:depguard // the HTTP server's ErrorLog has this type
+	"net"
+	"os"
+	"strings"
+
+	"sapphirehead/internal/caller"
+	"sapphirehead/internal/keys"
+	"sapphirehead/internal/operator"
+	"sapphirehead/internal/settings"
+)
+
+// secured is the certificates of the listeners; nil where the settings name
+// none.
+type secured struct {
+	caller   *keys.Keys
+	operator *keys.Keys
+	node     *keys.Keys
+}
+
+// loadKeys reads the certificates that the settings name. Errors: *keys.Error.
+func (entry *Entry) loadKeys() error {
+	var err error
+	load := func(purpose string, files *settings.TLS) *keys.Keys {
+		if files == nil || err != nil {
+			return nil
+		}
+		var loaded *keys.Keys
+		loaded, err = keys.New(entry.clock, os.ReadFile, keys.NewFiles(files.CertFile(), files.KeyFile(), files.CAFile()), func(err error) {
+			entry.keysChanged(purpose, err)
+		})
+		return loaded
+	}
+	entry.secured.caller = load("caller", entry.settings.CallerTLS())
+	entry.secured.operator = load("operator", entry.settings.OperatorTLS())
+	entry.secured.node = load("node", entry.settings.NodeTLS())
+	return err
+}
+
+func (entry *Entry) keysChanged(purpose string, err error) {
+	if err != nil {
+		entry.counters.Add("certificatesNotReloaded", 1)
+		entry.log.Error().Err(err).Str("purpose", purpose).Msg("certificate files can't be used: the last good ones stay in use")
+		return
+	}
+	entry.counters.Add("certificatesReloaded", 1)
+	entry.log.Info().Str("purpose", purpose).Msg("certificate files read again")
+}
+
+// watchKeys follows the certificate files until the context ends.
+func (entry *Entry) watchKeys(ctx context.Context) {
+	done := make(chan struct{})
+	all := entry.secured.all()
+	for _, watched := range all {
+		go func() {
+			watched.Watch(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for range all {
+		<-done
+	}
+}
+
+func (secured *secured) all() []*keys.Keys {
+	var all []*keys.Keys
+	for _, loaded := range []*keys.Keys{secured.caller, secured.operator, secured.node} {
+		if loaded != nil {
+			all = append(all, loaded)
+		}
+	}
+	return all
+}
+
+func secureListener(loaded *keys.Keys, listener net.Listener) net.Listener {
+	if loaded == nil || listener == nil {
+		return listener
+	}
+	return loaded.Listener(listener)
+}
+
+// dialNode opens a connection to a fellow node.
+func (entry *Entry) dialNode(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: connectTimeout.Duration()}
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil || entry.secured.node == nil {
+		return connection, err
+	}
+	name := entry.settings.NodeTLS().PeerName()
+	if name == "" {
+		name, _, _ = net.SplitHostPort(address)
+	}
+	return entry.secured.node.Client(ctx, connection, name)
+}
+
+// accountsOf returns the client accounts by the hashes of their keys.
+func accountsOf(settings *settings.Entry) *caller.Accounts {
+	byHash := map[string]*caller.Account{}
+	for _, account := range settings.Accounts() {
+		known := caller.NewAccount(account.Name(), account.MaxInFlight())
+		for _, hash := range account.KeyHashes() {
+			byHash[hash] = known
+		}
+	}
+	return caller.NewAccounts(byHash)
+}
+
+// operatorToken finds the rights that belong to a token.
+func (entry *Entry) operatorToken(given string) (operator.Token, bool) {
+	hash := caller.HashKey(given)
+	for _, token := range entry.settings.OperatorTokens() {
+		if token.Hash() == hash {
+			return operator.NewToken(token.Name(), token.MayWrite()), true
+		}
+	}
+	return operator.Token{}, false
+}
+
+// handshakes returns the log of an HTTP server, which writes to it only what
+// it refuses, such as a handshake with an expired certificate.
+func (entry *Entry) handshakes(purpose string) *log.Logger {
+	return log.New(handshakeLog{entry: entry, purpose: purpose}, "", 0)
+}
+
+// handshakeLog passes the HTTP server's notes on refused handshakes to the
+// log.
+type handshakeLog struct {
+	entry   *Entry
+	purpose string
+}
+
+// Write takes one line from the HTTP server.
+func (log handshakeLog) Write(line []byte) (int, error) {
+	log.entry.counters.Add("connectionsRefused", 1)
+	log.entry.log.Warn().Str("purpose", log.purpose).Str("reason", strings.TrimSpace(string(line))).Msg("connection refused")
+	return len(line), nil
+}
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -60,15 +60,6 @@
 	return platformhttp.CommitTables(ctx, entry.store, tables, condition)
 }
 
-func (entry *Entry) commitEdit(ctx context.Context, edit *table.Edit) (*table.Tables, error) {
-	tables, err := entry.editor.Commit(ctx, edit)
-	if err != nil {
-		return nil, err
-	}
-	entry.putInForce(tables)
-	return tables, nil
-}
-
 func (entry *Entry) putInForce(tables *table.Tables) {
 	if entry.inForce.Offer(tables) {
 		entry.log.Info().Int64("version", tables.Version()).Msg("tables in force")
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -19,13 +19,17 @@
 	FieldServer     = "backendServer"
 )
 
-// New returns a logger for the program on the host. A terminal gets readable
-// lines, anything else JSON.
-func New(file *os.File, program, host, dataCentre string) zerolog.Logger {
+// New returns a logger for the program on the host, without lines below the
+// level. A terminal gets readable lines, anything else JSON.
+func New(file *os.File, level, program, host, dataCentre string) zerolog.Logger {
 	var writer io.Writer = file
 	if isatty.IsTerminal(file.Fd()) {
 		writer = zerolog.ConsoleWriter{Out: file}
 	}
-	return zerolog.New(writer).With().Timestamp().
+	least, err := zerolog.ParseLevel(level)
+	if err != nil {
+		least = zerolog.InfoLevel
+	}
+	return zerolog.New(writer).Level(least).With().Timestamp().
 		Str(FieldProgram, program).Str(FieldHost, host).Str(FieldDataCentre, dataCentre).Logger()
 }
--- a/internal/node/nodelink/link.go
+++ b/internal/node/nodelink/link.go
@@ -31,9 +31,13 @@
 // Answer handles one call from a fellow node.
 type Answer func(call *nodepb.Call) *nodepb.Reply
 
+// Dial opens a connection to a fellow node, secured if the settings say so.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // Links opens and accepts sessions with fellow nodes.
 type Links struct {
 	clock    *clock.Clock
+	dial     Dial
 	answer   Answer
 	mutex    sync.Mutex
 	sessions map[string]*yamux.Session
@@ -41,9 +45,9 @@
 	closed   bool
 }
 
-// New returns links that answer calls by the function.
-func New(clock *clock.Clock, answer Answer) *Links {
-	return &Links{clock: clock, answer: answer, sessions: map[string]*yamux.Session{}, accepted: map[*yamux.Session]struct{}{}}
+// New returns links that open connections and answer calls by the functions.
+func New(clock *clock.Clock, dial Dial, answer Answer) *Links {
+	return &Links{clock: clock, dial: dial, answer: answer, sessions: map[string]*yamux.Session{}, accepted: map[*yamux.Session]struct{}{}}
 }
 
 func sessionConfig() *yamux.Config {
@@ -159,8 +163,9 @@
 	if ok && !session.IsClosed() {
 		return session, nil
 	}
-	dialer := net.Dialer{Timeout: callTimeout.Duration()}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := links.clock.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	connection, err := links.dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to fellow node")
 	}
--- a/internal/operator/operatorcli/operatorcli.go
+++ b/internal/operator/operatorcli/operatorcli.go
@@ -1,159 +1,178 @@
 // Package operatorcli holds the commands of sapphirectl. The exported fields
 // of the commands are filled by kong through reflection.
+//
+// A command returns an error; Status turns it into the exit status and Advice
+// into what the operator may do next:
+//
+//	$ sapphirectl routes delete desk
+//	sapphirectl: conflict: row route/desk has revision 8, the edit names 5
+//	next: read the row again with "sapphirectl routes get desk" and repeat the command
+//	$ echo $?
+//	3
 package operatorcli
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
 	"fmt"
+	"io"
 	"os"
-	"text/tabwriter"
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/operator/operatorhttp"
-	"sapphirehead/internal/table"
-	"sapphirehead/internal/table/tablecodec"
 )
 
+const callTimeout = 10 * clock.Second
+
+// Formats of output.
 const (
-	callTimeout = 10 * clock.Second
-	// inForceTimeout is how long apply waits until all live nodes have an edit.
-	inForceTimeout = 10 * clock.Second
-	inForceRound   = 100 * clock.Millisecond
+	outputTable = "table"
+	outputJSON  = "json"
 )
 
-// Connection names the entry host and the token.
+// Connection names the entry host, the token and the form of output.
 type Connection struct {
-	Address string `help:"Operators' address of any entry host." env:"SAPPHIRE_ADDRESS" required:""`
-	Token   string `help:"Operators' token." env:"SAPPHIRE_TOKEN" required:""`
-}
-
-func (connection *Connection) client() *operatorhttp.Client {
-	return operatorhttp.NewClient(connection.Address, connection.Token, clock.System(), callTimeout)
+	Address string `help:"Operators' address of any entry host, such as 10.0.0.7:7001." env:"SAPPHIRE_ADDRESS"`
+	Token   string `help:"Operator's token." env:"SAPPHIRE_TOKEN"`
+	CA      string `help:"Authorities that signed the entry host's certificate. Turns on TLS." env:"SAPPHIRE_CA" name:"ca" type:"path"`
+	Cert    string `help:"Operator's certificate, if entry hosts ask for one." env:"SAPPHIRE_CERT" type:"path"`
+	Key     string `help:"Private key of the certificate." env:"SAPPHIRE_KEY" type:"path"`
+	Output  string `help:"Form of output: ${enum}." enum:"table,json" default:"table" short:"o"`
 }
 
 // CommandLine is the command line of sapphirectl.
 type CommandLine struct {
 	Connection
-	Apply   ApplyCommand     `cmd:"" help:"Make the tables say what a file says."`
-	Get     GetCommand       `cmd:"" help:"Print the tables as TOML."`
-	Status  StatusCommand    `cmd:"" help:"Show nodes, tables in force and backend servers."`
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Routes     RoutesCommand     `cmd:"" help:"Show and change the table of routes. Example: sapphirectl routes list"`
+	Pools      PoolsCommand      `cmd:"" help:"Show and change the table of pools. Example: sapphirectl pools get runners"`
+	Get        GetCommand        `cmd:"" help:"Print both tables as TOML. Example: sapphirectl get > tables.toml"`
+	Apply      ApplyCommand      `cmd:"" help:"Make the tables say what a file says. Example: sapphirectl apply -f tables.toml --wait"`
+	Diff       DiffCommand       `cmd:"" help:"Show what apply would change. Example: sapphirectl diff -f tables.toml"`
+	Check      CheckCommand      `cmd:"" help:"Check a file with both tables, without an entry host. Example: sapphirectl check -f tables.toml"`
+	Status     StatusCommand     `cmd:"" help:"Show nodes, tables in force, leases and backend servers. Example: sapphirectl status"`
+	Drain      DrainCommand      `cmd:"" help:"Stop an entry host gracefully, or mark a backend server as leaving. Example: sapphirectl drain node entry-1"`
+	Burn       BurnCommand       `cmd:"" help:"Show the service-level burn. Example: sapphirectl burn --html burn.html"`
+	HashKey    HashKeyCommand    `cmd:"" help:"Print the hash of a key or token read from standard input. Example: sapphirectl hash-key < key.txt"`
+	Completion CompletionCommand `cmd:"" help:"Print a completion script. Example: sapphirectl completion bash > /etc/bash_completion.d/sapphirectl"`
+	Version    VersionCommand    `cmd:"" help:"Print the version. Example: sapphirectl version"`
 }
 
-// ApplyCommand writes the rows of a file.
-type ApplyCommand struct {
-	File string `help:"File with both tables." short:"f" required:"" type:"existingfile"`
-	Wait bool   `help:"Wait until all live nodes have the edit in force."`
+// Session is what the commands share: the connection and the streams.
+type Session struct {
+	connection *Connection
+	clock      *clock.Clock
+	in         io.Reader
+	out        io.Writer
+	errors     io.Writer
+	edit       func(file string) error
+	version    string
 }
 
-// Run applies the file.
-func (command *ApplyCommand) Run(connection *Connection) error {
-	data, err := os.ReadFile(command.File)
-	if err != nil {
-		return err
-	}
-	wanted, err := tablecodec.DecodeTOML(data)
-	if err != nil {
-		return errors.Wrap(err, command.File)
-	}
-	if err := wanted.Check(); err != nil {
-		return errors.Wrap(err, command.File)
-	}
-	client := connection.client()
-	ctx := context.Background()
-	stored, err := client.Tables(ctx)
-	if err != nil {
-		return err
-	}
-	edit := stored.Difference(newEditID(), wanted)
-	if len(edit.Rows()) == 0 {
-		fmt.Println("nothing to change")
-		return nil
+// NewSession returns a session that writes to the streams. The function edit
+// lets the operator change a file.
+func NewSession(connection *Connection, clock *clock.Clock, in io.Reader, out, errors io.Writer, edit func(file string) error, version string) *Session {
+	return &Session{connection: connection, clock: clock, in: in, out: out, errors: errors, edit: edit, version: version}
+}
+
+// client returns a client for the entry host. Errors: *UsageError.
+func (session *Session) client() (*operatorhttp.Client, error) {
+	connection := session.connection
+	switch {
+	case connection.Address == "":
+		return nil, newUsageError("no entry host is named: give --address or set SAPPHIRE_ADDRESS")
+	case connection.Token == "":
+		return nil, newUsageError("no token is given: give --token or set SAPPHIRE_TOKEN")
 	}
-	version, err := client.Commit(ctx, edit)
+	certificates, err := connection.certificates()
 	if err != nil {
-		return err
-	}
-	fmt.Printf("committed version %d: %d rows changed\n", version, len(edit.Rows()))
-	if command.Wait {
-		return waitInForce(ctx, client, version)
+		return nil, err
 	}
-	return nil
+	return operatorhttp.NewClient(connection.Address, connection.Token, certificates, session.clock, callTimeout), nil
 }
 
-func newEditID() string {
-	var bytes [12]byte
-	rand.Read(bytes[:])
-	return "edit-" + hex.EncodeToString(bytes[:])
-}
-
-func waitInForce(ctx context.Context, client *operatorhttp.Client, version int64) error {
-	system := clock.System()
-	deadline := system.Now() + inForceTimeout
-	for {
-		status, err := client.Status(ctx)
+func (connection *Connection) certificates() (*tls.Config, error) {
+	if connection.CA == "" && connection.Cert == "" {
+		return nil, nil
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS13}
+	if connection.CA != "" {
+		content, err := os.ReadFile(connection.CA)
 		if err != nil {
-			return err
-		}
-		have, all := status.InForce(version)
-		if have == all {
-			fmt.Printf("in force on %d of %d nodes\n", have, all)
-			return nil
+			return nil, newUsageError(err.Error())
 		}
-		if system.Now() >= deadline {
-			return errors.Errorf("in force on %d of %d nodes only: see sapphirectl status", have, all)
+		config.RootCAs = x509.NewCertPool()
+		if !config.RootCAs.AppendCertsFromPEM(content) {
+			return nil, newUsageError(connection.CA + " holds no certificate in PEM form")
 		}
-		if err := system.Wait(ctx, inForceRound); err != nil {
-			return err
+	}
+	if connection.Cert != "" {
+		pair, err := tls.LoadX509KeyPair(connection.Cert, connection.Key)
+		if err != nil {
+			return nil, newUsageError("--cert and --key: " + err.Error())
 		}
+		config.Certificates = []tls.Certificate{pair}
 	}
+	return config, nil
 }
 
-// GetCommand prints the tables.
-type GetCommand struct{}
-
-// Run prints the tables as the platform stores them.
-func (command *GetCommand) Run(connection *Connection) error {
-	tables, err := connection.client().Tables(context.Background())
-	if err != nil {
-		return err
+// json reports whether output is JSON, and writes the form if it is.
+func (session *Session) json(form any) (bool, error) {
+	if session.connection.Output != outputJSON {
+		return false, nil
 	}
-	return printTables(tables)
+	encoder := json.NewEncoder(session.out)
+	encoder.SetIndent("", "  ")
+	return true, errors.Wrap(encoder.Encode(form), "write output")
 }
 
-func printTables(tables *table.Tables) error {
-	data, err := tablecodec.EncodeTOML(tables)
+// Main parses the arguments, runs the command and returns the exit status.
+func Main(arguments []string, clock *clock.Clock, in io.Reader, out, errorsTo io.Writer, edit func(file string) error, version string) int {
+	var line CommandLine
+	status := -1
+	parser, err := kong.New(&line, kong.Name("sapphirectl"), kong.Writers(out, errorsTo), kong.UsageOnError(),
+		kong.Exit(func(code int) { status = code }),
+		kong.Description("Edits and shows the tables of routes and pools, and shows the state of the system. "+
+			"Exit statuses: "+statusesText()))
 	if err != nil {
-		return err
+		panic(err)
 	}
-	_, err = os.Stdout.Write(data)
-	return err
+	context, err := parser.Parse(arguments)
+	if status >= 0 {
+		return status
+	}
+	if err == nil {
+		err = context.Run(NewSession(&line.Connection, clock, in, out, errorsTo, edit, version), parser)
+	} else {
+		err = newUsageError(err.Error())
+	}
+	if err != nil {
+		fmt.Fprintf(errorsTo, "sapphirectl: %v\n", err)
+		if advice := Advice(err); advice != "" {
+			fmt.Fprintf(errorsTo, "next: %s\n", advice)
+		}
+	}
+	return int(StatusOf(err))
 }
 
-// StatusCommand shows the state of the system.
-type StatusCommand struct{}
+// VersionCommand prints the version.
+type VersionCommand struct{}
 
-// Run prints the report of one entry host.
-func (command *StatusCommand) Run(connection *Connection) error {
-	status, err := connection.client().Status(context.Background())
-	if err != nil {
-		return err
-	}
-	writer := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(writer, "NODE\tDATA CENTRE\tTABLES\tREADY\tSTOPPING")
-	self := status.Self()
-	fmt.Fprintf(writer, "%s\t%s\t%d\t%t\t%t\n", self.Host(), self.DataCentre(), self.TablesVersion(), self.Ready(), self.Stopping())
-	for _, member := range status.Members() {
-		fmt.Fprintf(writer, "%s\t%s\t%d\t%t\t%t\n", member.Host(), member.DataCentre(), member.TablesVersion(), member.Ready(), member.Stopping())
-	}
-	fmt.Fprintln(writer, "\nBACKEND SERVER\tDATA CENTRE\tPOOL\tLEAVING\tIN FLIGHT\tFAILURES")
-	for _, server := range status.Servers() {
-		fmt.Fprintf(writer, "%s\t%s\t%s\t%t\t%d\t%d\n", server.ID(), server.DataCentre(), server.Pool(), server.Leaving(), server.InFlight(), server.Failures())
+// Run prints the version.
+func (command *VersionCommand) Run(session *Session) error {
+	done, err := session.json(versionForm{Version: session.version})
+	if !done {
+		_, err = fmt.Fprintln(session.out, session.version)
 	}
-	return writer.Flush()
+	return err
+}
+
+type versionForm struct {
+	Version string `json:"version"`
 }
+
+func background() context.Context { return context.Background() }
--- a/internal/operator/operatorhttp/client.go
+++ b/internal/operator/operatorhttp/client.go
@@ -3,13 +3,17 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"strconv"
 
 	"github.com/pkg/errors"
 
+	"sapphirehead/internal/burn"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/operator"
 	"sapphirehead/internal/table"
@@ -28,9 +32,43 @@
 	http    *http.Client
 }
 
-// NewClient returns a client for the host and port.
-func NewClient(address, token string, clock *clock.Clock, timeout clock.Millis) *Client {
-	return &Client{base: "http://" + address + "/admin/v1", token: token, clock: clock, timeout: timeout, http: &http.Client{}}
+// NewClient returns a client for the host and port. The certificates are nil
+// for plain HTTP.
+func NewClient(address, token string, certificates *tls.Config, clock *clock.Clock, timeout clock.Millis) *Client {
+	scheme := "http://"
+	if certificates != nil {
+		scheme = "https://"
+	}
+	transport := &http.Transport{TLSClientConfig: certificates}
+	return &Client{base: scheme + address + "/admin/v1", token: token, clock: clock, timeout: timeout, http: &http.Client{Transport: transport}}
+}
+
+// roundTrip is a seam in the place of connections.
+type roundTrip func(message *http.Request) (*http.Response, error)
+
+// RoundTrip sends the message through the seam.
+func (send roundTrip) RoundTrip(message *http.Request) (*http.Response, error) { return send(message) }
+
+// WithTransport returns a client that sends its messages through the function
+// in place of connections.
+func (client *Client) WithTransport(send func(message *http.Request) (*http.Response, error)) *Client {
+	changed := *client
+	changed.http = &http.Client{Transport: roundTrip(send)}
+	return &changed
+}
+
+// UnreachableError says that the entry host gave no usable answer. A call that
+// changes something may have taken effect.
+type UnreachableError struct {
+	address string
+	cause   error
+}
+
+// Unwrap returns the cause.
+func (err *UnreachableError) Unwrap() error { return err.cause }
+
+func (err *UnreachableError) Error() string {
+	return fmt.Sprintf("no answer from %s: %v", err.address, err.cause)
 }
 
 // RefusedError is an error that the operators' API answered.
@@ -75,15 +113,72 @@
 
 // Status returns the report of the entry host.
 func (client *Client) Status(ctx context.Context) (operator.Status, error) {
-	body, err := client.call(ctx, http.MethodGet, "/status", nil)
+	var form statusForm
+	err := client.read(ctx, "/status", &form)
+	return form.status(), err
+}
+
+// Leases returns the leases of the stewards.
+func (client *Client) Leases(ctx context.Context) ([]operator.LeaseStatus, error) {
+	var form leasesForm
+	if err := client.read(ctx, "/leases", &form); err != nil {
+		return nil, err
+	}
+	leases := make([]operator.LeaseStatus, 0, len(form.Leases))
+	for _, lease := range form.Leases {
+		leases = append(leases, operator.NewLeaseStatus(lease.Name, lease.Holder, lease.Fence))
+	}
+	return leases, nil
+}
+
+// History returns the latest edits, newest first. The row is as in
+// "route/desk", or empty for all.
+func (client *Client) History(ctx context.Context, row string, limit int) ([]operator.Record, error) {
+	query := url.Values{"limit": {strconv.Itoa(limit)}}
+	if row != "" {
+		query.Set("row", row)
+	}
+	body, err := client.call(ctx, http.MethodGet, "/history?"+query.Encode(), nil)
 	if err != nil {
-		return operator.Status{}, err
+		return nil, err
 	}
-	var form statusForm
-	if err := json.Unmarshal(body, &form); err != nil {
-		return operator.Status{}, errors.Wrap(err, "decode status")
+	return DecodeHistory(body)
+}
+
+// Burn returns the service-level burn over all live nodes.
+func (client *Client) Burn(ctx context.Context) (burn.Report, error) {
+	var form burnForm
+	if err := client.read(ctx, "/burn", &form); err != nil {
+		return burn.Report{}, err
+	}
+	return form.report(), nil
+}
+
+// DrainNode asks the entry host with the name to stop gracefully.
+func (client *Client) DrainNode(ctx context.Context, host string) error {
+	return client.drain(ctx, drainForm{Node: host})
+}
+
+// DrainServer says that a backend server is leaving.
+func (client *Client) DrainServer(ctx context.Context, id string) error {
+	return client.drain(ctx, drainForm{Server: id})
+}
+
+func (client *Client) drain(ctx context.Context, form drainForm) error {
+	body, err := json.Marshal(form)
+	if err != nil {
+		return err
+	}
+	_, err = client.call(ctx, http.MethodPost, "/drains", body)
+	return err
+}
+
+func (client *Client) read(ctx context.Context, path string, form any) error {
+	body, err := client.call(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return err
 	}
-	return form.status(), nil
+	return errors.Wrap(json.Unmarshal(body, form), "decode answer")
 }
 
 func (client *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
@@ -96,12 +191,12 @@
 	message.Header.Set("Authorization", "Bearer "+client.token)
 	answer, err := client.http.Do(message)
 	if err != nil {
-		return nil, errors.Wrap(err, "call the entry host")
+		return nil, &UnreachableError{address: client.base, cause: err}
 	}
 	defer answer.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
+		return nil, &UnreachableError{address: client.base, cause: err}
 	}
 	if answer.StatusCode != http.StatusOK {
 		return nil, refusal(answer.StatusCode, data)
--- a/internal/operator/operatorhttp/forms.go
+++ b/internal/operator/operatorhttp/forms.go
@@ -24,6 +24,7 @@
 	DataCentre string `json:"dataCentre"`
 	Pool       string `json:"pool"`
 	Leaving    bool   `json:"leaving"`
+	Circuit    string `json:"circuit"`
 	InFlight   int64  `json:"inFlight"`
 	Failures   int64  `json:"failures"`
 }
@@ -34,6 +35,22 @@
 	Servers []serverForm `json:"servers"`
 }
 
+type leaseForm struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder"`
+	Fence  int64  `json:"fence"`
+}
+
+type leasesForm struct {
+	Leases []leaseForm `json:"leases"`
+}
+
+// drainForm names what is to be drained: one of both.
+type drainForm struct {
+	Node   string `json:"node,omitempty"`
+	Server string `json:"backendServer,omitempty"`
+}
+
 type committedForm struct {
 	Version int64 `json:"version"`
 }
@@ -82,6 +99,7 @@
 			DataCentre: server.DataCentre(),
 			Pool:       server.Pool(),
 			Leaving:    server.Leaving(),
+			Circuit:    server.Circuit(),
 			InFlight:   server.InFlight(),
 			Failures:   server.Failures(),
 		})
@@ -97,7 +115,7 @@
 	servers := make([]operator.ServerStatus, 0, len(form.Servers))
 	for _, server := range form.Servers {
 		servers = append(servers, operator.NewServerStatus(
-			server.ID, server.Address, server.DataCentre, server.Pool, server.Leaving, server.InFlight, server.Failures,
+			server.ID, server.Address, server.DataCentre, server.Pool, server.Leaving, server.Circuit, server.InFlight, server.Failures,
 		))
 	}
 	return operator.NewStatus(form.Self.member(), members, servers)
--- a/internal/operator/operatorhttp/handler.go
+++ b/internal/operator/operatorhttp/handler.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"encoding/json"
 	"expvar"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"sapphirehead/internal/burn"
 	"sapphirehead/internal/operator"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/table"
@@ -20,6 +22,8 @@
 // Types of errors told to operators.
 const (
 	errorTypeUnauthorized = "unauthorized"
+	errorTypeForbidden    = "forbidden"
+	errorTypeNotFound     = "notFound"
 	errorTypeBadRequest   = "badRequest"
 	errorTypeConflict     = "conflict"
 	errorTypeInvalid      = "invalid"
@@ -27,50 +31,158 @@
 	errorTypeUnknown      = "outcomeUnknown"
 )
 
+// Bounds of the history that one call returns.
+const (
+	defaultHistory = 20
+	maxHistory     = 256
+)
+
+// maxDrainBytes bounds the body of a drain.
+const maxDrainBytes = 4096
+
 // Handler serves operators.
 type Handler struct {
-	token  string
-	commit func(ctx context.Context, edit *table.Edit) (*table.Tables, error)
-	stored func(ctx context.Context) (*table.Tables, error)
-	status func() operator.Status
-	refuse func(remote, reason string)
+	token       func(given string) (operator.Token, bool)
+	commit      func(ctx context.Context, by string, edit *table.Edit) (*table.Tables, error)
+	stored      func(ctx context.Context) (*table.Tables, error)
+	history     func(ctx context.Context, row string, limit int) ([]operator.Record, error)
+	status      func() operator.Status
+	leases      func(ctx context.Context) ([]operator.LeaseStatus, error)
+	drainNode   func(ctx context.Context, by, host string) error
+	drainServer func(by, id string) error
+	burn        func(ctx context.Context) burn.Report
+	refuse      func(remote, operator, reason string)
 }
 
-// New returns a handler. Calls without the token are refused and reported to
-// refuse.
+// New returns a handler over the seams of a node. Calls without a token, or
+// with one that does not allow them, are refused and reported to refuse.
 func New(
-	token string,
-	commit func(ctx context.Context, edit *table.Edit) (*table.Tables, error),
+	token func(given string) (operator.Token, bool),
+	commit func(ctx context.Context, by string, edit *table.Edit) (*table.Tables, error),
 	stored func(ctx context.Context) (*table.Tables, error),
+	history func(ctx context.Context, row string, limit int) ([]operator.Record, error),
 	status func() operator.Status,
-	refuse func(remote, reason string),
+	leases func(ctx context.Context) ([]operator.LeaseStatus, error),
+	drainNode func(ctx context.Context, by, host string) error,
+	drainServer func(by, id string) error,
+	burn func(ctx context.Context) burn.Report,
+	refuse func(remote, operator, reason string),
 ) *Handler {
-	return &Handler{token: token, commit: commit, stored: stored, status: status, refuse: refuse}
+	return &Handler{
+		token: token, commit: commit, stored: stored, history: history, status: status, leases: leases,
+		drainNode: drainNode, drainServer: drainServer, burn: burn, refuse: refuse,
+	}
 }
 
 // Router returns the HTTP routes of the handler.
 func (handler *Handler) Router() http.Handler {
 	router := mux.NewRouter()
-	router.Use(handler.authorize)
-	router.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
-	router.HandleFunc("/admin/v1/tables", handler.serveTables).Methods(http.MethodGet)
-	router.HandleFunc("/admin/v1/edits", handler.serveEdit).Methods(http.MethodPost)
-	router.HandleFunc("/admin/v1/status", handler.serveStatus).Methods(http.MethodGet)
+	read := func(path string, serve http.HandlerFunc) {
+		router.Handle(path, handler.authorize(false, serve)).Methods(http.MethodGet)
+	}
+	write := func(path string, serve http.HandlerFunc) {
+		router.Handle(path, handler.authorize(true, serve)).Methods(http.MethodPost)
+	}
+	read("/debug/vars", expvar.Handler().ServeHTTP)
+	read("/admin/v1/tables", handler.serveTables)
+	read("/admin/v1/history", handler.serveHistory)
+	read("/admin/v1/status", handler.serveStatus)
+	read("/admin/v1/leases", handler.serveLeases)
+	read("/admin/v1/burn", handler.serveBurn)
+	write("/admin/v1/edits", handler.serveEdit)
+	write("/admin/v1/drains", handler.serveDrain)
 	return router
 }
 
-func (handler *Handler) authorize(next http.Handler) http.Handler {
+type operatorKey struct{}
+
+func operatorOf(message *http.Request) string {
+	name, _ := message.Context().Value(operatorKey{}).(string)
+	return name
+}
+
+func (handler *Handler) authorize(write bool, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, message *http.Request) {
-		given := []byte(message.Header.Get("Authorization"))
-		if subtle.ConstantTimeCompare(given, []byte("Bearer "+handler.token)) != 1 {
-			handler.refuse(message.RemoteAddr, "missing or wrong token")
-			writeError(writer, http.StatusUnauthorized, errorForm{Type: errorTypeUnauthorized, Message: "the Authorization header must be \"Bearer\" and the operators' token"})
-			return
+		given, ok := strings.CutPrefix(message.Header.Get("Authorization"), "Bearer ")
+		token, known := handler.token(given)
+		switch {
+		case !ok:
+			handler.refuse(message.RemoteAddr, "", "no token")
+			writeError(writer, http.StatusUnauthorized, errorForm{Type: errorTypeUnauthorized, Message: "the Authorization header must be \"Bearer\" and an operator's token"})
+		case !known:
+			handler.refuse(message.RemoteAddr, "", "wrong token")
+			writeError(writer, http.StatusUnauthorized, errorForm{Type: errorTypeUnauthorized, Message: "the token is not one of the settings' operator.tokens"})
+		case write && !token.MayWrite():
+			handler.refuse(message.RemoteAddr, token.Name(), "token may only read")
+			writeError(writer, http.StatusForbidden, errorForm{Type: errorTypeForbidden, Message: "the token of " + strconv.Quote(token.Name()) + " has the role read: use one with the role write"})
+		default:
+			next.ServeHTTP(writer, message.WithContext(context.WithValue(message.Context(), operatorKey{}, token.Name())))
 		}
-		next.ServeHTTP(writer, message)
 	})
 }
 
+func (handler *Handler) serveHistory(writer http.ResponseWriter, message *http.Request) {
+	limit := defaultHistory
+	if text := message.URL.Query().Get("limit"); text != "" {
+		var err error
+		if limit, err = strconv.Atoi(text); err != nil || limit < 1 || limit > maxHistory {
+			writeError(writer, http.StatusBadRequest, errorForm{Type: errorTypeBadRequest, Message: "limit: allowed is a whole number from 1 to " + strconv.Itoa(maxHistory)})
+			return
+		}
+	}
+	records, err := handler.history(message.Context(), message.URL.Query().Get("row"), limit)
+	if err != nil {
+		writeFailure(writer, err)
+		return
+	}
+	body, err := EncodeHistory(records)
+	if err != nil {
+		writeFailure(writer, err)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.Write(body)
+}
+
+func (handler *Handler) serveLeases(writer http.ResponseWriter, message *http.Request) {
+	leases, err := handler.leases(message.Context())
+	if err != nil {
+		writeFailure(writer, err)
+		return
+	}
+	form := leasesForm{Leases: []leaseForm{}}
+	for _, lease := range leases {
+		form.Leases = append(form.Leases, leaseForm{Name: lease.Name(), Holder: lease.Holder(), Fence: lease.Fence()})
+	}
+	writeJSON(writer, http.StatusOK, form)
+}
+
+func (handler *Handler) serveBurn(writer http.ResponseWriter, message *http.Request) {
+	writeJSON(writer, http.StatusOK, burnFormOf(handler.burn(message.Context())))
+}
+
+func (handler *Handler) serveDrain(writer http.ResponseWriter, message *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, message.Body, maxDrainBytes))
+	var form drainForm
+	if err == nil {
+		err = json.Unmarshal(body, &form)
+	}
+	if err != nil || (form.Node == "") == (form.Server == "") {
+		writeError(writer, http.StatusBadRequest, errorForm{Type: errorTypeBadRequest, Message: "the body must name either node or backendServer"})
+		return
+	}
+	if form.Node != "" {
+		err = handler.drainNode(message.Context(), operatorOf(message), form.Node)
+	} else {
+		err = handler.drainServer(operatorOf(message), form.Server)
+	}
+	if err != nil {
+		writeFailure(writer, err)
+		return
+	}
+	writeJSON(writer, http.StatusOK, form)
+}
+
 func (handler *Handler) serveTables(writer http.ResponseWriter, message *http.Request) {
 	tables, err := handler.stored(message.Context())
 	if err != nil {
@@ -97,7 +209,7 @@
 		writeError(writer, http.StatusBadRequest, errorForm{Type: errorTypeBadRequest, Message: err.Error()})
 		return
 	}
-	tables, err := handler.commit(message.Context(), edit)
+	tables, err := handler.commit(message.Context(), operatorOf(message), edit)
 	if err != nil {
 		writeFailure(writer, err)
 		return
@@ -113,8 +225,12 @@
 	var conflict *table.ConflictError
 	var check *table.CheckError
 	var unavailable *platform.UnavailableError
+	var missing *operator.NotFoundError
 	form := errorForm{Message: err.Error()}
 	switch {
+	case errors.As(err, &missing):
+		form.Type = errorTypeNotFound
+		writeError(writer, http.StatusNotFound, form)
 	case errors.As(err, &conflict):
 		form.Type = errorTypeConflict
 		writeError(writer, http.StatusConflict, form)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -1,6 +1,10 @@
 package operator
 
-import "sapphirehead/internal/node"
+import (
+	"strconv"
+
+	"sapphirehead/internal/node"
+)
 
 // Status is what one node reports to operators.
 type Status struct {
@@ -43,13 +47,14 @@
 	dataCentre string
 	pool       string
 	leaving    bool
+	circuit    string
 	inFlight   int64
 	failures   int64
 }
 
 // NewServerStatus returns the report about a backend server.
-func NewServerStatus(id, address, dataCentre, pool string, leaving bool, inFlight, failures int64) ServerStatus {
-	return ServerStatus{id: id, address: address, dataCentre: dataCentre, pool: pool, leaving: leaving, inFlight: inFlight, failures: failures}
+func NewServerStatus(id, address, dataCentre, pool string, leaving bool, circuit string, inFlight, failures int64) ServerStatus {
+	return ServerStatus{id: id, address: address, dataCentre: dataCentre, pool: pool, leaving: leaving, circuit: circuit, inFlight: inFlight, failures: failures}
 }
 
 // ID returns the identity of the server.
@@ -67,8 +72,49 @@
 // Leaving reports whether the server gets no new work.
 func (status ServerStatus) Leaving() bool { return status.leaving }
 
+// Circuit returns the state of the circuit of the reporting node, as in
+// "closed".
+func (status ServerStatus) Circuit() string { return status.circuit }
+
 // InFlight returns the number of attempts of the reporting node.
 func (status ServerStatus) InFlight() int64 { return status.inFlight }
 
 // Failures returns the number of failures in a row.
 func (status ServerStatus) Failures() int64 { return status.failures }
+
+// LeaseStatus is one lease as the platform stores it.
+type LeaseStatus struct {
+	name   string
+	holder string
+	fence  int64
+}
+
+// NewLeaseStatus returns a lease by the name of its object, with the holder
+// and the fencing number.
+func NewLeaseStatus(name, holder string, fence int64) LeaseStatus {
+	return LeaseStatus{name: name, holder: holder, fence: fence}
+}
+
+// Name returns the name of the lease object, as in "runners.lj-a".
+func (status LeaseStatus) Name() string { return status.name }
+
+// Holder returns the host that took or renewed the lease last.
+func (status LeaseStatus) Holder() string { return status.holder }
+
+// Fence returns the fencing number of orders under the lease.
+func (status LeaseStatus) Fence() int64 { return status.fence }
+
+// NotFoundError says that an operator named something that is not there.
+type NotFoundError struct {
+	what string
+	name string
+}
+
+// NewNotFoundError returns an error for a thing, as in "backend server".
+func NewNotFoundError(what, name string) *NotFoundError {
+	return &NotFoundError{what: what, name: name}
+}
+
+func (err *NotFoundError) Error() string {
+	return "there is no " + err.what + " " + strconv.Quote(err.name) + ": sapphirectl status lists them"
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -18,6 +18,8 @@
 	KindTables = "tables"
 	KindClaims = "claims"
 	KindLeases = "leases"
+	// KindHistory objects are pages of the history of edits.
+	KindHistory = "history"
 )
 
 // TablesName is the name of the one object that holds both tables.
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -4,13 +4,17 @@
 // Every fault of a file is reported, not just the first, with file, line, key
 // and what is allowed:
 //
-//	entry.toml:3: dataCentre: missing: a name such as "lj-a"
-//	entry.toml:9: platform.timeoutMillis: is 0: allowed is 1 to 60000
+//	entry.toml:3: dataCentre: missing: allowed is a text such as "lj-a"
+//	entry.toml:9: platform.timeoutMillis: is 0: allowed is a whole number from 1 to 60000
+//
+// The forms of entry.go and steward.go describe each key by struct tags. The
+// check of a file (walk.go) and the reference in docs/OPERATORS.md
+// (reference.go) both read these tags, so the two can't differ.
 package settings
 
 import (
-	"bytes"
 	"fmt"
+	"regexp"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -18,6 +22,9 @@
 	"github.com/pkg/errors"
 )
 
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 1 << 20
+
 // Problem is one fault of a settings file.
 type Problem struct {
 	file    string
@@ -59,50 +66,50 @@
 	return strings.Join(lines, "\n")
 }
 
-// document is one file with the positions of its keys.
+// document is one file with the positions of its keys. Rows of an array of
+// tables are told apart by their index, as in "clientAccounts[1].name".
 type document struct {
 	file     string
 	lines    map[string]int
 	problems []Problem
 }
 
-// decode fills the form from the data and returns the document for checks.
+// decode fills the form from the data, with defaults for missing keys, and
+// returns the document for checks across keys.
 func decode(file string, data []byte, form any) *document {
-	document := &document{file: file, lines: keyLines(data)}
-	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	err := decoder.Decode(form)
-	var unknown *toml.StrictMissingError
-	var faulty *toml.DecodeError
-	switch {
-	case err == nil:
-	case errors.As(err, &unknown):
-		for _, missing := range unknown.Errors {
-			line, _ := missing.Position()
-			document.reportAt(line, strings.Join(missing.Key(), "."), "unknown key")
-		}
-	case errors.As(err, &faulty):
-		line, _ := faulty.Position()
-		key := strings.Join(faulty.Key(), ".")
-		if key == "" {
-			key = document.keyAt(line)
-		}
-		if key == "" {
-			key = "syntax"
-		}
-		document.reportAt(line, key, strings.TrimPrefix(faulty.Error(), "toml: "))
-	default:
-		document.reportAt(1, "", err.Error())
+	document := &document{file: file, lines: map[string]int{}}
+	if len(data) > maxFileBytes {
+		document.report("size", fmt.Sprintf("is %d bytes: allowed is at most %d", len(data), maxFileBytes))
+		return document
 	}
+	given := map[string]any{}
+	if err := toml.Unmarshal(data, &given); err != nil {
+		document.reportSyntax(err)
+		return document
+	}
+	document.lines = keyLines(data)
+	walk(document, form, given)
 	return document
 }
 
+func (document *document) reportSyntax(err error) {
+	line, message := 1, strings.TrimPrefix(err.Error(), "toml: ")
+	var faulty *toml.DecodeError
+	if errors.As(err, &faulty) {
+		line, _ = faulty.Position()
+	}
+	document.reportAt(line, "syntax", message)
+}
+
 func (document *document) reportAt(line int, key, message string) {
 	document.problems = append(document.problems, Problem{file: document.file, line: line, key: key, message: message})
 }
 
+var rowIndex = regexp.MustCompile(`\[\d+\]`)
+
 // report adds a problem at the line of the key, or of the nearest table.
 func (document *document) report(key, message string) {
-	document.reportAt(document.line(key), key, message)
+	document.reportAt(document.line(key), rowIndex.ReplaceAllString(key, ""), message)
 }
 
 func (document *document) line(key string) int {
@@ -110,7 +117,7 @@
 		if line, ok := document.lines[key]; ok {
 			return line
 		}
-		end := strings.LastIndexByte(key, '.')
+		end := strings.LastIndexAny(key, ".[")
 		if end < 0 {
 			return 1
 		}
@@ -118,15 +125,6 @@
 	}
 }
 
-func (document *document) keyAt(line int) string {
-	for key, at := range document.lines {
-		if at == line {
-			return key
-		}
-	}
-	return ""
-}
-
 func (document *document) err() error {
 	if len(document.problems) == 0 {
 		return nil
@@ -134,50 +132,47 @@
 	return &Error{problems: document.problems}
 }
 
-func (document *document) text(key, value, example string) {
-	if value == "" {
-		document.report(key, fmt.Sprintf("missing: a text such as %q", example))
-	}
-}
-
-func (document *document) number(key string, value, low, high int64) {
-	if value < low || value > high {
-		document.report(key, fmt.Sprintf("is %d: allowed is %d to %d", value, low, high))
-	}
-}
-
-func (document *document) address(key, value string) {
-	colon := strings.LastIndexByte(value, ':')
-	if colon <= 0 || colon == len(value)-1 {
-		document.report(key, fmt.Sprintf("is %q: allowed is an IP number and a port such as \"127.0.0.1:7000\"", value))
-	}
-}
-
-// keyLines returns the line of each dotted key. Rows of an array of tables
-// share the key of the array; the last one counts.
+// keyLines returns the line of each dotted key.
 func keyLines(data []byte) map[string]int {
-	lines := map[string]int{}
+	lines, rows := map[string]int{}, map[string]int{}
 	parser := &unstable.Parser{}
 	parser.Reset(data)
 	prefix := ""
 	for parser.NextExpression() {
 		expression := parser.Expression()
-		key, line := keyOf(parser, expression)
+		parts, line := keyOf(parser, expression)
 		switch expression.Kind {
-		case unstable.Table, unstable.ArrayTable:
-			prefix = key + "."
-			lines[key] = line
+		case unstable.ArrayTable:
+			name := indexed(parts[:len(parts)-1], rows, parts[len(parts)-1])
+			row := fmt.Sprintf("%s[%d]", name, rows[name])
+			rows[name]++
+			lines[row], prefix = line, row+"."
+		case unstable.Table:
+			name := indexed(parts[:len(parts)-1], rows, parts[len(parts)-1])
+			lines[name], prefix = line, name+"."
 		case unstable.KeyValue:
-			lines[prefix+key] = line
+			lines[prefix+strings.Join(parts, ".")] = line
 		default:
 		}
 	}
 	return lines
 }
 
-func keyOf(parser *unstable.Parser, expression *unstable.Node) (string, int) {
-	var parts []string
-	line := 0
+// indexed joins the parts of a table's name. A part that names an array of
+// tables stands for its latest row.
+func indexed(parts []string, rows map[string]int, last string) string {
+	name := ""
+	for _, part := range parts {
+		name += part
+		if count := rows[name]; count > 0 {
+			name += fmt.Sprintf("[%d]", count-1)
+		}
+		name += "."
+	}
+	return name + last
+}
+
+func keyOf(parser *unstable.Parser, expression *unstable.Node) (parts []string, line int) {
 	for keys := expression.Key(); keys.Next(); {
 		node := keys.Node()
 		parts = append(parts, string(node.Data))
@@ -185,5 +180,5 @@
 			line = parser.Shape(node.Raw).Start.Line
 		}
 	}
-	return strings.Join(parts, "."), line
+	return parts, line
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -3,64 +3,85 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/pkg/errors"
 
+	"sapphirehead/internal/caller"
 	"sapphirehead/internal/clock"
 )
 
-// Bounds and defaults of settings.
-const (
-	maxTimeoutMillis     = 60_000
-	defaultTimeoutMillis = 1_000
-	maxGraceMillis       = 600_000
-	defaultGraceMillis   = 30_000
-	defaultReadyOff      = 2_000
-	maxInFlight          = 1_000_000
-	defaultInFlight      = 4_096
-	minTokenLength       = 8
-)
-
 type callerForm struct {
-	Listen      string `toml:"listen"`
-	MaxInFlight int64  `toml:"maxInFlight"`
+	Listen      string   `toml:"listen" required:"true" format:"address" help:"address on which callers are served; port 0 takes a free one"`
+	MaxInFlight int64    `toml:"maxInFlight" default:"4096" min:"1" max:"1000000" help:"requests in flight at this node before it refuses more"`
+	TLS         *tlsForm `toml:"tls"`
 }
 
 type operatorForm struct {
-	Listen string `toml:"listen"`
-	Token  string `toml:"token"`
+	Listen string      `toml:"listen" required:"true" format:"address" help:"address of the operators' API and of the metrics"`
+	Token  string      `toml:"token" format:"secret" help:"short for one token with the name operator and the role write"`
+	Tokens []tokenForm `toml:"tokens"`
+	TLS    *tlsForm    `toml:"tls"`
+}
+
+type tokenForm struct {
+	Name      string `toml:"name" required:"true" example:"night-shift" help:"name of the operator in logs and in the history"`
+	Role      string `toml:"role" default:"write" oneOf:"read write" help:"a reader may not send edits and drains"`
+	Token     string `toml:"token" format:"secret" help:"the token itself"`
+	TokenHash string `toml:"tokenHash" format:"hash" help:"the token's hash in its place"`
+}
+
+type tlsForm struct {
+	CertFile string `toml:"certFile" required:"true" format:"file" example:"/etc/sapphirehead/cert.pem" help:"certificate chain; read again when it changes"`
+	KeyFile  string `toml:"keyFile" required:"true" format:"file" example:"/etc/sapphirehead/key.pem" help:"private key; read again when it changes"`
+	CAFile   string `toml:"caFile" format:"file" example:"/etc/sapphirehead/ca.pem" help:"authorities that must have signed the other side's certificate; needed for node"`
+	PeerName string `toml:"peerName" example:"sapphire-node" help:"name that a fellow node's certificate must carry; without it the IP number"`
 }
 
 type nodeForm struct {
-	Listen  string   `toml:"listen"`
-	Fellows []string `toml:"fellows"`
+	Listen  string   `toml:"listen" required:"true" format:"address" help:"address on which fellow nodes are served"`
+	Fellows []string `toml:"fellows" format:"address" help:"fellow nodes to begin with; the rest is learnt from them"`
+	TLS     *tlsForm `toml:"tls"`
 }
 
 type serverForm struct {
-	Address       string `toml:"address"`
-	TimeoutMillis int64  `toml:"timeoutMillis"`
+	Address       string `toml:"address" required:"true" format:"address" help:"address of the peer"`
+	TimeoutMillis int64  `toml:"timeoutMillis" default:"1000" min:"1" max:"60000" help:"time that one call may take"`
 }
 
 type stopForm struct {
-	ReadyOffMillis int64 `toml:"readyOffMillis"`
-	GraceMillis    int64 `toml:"graceMillis"`
+	ReadyOffMillis int64 `toml:"readyOffMillis" default:"2000" min:"1" max:"600000" help:"time between telling the balancer and refusing new requests"`
+	GraceMillis    int64 `toml:"graceMillis" default:"30000" min:"1" max:"600000" help:"time that requests in progress get to finish"`
 }
 
 type accountForm struct {
-	Name        string `toml:"name"`
-	Key         string `toml:"key"`
-	MaxInFlight int64  `toml:"maxInFlight"`
+	Name        string   `toml:"name" required:"true" example:"garage-north" help:"name of the client account in logs and reports"`
+	Key         string   `toml:"key" format:"secret" help:"key of the account's callers"`
+	KeyHash     string   `toml:"keyHash" format:"hash" help:"the key's hash in its place"`
+	Keys        []string `toml:"keys" format:"secret" help:"more keys, valid at the same time, for rotation"`
+	KeyHashes   []string `toml:"keyHashes" format:"hash" help:"hashes of more keys"`
+	MaxInFlight int64    `toml:"maxInFlight" default:"0" min:"0" max:"1000000" help:"requests in flight at this node; 0 for no bound"`
+}
+
+type burnForm struct {
+	ObjectivePercent float64 `toml:"objectivePercent" default:"95" min:"50" max:"99.99" help:"share of requests that must keep their route's targets"`
+}
+
+type logForm struct {
+	Level string `toml:"level" default:"info" oneOf:"debug info warn error" help:"least level of a line"`
 }
 
 type entryForm struct {
-	Host           string        `toml:"host"`
-	DataCentre     string        `toml:"dataCentre"`
+	Host           string        `toml:"host" required:"true" example:"entry-1" help:"name of this host, unique"`
+	DataCentre     string        `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
 	Caller         callerForm    `toml:"caller"`
 	Operator       operatorForm  `toml:"operator"`
 	Node           nodeForm      `toml:"node"`
 	Platform       serverForm    `toml:"platform"`
-	Cloud          serverForm    `toml:"cloud"`
+	Cloud          *serverForm   `toml:"cloud"`
 	Stop           stopForm      `toml:"stop"`
+	Burn           burnForm      `toml:"burn"`
+	Log            logForm       `toml:"log"`
 	ClientAccounts []accountForm `toml:"clientAccounts"`
 }
 
@@ -76,22 +97,60 @@
 // Timeout returns the time that one call may take.
 func (server Server) Timeout() clock.Millis { return server.timeout }
 
-// Account is one client account.
+// Account is one client account. Only hashes of its keys are kept.
 type Account struct {
 	name        string
-	key         string
+	keyHashes   []string
 	maxInFlight int
 }
 
 // Name returns the name of the account.
 func (account Account) Name() string { return account.name }
 
-// Key returns the key of the account's callers. It must never be logged.
-func (account Account) Key() string { return account.key }
+// KeyHashes returns the hashes of the keys of the account's callers, as
+// caller.HashKey makes them.
+func (account Account) KeyHashes() []string { return account.keyHashes }
 
 // MaxInFlight returns the bound on requests in flight, or 0 for none.
 func (account Account) MaxInFlight() int { return account.maxInFlight }
 
+// Token is one operator's token. Only its hash is kept.
+type Token struct {
+	name     string
+	hash     string
+	mayWrite bool
+}
+
+// Name returns the name of the operator.
+func (token Token) Name() string { return token.name }
+
+// Hash returns the token's hash, as caller.HashKey makes it.
+func (token Token) Hash() string { return token.hash }
+
+// MayWrite reports whether the operator may send edits and drains.
+func (token Token) MayWrite() bool { return token.mayWrite }
+
+// TLS names the files for one listener.
+type TLS struct {
+	certFile string
+	keyFile  string
+	caFile   string
+	peerName string
+}
+
+// CertFile returns the path of the certificate chain.
+func (tls *TLS) CertFile() string { return tls.certFile }
+
+// KeyFile returns the path of the private key.
+func (tls *TLS) KeyFile() string { return tls.keyFile }
+
+// CAFile returns the path of the authorities of the other side, or empty.
+func (tls *TLS) CAFile() string { return tls.caFile }
+
+// PeerName returns the name that a fellow node's certificate must carry, or
+// empty for its IP number.
+func (tls *TLS) PeerName() string { return tls.peerName }
+
 // Entry is the settings of sapphire-entry.
 type Entry struct {
 	host           string
@@ -99,7 +158,12 @@
 	callerListen   string
 	maxInFlight    int64
 	operatorListen string
-	operatorToken  string
+	operatorTokens []Token
+	callerTLS      *TLS
+	operatorTLS    *TLS
+	nodeTLS        *TLS
+	objective      float64
+	logLevel       string
 	nodeListen     string
 	fellows        []string
 	platform       Server
@@ -124,8 +188,24 @@
 // OperatorListen returns the address on which operators are served.
 func (entry *Entry) OperatorListen() string { return entry.operatorListen }
 
-// OperatorToken returns the operators' token. It must never be logged.
-func (entry *Entry) OperatorToken() string { return entry.operatorToken }
+// OperatorTokens returns the operators' tokens.
+func (entry *Entry) OperatorTokens() []Token { return entry.operatorTokens }
+
+// CallerTLS returns the files for callers, or nil for plain HTTP.
+func (entry *Entry) CallerTLS() *TLS { return entry.callerTLS }
+
+// OperatorTLS returns the files for operators, or nil for plain HTTP.
+func (entry *Entry) OperatorTLS() *TLS { return entry.operatorTLS }
+
+// NodeTLS returns the files for links between nodes, or nil for plain TCP.
+func (entry *Entry) NodeTLS() *TLS { return entry.nodeTLS }
+
+// Objective returns the share of requests, from 0 to 1, that must keep their
+// route's targets.
+func (entry *Entry) Objective() float64 { return entry.objective }
+
+// LogLevel returns the least level of a line of the log.
+func (entry *Entry) LogLevel() string { return entry.logLevel }
 
 // NodeListen returns the address on which fellow nodes are served.
 func (entry *Entry) NodeListen() string { return entry.nodeListen }
@@ -165,7 +245,6 @@
 	if err := document.err(); err != nil {
 		return nil, err
 	}
-	form.fill()
 	form.check(document)
 	if err := document.err(); err != nil {
 		return nil, err
@@ -173,60 +252,104 @@
 	return form.entry(), nil
 }
 
-func (form *entryForm) fill() {
-	setDefault(&form.Caller.MaxInFlight, defaultInFlight)
-	setDefault(&form.Platform.TimeoutMillis, defaultTimeoutMillis)
-	setDefault(&form.Cloud.TimeoutMillis, defaultTimeoutMillis)
-	setDefault(&form.Stop.GraceMillis, defaultGraceMillis)
-	setDefault(&form.Stop.ReadyOffMillis, defaultReadyOff)
-}
+// Names of roles and of the operator behind the short form of a token.
+const (
+	roleWrite       = "write"
+	defaultOperator = "operator"
+)
 
-func setDefault(value *int64, fallback int64) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
+// percent is the scale of percentages.
+const percent = 100
 
+// check reports faults that concern several keys.
 func (form *entryForm) check(document *document) {
-	document.text("host", form.Host, "entry-1")
-	document.text("dataCentre", form.DataCentre, "lj-a")
-	document.address("caller.listen", form.Caller.Listen)
-	document.number("caller.maxInFlight", form.Caller.MaxInFlight, 1, maxInFlight)
-	document.address("operator.listen", form.Operator.Listen)
-	if len(form.Operator.Token) < minTokenLength {
-		document.report("operator.token", fmt.Sprintf("has %d characters: allowed is %d or more", len(form.Operator.Token), minTokenLength))
-	}
-	document.address("node.listen", form.Node.Listen)
-	for _, fellow := range form.Node.Fellows {
-		document.address("node.fellows", fellow)
-	}
-	document.address("platform.address", form.Platform.Address)
-	document.number("platform.timeoutMillis", form.Platform.TimeoutMillis, 1, maxTimeoutMillis)
-	if form.Cloud.Address != "" {
-		document.address("cloud.address", form.Cloud.Address)
-	}
-	document.number("cloud.timeoutMillis", form.Cloud.TimeoutMillis, 1, maxTimeoutMillis)
-	document.number("stop.graceMillis", form.Stop.GraceMillis, 1, maxGraceMillis)
-	document.number("stop.readyOffMillis", form.Stop.ReadyOffMillis, 1, maxGraceMillis)
+	form.checkTokens(document)
 	form.checkAccounts(document)
+	if form.Node.TLS != nil && form.Node.TLS.CAFile == "" {
+		document.report("node.tls.caFile", "missing: links between nodes need the authorities of fellow nodes")
+	}
+}
+
+func (form *entryForm) checkTokens(document *document) {
+	if form.Operator.Token == "" && len(form.Operator.Tokens) == 0 {
+		document.report("operator.tokens", "missing: give operator.token or at least one [[operator.tokens]]")
+	}
+	names, hashes := map[string]bool{}, map[string]bool{hashOf(form.Operator.Token, ""): form.Operator.Token != ""}
+	for i, token := range form.Operator.Tokens {
+		key := fmt.Sprintf("operator.tokens[%d]", i)
+		if (token.Token == "") == (token.TokenHash == "") {
+			document.report(key+".token", fmt.Sprintf("of %q: give either token or tokenHash", token.Name))
+			continue
+		}
+		hash := hashOf(token.Token, token.TokenHash)
+		checkUnique(document, key, names, token.Name, hashes, hash)
+	}
 }
 
 func (form *entryForm) checkAccounts(document *document) {
-	names, keys := map[string]bool{}, map[string]bool{}
-	for _, account := range form.ClientAccounts {
-		document.text("clientAccounts.name", account.Name, "garage-north")
-		if len(account.Key) < minTokenLength {
-			document.report("clientAccounts.key", fmt.Sprintf("of account %q has %d characters: allowed is %d or more", account.Name, len(account.Key), minTokenLength))
+	names, hashes := map[string]bool{}, map[string]bool{}
+	for i, account := range form.ClientAccounts {
+		key := fmt.Sprintf("clientAccounts[%d]", i)
+		given := account.hashes()
+		if len(given) == 0 {
+			document.report(key+".key", fmt.Sprintf("of account %q is missing: give key, keyHash, keys or keyHashes", account.Name))
 		}
-		document.number("clientAccounts.maxInFlight", account.MaxInFlight, 0, maxInFlight)
-		if names[account.Name] {
-			document.report("clientAccounts.name", fmt.Sprintf("%q stands twice: each must be unique", account.Name))
+		checkUnique(document, key, names, account.Name, hashes, given...)
+	}
+}
+
+// checkUnique reports a name or a hash of a secret that an earlier row has.
+func checkUnique(document *document, key string, names map[string]bool, name string, hashes map[string]bool, given ...string) {
+	if names[name] {
+		document.report(key+".name", fmt.Sprintf("%q stands twice: each must be unique", name))
+	}
+	names[name] = true
+	for _, hash := range given {
+		if hashes[hash] {
+			document.report(key+".name", fmt.Sprintf("a secret of %q stands twice: each must be unique", name))
 		}
-		if keys[account.Key] {
-			document.report("clientAccounts.key", fmt.Sprintf("of account %q belongs to another account too: each must be unique", account.Name))
+		hashes[hash] = true
+	}
+}
+
+func hashOf(secret, hash string) string {
+	if hash != "" {
+		return strings.ToLower(hash)
+	}
+	return caller.HashKey(secret)
+}
+
+func (form accountForm) hashes() []string {
+	var hashes []string
+	for _, secret := range append([]string{form.Key}, form.Keys...) {
+		if secret != "" {
+			hashes = append(hashes, hashOf(secret, ""))
 		}
-		names[account.Name], keys[account.Key] = true, true
 	}
+	for _, hash := range append([]string{form.KeyHash}, form.KeyHashes...) {
+		if hash != "" {
+			hashes = append(hashes, hashOf("", hash))
+		}
+	}
+	return hashes
+}
+
+func (form *operatorForm) tokens() []Token {
+	var tokens []Token
+	if form.Token != "" {
+		tokens = append(tokens, Token{name: defaultOperator, hash: hashOf(form.Token, ""), mayWrite: true})
+	}
+	for _, token := range form.Tokens {
+		tokens = append(tokens, Token{name: token.Name, hash: hashOf(token.Token, token.TokenHash), mayWrite: token.Role == roleWrite})
+	}
+	return tokens
+}
+
+func (form *tlsForm) tls() *TLS {
+	if form == nil {
+		return nil
+	}
+	return &TLS{certFile: form.CertFile, keyFile: form.KeyFile, caFile: form.CAFile, peerName: form.PeerName}
 }
 
 func (form *entryForm) entry() *Entry {
@@ -236,20 +359,28 @@
 		callerListen:   form.Caller.Listen,
 		maxInFlight:    form.Caller.MaxInFlight,
 		operatorListen: form.Operator.Listen,
-		operatorToken:  form.Operator.Token,
+		operatorTokens: form.Operator.tokens(),
+		callerTLS:      form.Caller.TLS.tls(),
+		operatorTLS:    form.Operator.TLS.tls(),
+		nodeTLS:        form.Node.TLS.tls(),
 		nodeListen:     form.Node.Listen,
 		fellows:        form.Node.Fellows,
 		platform:       form.Platform.server(),
 		cloud:          form.Cloud.server(),
 		readyOff:       clock.Millis(form.Stop.ReadyOffMillis),
 		grace:          clock.Millis(form.Stop.GraceMillis),
+		objective:      form.Burn.ObjectivePercent / percent,
+		logLevel:       form.Log.Level,
 	}
 	for _, account := range form.ClientAccounts {
-		entry.accounts = append(entry.accounts, Account{name: account.Name, key: account.Key, maxInFlight: int(account.MaxInFlight)})
+		entry.accounts = append(entry.accounts, Account{name: account.Name, keyHashes: account.hashes(), maxInFlight: int(account.MaxInFlight)})
 	}
 	return entry
 }
 
-func (form serverForm) server() Server {
+func (form *serverForm) server() Server {
+	if form == nil {
+		return Server{}
+	}
 	return Server{address: form.Address, timeout: clock.Millis(form.TimeoutMillis)}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,10 +1,12 @@
 package settings_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"sapphirehead/internal/caller"
 	"sapphirehead/internal/settings"
 )
 
@@ -25,6 +27,8 @@
 address = "127.0.0.1:9000"
 `
 
+const accountRow = "[[clientAccounts]]\nname = \"garage-north\"\nkey = \"key-garage-north\"\n"
+
 // expectProblem checks that exactly one problem is reported, as one line.
 func expectProblem(t *testing.T, data, line string) {
 	t.Helper()
@@ -43,20 +47,122 @@
 		require.Equal(t, "127.0.0.1:9000", entry.Platform().Address())
 	})
 	t.Run("unknown key", func(t *testing.T) {
-		expectProblem(t, validEntry+"colour = \"x\"\n", "entry.toml:16: platform.colour: unknown key")
+		expectProblem(t, validEntry+"colour = \"x\"\n", "entry.toml:16: platform.colour: unknown key: allowed are address, timeoutMillis")
 	})
 	t.Run("wrong type", func(t *testing.T) {
 		expectProblem(t, validEntry+"timeoutMillis = \"soon\"\n",
-			"entry.toml:16: platform.timeoutMillis: cannot decode TOML string into struct field settings.serverForm.TimeoutMillis of type int64")
+			"entry.toml:16: platform.timeoutMillis: is a text: allowed is a whole number from 1 to 60000")
 	})
 	t.Run("out of range", func(t *testing.T) {
-		expectProblem(t, validEntry+"timeoutMillis = 70000\n", "entry.toml:16: platform.timeoutMillis: is 70000: allowed is 1 to 60000")
+		expectProblem(t, validEntry+"timeoutMillis = 70000\n", "entry.toml:16: platform.timeoutMillis: is 70000: allowed is a whole number from 1 to 60000")
 	})
 	t.Run("missing", func(t *testing.T) {
 		expectProblem(t, validEntry+"[[clientAccounts]]\nkey = \"key-garage-north\"\n",
-			"entry.toml:16: clientAccounts.name: missing: a text such as \"garage-north\"")
+			"entry.toml:16: clientAccounts.name: missing: allowed is a text such as \"garage-north\"")
+	})
+	t.Run("explicit zero is not a default", func(t *testing.T) {
+		expectProblem(t, validEntry+"timeoutMillis = 0\n", "entry.toml:16: platform.timeoutMillis: is 0: allowed is a whole number from 1 to 60000")
+	})
+	t.Run("host name for an IP number", func(t *testing.T) {
+		expectProblem(t, strings.Replace(validEntry, "127.0.0.1:9000", "platform:9000", 1),
+			`entry.toml:15: platform.address: is "platform:9000": allowed is an IP number and a port such as "127.0.0.1:7000"`)
+	})
+	t.Run("row of its own in an array", func(t *testing.T) {
+		expectProblem(t, validEntry+accountRow+"maxInFlight = -1\n"+strings.ReplaceAll(accountRow, "north", "south")+"maxInFlight = 5\n",
+			"entry.toml:19: clientAccounts.maxInFlight: is -1: allowed is a whole number from 0 to 1000000")
+	})
+	t.Run("account without a key", func(t *testing.T) {
+		expectProblem(t, validEntry+"[[clientAccounts]]\nname = \"garage-north\"\n",
+			`entry.toml:16: clientAccounts.key: of account "garage-north" is missing: give key, keyHash, keys or keyHashes`)
+	})
+	t.Run("link without authorities", func(t *testing.T) {
+		expectProblem(t, validEntry+"[node.tls]\ncertFile = \"a\"\nkeyFile = \"b\"\n",
+			"entry.toml:16: node.tls.caFile: missing: links between nodes need the authorities of fellow nodes")
 	})
 	t.Run("syntax", func(t *testing.T) {
 		expectProblem(t, "host = \n", "entry.toml:1: syntax: unexpected character U+000A at start of value")
 	})
 }
+
+func TestEveryFaultIsReported(t *testing.T) {
+	_, err := settings.ParseEntry("entry.toml", []byte("host = 3\ncolour = 1\n[caller]\nlisten = \"x\"\n"))
+	var faults *settings.Error
+	require.ErrorAs(t, err, &faults)
+	var keys []string
+	for _, problem := range faults.Problems() {
+		keys = append(keys, problem.Key())
+	}
+	require.Equal(t, []string{"host", "dataCentre", "caller.listen", "operator.listen", "node.listen", "platform.address", "colour"}, keys)
+}
+
+func TestSecrets(t *testing.T) {
+	parse := func(t *testing.T, data string) *settings.Entry {
+		entry, err := settings.ParseEntry("entry.toml", []byte(data))
+		require.NoError(t, err)
+		return entry
+	}
+	t.Run("keys and hashes for rotation", func(t *testing.T) {
+		old, next := caller.HashKey("key-garage-north"), caller.HashKey("key-garage-north-2")
+		entry := parse(t, validEntry+accountRow+"keyHashes = [\""+strings.ToUpper(next)+"\"]\n")
+		require.Equal(t, []string{old, next}, entry.Accounts()[0].KeyHashes())
+	})
+	t.Run("tokens with roles", func(t *testing.T) {
+		entry := parse(t, validEntry+"[[operator.tokens]]\nname = \"desk\"\nrole = \"read\"\ntoken = \"token-of-the-desk\"\n")
+		require.Len(t, entry.OperatorTokens(), 2)
+		require.True(t, entry.OperatorTokens()[0].MayWrite())
+		require.Equal(t, "desk", entry.OperatorTokens()[1].Name())
+		require.False(t, entry.OperatorTokens()[1].MayWrite())
+	})
+	t.Run("no error repeats a secret", func(t *testing.T) {
+		for _, data := range []string{
+			validEntry + accountRow + strings.Replace(accountRow, "north\"\nkey", "south\"\nkey", 1),
+			validEntry + strings.Replace(accountRow, "key =", "keyHash =", 1),
+			validEntry + strings.Replace(accountRow, "key =", "keys =", 1),
+			strings.Replace(validEntry, "token-of-operators", "short", 1),
+			validEntry + accountRow + "key = \"key-garage-north-2\"\n",
+		} {
+			_, err := settings.ParseEntry("entry.toml", []byte(data))
+			require.Error(t, err)
+			require.NotContains(t, err.Error(), "key-garage")
+			require.NotContains(t, err.Error(), "short")
+		}
+	})
+}
+
+func TestReference(t *testing.T) {
+	for name, keys := range map[string][]settings.Key{"entry": settings.EntryReference(), "steward": settings.StewardReference()} {
+		for _, key := range keys {
+			t.Run(name+" "+key.Name(), func(t *testing.T) {
+				require.NotEmpty(t, key.Help())
+				require.NotContains(t, key.Allowed(), "from  to", "bounds are missing")
+			})
+		}
+	}
+}
+
+func FuzzParseEntry(f *testing.F) {
+	f.Add([]byte(validEntry + accountRow))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entry, err := settings.ParseEntry("entry.toml", data)
+		var faults *settings.Error
+		if err != nil {
+			require.ErrorAs(t, err, &faults)
+			require.NotEmpty(t, err.Error())
+			return
+		}
+		require.NotEmpty(t, entry.Host())
+	})
+}
+
+func FuzzParseSteward(f *testing.F) {
+	f.Add([]byte("host = \"entry-1\"\ndataCentre = \"lj-a\"\n[platform]\naddress = \"127.0.0.1:1\"\n[cloud]\naddress = \"127.0.0.1:1\"\n[weightStore]\naddress = \"127.0.0.1:1\"\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		steward, err := settings.ParseSteward("steward.toml", data)
+		var faults *settings.Error
+		if err != nil {
+			require.ErrorAs(t, err, &faults)
+			return
+		}
+		require.Positive(t, steward.Lease())
+	})
+}
--- a/internal/settings/steward.go
+++ b/internal/settings/steward.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/pkg/errors"
@@ -8,21 +9,15 @@
 	"sapphirehead/internal/clock"
 )
 
-const (
-	defaultLeaseMillis = 10_000
-	minLeaseMillis     = 500
-	maxLeaseMillis     = 120_000
-	defaultRoundMillis = 1_000
-)
-
 type stewardForm struct {
-	Host        string     `toml:"host"`
-	DataCentre  string     `toml:"dataCentre"`
+	Host        string     `toml:"host" required:"true" example:"entry-1" help:"name of this host, unique"`
+	DataCentre  string     `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
 	Platform    serverForm `toml:"platform"`
 	Cloud       serverForm `toml:"cloud"`
 	WeightStore serverForm `toml:"weightStore"`
-	LeaseMillis int64      `toml:"leaseMillis"`
-	RoundMillis int64      `toml:"roundMillis"`
+	LeaseMillis int64      `toml:"leaseMillis" default:"10000" min:"500" max:"120000" help:"duration of a lease; a successor acts after it"`
+	RoundMillis int64      `toml:"roundMillis" default:"1000" min:"1" max:"60000" help:"time between two rounds of control; at most half of leaseMillis"`
+	Log         logForm    `toml:"log"`
 }
 
 // Steward is the settings of sapphire-steward.
@@ -34,8 +29,12 @@
 	weightStore Server
 	lease       clock.Millis
 	round       clock.Millis
+	logLevel    string
 }
 
+// LogLevel returns the least level of a line of the log.
+func (steward *Steward) LogLevel() string { return steward.logLevel }
+
 // Host returns the name of this host.
 func (steward *Steward) Host() string { return steward.host }
 
@@ -73,11 +72,6 @@
 	if err := document.err(); err != nil {
 		return nil, err
 	}
-	setDefault(&form.Platform.TimeoutMillis, defaultTimeoutMillis)
-	setDefault(&form.Cloud.TimeoutMillis, defaultTimeoutMillis)
-	setDefault(&form.WeightStore.TimeoutMillis, defaultTimeoutMillis)
-	setDefault(&form.LeaseMillis, defaultLeaseMillis)
-	setDefault(&form.RoundMillis, defaultRoundMillis)
 	form.check(document)
 	if err := document.err(); err != nil {
 		return nil, err
@@ -90,18 +84,13 @@
 		weightStore: form.WeightStore.server(),
 		lease:       clock.Millis(form.LeaseMillis),
 		round:       clock.Millis(form.RoundMillis),
+		logLevel:    form.Log.Level,
 	}, nil
 }
 
+// check reports faults that concern several keys.
 func (form *stewardForm) check(document *document) {
-	document.text("host", form.Host, "entry-1")
-	document.text("dataCentre", form.DataCentre, "lj-a")
-	document.address("platform.address", form.Platform.Address)
-	document.number("platform.timeoutMillis", form.Platform.TimeoutMillis, 1, maxTimeoutMillis)
-	document.address("cloud.address", form.Cloud.Address)
-	document.number("cloud.timeoutMillis", form.Cloud.TimeoutMillis, 1, maxTimeoutMillis)
-	document.address("weightStore.address", form.WeightStore.Address)
-	document.number("weightStore.timeoutMillis", form.WeightStore.TimeoutMillis, 1, maxTimeoutMillis)
-	document.number("leaseMillis", form.LeaseMillis, minLeaseMillis, maxLeaseMillis)
-	document.number("roundMillis", form.RoundMillis, 1, form.LeaseMillis/2)
+	if form.RoundMillis > form.LeaseMillis/2 {
+		document.report("roundMillis", fmt.Sprintf("is %d: allowed is at most half of leaseMillis (%d)", form.RoundMillis, form.LeaseMillis))
+	}
 }
--- /dev/null
+++ b/internal/settings/walk.go
@@ -0,0 +1,284 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"net"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Names of the struct tags that describe a key of a form.
+const (
+	tagName     = "toml"
+	tagHelp     = "help"
+	tagDefault  = "default"
+	tagMin      = "min"
+	tagMax      = "max"
+	tagRequired = "required"
+	tagExample  = "example"
+	tagFormat   = "format"
+	tagOneOf    = "oneOf"
+)
+
+// Formats of texts.
+const (
+	// formatAddress is an IP number and a port.
+	formatAddress = "address"
+	// formatFile is the path of a file in PEM form.
+	formatFile = "file"
+	// formatSecret is a key or token, whose value is never printed.
+	formatSecret = "secret"
+	// formatHash is the SHA-256 of a secret in hexadecimal digits.
+	formatHash = "hash"
+)
+
+// minSecretLength is the least length of a key or token.
+const minSecretLength = 8
+
+const hashBytes = 32
+
+// walk fills the form from what a file gives and reports every fault. The
+// form is a pointer to a struct whose tags describe the keys.
+func walk(document *document, form any, given map[string]any) {
+	walkTable(document, "", reflect.ValueOf(form).Elem(), given)
+}
+
+func walkTable(document *document, prefix string, target reflect.Value, given map[string]any) {
+	var names []string
+	for i := range target.NumField() {
+		field := target.Type().Field(i)
+		name := field.Tag.Get(tagName)
+		names = append(names, name)
+		value, present := given[name]
+		if !present {
+			walkMissing(document, prefix+name, target.Field(i), field)
+			continue
+		}
+		walkValue(document, prefix+name, target.Field(i), field, value)
+	}
+	for _, name := range slices.Sorted(maps.Keys(given)) {
+		if !slices.Contains(names, name) {
+			document.report(prefix+name, "unknown key: allowed are "+strings.Join(names, ", "))
+		}
+	}
+}
+
+func walkMissing(document *document, key string, target reflect.Value, field reflect.StructField) {
+	if fallback, ok := field.Tag.Lookup(tagDefault); ok {
+		setText(target, fallback)
+		return
+	}
+	if field.Tag.Get(tagRequired) != "" {
+		document.report(key, "missing: allowed is "+allowed(field))
+		return
+	}
+	if target.Kind() == reflect.Struct {
+		walkTable(document, key+".", target, nil)
+	}
+}
+
+// setText sets a default from its tag.
+func setText(target reflect.Value, text string) {
+	switch target.Kind() {
+	case reflect.String:
+		target.SetString(text)
+	case reflect.Int64:
+		number, _ := strconv.ParseInt(text, 10, 64)
+		target.SetInt(number)
+	case reflect.Float64:
+		number, _ := strconv.ParseFloat(text, 64)
+		target.SetFloat(number)
+	default:
+	}
+}
+
+func walkValue(document *document, key string, target reflect.Value, field reflect.StructField, value any) {
+	wrongType := func() { document.report(key, "is "+kindOf(value)+": allowed is "+allowed(field)) }
+	switch target.Kind() {
+	case reflect.Struct, reflect.Pointer:
+		table, ok := value.(map[string]any)
+		if !ok {
+			wrongType()
+			return
+		}
+		if target.Kind() == reflect.Pointer {
+			target.Set(reflect.New(target.Type().Elem()))
+			target = target.Elem()
+		}
+		walkTable(document, key+".", target, table)
+	case reflect.Slice:
+		list, ok := value.([]any)
+		if !ok {
+			wrongType()
+			return
+		}
+		walkList(document, key, target, field, list)
+	case reflect.String:
+		text, ok := value.(string)
+		if !ok {
+			wrongType()
+			return
+		}
+		target.SetString(text)
+		if fault := faultOfText(field, text); fault != "" {
+			document.report(key, fault+": allowed is "+allowed(field))
+		}
+	default:
+		if !setNumber(target, value) {
+			wrongType()
+			return
+		}
+		checkRange(document, key, target, field)
+	}
+}
+
+func walkList(document *document, key string, target reflect.Value, field reflect.StructField, list []any) {
+	target.Set(reflect.MakeSlice(target.Type(), len(list), len(list)))
+	for i, value := range list {
+		row := key
+		if target.Type().Elem().Kind() == reflect.Struct {
+			row = fmt.Sprintf("%s[%d]", key, i)
+		}
+		walkValue(document, row, target.Index(i), field, value)
+	}
+}
+
+func setNumber(target reflect.Value, value any) bool {
+	switch number := value.(type) {
+	case int64:
+		if target.Kind() == reflect.Int64 {
+			target.SetInt(number)
+			return true
+		}
+		if target.Kind() == reflect.Float64 {
+			target.SetFloat(float64(number))
+			return true
+		}
+	case float64:
+		if target.Kind() == reflect.Float64 {
+			target.SetFloat(number)
+			return true
+		}
+	case bool:
+		if target.Kind() == reflect.Bool {
+			target.SetBool(number)
+			return true
+		}
+	}
+	return false
+}
+
+func checkRange(document *document, key string, target reflect.Value, field reflect.StructField) {
+	low, lowErr := strconv.ParseFloat(field.Tag.Get(tagMin), 64)
+	high, highErr := strconv.ParseFloat(field.Tag.Get(tagMax), 64)
+	if lowErr != nil || highErr != nil {
+		return
+	}
+	value := 0.0
+	if target.Kind() == reflect.Int64 {
+		value = float64(target.Int())
+	} else {
+		value = target.Float()
+	}
+	if !(value >= low && value <= high) {
+		document.report(key, fmt.Sprintf("is %v: allowed is %s", target.Interface(), allowed(field)))
+	}
+}
+
+// faultOfText returns what is wrong with a text, or nothing. It never repeats
+// a secret.
+func faultOfText(field reflect.StructField, text string) string {
+	switch format := field.Tag.Get(tagFormat); {
+	case format == formatAddress && !isAddress(text):
+		return fmt.Sprintf("is %q", text)
+	case format == formatSecret && len(text) < minSecretLength:
+		return fmt.Sprintf("has %d characters", len(text))
+	case format == formatHash && !isHash(text):
+		return fmt.Sprintf("has %d characters or others than hexadecimal digits", len(text))
+	case text == "":
+		return "is empty"
+	}
+	if choices := field.Tag.Get(tagOneOf); choices != "" && !slices.Contains(strings.Split(choices, " "), text) {
+		return fmt.Sprintf("is %q", text)
+	}
+	return ""
+}
+
+func isAddress(text string) bool {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	_, err = strconv.ParseUint(port, 10, 16)
+	return err == nil
+}
+
+func isHash(text string) bool {
+	decoded, err := hex.DecodeString(text)
+	return err == nil && len(decoded) == hashBytes
+}
+
+// kindOf names the type of a value of a file in plain words.
+func kindOf(value any) string {
+	switch value.(type) {
+	case string:
+		return "a text"
+	case int64:
+		return "a whole number"
+	case float64:
+		return "a number with a fraction"
+	case bool:
+		return "true or false"
+	case []any:
+		return "a list"
+	case map[string]any:
+		return "a table"
+	default:
+		return "a date or time"
+	}
+}
+
+// allowed says in plain words which values a key may have.
+func allowed(field reflect.StructField) string {
+	kind := field.Type
+	if kind.Kind() == reflect.Slice {
+		if kind.Elem().Kind() == reflect.Struct {
+			return "one table [[" + field.Tag.Get(tagName) + "]] for each"
+		}
+		return "a list, each " + allowedText(field)
+	}
+	switch kind.Kind() {
+	case reflect.Int64:
+		return "a whole number from " + field.Tag.Get(tagMin) + " to " + field.Tag.Get(tagMax)
+	case reflect.Float64:
+		return "a number from " + field.Tag.Get(tagMin) + " to " + field.Tag.Get(tagMax)
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Struct, reflect.Pointer:
+		return "a table"
+	default:
+		return allowedText(field)
+	}
+}
+
+func allowedText(field reflect.StructField) string {
+	if choices := field.Tag.Get(tagOneOf); choices != "" {
+		return "one of " + strings.ReplaceAll(choices, " ", ", ")
+	}
+	switch field.Tag.Get(tagFormat) {
+	case formatAddress:
+		return `an IP number and a port such as "127.0.0.1:7000"`
+	case formatFile:
+		return `the path of a file in PEM form such as "` + field.Tag.Get(tagExample) + `"`
+	case formatSecret:
+		return fmt.Sprintf("a text of %d characters or more", minSecretLength)
+	case formatHash:
+		return "64 hexadecimal digits, as sapphirectl hash-key prints them"
+	default:
+		return `a text such as "` + field.Tag.Get(tagExample) + `"`
+	}
+}
