Test certificates, tokens and keys of an entry host over real connections

A running entry host refuses an operator's expired certificate, a wrong token and a node of another authority, logs each refusal, and writes no key or token to its log or answers. The test authority is a stand-in that the tests of internal/keys share.

Seen to fail: with the listener of links left plain both link tests fail; with the dialler left plain the link test fails; with the operators' listener left plain the test waits for the refusal in the log until the test's own timeout.

--- /dev/null
+++ b/internal/entry/secure_test.go
@@ -0,0 +1,214 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node/nodepb"
+	"sapphirehead/internal/settings"
+	"sapphirehead/internal/standin/authoritystandin"
+)
+
+// Secrets of the test, none of which may appear in a log or an error.
+const (
+	callerKey     = "key-garage-north"
+	otherKey      = "key-of-nobody-at-all"
+	operatorToken = "token-of-operators"
+	otherToken    = "token-of-nobody"
+)
+
+// logLines collects the log and wakes who waits for a line.
+type logLines struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+	news  chan struct{}
+}
+
+func (lines *logLines) Write(line []byte) (int, error) {
+	lines.mutex.Lock()
+	defer lines.mutex.Unlock()
+	lines.text.Write(line)
+	select {
+	case lines.news <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+func (lines *logLines) String() string {
+	lines.mutex.Lock()
+	defer lines.mutex.Unlock()
+	return lines.text.String()
+}
+
+// expectLine waits for a line that holds every part.
+func (lines *logLines) expectLine(t *testing.T, parts ...string) {
+	t.Helper()
+	for {
+		for line := range strings.Lines(lines.String()) {
+			if holdsAll(line, parts) {
+				return
+			}
+		}
+		<-lines.news
+	}
+}
+
+func holdsAll(line string, parts []string) bool {
+	for _, part := range parts {
+		if !strings.Contains(line, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// securedHost is a running entry host with certificates, and its log.
+type securedHost struct {
+	entry *Entry
+	lines *logLines
+}
+
+func writeFile(t *testing.T, folder, name string, content []byte) string {
+	t.Helper()
+	path := filepath.Join(folder, name)
+	require.NoError(t, os.WriteFile(path, content, 0o600))
+	return path
+}
+
+// startSecured starts an entry host whose certificates the authority signs.
+func startSecured(t *testing.T, name string, authority *authoritystandin.Authority) *securedHost {
+	t.Helper()
+	folder := t.TempDir()
+	cert, key, err := authority.Issue(clock.System().Wall() + clock.Hour)
+	require.NoError(t, err)
+	files := fmt.Sprintf("certFile = %q\nkeyFile = %q\ncaFile = %q\n",
+		writeFile(t, folder, "cert.pem", cert), writeFile(t, folder, "key.pem", key), writeFile(t, folder, "ca.pem", authority.Certificate()))
+	loaded, err := settings.ParseEntry("entry.toml", []byte(fmt.Sprintf(`host = %q
+dataCentre = "lj-a"
+[caller]
+listen = "127.0.0.1:0"
+[operator]
+listen = "127.0.0.1:0"
+token = %q
+[operator.tls]
+%s
+[node]
+listen = "127.0.0.1:0"
+[node.tls]
+%s
+[platform]
+address = "127.0.0.1:1"
+[stop]
+readyOffMillis = 1
+[[clientAccounts]]
+name = "garage-north"
+key = %q
+`, name, operatorToken, files, files, callerKey)))
+	require.NoError(t, err)
+	host := &securedHost{lines: &logLines{news: make(chan struct{}, 1)}}
+	host.entry, err = New(loaded, clock.System(), zerolog.New(host.lines))
+	require.NoError(t, err)
+	stop, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- host.entry.Run(stop, context.Background()) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return host
+}
+
+// operate calls the operators' API with a certificate that ends at the time.
+func (host *securedHost) operate(t *testing.T, authority *authoritystandin.Authority, until clock.Millis, token string) (int, error) {
+	t.Helper()
+	cert, key, err := authority.Issue(until)
+	require.NoError(t, err)
+	pair, err := tls.X509KeyPair(cert, key)
+	require.NoError(t, err)
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(authority.Certificate())
+	transport := &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots, Certificates: []tls.Certificate{pair}}}
+	defer transport.CloseIdleConnections()
+	return get(t, &http.Client{Transport: transport}, "https://"+host.entry.OperatorAddress()+"/admin/v1/status", token)
+}
+
+func get(t *testing.T, client *http.Client, address, secret string) (int, error) {
+	t.Helper()
+	message, err := http.NewRequest(http.MethodGet, address, nil)
+	require.NoError(t, err)
+	message.Header.Set("Authorization", "Bearer "+secret)
+	answer, err := client.Do(message)
+	if err != nil {
+		return 0, err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	require.NotContains(t, string(body), secret)
+	return answer.StatusCode, nil
+}
+
+func TestSecured(t *testing.T) {
+	now := clock.System().Wall()
+	ours, err := authoritystandin.New(now-clock.Hour, now+clock.Hour)
+	require.NoError(t, err)
+	theirs, err := authoritystandin.New(now-clock.Hour, now+clock.Hour)
+	require.NoError(t, err)
+	host := startSecured(t, "entry-1", ours)
+	t.Run("operator with certificate and token", func(t *testing.T) {
+		status, err := host.operate(t, ours, now+clock.Hour, operatorToken)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+	})
+	t.Run("expired certificate of an operator", func(t *testing.T) {
+		_, err := host.operate(t, ours, now-clock.Minute, operatorToken)
+		require.Error(t, err)
+		host.lines.expectLine(t, "connection refused", "operator", "expired")
+	})
+	t.Run("wrong token", func(t *testing.T) {
+		status, err := host.operate(t, ours, now+clock.Hour, otherToken)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusUnauthorized, status)
+		host.lines.expectLine(t, "operator refused", "wrong token")
+	})
+	t.Run("wrong key of a caller", func(t *testing.T) {
+		status, err := get(t, http.DefaultClient, "http://"+host.entry.CallerAddress()+"/v1/models", otherKey)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusUnauthorized, status)
+	})
+	t.Run("link between nodes of one authority", func(t *testing.T) {
+		fellow := startSecured(t, "entry-2", ours)
+		reply, err := fellow.entry.links.Call(context.Background(), host.entry.NodeAddress(), nodepb.Call_builder{BurnQuery: &nodepb.BurnQuery{}}.Build())
+		require.NoError(t, err)
+		require.True(t, reply.HasBurnReport())
+	})
+	t.Run("link from a node of another authority", func(t *testing.T) {
+		stranger := startSecured(t, "entry-3", theirs)
+		_, err := stranger.entry.links.Call(context.Background(), host.entry.NodeAddress(), nodepb.Call_builder{BurnQuery: &nodepb.BurnQuery{}}.Build())
+		require.ErrorContains(t, err, "unknown authority")
+	})
+	t.Run("operator drains the host", func(t *testing.T) {
+		require.NoError(t, host.entry.drainNode(context.Background(), "ana", "entry-1"))
+		host.lines.expectLine(t, "no longer ready")
+	})
+	t.Run("no secret in the log", func(t *testing.T) {
+		for _, secret := range []string{callerKey, otherKey, operatorToken, otherToken} {
+			require.NotContains(t, host.lines.String(), secret)
+		}
+	})
+}
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -2,67 +2,34 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/keys"
+	"sapphirehead/internal/standin/authoritystandin"
 )
 
 const (
-	peerName = "sapphire-node"
 	lifetime = 24 * clock.Hour
 	start    = 1_000 * lifetime
 )
 
-// authority signs certificates of a test.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	pem         []byte
-}
-
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t *testing.T) *authoritystandin.Authority {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.UnixMilli(int64(start - lifetime)), NotAfter: time.UnixMilli(int64(start + 100*lifetime)), KeyUsage: x509.KeyUsageCertSign,
-	}
-	raw, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	authority, err := authoritystandin.New(start-lifetime, start+100*lifetime)
 	require.NoError(t, err)
-	certificate, err := x509.ParseCertificate(raw)
-	require.NoError(t, err)
-	return &authority{certificate: certificate, key: key, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: raw})}
+	return authority
 }
 
-// issue returns a certificate that ends at the given time, and its key.
-func (authority *authority) issue(t *testing.T, serial int64, until clock.Millis) (cert, key []byte) {
+func issue(t *testing.T, authority *authoritystandin.Authority, until clock.Millis) (cert, key []byte) {
 	t.Helper()
-	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), DNSNames: []string{peerName},
-		NotBefore: time.UnixMilli(int64(start - lifetime)), NotAfter: time.UnixMilli(int64(until)),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	raw, err := x509.CreateCertificate(rand.Reader, template, authority.certificate, private.Public(), authority.key)
-	require.NoError(t, err)
-	encoded, err := x509.MarshalPKCS8PrivateKey(private)
+	cert, key, err := authority.Issue(until)
 	require.NoError(t, err)
-	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: raw}), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: encoded})
+	return cert, key
 }
 
 // side is one end of a connection with files in memory.
@@ -72,10 +39,10 @@
 	heard []error
 }
 
-func newSide(t *testing.T, manual *clock.Manual, signer *authority, trusted []byte, until clock.Millis) *side {
+func newSide(t *testing.T, manual *clock.Manual, signer *authoritystandin.Authority, trusted []byte, until clock.Millis) *side {
 	t.Helper()
 	side := &side{files: map[string][]byte{}}
-	side.files["cert"], side.files["key"] = signer.issue(t, 1, until)
+	side.files["cert"], side.files["key"] = issue(t, signer, until)
 	side.files["ca"] = trusted
 	var err error
 	side.keys, err = keys.New(manual.Clock(), side.read, keys.NewFiles("cert", "key", "ca"), func(err error) { side.heard = append(side.heard, err) })
@@ -114,7 +81,7 @@
 	}()
 	connection, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
-	secure, clientErr := client.keys.Client(context.Background(), connection, peerName)
+	secure, clientErr := client.keys.Client(context.Background(), connection, authoritystandin.PeerName)
 	if clientErr != nil {
 		return clientErr, <-results
 	}
@@ -143,33 +110,33 @@
 func TestHandshake(t *testing.T) {
 	ours, theirs := newAuthority(t), newAuthority(t)
 	manual := clock.NewManual(start)
-	server := newSide(t, manual, ours, ours.pem, start+lifetime)
+	server := newSide(t, manual, ours, ours.Certificate(), start+lifetime)
 	t.Run("both signed by the authority", func(t *testing.T) {
-		expectTrusted(t, newSide(t, manual, ours, ours.pem, start+lifetime), server)
+		expectTrusted(t, newSide(t, manual, ours, ours.Certificate(), start+lifetime), server)
 	})
 	t.Run("client signed by another authority", func(t *testing.T) {
-		expectRefused(t, newSide(t, manual, theirs, ours.pem, start+lifetime), server, "unknown authority")
+		expectRefused(t, newSide(t, manual, theirs, ours.Certificate(), start+lifetime), server, "unknown authority")
 	})
 	t.Run("server signed by another authority", func(t *testing.T) {
-		expectRefused(t, newSide(t, manual, ours, theirs.pem, start+lifetime), server, "unknown authority")
+		expectRefused(t, newSide(t, manual, ours, theirs.Certificate(), start+lifetime), server, "unknown authority")
 	})
 	t.Run("client certificate expired", func(t *testing.T) {
-		expectRefused(t, newSide(t, manual, ours, ours.pem, start-1), server, "expired")
+		expectRefused(t, newSide(t, manual, ours, ours.Certificate(), start-1), server, "expired")
 	})
 }
 
 func TestReload(t *testing.T) {
 	ours := newAuthority(t)
 	manual := clock.NewManual(start)
-	client := newSide(t, manual, ours, ours.pem, start+100*lifetime)
-	server := newSide(t, manual, ours, ours.pem, start+lifetime)
+	client := newSide(t, manual, ours, ours.Certificate(), start+100*lifetime)
+	server := newSide(t, manual, ours, ours.Certificate(), start+lifetime)
 	t.Run("unchanged files are not news", func(t *testing.T) {
 		server.keys.Reload()
 		require.Empty(t, server.heard)
 	})
 	t.Run("half of a renewal keeps the old pair", func(t *testing.T) {
 		var key []byte
-		server.files["cert"], key = ours.issue(t, 2, start+50*lifetime)
+		server.files["cert"], key = issue(t, ours, start+50*lifetime)
 		server.keys.Reload()
 		require.Len(t, server.heard, 1)
 		require.ErrorContains(t, server.heard[0], "cert with key")
