--- a/internal/burn/watch.go
+++ b/internal/burn/watch.go
@@ -27,6 +27,7 @@
 	late     int
 	began    bool
 	replayed bool
+	gone     bool
 }
 
 // Begin returns the watch of a request.
@@ -46,14 +47,23 @@
 	watch.last = now
 }
 
+// Returned notes that the caller has had the first token from an earlier
+// connection.
+func (watch *Watch) Returned() {
+	watch.began, watch.first, watch.last = true, watch.of.Received(), watch.meter.clock.Now()
+}
+
 // Replayed notes that the answer is that of an earlier request with the same
 // key, whose worth is already counted.
 func (watch *Watch) Replayed() { watch.replayed = true }
 
+// Gone notes that the caller's connection broke.
+func (watch *Watch) Gone() { watch.gone = true }
+
 // End counts the request by its error, or nil for a whole answer. A request
-// whose caller went away counts as neither good nor bad.
+// whose caller went away, or which another node answers, counts as neither good nor bad.
 func (watch *Watch) End(err error) {
-	if err != nil && isGone(err) {
+	if watch.gone || err != nil && isGone(err) {
 		return
 	}
 	outcome, worth := watch.outcome(err), 0.0
@@ -67,6 +77,10 @@
 	var notRun *request.NotRunError
 	var unknown *request.OutcomeUnknownError
 	var incomplete *request.IncompleteError
+	var moved *request.MovedError
+	if errors.As(err, &moved) {
+		return true
+	}
 	told := errors.As(err, &notRun) || errors.As(err, &unknown) || errors.As(err, &incomplete)
 	return !told && errors.Is(err, context.Canceled)
 }
--- a/internal/entry/burn.go
+++ b/internal/entry/burn.go
@@ -5,44 +5,75 @@
 	"sync"
 
 	"sapphirehead/internal/burn"
+	"sapphirehead/internal/caller/callerhttp"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/node/nodepb"
 	"sapphirehead/internal/request"
 	"sapphirehead/internal/service"
 )
 
-// watchKey finds the burn watch of a request in its context.
-type watchKey struct{}
-
 // measuredChat runs a chat and counts how it kept its route's targets.
 func (entry *Entry) measuredChat(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error {
 	watch := entry.meter.Begin(to)
-	err := entry.driver.Chat(context.WithValue(ctx, watchKey{}, watch), to, func(offset int, tokens []string) error {
-		watch.Tokens()
-		return deliver(offset, tokens)
-	})
-	watch.End(err)
+	err := entry.chat(ctx, to, watched(watch, deliver))
+	entry.endWatch(watch, to, err)
 	return err
 }
 
 // measuredCall runs a call and counts how it kept its route's targets.
 func (entry *Entry) measuredCall(ctx context.Context, to *request.Request, call service.Call) (service.Answer, error) {
 	watch := entry.meter.Begin(to)
-	answer, err := entry.driver.Call(context.WithValue(ctx, watchKey{}, watch), to, call)
-	watch.End(err)
+	answer, err := entry.call(ctx, to, call)
+	entry.endWatch(watch, to, err)
 	return answer, err
 }
 
+// measuredFind finds the answer for which a caller returns, and counts how its
+// rest kept the targets. The connection that was cut counted nothing.
+func (entry *Entry) measuredFind(ctx context.Context, back request.Return) (*request.Request, callerhttp.Follow, error) {
+	to, follow, err := entry.find(ctx, back)
+	if err != nil {
+		return nil, nil, err
+	}
+	return to, func(ctx context.Context, offset int, deliver func(offset int, tokens []string) error) error {
+		watch := entry.meter.Begin(to)
+		watch.Returned()
+		err := follow(ctx, offset, watched(watch, deliver))
+		entry.endWatch(watch, to, err)
+		return err
+	}, nil
+}
+
+func watched(watch *burn.Watch, deliver func(offset int, tokens []string) error) func(offset int, tokens []string) error {
+	return func(offset int, tokens []string) error {
+		watch.Tokens()
+		err := deliver(offset, tokens)
+		if err != nil {
+			watch.Gone()
+		}
+		return err
+	}
+}
+
 // measuredClaim asks for the right to run, and notes a recorded answer, whose
 // worth was counted with the run itself.
 func (entry *Entry) measuredClaim(ctx context.Context, to *request.Request) (request.Claim, service.Answer) {
 	claim, answer := entry.claim(ctx, to)
-	if watch, ok := ctx.Value(watchKey{}).(*burn.Watch); ok && claim == request.ClaimRecorded {
-		watch.Replayed()
+	if claim == request.ClaimRecorded {
+		entry.replays.Store(to.ID(), struct{}{})
 	}
 	return claim, answer
 }
 
+func (entry *Entry) endWatch(watch *burn.Watch, to *request.Request, err error) {
+	if to.NeedsClaim() {
+		if _, replayed := entry.replays.LoadAndDelete(to.ID()); replayed {
+			watch.Replayed()
+		}
+	}
+	watch.End(err)
+}
+
 // burnTimeout bounds the collection of reports from fellow nodes.
 const burnTimeout = 3 * clock.Second
 
--- a/internal/entry/fellows.go
+++ b/internal/entry/fellows.go
@@ -108,7 +108,7 @@
 		entry.stopFor(call.GetDrain().GetOperator())
 		return nodepb.Reply_builder{Draining: &nodepb.Draining{}}.Build()
 	default:
-		return errorReply("unknown call")
+		return entry.answerStreamCall(call)
 	}
 }
 
--- a/internal/entry/history.go
+++ b/internal/entry/history.go
@@ -41,6 +41,8 @@
 			seen.before = seen.loaded
 			return entry.commitTables(ctx, tables, condition)
 		},
+		entry.newestTables,
+		entry.alarmOlderStore,
 	)
 	tables, err := editor.Commit(ctx, edit)
 	if err != nil {
