Write the pages for operators, name every metric, show two deployments

Cause: an operator had no page to install, run or repair the system from, and nothing kept a page in step with the code.

Change: docs/OPERATORS.md (install, keys, edits, exit statuses, rolling upgrade, alarms, outages, reclaim, settings reference as the programs print it), docs/ADMIN-API.md whole, docs/METRICS.md, CONTRIBUTING.md, examples of both deployments, `sapphire-entry settings` and `sapphire-steward settings`. Gauges for the alarms. Requests that are not admitted count as refused in the service-level burn. Versions come from git describe. Native fuzz targets for callers' bodies, tables, edits, links, runner events, hosts, claims and the cloud's answers; `make fuzznative` runs all.

Tests compare the pages with the code.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 GO ?= go
 BIN := bin
 GOLANGCI_VERSION := v2.15.0
+# The version of the programs; "development" outside a git checkout.
+VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo development)
 GOBIN := $(shell $(GO) env GOPATH)/bin
 GOLANGCI := $(GOBIN)/golangci-lint
 
@@ -12,7 +14,7 @@
 
 .PHONY: build
 build: ## build the programs into bin
-	$(GO) build -o $(BIN)/ ./cmd/...
+	$(GO) build -ldflags '-X sapphirehead/internal/program.Version=$(VERSION)' -o $(BIN)/ ./cmd/...
 
 .PHONY: demo
 demo: build ## start a whole system on loopback and check each answer
@@ -47,6 +49,17 @@
 fuzz: ## run every test that uses rapid with random seeds for FUZZ_MINUTES
 	$(GO) run ./internal/fuzz --minutes=$(FUZZ_MINUTES) --skip='$(KNOWN_RED)' $(RAPID_PACKAGES)
 
+FUZZ_TIME := 20s
+
+.PHONY: fuzznative
+fuzznative: ## feed bad input to every decoder, each for FUZZ_TIME
+	@set -e; for file in $$(grep -rl '^func Fuzz' --include='*_test.go' internal); do \
+		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\).*/\1/p' $$file); do \
+			echo "$$name in $$(dirname $$file)"; \
+			$(GO) test ./$$(dirname $$file) -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZ_TIME); \
+		done; \
+	done
+
 .PHONY: lint
 lint: $(GOLANGCI) ## check format and code
 	$(GOLANGCI) run ./...
--- a/cmd/sapphire-steward/main.go
+++ b/cmd/sapphire-steward/main.go
@@ -23,10 +23,19 @@
 	Settings string `help:"Settings file." required:"" type:"path"`
 }
 
+type settingsCommand struct{}
+
+// Run prints the reference.
+func (command *settingsCommand) Run() error {
+	fmt.Print(settings.Markdown(settings.StewardReference()))
+	return nil
+}
+
 type commandLine struct {
-	Run     runCommand       `cmd:"" default:"withargs" help:"Control the fleet."`
-	Check   checkCommand     `cmd:"" help:"Check the settings file and exit."`
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Run      runCommand       `cmd:"" default:"withargs" help:"Control the fleet."`
+	Check    checkCommand     `cmd:"" help:"Check the settings file and exit."`
+	Settings settingsCommand  `cmd:"" help:"Print the reference of the settings file and exit."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
 // Run controls until it is told to stop.
--- a/internal/caller/callerhttp/handler.go
+++ b/internal/caller/callerhttp/handler.go
@@ -43,6 +43,7 @@
 	tables   func() *table.Tables
 	accounts func() *caller.Accounts
 	admit    func(account *caller.Account) (release func(), err error)
+	refused  func(on route.Route, account string)
 	ready    func() bool
 	newID    func() string
 	chat     func(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error
@@ -55,13 +56,15 @@
 type Follow func(ctx context.Context, offset int, deliver func(offset int, tokens []string) error) error
 
 // New returns a handler over the seams of a node. Chat delivers tokens in
-// order and returns nil once the answer is whole. Find returns the answer for
+// order and returns nil once the answer is whole. Refused hears of requests
+// that were not admitted. Find returns the answer for
 // which a caller returns.
 func New(
 	clock *clock.Clock,
 	tables func() *table.Tables,
 	accounts func() *caller.Accounts,
 	admit func(account *caller.Account) (release func(), err error),
+	refused func(on route.Route, account string),
 	ready func() bool,
 	newID func() string,
 	chat func(ctx context.Context, to *request.Request, deliver func(offset int, tokens []string) error) error,
@@ -69,7 +72,7 @@
 	find func(ctx context.Context, back request.Return) (to *request.Request, follow Follow, err error),
 ) *Handler {
 	return &Handler{
-		clock: clock, tables: tables, accounts: accounts, admit: admit, ready: ready, newID: newID, chat: chat, call: call, find: find,
+		clock: clock, tables: tables, accounts: accounts, admit: admit, refused: refused, ready: ready, newID: newID, chat: chat, call: call, find: find,
 	}
 }
 
@@ -139,7 +142,7 @@
 		writeError(writer, id, newCallError(http.StatusNotFound, "modelNotFound", "there is no model "+strconv.Quote(form.Model)+": GET /v1/models lists them"))
 		return
 	}
-	release, err := handler.admit(account)
+	release, err := handler.admitOn(account, on)
 	if err != nil {
 		writeError(writer, id, err)
 		return
@@ -174,7 +177,7 @@
 		writeError(writer, id, err)
 		return
 	}
-	release, err := handler.admit(account)
+	release, err := handler.admitOn(account, on)
 	if err != nil {
 		writeError(writer, id, err)
 		return
@@ -192,6 +195,15 @@
 	writer.Write(answer.Body())
 }
 
+// admitOn asks for admission and reports a refusal.
+func (handler *Handler) admitOn(account *caller.Account, on route.Route) (release func(), err error) {
+	release, err = handler.admit(account)
+	if err != nil {
+		handler.refused(on, account.Name())
+	}
+	return release, err
+}
+
 func (handler *Handler) account(message *http.Request) (*caller.Account, error) {
 	key, ok := strings.CutPrefix(message.Header.Get("Authorization"), "Bearer ")
 	if !ok {
--- a/internal/entry/burn.go
+++ b/internal/entry/burn.go
@@ -9,6 +9,7 @@
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/node/nodepb"
 	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
 	"sapphirehead/internal/service"
 )
 
@@ -74,6 +75,11 @@
 	watch.End(err)
 }
 
+// countRefused counts a request that was not admitted.
+func (entry *Entry) countRefused(on route.Route, account string) {
+	entry.meter.Count(on.Name(), account, burn.Refused, 0)
+}
+
 // burnTimeout bounds the collection of reports from fellow nodes.
 const burnTimeout = 3 * clock.Second
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -119,6 +119,7 @@
 	entry.links = nodelink.New(clock, entry.dialNode, entry.answerCall)
 	entry.driver = entry.newDriver()
 	entry.answers = NewAnswers(clock, entry.driver.Run)
+	entry.publishGauges()
 	return entry, entry.listen()
 }
 
@@ -201,7 +202,7 @@
 
 func (entry *Entry) callerHandler() http.Handler {
 	handler := callerhttp.New(entry.clock, entry.inForce.Current, func() *caller.Accounts { return entry.accounts },
-		entry.admission.Admit, entry.isReady, entry.newID, entry.measuredChat, entry.measuredCall, entry.measuredFind)
+		entry.admission.Admit, entry.countRefused, entry.isReady, entry.newID, entry.measuredChat, entry.measuredCall, entry.measuredFind)
 	return handler.Router()
 }
 
--- /dev/null
+++ b/internal/entry/metrics_test.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// matchesIn returns what the pattern captures in the Go files of the folders,
+// tests aside.
+func matchesIn(t *testing.T, pattern string, folders ...string) []string {
+	t.Helper()
+	var found []string
+	for _, folder := range folders {
+		files, err := filepath.Glob(filepath.Join(folder, "*.go"))
+		require.NoError(t, err)
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			source, err := os.ReadFile(file)
+			require.NoError(t, err)
+			for _, match := range regexp.MustCompile(pattern).FindAllStringSubmatch(string(source), -1) {
+				found = append(found, match[1])
+			}
+		}
+	}
+	return found
+}
+
+// expectDocumented checks that the page names each of the names.
+func expectDocumented(t *testing.T, names []string) {
+	t.Helper()
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	require.NoError(t, err)
+	require.NotEmpty(t, names)
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			require.Contains(t, string(page), "`"+name+"`", "docs/METRICS.md must name it with its unit or meaning")
+		})
+	}
+}
+
+func TestMetricsPage(t *testing.T) {
+	expectDocumented(t, matchesIn(t, `counters\.(?:Add|Set)\("(\w+)"`, ".", "../steward"))
+}
+
+func TestMetricsPageNamesNoOthers(t *testing.T) {
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	require.NoError(t, err)
+	known := matchesIn(t, `counters\.(?:Add|Set)\("(\w+)"`, ".", "../steward")
+	for _, row := range regexp.MustCompile("(?m)^\\| `(\\w+)` \\| (?:gauge|counter) ").FindAllStringSubmatch(string(page), -1) {
+		t.Run(row[1], func(t *testing.T) { require.Contains(t, known, row[1]) })
+	}
+}
+
+func TestLogsPage(t *testing.T) {
+	t.Run("fields of lines", func(t *testing.T) {
+		expectDocumented(t, matchesIn(t, `\.(?:Str|Strs|Bool|Int|Int64|Float64)\("(\w+)", `, ".", "../steward"))
+	})
+	t.Run("named fields", func(t *testing.T) { expectDocumented(t, matchesIn(t, `Field\w+ += "(\w+)"`, "../logging")) })
+}
--- a/internal/operator/operatorcli/operatorcli_test.go
+++ b/internal/operator/operatorcli/operatorcli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -384,3 +385,14 @@
 		})
 	}
 }
+
+// TestOperatorsPage checks that the page lists each exit status.
+func TestOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/OPERATORS.md")
+	require.NoError(t, err)
+	for status, meaning := range operatorcli.Statuses() {
+		t.Run(meaning, func(t *testing.T) {
+			require.Contains(t, string(page), fmt.Sprintf("| %d | %s |\n", status, meaning))
+		})
+	}
+}
