Show both rows of a conflict, let a command run again with its edit id

A 409 carries the row, both revisions and the fields that differ. Callers' TLS is part of the test of a secured entry host.

--- a/internal/entry/secure_test.go
+++ b/internal/entry/secure_test.go
@@ -96,12 +96,14 @@
 	folder := t.TempDir()
 	cert, key, err := authority.Issue(clock.System().Wall() + clock.Hour)
 	require.NoError(t, err)
-	files := fmt.Sprintf("certFile = %q\nkeyFile = %q\ncaFile = %q\n",
-		writeFile(t, folder, "cert.pem", cert), writeFile(t, folder, "key.pem", key), writeFile(t, folder, "ca.pem", authority.Certificate()))
+	files := fmt.Sprintf("certFile = %q\nkeyFile = %q\n", writeFile(t, folder, "cert.pem", cert), writeFile(t, folder, "key.pem", key))
+	both := files + fmt.Sprintf("caFile = %q\n", writeFile(t, folder, "ca.pem", authority.Certificate()))
 	loaded, err := settings.ParseEntry("entry.toml", []byte(fmt.Sprintf(`host = %q
 dataCentre = "lj-a"
 [caller]
 listen = "127.0.0.1:0"
+[caller.tls]
+%s
 [operator]
 listen = "127.0.0.1:0"
 token = %q
@@ -118,7 +120,7 @@
 [[clientAccounts]]
 name = "garage-north"
 key = %q
-`, name, operatorToken, files, files, callerKey)))
+`, name, files, operatorToken, both, both, callerKey)))
 	require.NoError(t, err)
 	host := &securedHost{lines: &logLines{news: make(chan struct{}, 1)}}
 	host.entry, err = New(loaded, clock.System(), zerolog.New(host.lines))
@@ -187,7 +189,11 @@
 		host.lines.expectLine(t, "operator refused", "wrong token")
 	})
 	t.Run("wrong key of a caller", func(t *testing.T) {
-		status, err := get(t, http.DefaultClient, "http://"+host.entry.CallerAddress()+"/v1/models", otherKey)
+		roots := x509.NewCertPool()
+		roots.AppendCertsFromPEM(ours.Certificate())
+		transport := &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots}}
+		defer transport.CloseIdleConnections()
+		status, err := get(t, &http.Client{Transport: transport}, "https://"+host.entry.CallerAddress()+"/v1/models", otherKey)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusUnauthorized, status)
 	})
--- a/internal/operator/operatorcli/commit.go
+++ b/internal/operator/operatorcli/commit.go
@@ -67,6 +67,19 @@
 	return session.waitInForce(client, version)
 }
 
+// already reports whether the edit that the operator names is committed, as
+// when a command of unknown outcome is run again.
+func (session *Session) already(tables *table.Tables, flags EditFlags) (bool, error) {
+	if flags.EditID == "" || !tables.HasEdit(flags.EditID) {
+		return false, nil
+	}
+	done, err := session.json(committedForm{EditID: flags.EditID, Version: tables.Version(), Rows: []string{}})
+	if !done {
+		_, err = fmt.Fprintf(session.out, "edit %s is committed\n", flags.EditID)
+	}
+	return true, err
+}
+
 // send sends the edit, and the same edit again while its outcome is unknown.
 // The node that committed it knows its id, so it is committed once.
 func (session *Session) send(client *operatorhttp.Client, edit *table.Edit) (int64, error) {
--- a/internal/operator/operatorcli/files.go
+++ b/internal/operator/operatorcli/files.go
@@ -39,12 +39,11 @@
 	if err != nil {
 		return err
 	}
-	client, err := session.client()
+	client, stored, err := session.stored()
 	if err != nil {
 		return err
 	}
-	stored, err := client.Tables(background())
-	if err != nil {
+	if done, err := session.already(stored, command.EditFlags); done {
 		return err
 	}
 	return session.commit(client, stored.Difference(command.id(), wanted), command.EditFlags)
@@ -61,11 +60,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := session.client()
-	if err != nil {
-		return err
-	}
-	stored, err := client.Tables(background())
+	_, stored, err := session.stored()
 	if err != nil {
 		return err
 	}
@@ -180,11 +175,7 @@
 
 // Run prints the tables as the platform stores them.
 func (command *GetCommand) Run(session *Session) error {
-	client, err := session.client()
-	if err != nil {
-		return err
-	}
-	tables, err := client.Tables(background())
+	_, tables, err := session.stored()
 	if err != nil {
 		return err
 	}
--- a/internal/operator/operatorcli/operatorcli_test.go
+++ b/internal/operator/operatorcli/operatorcli_test.go
@@ -302,6 +302,13 @@
 		bench.expectExit(t, operatorcli.ExitOK, "committed version 3", "routes", "revert", "desk")
 		bench.expectExit(t, operatorcli.ExitOK, "worth = 5.0", "routes", "get", "desk")
 	})
+	t.Run("the same edit id again changes nothing", func(t *testing.T) {
+		bench := newBench(t)
+		bench.apply(t)
+		bench.expectExit(t, operatorcli.ExitOK, "committed version 2", "routes", "delete", "desk", "--edit-id=edit-7")
+		bench.expectExit(t, operatorcli.ExitOK, "edit edit-7 is committed", "routes", "delete", "desk", "--edit-id=edit-7")
+		require.Len(t, bench.fake.sent, 2)
+	})
 	t.Run("revert to a version", func(t *testing.T) {
 		bench := newBench(t)
 		bench.apply(t)
--- a/internal/operator/operatorcli/rows.go
+++ b/internal/operator/operatorcli/rows.go
@@ -182,6 +182,9 @@
 	if err != nil {
 		return err
 	}
+	if done, err := session.already(tables, command.EditFlags); done {
+		return err
+	}
 	revision := revisionOf(tables, of.row(command.Name))
 	if revision == 0 {
 		return noSuchRow(of, command.Name)
@@ -203,6 +206,9 @@
 	if err != nil {
 		return err
 	}
+	if done, err := session.already(tables, command.EditFlags); done {
+		return err
+	}
 	row := of.row(command.Name)
 	single, ok := pickRow(tables, row)
 	if !ok {
@@ -357,6 +363,9 @@
 	if err != nil {
 		return err
 	}
+	if done, err := session.already(tables, command.EditFlags); done {
+		return err
+	}
 	row := of.row(command.Name)
 	records, err := client.History(background(), row, maxRevert)
 	if err != nil {
--- a/internal/operator/operatorhttp/forms.go
+++ b/internal/operator/operatorhttp/forms.go
@@ -6,6 +6,7 @@
 import (
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/operator"
+	"sapphirehead/internal/table"
 )
 
 type memberForm struct {
@@ -61,16 +62,39 @@
 	Message string `json:"message"`
 }
 
+type differenceForm struct {
+	Field  string `json:"field"`
+	Stored string `json:"stored"`
+	Wanted string `json:"wanted"`
+}
+
+// conflictForm shows the row that another edit changed.
+type conflictForm struct {
+	Row         string           `json:"row"`
+	Have        int64            `json:"have"`
+	Named       int64            `json:"named"`
+	Differences []differenceForm `json:"differences"`
+}
+
 type errorForm struct {
 	Type     string        `json:"type"`
 	Message  string        `json:"message"`
 	Problems []problemForm `json:"problems,omitempty"`
+	Conflict *conflictForm `json:"conflict,omitempty"`
 }
 
 type errorsForm struct {
 	Error errorForm `json:"error"`
 }
 
+func conflictFormOf(err *table.ConflictError) *conflictForm {
+	form := &conflictForm{Row: err.Row(), Have: err.Have(), Named: err.Named(), Differences: []differenceForm{}}
+	for _, difference := range err.Differences() {
+		form.Differences = append(form.Differences, differenceForm{Field: difference.Field(), Stored: difference.Stored(), Wanted: difference.Wanted()})
+	}
+	return form
+}
+
 func memberFormOf(member node.Member) memberForm {
 	return memberForm{
 		Host:          member.Host(),
--- a/internal/operator/operatorhttp/handler.go
+++ b/internal/operator/operatorhttp/handler.go
@@ -233,7 +233,7 @@
 		form.Type = errorTypeNotFound
 		writeError(writer, http.StatusNotFound, form)
 	case errors.As(err, &conflict):
-		form.Type = errorTypeConflict
+		form.Type, form.Conflict = errorTypeConflict, conflictFormOf(conflict)
 		writeError(writer, http.StatusConflict, form)
 	case errors.As(err, &check):
 		form.Type = errorTypeInvalid
--- a/internal/operator/operatorhttp/handler_test.go
+++ b/internal/operator/operatorhttp/handler_test.go
@@ -16,6 +16,7 @@
 	"sapphirehead/internal/operator"
 	"sapphirehead/internal/operator/operatorhttp"
 	"sapphirehead/internal/platform"
+	"sapphirehead/internal/route"
 	"sapphirehead/internal/table"
 )
 
@@ -149,6 +150,15 @@
 			expectError(t, call(&fakeNode{err: failure.err}, http.MethodPost, "/admin/v1/edits", writeToken, `{"id":"edit-1"}`), failure.status, name)
 		})
 	}
+	t.Run("conflict shows both rows", func(t *testing.T) {
+		edit := table.NewEdit("edit-2")
+		edit.SetRoute(route.New("desk", route.KindChat, "runners").WithWorth(7), 3)
+		stored := table.New(5, []route.Route{route.New("desk", route.KindChat, "runners").WithWorth(6).WithRevision(5)}, nil, nil)
+		_, err := stored.Apply(edit)
+		recorder := call(&fakeNode{err: err}, http.MethodPost, "/admin/v1/edits", writeToken, `{"id":"edit-2"}`)
+		expectError(t, recorder, 409, "conflict")
+		require.Contains(t, recorder.Body.String(), `"conflict":{"row":"route/desk","have":5,"named":3,"differences":[{"field":"worth","stored":"6","wanted":"7"}]}`)
+	})
 	t.Run("limit out of range", func(t *testing.T) {
 		expectError(t, call(&fakeNode{}, http.MethodGet, "/admin/v1/history?limit=0", readToken, ""), 400, "badRequest")
 	})
