--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -16,7 +16,7 @@
 		t.Helper()
 		file, err := os.Create(filepath.Join(t.TempDir(), "log"))
 		require.NoError(t, err)
-		defer file.Close()
+		defer func() { require.NoError(t, file.Close()) }()
 		log := logging.New(file, level, "sapphire-entry", "entry-1", "lj-a")
 		log.Info().Msg("first")
 		log.Warn().Msg("second")
