--- a/internal/operator/operatorcli/burnpage.go
+++ b/internal/operator/operatorcli/burnpage.go
@@ -5,6 +5,7 @@
 	_ "embed"
 	"fmt"
 	"html/template"
+	"math"
 	"strings"
 
 	"sapphirehead/internal/burn"
@@ -115,7 +116,7 @@
 	}
 	highest := 1 / (1 - report.Objective())
 	for _, mark := range []float64{1, burn.SlowRate, burn.FastRate} {
-		view.Lines = append(view.Lines, lineView{At: plotHeight * (1 - mark/highest), Label: fmt.Sprintf("%g", mark)})
+		view.Lines = append(view.Lines, lineView{At: rounded(plotHeight * (1 - mark/highest)), Label: fmt.Sprintf("%g", mark)})
 	}
 	for hour := range 7 {
 		view.Hours = append(view.Hours, lineView{At: plotWidth * float64(hour) / 6, Label: fmt.Sprintf("-%d h", 6-hour)})
@@ -135,7 +136,10 @@
 	left = max(left, 0)
 	height := max(plotHeight*rate/highest, 1)
 	return barView{
-		X: left, Y: plotHeight - height, Width: max(right-left-1, 0), Height: height,
+		X: rounded(left), Y: rounded(plotHeight - height), Width: rounded(max(right-left-1, 0)), Height: rounded(height),
 		Title: strings.Join([]string{timeText(int64(point.At())), fmt.Sprintf("burn rate %.2f", rate), fmt.Sprintf("%d of %d bad", point.Counts().Bad(), point.Counts().Total())}, ", "),
 	}
 }
+
+// rounded returns a coordinate to a tenth, which is finer than a pixel.
+func rounded(coordinate float64) float64 { return math.Round(coordinate*10) / 10 }
