Log why a link to a fellow node could not be secured

Cause: a node with a wrong certificate showed only in heartbeatsFailed. Change: one line a minute at most with address and reason, and the metric linksNotSecured. Seen to fail: the new line of TestSecured waits for the log without the report.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,6 +74,7 @@
 	replays     sync.Map
 	history     *operator.History
 	secured     secured
+	untrustedAt atomic.Int64
 	asked       context.Context
 	askedToStop context.CancelFunc
 	answers     *Answers
--- a/internal/entry/secure.go
+++ b/internal/entry/secure.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"sapphirehead/internal/caller"
+	"sapphirehead/internal/clock"
 	"sapphirehead/internal/keys"
 	"sapphirehead/internal/operator"
 	"sapphirehead/internal/settings"
@@ -93,7 +94,25 @@
 	if name == "" {
 		name, _, _ = net.SplitHostPort(address)
 	}
-	return entry.secured.node.Client(ctx, connection, name)
+	secured, err := entry.secured.node.Client(ctx, connection, name)
+	if err != nil {
+		entry.noteUntrusted(address, err)
+	}
+	return secured, err
+}
+
+// untrustedInterval is the least time between two lines about links that could
+// not be secured: heartbeats try them twice a second.
+const untrustedInterval = 1 * clock.Minute
+
+// noteUntrusted reports a link that could not be secured.
+func (entry *Entry) noteUntrusted(address string, err error) {
+	entry.counters.Add("linksNotSecured", 1)
+	now, last := int64(entry.clock.Now()), entry.untrustedAt.Load()
+	if last != 0 && now-last < int64(untrustedInterval) || !entry.untrustedAt.CompareAndSwap(last, now) {
+		return
+	}
+	entry.log.Warn().Str("remote", address).Err(err).Msg("link to a fellow node could not be secured")
 }
 
 // accountsOf returns the client accounts by the hashes of their keys.
--- a/internal/entry/secure_test.go
+++ b/internal/entry/secure_test.go
@@ -207,6 +207,7 @@
 		stranger := startSecured(t, "entry-3", theirs)
 		_, err := stranger.entry.links.Call(context.Background(), host.entry.NodeAddress(), nodepb.Call_builder{BurnQuery: &nodepb.BurnQuery{}}.Build())
 		require.ErrorContains(t, err, "unknown authority")
+		stranger.lines.expectLine(t, "link to a fellow node could not be secured", host.entry.NodeAddress(), "unknown authority")
 	})
 	t.Run("operator drains the host", func(t *testing.T) {
 		require.NoError(t, host.entry.drainNode(context.Background(), "ana", "entry-1"))
