--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -40,7 +40,7 @@
 	require.NotEmpty(t, names)
 	for _, name := range names {
 		t.Run(name, func(t *testing.T) {
-			require.Contains(t, string(page), "`"+name+"`", "docs/METRICS.md must name it with its unit or meaning")
+			require.True(t, strings.Contains(string(page), "`"+name+"`"), "docs/METRICS.md must name it with its unit or meaning")
 		})
 	}
 }
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -6,13 +6,12 @@
 	"net/http"
 	"slices"
 
-	"github.com/pkg/errors"
-
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/node/nodepb"
 	"sapphirehead/internal/operator"
 	"sapphirehead/internal/operator/operatorhttp"
 	"sapphirehead/internal/platform"
+	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/pool"
 	"sapphirehead/internal/table"
 )
@@ -45,7 +44,8 @@
 	entry.log.Warn().Str("remote", remote).Str("operator", name).Str("reason", reason).Msg("operator refused")
 }
 
-// leases reads the lease of each pool of runners in each known data centre.
+// leases reads the leases of each pool of runners: that of its hosts, and that
+// of the orders in each known data centre.
 func (entry *Entry) leases(ctx context.Context) ([]operator.LeaseStatus, error) {
 	dataCentres := map[string]bool{entry.settings.DataCentre(): true}
 	for _, member := range entry.members.Live() {
@@ -59,17 +59,23 @@
 		if row.Kind() != pool.KindRunner {
 			continue
 		}
+		names := []string{platform.HostsLease(row.Name())}
 		for _, dataCentre := range slices.Sorted(maps.Keys(dataCentres)) {
-			name := row.Name() + "." + dataCentre
-			object, err := entry.store.Get(ctx, platform.KindLeases, name)
-			var missing *platform.NotFoundError
-			if errors.As(err, &missing) {
-				continue
-			}
+			names = append(names, platform.OrdersLease(row.Name(), dataCentre))
+		}
+		for _, name := range names {
+			record, version, err := platformhttp.LoadLease(ctx, entry.store, name)
 			if err != nil {
 				return nil, err
 			}
-			leases = append(leases, operator.NewLeaseStatus(name, string(object.Body()), object.Version()))
+			if version == platform.VersionNone {
+				continue
+			}
+			holder := record.Holder()
+			if record.Released() {
+				holder = ""
+			}
+			leases = append(leases, operator.NewLeaseStatus(name, holder, 0).WithFence(version))
 		}
 	}
 	return leases, nil
--- a/internal/entry/secure.go
+++ b/internal/entry/secure.go
@@ -129,13 +129,8 @@
 
 // operatorToken finds the rights that belong to a token.
 func (entry *Entry) operatorToken(given string) (operator.Token, bool) {
-	hash := caller.HashKey(given)
-	for _, token := range entry.settings.OperatorTokens() {
-		if token.Hash() == hash {
-			return operator.NewToken(token.Name(), token.MayWrite()), true
-		}
-	}
-	return operator.Token{}, false
+	token, ok := settings.FindToken(entry.settings.OperatorTokens(), given)
+	return operator.NewToken(token.Name(), token.MayWrite()), ok
 }
 
 // handshakes returns the log of an HTTP server, which writes to it only what
--- /dev/null
+++ b/internal/keys/client.go
@@ -0,0 +1,42 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+
+	"github.com/pkg/errors"
+)
+
+// ClientConfig returns the configuration of a client that trusts only the
+// authorities, or those of the host if the file is not named, and that shows
+// the certificate, if one is named. Errors: *Error.
+func ClientConfig(read func(file string) ([]byte, error), files Files) (*tls.Config, error) {
+	config := &tls.Config{MinVersion: tls.VersionTLS13}
+	if files.authority != "" {
+		content, err := read(files.authority)
+		if err != nil {
+			return nil, &Error{file: files.authority, cause: err}
+		}
+		config.RootCAs = x509.NewCertPool()
+		if !config.RootCAs.AppendCertsFromPEM(content) {
+			return nil, &Error{file: files.authority, cause: errors.New("holds no certificate")}
+		}
+	}
+	if files.cert == "" {
+		return config, nil
+	}
+	cert, err := read(files.cert)
+	if err != nil {
+		return nil, &Error{file: files.cert, cause: err}
+	}
+	key, err := read(files.key)
+	if err != nil {
+		return nil, &Error{file: files.key, cause: err}
+	}
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		return nil, &Error{file: files.cert + " with " + files.key, cause: err}
+	}
+	config.Certificates = []tls.Certificate{pair}
+	return config, nil
+}
--- a/internal/operator/operatorcli/operatorcli.go
+++ b/internal/operator/operatorcli/operatorcli.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -24,6 +23,7 @@
 	"github.com/pkg/errors"
 
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/keys"
 	"sapphirehead/internal/operator/operatorhttp"
 )
 
@@ -99,23 +99,9 @@
 	if connection.CA == "" && connection.Cert == "" {
 		return nil, nil
 	}
-	config := &tls.Config{MinVersion: tls.VersionTLS13}
-	if connection.CA != "" {
-		content, err := os.ReadFile(connection.CA)
-		if err != nil {
-			return nil, newUsageError(err.Error())
-		}
-		config.RootCAs = x509.NewCertPool()
-		if !config.RootCAs.AppendCertsFromPEM(content) {
-			return nil, newUsageError(connection.CA + " holds no certificate in PEM form")
-		}
-	}
-	if connection.Cert != "" {
-		pair, err := tls.LoadX509KeyPair(connection.Cert, connection.Key)
-		if err != nil {
-			return nil, newUsageError("--cert and --key: " + err.Error())
-		}
-		config.Certificates = []tls.Certificate{pair}
+	config, err := keys.ClientConfig(os.ReadFile, keys.NewFiles(connection.Cert, connection.Key, connection.CA))
+	if err != nil {
+		return nil, newUsageError(err.Error())
 	}
 	return config, nil
 }
--- a/internal/operator/operatorcli/operatorcli_test.go
+++ b/internal/operator/operatorcli/operatorcli_test.go
@@ -100,7 +100,7 @@
 			return operator.NewStatus(member("entry-1", fake.tables.Version()), []node.Member{member("entry-2", fake.inForce)}, servers)
 		},
 		func(context.Context) ([]operator.LeaseStatus, error) {
-			return []operator.LeaseStatus{operator.NewLeaseStatus("runners.lj-a", "entry-2", 9)}, nil
+			return []operator.LeaseStatus{operator.NewLeaseStatus("orders.runners.lj-a", "entry-2", 0).WithFence(9)}, nil
 		},
 		func(_ context.Context, _, host string) error {
 			fake.drained = append(fake.drained, "node "+host)
--- a/internal/operator/operatorhttp/client.go
+++ b/internal/operator/operatorhttp/client.go
@@ -118,19 +118,6 @@
 	return form.status(), err
 }
 
-// Leases returns the leases of the stewards.
-func (client *Client) Leases(ctx context.Context) ([]operator.LeaseStatus, error) {
-	var form leasesForm
-	if err := client.read(ctx, "/leases", &form); err != nil {
-		return nil, err
-	}
-	leases := make([]operator.LeaseStatus, 0, len(form.Leases))
-	for _, lease := range form.Leases {
-		leases = append(leases, operator.NewLeaseStatus(lease.Name, lease.Holder, lease.Fence))
-	}
-	return leases, nil
-}
-
 // History returns the latest edits, newest first. The row is as in
 // "route/desk", or empty for all.
 func (client *Client) History(ctx context.Context, row string, limit int) ([]operator.Record, error) {
--- a/internal/operator/operatorhttp/forms.go
+++ b/internal/operator/operatorhttp/forms.go
@@ -36,16 +36,6 @@
 	Servers []serverForm `json:"servers"`
 }
 
-type leaseForm struct {
-	Name   string `json:"name"`
-	Holder string `json:"holder"`
-	Fence  int64  `json:"fence"`
-}
-
-type leasesForm struct {
-	Leases []leaseForm `json:"leases"`
-}
-
 // drainForm names what is to be drained: one of both.
 type drainForm struct {
 	Node   string `json:"node,omitempty"`
--- a/internal/operator/operatorhttp/handler.go
+++ b/internal/operator/operatorhttp/handler.go
@@ -150,11 +150,7 @@
 		writeFailure(writer, err)
 		return
 	}
-	form := leasesForm{Leases: []leaseForm{}}
-	for _, lease := range leases {
-		form.Leases = append(form.Leases, leaseForm{Name: lease.Name(), Holder: lease.Holder(), Fence: lease.Fence()})
-	}
-	writeJSON(writer, http.StatusOK, form)
+	writeJSON(writer, http.StatusOK, leasesFormOf(leases))
 }
 
 func (handler *Handler) serveBurn(writer http.ResponseWriter, message *http.Request) {
--- a/internal/operator/operatorhttp/handler_test.go
+++ b/internal/operator/operatorhttp/handler_test.go
@@ -53,7 +53,7 @@
 		},
 		func() operator.Status { return operator.Status{} },
 		func(context.Context) ([]operator.LeaseStatus, error) {
-			return []operator.LeaseStatus{operator.NewLeaseStatus("runners.lj-a", "entry-1", 4)}, node.err
+			return []operator.LeaseStatus{operator.NewLeaseStatus("orders.runners.lj-a", "entry-1", 0).WithFence(4)}, node.err
 		},
 		func(_ context.Context, by, host string) error {
 			node.drained = append(node.drained, by+" "+host)
@@ -181,7 +181,7 @@
 	t.Run("leases", func(t *testing.T) {
 		leases, err := client.Leases(ctx)
 		require.NoError(t, err)
-		require.Equal(t, []operator.LeaseStatus{operator.NewLeaseStatus("runners.lj-a", "entry-1", 4)}, leases)
+		require.Equal(t, []operator.LeaseStatus{operator.NewLeaseStatus("orders.runners.lj-a", "entry-1", 0).WithFence(4)}, leases)
 	})
 	t.Run("burn", func(t *testing.T) {
 		report, err := client.Burn(ctx)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -82,28 +82,6 @@
 // Failures returns the number of failures in a row.
 func (status ServerStatus) Failures() int64 { return status.failures }
 
-// LeaseStatus is one lease as the platform stores it.
-type LeaseStatus struct {
-	name   string
-	holder string
-	fence  int64
-}
-
-// NewLeaseStatus returns a lease by the name of its object, with the holder
-// and the fencing number.
-func NewLeaseStatus(name, holder string, fence int64) LeaseStatus {
-	return LeaseStatus{name: name, holder: holder, fence: fence}
-}
-
-// Name returns the name of the lease object, as in "runners.lj-a".
-func (status LeaseStatus) Name() string { return status.name }
-
-// Holder returns the host that took or renewed the lease last.
-func (status LeaseStatus) Holder() string { return status.holder }
-
-// Fence returns the fencing number of orders under the lease.
-func (status LeaseStatus) Fence() int64 { return status.fence }
-
 // NotFoundError says that an operator named something that is not there.
 type NotFoundError struct {
 	what string
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -18,6 +18,7 @@
 	KindTables = "tables"
 	KindClaims = "claims"
 	KindLeases = "leases"
+	KindDrains = "drains"
 	// KindHistory objects are pages of the history of edits.
 	KindHistory = "history"
 )
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -130,6 +130,17 @@
 // MayWrite reports whether the operator may send edits and drains.
 func (token Token) MayWrite() bool { return token.mayWrite }
 
+// FindToken returns the token that was given by a call.
+func FindToken(tokens []Token, given string) (Token, bool) {
+	hash := caller.HashKey(given)
+	for _, token := range tokens {
+		if token.hash == hash {
+			return token, true
+		}
+	}
+	return Token{}, false
+}
+
 // TLS names the files for one listener.
 type TLS struct {
 	certFile string
@@ -263,19 +274,19 @@
 
 // check reports faults that concern several keys.
 func (form *entryForm) check(document *document) {
-	form.checkTokens(document)
+	checkTokens(document, form.Operator.Token, form.Operator.Tokens)
 	form.checkAccounts(document)
 	if form.Node.TLS != nil && form.Node.TLS.CAFile == "" {
 		document.report("node.tls.caFile", "missing: links between nodes need the authorities of fellow nodes")
 	}
 }
 
-func (form *entryForm) checkTokens(document *document) {
-	if form.Operator.Token == "" && len(form.Operator.Tokens) == 0 {
+func checkTokens(document *document, short string, tokens []tokenForm) {
+	if short == "" && len(tokens) == 0 {
 		document.report("operator.tokens", "missing: give operator.token or at least one [[operator.tokens]]")
 	}
-	names, hashes := map[string]bool{}, map[string]bool{hashOf(form.Operator.Token, ""): form.Operator.Token != ""}
-	for i, token := range form.Operator.Tokens {
+	names, hashes := map[string]bool{}, map[string]bool{hashOf(short, ""): short != ""}
+	for i, token := range tokens {
 		key := fmt.Sprintf("operator.tokens[%d]", i)
 		if (token.Token == "") == (token.TokenHash == "") {
 			document.report(key+".token", fmt.Sprintf("of %q: give either token or tokenHash", token.Name))
@@ -334,12 +345,12 @@
 	return hashes
 }
 
-func (form *operatorForm) tokens() []Token {
+func tokensOf(short string, forms []tokenForm) []Token {
 	var tokens []Token
-	if form.Token != "" {
-		tokens = append(tokens, Token{name: defaultOperator, hash: hashOf(form.Token, ""), mayWrite: true})
+	if short != "" {
+		tokens = append(tokens, Token{name: defaultOperator, hash: hashOf(short, ""), mayWrite: true})
 	}
-	for _, token := range form.Tokens {
+	for _, token := range forms {
 		tokens = append(tokens, Token{name: token.Name, hash: hashOf(token.Token, token.TokenHash), mayWrite: token.Role == roleWrite})
 	}
 	return tokens
@@ -359,7 +370,7 @@
 		callerListen:   form.Caller.Listen,
 		maxInFlight:    form.Caller.MaxInFlight,
 		operatorListen: form.Operator.Listen,
-		operatorTokens: form.Operator.tokens(),
+		operatorTokens: tokensOf(form.Operator.Token, form.Operator.Tokens),
 		callerTLS:      form.Caller.TLS.tls(),
 		operatorTLS:    form.Operator.TLS.tls(),
 		nodeTLS:        form.Node.TLS.tls(),
--- a/internal/settings/steward.go
+++ b/internal/settings/steward.go
@@ -9,32 +9,57 @@
 	"sapphirehead/internal/clock"
 )
 
+// entryHostForm is the entry host beside the steward, from which it learns
+// what entry hosts know of backend servers.
+type entryHostForm struct {
+	Address       string `toml:"address" required:"true" format:"address" help:"operators' address of the entry host beside the steward"`
+	Token         string `toml:"token" required:"true" format:"secret" help:"an operator's token there; the role read suffices"`
+	TimeoutMillis int64  `toml:"timeoutMillis" default:"1000" min:"1" max:"60000" help:"time that one call may take"`
+	CAFile        string `toml:"caFile" format:"file" example:"/etc/sapphirehead/operators-ca.pem" help:"authorities that signed the entry host's certificate; turns on TLS"`
+	CertFile      string `toml:"certFile" format:"file" example:"/etc/sapphirehead/steward.pem" help:"the steward's certificate, if the entry host asks for one"`
+	KeyFile       string `toml:"keyFile" format:"file" example:"/etc/sapphirehead/steward.key" help:"private key of the certificate"`
+}
+
+type stewardOperatorForm struct {
+	Listen string      `toml:"listen" required:"true" format:"address" help:"address of the steward's metrics and leases"`
+	Token  string      `toml:"token" format:"secret" help:"short for one token with the name operator"`
+	Tokens []tokenForm `toml:"tokens"`
+}
+
 type stewardForm struct {
-	Host        string     `toml:"host" required:"true" example:"entry-1" help:"name of this host, unique"`
-	DataCentre  string     `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
-	Platform    serverForm `toml:"platform"`
-	Cloud       serverForm `toml:"cloud"`
-	WeightStore serverForm `toml:"weightStore"`
-	LeaseMillis int64      `toml:"leaseMillis" default:"10000" min:"500" max:"120000" help:"duration of a lease; a successor acts after it"`
-	RoundMillis int64      `toml:"roundMillis" default:"1000" min:"1" max:"60000" help:"time between two rounds of control; at most half of leaseMillis"`
-	Log         logForm    `toml:"log"`
+	Host             string               `toml:"host" required:"true" example:"entry-1" help:"name of this host, unique"`
+	DataCentre       string               `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
+	Platform         serverForm           `toml:"platform"`
+	Cloud            serverForm           `toml:"cloud"`
+	WeightStore      serverForm           `toml:"weightStore"`
+	Entry            *entryHostForm       `toml:"entry"`
+	Operator         *stewardOperatorForm `toml:"operator"`
+	LeaseMillis      int64                `toml:"leaseMillis" default:"15000" min:"500" max:"120000" help:"duration of a lease; a successor acts after it"`
+	RoundMillis      int64                `toml:"roundMillis" default:"1000" min:"1" max:"60000" help:"time between two rounds of control; at most half of leaseMillis"`
+	DrainGraceMillis int64                `toml:"drainGraceMillis" default:"120000" min:"1" max:"3600000" help:"time that a host that is given back gets to finish its requests"`
+	StopGraceMillis  int64                `toml:"stopGraceMillis" default:"10000" min:"1" max:"600000" help:"time that a planned stop may take"`
+	Log              logForm              `toml:"log"`
 }
 
 // Steward is the settings of sapphire-steward.
 type Steward struct {
-	host        string
-	dataCentre  string
-	platform    Server
-	cloud       Server
-	weightStore Server
-	lease       clock.Millis
-	round       clock.Millis
-	logLevel    string
+	host           string
+	dataCentre     string
+	platform       Server
+	cloud          Server
+	weightStore    Server
+	entry          Server
+	entryToken     string
+	operatorListen string
+	entryFiles     *TLS
+	operatorTokens []Token
+	logLevel       string
+	lease          clock.Millis
+	round          clock.Millis
+	drainGrace     clock.Millis
+	stopGrace      clock.Millis
 }
 
-// LogLevel returns the least level of a line of the log.
-func (steward *Steward) LogLevel() string { return steward.logLevel }
-
 // Host returns the name of this host.
 func (steward *Steward) Host() string { return steward.host }
 
@@ -50,6 +75,33 @@
 // WeightStore returns the weight store's address.
 func (steward *Steward) WeightStore() Server { return steward.weightStore }
 
+// Entry returns the operators' address of the entry host beside the steward, or
+// a server without address if the steward asks the platform alone.
+func (steward *Steward) Entry() Server { return steward.entry }
+
+// EntryToken returns the operators' token of that entry host. It must never be
+// logged.
+func (steward *Steward) EntryToken() string { return steward.entryToken }
+
+// OperatorListen returns the address on which operators are served, or nothing.
+func (steward *Steward) OperatorListen() string { return steward.operatorListen }
+
+// EntryFiles returns the files for TLS to that entry host, or nil for plain
+// HTTP. The steward's own certificate may be missing.
+func (steward *Steward) EntryFiles() *TLS { return steward.entryFiles }
+
+// OperatorTokens returns the operators' tokens.
+func (steward *Steward) OperatorTokens() []Token { return steward.operatorTokens }
+
+// LogLevel returns the least level of a line of the log.
+func (steward *Steward) LogLevel() string { return steward.logLevel }
+
+// DrainGrace returns how long a host that is given back may finish its requests.
+func (steward *Steward) DrainGrace() clock.Millis { return steward.drainGrace }
+
+// StopGrace returns how long a planned stop may take.
+func (steward *Steward) StopGrace() clock.Millis { return steward.stopGrace }
+
 // Lease returns the duration of a lease.
 func (steward *Steward) Lease() clock.Millis { return steward.lease }
 
@@ -76,7 +128,24 @@
 	if err := document.err(); err != nil {
 		return nil, err
 	}
-	return &Steward{
+	return form.steward(), nil
+}
+
+// check reports faults that concern several keys.
+func (form *stewardForm) check(document *document) {
+	if form.RoundMillis > form.LeaseMillis/2 {
+		document.report("roundMillis", fmt.Sprintf("is %d: allowed is at most half of leaseMillis (%d)", form.RoundMillis, form.LeaseMillis))
+	}
+	if form.Operator != nil {
+		checkTokens(document, form.Operator.Token, form.Operator.Tokens)
+	}
+	if form.Entry != nil && (form.Entry.CertFile == "") != (form.Entry.KeyFile == "") {
+		document.report("entry.keyFile", "and entry.certFile: give both or neither")
+	}
+}
+
+func (form *stewardForm) steward() *Steward {
+	steward := &Steward{
 		host:        form.Host,
 		dataCentre:  form.DataCentre,
 		platform:    form.Platform.server(),
@@ -84,13 +153,20 @@
 		weightStore: form.WeightStore.server(),
 		lease:       clock.Millis(form.LeaseMillis),
 		round:       clock.Millis(form.RoundMillis),
+		drainGrace:  clock.Millis(form.DrainGraceMillis),
+		stopGrace:   clock.Millis(form.StopGraceMillis),
 		logLevel:    form.Log.Level,
-	}, nil
-}
-
-// check reports faults that concern several keys.
-func (form *stewardForm) check(document *document) {
-	if form.RoundMillis > form.LeaseMillis/2 {
-		document.report("roundMillis", fmt.Sprintf("is %d: allowed is at most half of leaseMillis (%d)", form.RoundMillis, form.LeaseMillis))
 	}
+	if form.Operator != nil {
+		steward.operatorListen = form.Operator.Listen
+		steward.operatorTokens = tokensOf(form.Operator.Token, form.Operator.Tokens)
+	}
+	if form.Entry != nil {
+		steward.entry = Server{address: form.Entry.Address, timeout: clock.Millis(form.Entry.TimeoutMillis)}
+		steward.entryToken = form.Entry.Token
+		if form.Entry.CAFile != "" {
+			steward.entryFiles = &TLS{certFile: form.Entry.CertFile, keyFile: form.Entry.KeyFile, caFile: form.Entry.CAFile}
+		}
+	}
+	return steward
 }
