--- a/internal/entry/history.go
+++ b/internal/entry/history.go
@@ -31,7 +31,7 @@
 // history then lacks the version.
 func (entry *Entry) commitEdit(ctx context.Context, by string, edit *table.Edit) (*table.Tables, error) {
 	seen := &committing{}
-	editor := operator.NewEditor(
+	editor := entry.tables.EditorOver(
 		func(ctx context.Context) (*table.Tables, int64, error) {
 			tables, condition, err := entry.loadTables(ctx)
 			seen.loaded = tables
@@ -39,16 +39,17 @@
 		},
 		func(ctx context.Context, tables *table.Tables, condition int64) error {
 			seen.before = seen.loaded
+			if current := entry.inForce.Current(); current.Version() > seen.before.Version() && current.Version() < tables.Version() {
+				seen.before = current
+			}
 			return entry.commitTables(ctx, tables, condition)
 		},
-		entry.newestTables,
-		entry.alarmOlderStore,
 	)
 	tables, err := editor.Commit(ctx, edit)
 	if err != nil {
 		return nil, err
 	}
-	entry.putInForce(tables)
+	entry.tables.Offer(tables)
 	if seen.before != nil {
 		entry.recordEdit(ctx, by, edit, seen.before, tables)
 	}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -13,29 +13,25 @@
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/pool"
-	"sapphirehead/internal/table"
 )
 
 // status returns the report for operators.
 func (entry *Entry) status() operator.Status {
+	entry.fellows.Refresh(context.Background(), entry.inForce.Current().Version())
 	var servers []operator.ServerStatus
 	for _, server := range entry.fleet.Current().Servers() {
 		servers = append(servers, operator.NewServerStatus(
 			server.ID(), server.Address(), server.DataCentre(), server.Pool(), server.Leaving(), circuitOf(server), server.InFlight(), server.Failures(),
 		))
 	}
-	return operator.NewStatus(entry.self(), entry.members.Live(), servers)
+	return operator.NewStatus(entry.members.Self(), entry.members.Live(), servers)
 }
 
 // circuitOf names the state of a backend server's circuit.
 func circuitOf(*backend.Server) string { return "closed" }
 
 func (entry *Entry) operatorHandler() http.Handler {
-	stored := func(ctx context.Context) (*table.Tables, error) {
-		tables, _, err := entry.loadTables(ctx)
-		return tables, err
-	}
-	return operatorhttp.New(entry.operatorToken, entry.commitEdit, stored, entry.readHistory, entry.status, entry.leases,
+	return operatorhttp.New(entry.operatorToken, entry.commitEdit, entry.tables.Stored, entry.readHistory, entry.status, entry.leases,
 		entry.drainNode, entry.drainServer, entry.burnOfAll, entry.refuseOperator).Router()
 }
 
--- a/internal/entry/secure.go
+++ b/internal/entry/secure.go
@@ -10,6 +10,7 @@
 	"sapphirehead/internal/caller"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/keys"
+	"sapphirehead/internal/node/nodelink"
 	"sapphirehead/internal/operator"
 	"sapphirehead/internal/settings"
 )
@@ -85,8 +86,7 @@
 
 // dialNode opens a connection to a fellow node.
 func (entry *Entry) dialNode(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: connectTimeout.Duration()}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+	connection, err := nodelink.DialTCP(ctx, address)
 	if err != nil || entry.secured.node == nil {
 		return connection, err
 	}
--- a/internal/entry/secure_test.go
+++ b/internal/entry/secure_test.go
@@ -26,7 +26,7 @@
 // Secrets of the test, none of which may appear in a log or an error.
 const (
 	callerKey     = "key-garage-north"
-	otherKey      = "key-of-nobody-at-all"
+	keyOfNobody   = "key-of-nobody-at-all"
 	operatorToken = "token-of-operators"
 	otherToken    = "token-of-nobody"
 )
@@ -193,7 +193,7 @@
 		roots.AppendCertsFromPEM(ours.Certificate())
 		transport := &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots}}
 		defer transport.CloseIdleConnections()
-		status, err := get(t, &http.Client{Transport: transport}, "https://"+host.entry.CallerAddress()+"/v1/models", otherKey)
+		status, err := get(t, &http.Client{Transport: transport}, "https://"+host.entry.CallerAddress()+"/v1/models", keyOfNobody)
 		require.NoError(t, err)
 		require.Equal(t, http.StatusUnauthorized, status)
 	})
@@ -214,7 +214,7 @@
 		host.lines.expectLine(t, "no longer ready")
 	})
 	t.Run("no secret in the log", func(t *testing.T) {
-		for _, secret := range []string{callerKey, otherKey, operatorToken, otherToken} {
+		for _, secret := range []string{callerKey, keyOfNobody, operatorToken, otherToken} {
 			require.NotContains(t, host.lines.String(), secret)
 		}
 	})
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -120,14 +120,15 @@
 
 // Request is one request of a caller. It does not change.
 type Request struct {
-	id       string
-	account  string
-	route    route.Route
-	key      string
-	prompt   Prompt
-	received clock.Millis
-	streamed bool
-	held     int
+	id          string
+	account     string
+	route       route.Route
+	key         string
+	fingerprint string
+	prompt      Prompt
+	received    clock.Millis
+	streamed    bool
+	held        int
 
 	promptUnknown bool
 }
@@ -138,6 +139,16 @@
 	return &Request{id: id, account: account, route: on, key: key, prompt: prompt, received: received}
 }
 
+// WithFingerprint returns a copy with the digest of what the call asks for.
+func (request *Request) WithFingerprint(fingerprint string) *Request {
+	changed := *request
+	changed.fingerprint = fingerprint
+	return &changed
+}
+
+// Fingerprint returns the digest of what the call asks for, or empty.
+func (request *Request) Fingerprint() string { return request.fingerprint }
+
 // ID returns the system's identity of the request.
 func (request *Request) ID() string { return request.id }
 
