--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -5,6 +5,9 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
+	"strings"
 	"sync/atomic"
 
 	"sapphirehead/internal/clock"
@@ -16,12 +19,13 @@
 	name     string
 	inFlight *atomic.Int64
 	limit    int
+	usage    *usage
 }
 
 // NewAccount returns a client account that may have limit requests in flight
 // at this node, or any number if limit is 0.
 func NewAccount(name string, limit int) *Account {
-	return &Account{name: name, inFlight: &atomic.Int64{}, limit: limit}
+	return &Account{name: name, inFlight: &atomic.Int64{}, limit: limit, usage: &usage{}}
 }
 
 // Name returns the name of the account.
@@ -38,6 +42,13 @@
 // NewAccounts returns the accounts by the hash of their keys.
 func NewAccounts(byHash map[string]*Account) *Accounts { return &Accounts{byHash: byHash} }
 
+// All returns every account, in order of name.
+func (accounts *Accounts) All() []*Account {
+	all := slices.Collect(maps.Values(accounts.byHash))
+	slices.SortFunc(all, func(a, b *Account) int { return strings.Compare(a.name, b.name) })
+	return all
+}
+
 // HashKey returns the form in which keys are kept.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/internal/caller/callerhttp/fuzz_test.go
+++ b/internal/caller/callerhttp/fuzz_test.go
@@ -25,8 +25,6 @@
 type fakeNode struct {
 	admitted int
 	released int
-	refused  []string
-	room     bool
 }
 
 func (node *fakeNode) handler() http.Handler {
@@ -38,14 +36,10 @@
 	return callerhttp.New(clock.NewManual(0).Clock(),
 		func() *table.Tables { return tables },
 		func() *caller.Accounts { return accounts },
-		func(*caller.Account) (func(), error) {
-			if !node.room {
-				return nil, request.NewNotRunError("no room", clock.Second)
-			}
+		func(*caller.Account, *request.Request) (func(), error) {
 			node.admitted++
 			return func() { node.released++ }, nil
 		},
-		func(on route.Route, account string) { node.refused = append(node.refused, on.Name()+" "+account) },
 		func() bool { return true },
 		func() string { return "req-1" },
 		func(_ context.Context, _ *request.Request, deliver func(int, []string) error) error {
@@ -68,25 +62,12 @@
 	return recorder
 }
 
-func TestRefused(t *testing.T) {
-	expectCounted := func(t *testing.T, path, body, want string) {
-		t.Helper()
-		node := &fakeNode{}
-		require.Equal(t, http.StatusServiceUnavailable, post(node, path, []byte(body)).Code)
-		require.Equal(t, []string{want}, node.refused)
-	}
-	t.Run("chat", func(t *testing.T) {
-		expectCounted(t, "/v1/chat/completions", `{"model":"desk-small","messages":[{"role":"user","content":"x"}]}`, "desk garage-north")
-	})
-	t.Run("service", func(t *testing.T) { expectCounted(t, "/bookings", "x", "booking garage-north") })
-}
-
 func FuzzChat(f *testing.F) {
 	f.Add([]byte(`{"model":"desk-small","messages":[{"role":"user","content":"When is it ready?"}],"max_tokens":4}`))
 	f.Add([]byte(`{"model":"desk-small","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":[{"type":"text","text":"x"}]}]}`))
 	f.Add([]byte(`{"model":"other","messages":[{"role":"user","content":{"a":1}}],"n":2}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		node := &fakeNode{room: true}
+		node := &fakeNode{}
 		recorder := post(node, "/v1/chat/completions", body)
 		require.Contains(t, []int{http.StatusOK, http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge}, recorder.Code)
 		require.Equal(t, node.admitted, node.released)
--- a/internal/entry/burn.go
+++ b/internal/entry/burn.go
@@ -5,11 +5,11 @@
 	"sync"
 
 	"sapphirehead/internal/burn"
+	"sapphirehead/internal/caller"
 	"sapphirehead/internal/caller/callerhttp"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/node/nodepb"
 	"sapphirehead/internal/request"
-	"sapphirehead/internal/route"
 	"sapphirehead/internal/service"
 )
 
@@ -75,9 +75,14 @@
 	watch.End(err)
 }
 
-// countRefused counts a request that was not admitted.
-func (entry *Entry) countRefused(on route.Route, account string) {
-	entry.meter.Count(on.Name(), account, burn.Refused, 0)
+// measuredAdmit asks for admission and counts a refusal. A caller that returns
+// for an answer has no request.
+func (entry *Entry) measuredAdmit(account *caller.Account, to *request.Request) (release func(), err error) {
+	release, err = entry.choosing.admit(account, to)
+	if err != nil && to != nil {
+		entry.meter.Begin(to).End(err)
+	}
+	return release, err
 }
 
 // burnTimeout bounds the collection of reports from fellow nodes.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,7 +11,6 @@
 	"context"
 	"crypto/rand"
 	"expvar"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -34,7 +33,6 @@
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/request"
-	"sapphirehead/internal/runner"
 	"sapphirehead/internal/runner/runnerhttp"
 	"sapphirehead/internal/service"
 	"sapphirehead/internal/service/servicehttp"
@@ -65,6 +63,8 @@
 	tables      *TablesFollower
 	accounts    *caller.Accounts
 	admission   *caller.Admission
+	choosing    *choosing
+	runners     *runnerhttp.Client
 	platform    *platformhttp.Client
 	store       *platform.Store
 	cloud       *cloudhttp.Client
@@ -118,6 +118,8 @@
 		return nil, err
 	}
 	entry.joinFellows()
+	entry.runners = runnerhttp.New(entry.clock, connectTimeout)
+	entry.choosing = newChoosing(entry)
 	entry.driver = entry.newDriver()
 	entry.answers = NewAnswers(clock, entry.runAnswer)
 	entry.publishGauges()
@@ -125,13 +127,9 @@
 }
 
 func (entry *Entry) newDriver() *Driver {
-	chooser := runner.NewChooser(entry.fleet, entry.settings.DataCentre(), mathrand.IntN)
-	choose := func(to *request.Request, exclude []string) (*backend.Server, bool) {
-		return chooser.Choose(to.Route().Pool(), exclude)
-	}
-	runners := runnerhttp.New(entry.clock, connectTimeout)
+	runners := entry.runners
 	services := servicehttp.New(connectTimeout)
-	return NewDriver(entry.clock, choose, func(*request.Request) bool { return true }, entry.measuredClaim, entry.record,
+	return NewDriver(entry.clock, entry.choosing.choose, entry.choosing.retry, entry.measuredClaim, entry.record,
 		runners.Open, runners.Cancel, services.Call, entry.noteLeaving, entry.countAttempt,
 		runners.Renew, entry.noteLocated)
 }
@@ -176,7 +174,7 @@
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
-	for _, loop := range []func(context.Context){entry.followTables, entry.writeServers, entry.watchNotices, entry.fellows.Run, entry.sendHints, entry.settleClaims, entry.watchKeys} {
+	for _, loop := range []func(context.Context){entry.followTables, entry.writeServers, entry.watchNotices, entry.fellows.Run, entry.sendHints, entry.settleClaims, entry.balance, entry.followCaches, entry.watchKeys} {
 		group.Go(func() error {
 			loop(loops)
 			return nil
@@ -204,7 +202,7 @@
 
 func (entry *Entry) callerHandler() http.Handler {
 	handler := callerhttp.New(entry.clock, entry.inForce.Current, func() *caller.Accounts { return entry.accounts },
-		entry.admission.Admit, entry.countRefused, entry.isReady, entry.newID, entry.measuredChat, entry.measuredCall, entry.measuredFind)
+		entry.measuredAdmit, entry.isReady, entry.newID, entry.measuredChat, entry.measuredCall, entry.measuredFind)
 	return handler.Router()
 }
 
@@ -218,6 +216,7 @@
 }
 
 func (entry *Entry) countAttempt(to *request.Request, server *backend.Server, cause request.Cause) {
+	entry.choosing.ended(to, server, cause)
 	if cause == 0 {
 		server.Succeeded()
 		entry.counters.Add("attemptsSucceeded", 1)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 
-	"sapphirehead/internal/backend"
 	"sapphirehead/internal/node/nodepb"
 	"sapphirehead/internal/operator"
 	"sapphirehead/internal/operator/operatorhttp"
@@ -19,17 +18,15 @@
 func (entry *Entry) status() operator.Status {
 	entry.fellows.Refresh(context.Background(), entry.inForce.Current().Version())
 	var servers []operator.ServerStatus
+	now := entry.clock.Now()
 	for _, server := range entry.fleet.Current().Servers() {
 		servers = append(servers, operator.NewServerStatus(
-			server.ID(), server.Address(), server.DataCentre(), server.Pool(), server.Leaving(), circuitOf(server), server.InFlight(), server.Failures(),
+			server.ID(), server.Address(), server.DataCentre(), server.Pool(), server.Leaving(), server.Circuit().State(now).String(), server.InFlight(), server.Failures(),
 		))
 	}
 	return operator.NewStatus(entry.members.Self(), entry.members.Live(), servers)
 }
 
-// circuitOf names the state of a backend server's circuit.
-func circuitOf(*backend.Server) string { return "closed" }
-
 func (entry *Entry) operatorHandler() http.Handler {
 	return operatorhttp.New(entry.operatorToken, entry.commitEdit, entry.tables.Stored, entry.readHistory, entry.status, entry.leases,
 		entry.drainNode, entry.drainServer, entry.burnOfAll, entry.refuseOperator).Router()
