--- a/Makefile
+++ b/Makefile
@@ -67,3 +67,7 @@
 .PHONY: slopes
 slopes: build ## measure what docs/CAPACITY.md is worked out from
 	$(BIN)/sapphire-standin slopes --bin $(BIN)
+
+.PHONY: measurefleet
+measurefleet: ## compare ways of renting hosts in virtual time
+	$(GO) run ./internal/measure/fleet
--- /dev/null
+++ b/internal/measure/fleetmeasure/fleetmeasure_test.go
@@ -0,0 +1,38 @@
+package fleetmeasure_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/measure/fleetmeasure"
+)
+
+// expectLessLost checks that over a few days with waves the steward's plan
+// loses less worth than the named policy.
+func expectLessLost(t *testing.T, name string) {
+	t.Helper()
+	policies := fleetmeasure.Policies()
+	for _, policy := range policies[1:] {
+		if policy.Name() != name {
+			continue
+		}
+		ours, theirs := 0.0, 0.0
+		for seed := range uint64(2) {
+			ours += fleetmeasure.Run(fleetmeasure.Deployments()[0], policies[0], seed, true).LostWorth()
+			theirs += fleetmeasure.Run(fleetmeasure.Deployments()[0], policy, seed, true).LostWorth()
+		}
+		require.Less(t, ours, theirs)
+		return
+	}
+	t.Fatalf("no policy %q", name)
+}
+
+func TestRun(t *testing.T) {
+	t.Run("one seed gives one result", func(t *testing.T) {
+		deployment, policy := fleetmeasure.Deployments()[1], fleetmeasure.Policies()[0]
+		require.Equal(t, fleetmeasure.Run(deployment, policy, 7, true), fleetmeasure.Run(deployment, policy, 7, true))
+	})
+	t.Run("waves cost one data centre more", func(t *testing.T) { expectLessLost(t, "one data centre") })
+	t.Run("waves cost an even spread more", func(t *testing.T) { expectLessLost(t, "even spread") })
+}
--- /dev/null
+++ b/internal/measure/fleetmeasure/run.go
@@ -0,0 +1,220 @@
+package fleetmeasure
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/cloud"
+)
+
+// maxAttempts bounds how often one decision goes on after refused starts.
+const maxAttempts = 4
+
+// rentedHost is one host of a run.
+type rentedHost struct {
+	host    cloud.Host
+	readyAt clock.Millis
+	endsAt  clock.Millis
+}
+
+// run is one policy in one world.
+type run struct {
+	world   *world
+	policy  Policy
+	manual  *clock.Manual
+	random  *rand.Rand
+	risk    *cloud.Risk
+	backoff *cloud.Backoff
+	demand  *cloud.Demand
+	hosts   []*rentedHost
+	serial  int
+	result  Result
+}
+
+// Result is what a run came to.
+type Result struct {
+	cost      float64
+	lost      float64
+	worth     float64
+	below     float64
+	protected float64
+}
+
+// CostPerHour returns the mean price paid for an hour.
+func (result Result) CostPerHour() float64 {
+	return result.cost / (float64(day) / float64(clock.Hour))
+}
+
+// LostWorth returns the share of worth for which capacity was missing.
+func (result Result) LostWorth() float64 { return result.lost / result.worth }
+
+// BelowPerWave returns the minutes with less capacity than the whole demand,
+// for each wave.
+func (result Result) BelowPerWave() float64 { return result.below / wavesPerDay }
+
+// ProtectedBelowPerWave returns the minutes with less capacity than the demand
+// of the worthiest routes, for each wave.
+func (result Result) ProtectedBelowPerWave() float64 { return result.protected / wavesPerDay }
+
+// Run runs the policy for a day and returns the result.
+func Run(deployment Deployment, policy Policy, seed uint64, waves bool) Result {
+	manual := clock.NewManual(0)
+	random := rand.New(rand.NewPCG(seed, 2))
+	run := &run{
+		world:   newWorld(deployment, seed, waves),
+		policy:  policy,
+		manual:  manual,
+		random:  random,
+		risk:    cloud.NewRisk(manual.Clock()),
+		backoff: cloud.NewBackoff(manual.Clock(), random.Float64),
+		demand:  cloud.NewDemand(manual.Clock()),
+	}
+	for manual.Now() < day {
+		run.world.advance(manual.Now())
+		run.takeBack()
+		run.count()
+		run.decide()
+		manual.Advance(step)
+	}
+	return run.result
+}
+
+// takeBack ends hosts: by waves, by single reclaims and after draining.
+func (run *run) takeBack() {
+	now := run.manual.Now()
+	var left []*rentedHost
+	for _, rented := range run.hosts {
+		offer := rented.host.Offer()
+		gone := rented.endsAt > 0 && now >= rented.endsAt
+		if offer.Reclaimable() && !gone {
+			chance := run.world.reclaims(offer.DataCentre()) * float64(step) / float64(clock.Hour)
+			if run.world.takesBack(now, offer.DataCentre()) || run.random.Float64() < chance {
+				run.risk.Noticed(offer.Kind())
+				gone = true
+			}
+		}
+		if !gone {
+			left = append(left, rented)
+		}
+	}
+	run.hosts = left
+}
+
+// count adds this step's cost and missing capacity to the result.
+func (run *run) count() {
+	now := run.manual.Now()
+	capacity := 0.0
+	for _, rented := range run.hosts {
+		run.result.cost += run.world.priceOf(rented.host.Offer()) * float64(step) / float64(clock.Hour)
+		if now >= rented.readyAt && rented.endsAt == 0 {
+			capacity += slots
+		}
+	}
+	busy, left := run.world.demand(now), capacity
+	worthiest := 0.0
+	for i, row := range run.world.deployment.routes {
+		wanted := busy * run.world.deployment.share(row)
+		served := min(wanted, left)
+		left -= served
+		run.result.worth += wanted * row.Worth()
+		run.result.lost += (wanted - served) * row.Worth()
+		if i < len(run.world.deployment.routes)-1 {
+			worthiest += wanted
+		}
+	}
+	minutes := float64(step) / float64(clock.Minute)
+	if capacity < busy && now > clock.Hour {
+		run.result.below += minutes
+	}
+	if capacity < worthiest && now > clock.Hour {
+		run.result.protected += minutes
+	}
+}
+
+func (world *world) priceOf(offer cloud.Offer) float64 {
+	if offer.Reclaimable() {
+		return world.prices[offer.DataCentre()]
+	}
+	return onDemandPrice
+}
+
+// decide lets the policy start hosts and give them back.
+func (run *run) decide() {
+	now, deployment := run.manual.Now(), run.world.deployment
+	ready, counts := 0, map[cloud.Kind]int{}
+	for _, rented := range run.hosts {
+		counts[rented.host.Offer().Kind()]++
+		if now >= rented.readyAt {
+			ready++
+		}
+	}
+	for _, offer := range run.world.offers() {
+		run.risk.Observe(offer.Kind(), counts[offer.Kind()])
+	}
+	run.demand.Observe(int(math.Ceil(run.world.demand(now))), ready, ready, slots)
+	need := cloud.NeedOf(deployment.row, deployment.routes, deployment.share, run.demand.Hosts())
+	offers := run.world.offers()
+	for range maxAttempts {
+		refused := false
+		for _, plan := range run.policy.plan(run, need, offers, run.planned(offers)) {
+			for _, offer := range plan.Starts() {
+				refused = !run.start(offer) || refused
+			}
+			run.drain(plan.Drains())
+		}
+		if !refused {
+			return
+		}
+	}
+}
+
+// planned returns the hosts at today's prices.
+func (run *run) planned(offers []cloud.Offer) []cloud.Host {
+	var hosts []cloud.Host
+	for _, rented := range run.hosts {
+		if rented.endsAt > 0 {
+			continue
+		}
+		offer := rented.host.Offer().WithPrice(run.world.priceOf(rented.host.Offer()))
+		host := cloud.NewHost(rented.host.ID(), poolName, offer, false)
+		hosts = append(hosts, host.WithReady(run.manual.Now() >= rented.readyAt))
+	}
+	return hosts
+}
+
+// start asks the cloud for a host and reports whether it was started.
+func (run *run) start(offer cloud.Offer) bool {
+	kind := offer.Kind()
+	if run.backoff.Blocked(kind) {
+		return false
+	}
+	now, there := run.manual.Now(), 0
+	for _, rented := range run.hosts {
+		if rented.host.Offer().Kind() == kind {
+			there++
+		}
+	}
+	full := offer.Reclaimable() && there >= run.world.capacity(now, offer.DataCentre())
+	if full || !offer.Reclaimable() && run.random.Float64() < onDemandRefusals {
+		run.backoff.Refused(kind)
+		return false
+	}
+	run.backoff.Started(kind)
+	run.serial++
+	boot := minBoot + clock.Millis(run.random.Float64()*float64(maxBoot-minBoot))
+	host := cloud.NewHost("host-"+strconv.Itoa(run.serial), poolName, offer, false)
+	run.hosts = append(run.hosts, &rentedHost{host: host, readyAt: now + boot})
+	return true
+}
+
+func (run *run) drain(hosts []cloud.Host) {
+	for _, host := range hosts {
+		for _, rented := range run.hosts {
+			if rented.host.ID() == host.ID() && rented.endsAt == 0 {
+				rented.endsAt = run.manual.Now() + drainTime
+			}
+		}
+	}
+}
