Measure what a steward costs, read the hosts to drain only after a change

Cause: at 10 pools the platform counted 16 calls a second from one steward, of which 4 were renewals: each hosts lease read its drains every round.

Change: the holder reads them after its own change and every 30 s, since it is the only writer. make stewardslopes measures calls, processor time and memory.

--- a/Makefile
+++ b/Makefile
@@ -71,3 +71,7 @@
 .PHONY: measurefleet
 measurefleet: ## compare ways of renting hosts in virtual time
 	$(GO) run ./internal/measure/fleet
+
+.PHONY: stewardslopes
+stewardslopes: build ## measure what a steward costs
+	$(BIN)/sapphire-standin stewardslopes --bin $(BIN)
--- a/cmd/sapphire-standin/main.go
+++ b/cmd/sapphire-standin/main.go
@@ -14,6 +14,7 @@
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/program"
 	"sapphirehead/internal/slopes/requestslope"
+	"sapphirehead/internal/slopes/stewardslope"
 	"sapphirehead/internal/standin/cloudstandin"
 	"sapphirehead/internal/standin/demo"
 	"sapphirehead/internal/standin/platformstandin"
@@ -24,13 +25,14 @@
 )
 
 type commandLine struct {
-	Platform    platformCommand    `cmd:"" help:"Object API and list of hosts."`
-	Cloud       cloudCommand       `cmd:"" help:"Cloud API; hosts that it starts are runners within this process."`
-	Weightstore weightstoreCommand `cmd:"" help:"Weight store."`
-	Runner      runnerCommand      `cmd:"" help:"One model runner."`
-	Service     serviceCommand     `cmd:"" help:"One application service."`
-	Slopes      slopesCommand      `cmd:"" help:"Measure what requests cost an entry host."`
-	Demo        demoCommand        `cmd:"" help:"Start a whole system on loopback, send requests and check each answer."`
+	Platform      platformCommand      `cmd:"" help:"Object API and list of hosts."`
+	Cloud         cloudCommand         `cmd:"" help:"Cloud API; hosts that it starts are runners within this process."`
+	Weightstore   weightstoreCommand   `cmd:"" help:"Weight store."`
+	Runner        runnerCommand        `cmd:"" help:"One model runner."`
+	Service       serviceCommand       `cmd:"" help:"One application service."`
+	Slopes        slopesCommand        `cmd:"" help:"Measure what requests cost an entry host."`
+	Stewardslopes stewardslopesCommand `cmd:"" help:"Measure what a steward costs."`
+	Demo          demoCommand          `cmd:"" help:"Start a whole system on loopback, send requests and check each answer."`
 }
 
 const serverName = "api"
@@ -205,6 +207,15 @@
 	return slopes.Print(os.Stdout)
 }
 
+type stewardslopesCommand struct {
+	Bin string `help:"Folder with the programs." default:"bin" type:"existingdir"`
+}
+
+// Run measures and prints what a steward costs.
+func (command *stewardslopesCommand) Run() error {
+	return stewardslope.Report(context.Background(), os.Stdout, command.Bin)
+}
+
 func main() {
 	var line commandLine
 	context := kong.Parse(&line, kong.Name("sapphire-standin"), kong.Description("Stand-ins for tests."))
--- a/internal/measure/fleetmeasure/run.go
+++ b/internal/measure/fleetmeasure/run.go
@@ -158,7 +158,7 @@
 	offers := run.world.offers()
 	for range maxAttempts {
 		refused := false
-		for _, plan := range run.policy.plan(run, need, offers, run.planned(offers)) {
+		for _, plan := range run.policy.plan(run, need, offers, run.planned()) {
 			for _, offer := range plan.Starts() {
 				refused = !run.start(offer) || refused
 			}
@@ -171,7 +171,7 @@
 }
 
 // planned returns the hosts at today's prices.
-func (run *run) planned(offers []cloud.Offer) []cloud.Host {
+func (run *run) planned() []cloud.Host {
 	var hosts []cloud.Host
 	for _, rented := range run.hosts {
 		if rented.endsAt > 0 {
--- a/internal/steward/hosts.go
+++ b/internal/steward/hosts.go
@@ -27,6 +27,9 @@
 	// settleTime is how long a drained runner must have been idle before its
 	// host is given back, so that a request just sent to it is seen.
 	settleTime = 3 * clock.Second
+	// drainsReread is the time after which the holder reads the hosts to drain
+	// again though it changed nothing.
+	drainsReread = 30 * clock.Second
 	// maxAttempts bounds how often one round goes on to other kinds of host
 	// after refused starts.
 	maxAttempts = 4
@@ -43,6 +46,9 @@
 	demand    *cloud.Demand
 	starts    *cloud.Starts
 	fence     int64
+	drains    []string
+	version   int64
+	drainsAt  clock.Millis
 	firstSeen map[string]clock.Millis
 	drainedAt map[string]clock.Millis
 	idleSince map[string]clock.Millis
@@ -83,7 +89,6 @@
 	leaving map[string]bool
 	states  map[string]runner.State
 	drains  []string
-	version int64
 }
 
 func (hosts *hosts) round(ctx context.Context, holding platform.Holding) error {
@@ -96,6 +101,7 @@
 		hosts.fence = holding.Fence()
 		hosts.demand = cloud.NewDemand(steward.clock)
 		hosts.starts.Under(holding.Fence())
+		hosts.drainsAt = 0
 	}
 	survey, err := hosts.survey(ctx)
 	if err != nil {
@@ -134,9 +140,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if survey.drains, survey.version, err = platformhttp.LoadDrains(ctx, steward.store, hosts.pool); err != nil {
+	if err := hosts.loadDrains(ctx); err != nil {
 		return nil, err
 	}
+	survey.drains = hosts.drains
 	hosts.starts.Listed(rented)
 	for _, host := range rented {
 		if host.Pool() == hosts.pool {
@@ -331,7 +338,23 @@
 		return nil
 	}
 	steward.counters.Add("drainsWritten", 1)
-	return platformhttp.CommitDrains(ctx, steward.store, hosts.pool, wanted, survey.version)
+	hosts.drainsAt = 0
+	return platformhttp.CommitDrains(ctx, steward.store, hosts.pool, wanted, hosts.version)
+}
+
+// loadDrains reads the hosts to drain after a change and every drainsReread.
+// Under the lease nobody else writes them.
+func (hosts *hosts) loadDrains(ctx context.Context) error {
+	now := hosts.steward.clock.Now()
+	if hosts.drainsAt != 0 && now-hosts.drainsAt < drainsReread {
+		return nil
+	}
+	drains, version, err := platformhttp.LoadDrains(ctx, hosts.steward.store, hosts.pool)
+	if err != nil {
+		return err
+	}
+	hosts.drains, hosts.version, hosts.drainsAt = drains, version, now
+	return nil
 }
 
 // stuck reports whether a started host has not come up in time.
