--- a/Makefile
+++ b/Makefile
@@ -74,4 +74,5 @@
 
 .PHONY: stewardslopes
 stewardslopes: build ## measure what a steward costs
-	$(BIN)/sapphire-standin stewardslopes --bin $(BIN)
+	$(BIN)/sapphire-standin steward-slopes --bin $(BIN)
+	$(BIN)/sapphire-standin node-slopes
--- a/cmd/sapphire-standin/main.go
+++ b/cmd/sapphire-standin/main.go
@@ -13,6 +13,7 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/program"
+	"sapphirehead/internal/slopes/nodeslope"
 	"sapphirehead/internal/slopes/requestslope"
 	"sapphirehead/internal/slopes/stewardslope"
 	"sapphirehead/internal/standin/cloudstandin"
@@ -31,7 +32,8 @@
 	Runner        runnerCommand        `cmd:"" help:"One model runner."`
 	Service       serviceCommand       `cmd:"" help:"One application service."`
 	Slopes        slopesCommand        `cmd:"" help:"Measure what requests cost an entry host."`
-	Stewardslopes stewardslopesCommand `cmd:"" help:"Measure what a steward costs."`
+	StewardSlopes stewardSlopesCommand `cmd:"" help:"Measure what a steward costs."`
+	NodeSlopes    nodeSlopesCommand    `cmd:"" help:"Measure what fellow nodes and edits cost a node."`
 	Demo          demoCommand          `cmd:"" help:"Start a whole system on loopback, send requests and check each answer."`
 }
 
@@ -207,12 +209,12 @@
 	return slopes.Print(os.Stdout)
 }
 
-type stewardslopesCommand struct {
+type stewardSlopesCommand struct {
 	Bin string `help:"Folder with the programs." default:"bin" type:"existingdir"`
 }
 
 // Run measures and prints what a steward costs.
-func (command *stewardslopesCommand) Run() error {
+func (command *stewardSlopesCommand) Run() error {
 	return stewardslope.Report(context.Background(), os.Stdout, command.Bin)
 }
 
@@ -221,3 +223,20 @@
 	context := kong.Parse(&line, kong.Name("sapphire-standin"), kong.Description("Stand-ins for tests."))
 	context.FatalIfErrorf(context.Run())
 }
+
+type nodeSlopesCommand struct {
+	Nodes []int `help:"Sizes of the clusters." default:"5,20,80,380"`
+}
+
+// Run measures and prints the slopes.
+func (command *nodeSlopesCommand) Run() error {
+	var slopes []*nodeslope.Slope
+	for _, nodes := range command.Nodes {
+		slope, err := nodeslope.Measure(nodes)
+		if err != nil {
+			return err
+		}
+		slopes = append(slopes, slope)
+	}
+	return nodeslope.Print(os.Stdout, slopes)
+}
--- a/internal/steward/keeper.go
+++ b/internal/steward/keeper.go
@@ -162,7 +162,8 @@
 // rest waits for the next round or a wake.
 func (keeper *keeper) rest(ctx context.Context) {
 	steward := keeper.steward
-	ctx, cancel := steward.clock.WithTimeout(ctx, steward.jittered(steward.settings.Round()))
+	runners := clock.Millis(len(steward.view.Load().pool(keeper.pool)))
+	ctx, cancel := steward.clock.WithTimeout(ctx, steward.jittered(max(steward.settings.Round(), runners*roundPerRunner)))
 	defer cancel()
 	select {
 	case <-keeper.wake:
