--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -14,12 +14,13 @@
 	current atomic.Pointer[Snapshot]
 	// left holds, for each id known to leave, the number of updates since it
 	// was last listed.
-	left map[string]int
+	left   map[string]int
+	speeds *speeds
 }
 
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
-	fleet := &Fleet{left: map[string]int{}}
+	fleet := &Fleet{left: map[string]int{}, speeds: newSpeeds()}
 	fleet.current.Store(newSnapshot(nil))
 	return fleet
 }
@@ -38,6 +39,7 @@
 		server := known.Server(listed.server.id)
 		if server == nil || server.address != listed.server.address {
 			server = listed.server
+			server.speed.Store(fleet.speeds.of(server))
 		}
 		_, left := fleet.left[server.id]
 		if listed.leaving && !left {
--- /dev/null
+++ b/internal/backend/work.go
@@ -0,0 +1,109 @@
+package backend
+
+import (
+	"math"
+	"sync/atomic"
+
+	"sapphirehead/internal/clock"
+)
+
+// Speeds of a host class of which nothing is known yet.
+const (
+	defaultGapMillis   = 15.0
+	defaultServeMillis = 3000.0
+	// tokensPerGap is the number of prompt tokens that a server reads in the
+	// time between two tokens of an answer. The read speed itself can't be seen
+	// from outside, as nobody knows how much of a prompt was cached there.
+	tokensPerGap = 150.0
+	// speedWeight is the weight of one observation in a running mean.
+	speedWeight = 0.05
+)
+
+// mean is a running mean that many goroutines may update. A lost update costs
+// one observation.
+type mean struct {
+	bits atomic.Uint64
+}
+
+func (mean *mean) value(fallback float64) float64 {
+	if bits := mean.bits.Load(); bits != 0 {
+		return math.Float64frombits(bits)
+	}
+	return fallback
+}
+
+func (mean *mean) observe(value, weight, fallback float64) {
+	known := mean.value(fallback)
+	mean.bits.Store(math.Float64bits(known + (value-known)*weight))
+}
+
+// Work is what this node has sent to one server.
+type Work struct {
+	sent atomic.Int64
+}
+
+// Send counts prompt tokens that the server will have to read for this node.
+func (work *Work) Send(tokens int) { work.sent.Add(int64(tokens)) }
+
+// Sent returns the prompt tokens sent so far.
+func (work *Work) Sent() int64 { return work.sent.Load() }
+
+// Speed is how fast the servers of one host class are, as answers showed.
+type Speed struct {
+	gap   mean
+	serve mean
+	pool  *mean
+}
+
+func newSpeed(pool *mean) *Speed { return &Speed{pool: pool} }
+
+// GapMillis returns the mean time between two tokens of an answer.
+func (speed *Speed) GapMillis() float64 { return speed.gap.value(defaultGapMillis) }
+
+// PrefillTokens returns the prompt tokens that a server reads in a millisecond.
+// It is the same for all classes of the pool: where faster hosts were credited
+// with faster reads, cold prefixes crowded into their caches.
+func (speed *Speed) PrefillTokens() float64 {
+	return tokensPerGap / max(speed.pool.value(defaultGapMillis), 1)
+}
+
+// ServeMillis returns the mean time that a request stays in the batch.
+func (speed *Speed) ServeMillis() float64 { return speed.serve.value(defaultServeMillis) }
+
+// Observe takes in that an answer took the time from its first token to its
+// last, with so many tokens after the first.
+func (speed *Speed) Observe(taken clock.Millis, tokens int) {
+	if tokens <= 0 {
+		return
+	}
+	gap := float64(taken) / float64(tokens)
+	speed.gap.observe(gap, speedWeight, defaultGapMillis)
+	speed.pool.observe(gap, speedWeight, defaultGapMillis)
+	speed.serve.observe(float64(taken), speedWeight, defaultServeMillis)
+}
+
+// speeds holds the speed of each host class of each pool. It belongs to the
+// fleet's writer.
+type speeds struct {
+	byClass map[speedKey]*Speed
+	gaps    map[string]*mean
+}
+
+type speedKey struct {
+	pool      string
+	hostClass string
+}
+
+func newSpeeds() *speeds { return &speeds{byClass: map[speedKey]*Speed{}, gaps: map[string]*mean{}} }
+
+// of returns the speed that the server shares with its host class.
+func (speeds *speeds) of(server *Server) *Speed {
+	key := speedKey{pool: server.pool, hostClass: server.hostClass}
+	if speeds.byClass[key] == nil {
+		if speeds.gaps[server.pool] == nil {
+			speeds.gaps[server.pool] = &mean{}
+		}
+		speeds.byClass[key] = newSpeed(speeds.gaps[server.pool])
+	}
+	return speeds.byClass[key]
+}
