--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -51,7 +51,7 @@
 	refreshPerServer = 2 * clock.Millisecond
 	// roundPerRunner is the least time between two rounds for each runner of the
 	// pool.
-	roundPerRunner = 20 * clock.Millisecond
+	roundPerRunner = 50 * clock.Millisecond
 	// maxCalls bounds the calls to runners and the cloud that are under way.
 	maxCalls = 64
 )
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -254,6 +254,19 @@
 		fleet.expectEvents(map[string]int{"ordered": 5})
 		require.Nil(t, control.Counters().Get("leaseErrors"))
 	})
+	run("nobody renews and nobody orders while the platform is down", func(t *testing.T) {
+		fleet := newFleet(t, 100)
+		fleet.writeTables(1, 0, 2)
+		control, stop := fleet.run("entry-1")
+		fleet.expectEvents(map[string]int{"ordered": 3})
+		fleet.platform.SetFault(platformstandin.FaultDown, 0)
+		fleet.expectNoneHeld(control)
+		fleet.cloud.Reclaim("", "lj-a", clock.Minute)
+		require.Empty(t, fleet.events)
+		fleet.platform.SetFault(platformstandin.FaultNone, 0)
+		fleet.expectEvents(map[string]int{"started lj-a": 1, "ordered": 1})
+		stop()
+	})
 	run("a graceful stop gives the leases back, and a successor goes on", func(t *testing.T) {
 		fleet := newFleet(t, 100)
 		fleet.writeTables(1, 0, 2)
@@ -267,6 +280,22 @@
 	})
 }
 
+// expectNoneHeld waits until the steward holds no lease any more.
+func (fleet *fleet) expectNoneHeld(control *steward.Steward) {
+	fleet.t.Helper()
+	system := clock.System()
+	for {
+		held := false
+		for _, lease := range control.Leases() {
+			held = held || lease.Held()
+		}
+		if !held {
+			return
+		}
+		require.NoError(fleet.t, system.Wait(fleet.life, 10*clock.Millisecond))
+	}
+}
+
 // expectLeases checks the leases that a steward reports on its operators'
 // address.
 func (fleet *fleet) expectLeases(control *steward.Steward, holder string, count int) {
