--- a/Makefile
+++ b/Makefile
@@ -83,4 +83,12 @@
 .PHONY: slopes
 slopes: build ## measure what docs/CAPACITY.md is worked out from
 	$(BIN)/sapphire-standin slopes --bin $(BIN)
+
+.PHONY: measurefleet
+measurefleet: ## compare ways of renting hosts in virtual time
+	$(GO) run ./internal/measure/fleet
+
+.PHONY: stewardslopes
+stewardslopes: build ## measure what a steward costs
+	$(BIN)/sapphire-standin steward-slopes --bin $(BIN)
 	$(BIN)/sapphire-standin node-slopes
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -49,6 +49,12 @@
 
 const (
 	connectTimeout = 500 * clock.Millisecond
+	// refreshPerServer is the least time between two refreshes for each backend
+	// server listed, which bounds their share of the processor.
+	refreshPerServer = 2 * clock.Millisecond
+	// roundPerRunner is the least time between two rounds for each runner of the
+	// pool.
+	roundPerRunner = 50 * clock.Millisecond
 	// maxCalls bounds the calls to runners and the cloud that are under way.
 	maxCalls = 64
 )
@@ -209,7 +215,8 @@
 			missing.cancelled, missing.cancel = context.WithCancel(stop)
 			group.Go(func() { missing.run(ended) })
 		}
-		steward.clock.Wait(stop, steward.jittered(steward.settings.Round()))
+		listed := clock.Millis(len(steward.view.Load().servers))
+		steward.clock.Wait(stop, steward.jittered(max(steward.settings.Round(), listed*refreshPerServer)))
 	}
 }
 
