Add make bench: decisions, lock contention, overhead of a token

Cause: nothing showed that a decision stays flat at 3,700 runners, that no lock is met on the way of a request, or what the entry host adds.

Change: make bench runs the benchmarks on 1 and 10 threads, summarises the mutex profiles, and reads the same answers directly and through an entry host in turns (sapphire-standin overhead).

--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,22 @@
 .PHONY: measure
 measure: build ## compare the policy with plain ones in virtual time, 20 seeds
 	$(BIN)/sapphire-measure --by-kind
+
+BENCH_PACKAGES := ./internal/runner ./internal/caller ./internal/table
+PROFILE := $(BIN)/profile
+
+.PHONY: bench
+bench: build ## time decisions on 1 and 10 threads, look for lock contention, measure the overhead of a token
+	$(GO) test -run '^$$' -bench . -cpu 1,10 $(BENCH_PACKAGES)
+	mkdir -p $(PROFILE)
+	for package in $(BENCH_PACKAGES); do \
+		name=$(PROFILE)/$$(basename $$package); \
+		$(GO) test -run '^$$' -bench . -cpu 10 -mutexprofile $$name.mutex -o $$name.test $$package >/dev/null && \
+		echo "lock contention in $$package (sync.Mutex of ours would be listed here):" && \
+		$(GO) tool pprof -top -nodecount=8 $$name.test $$name.mutex 2>/dev/null | tail -n +4 || exit 1; \
+	done
+	$(BIN)/sapphire-standin overhead --bin $(BIN)
+
 .PHONY: slopes
 slopes: build ## measure what docs/CAPACITY.md is worked out from
 	$(BIN)/sapphire-standin slopes --bin $(BIN)
--- a/cmd/sapphire-standin/main.go
+++ b/cmd/sapphire-standin/main.go
@@ -16,6 +16,7 @@
 	"sapphirehead/internal/slopes/requestslope"
 	"sapphirehead/internal/standin/cloudstandin"
 	"sapphirehead/internal/standin/demo"
+	"sapphirehead/internal/standin/overhead"
 	"sapphirehead/internal/standin/platformstandin"
 	"sapphirehead/internal/standin/runnerstandin"
 	"sapphirehead/internal/standin/servicestandin"
@@ -30,6 +31,7 @@
 	Runner      runnerCommand      `cmd:"" help:"One model runner."`
 	Service     serviceCommand     `cmd:"" help:"One application service."`
 	Slopes      slopesCommand      `cmd:"" help:"Measure what requests cost an entry host."`
+	Overhead    overheadCommand    `cmd:"" help:"Measure what an entry host adds to each streamed token."`
 	Demo        demoCommand        `cmd:"" help:"Start a whole system on loopback, send requests and check each answer."`
 }
 
@@ -192,6 +194,13 @@
 	return demo.Run(command.Bin)
 }
 
+type overheadCommand struct {
+	Bin string `help:"Folder with the programs." default:"bin" type:"existingdir"`
+}
+
+// Run measures and prints the overhead.
+func (command *overheadCommand) Run() error { return overhead.Run(os.Stdout, command.Bin) }
+
 type slopesCommand struct {
 	Bin string `help:"Folder with the programs." default:"bin" type:"existingdir"`
 }
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -99,6 +99,13 @@
 	}
 }
 
+// Stopwatch returns a function that tells the time since now. It is finer than
+// milliseconds and for measurements only.
+func Stopwatch() (elapsed func() time.Duration) {
+	begun := time.Now()
+	return func() time.Duration { return time.Since(begun) }
+}
+
 func bootTime() Millis {
 	var spec unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &spec); err != nil {
