--- a/Makefile
+++ b/Makefile
@@ -86,3 +86,4 @@
 .PHONY: slopes
 slopes: build ## measure what docs/CAPACITY.md is worked out from
 	$(BIN)/sapphire-standin slopes --bin $(BIN)
+	$(BIN)/sapphire-standin node-slopes
--- a/cmd/sapphire-standin/main.go
+++ b/cmd/sapphire-standin/main.go
@@ -13,6 +13,7 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/program"
+	"sapphirehead/internal/slopes/nodeslope"
 	"sapphirehead/internal/slopes/requestslope"
 	"sapphirehead/internal/standin/cloudstandin"
 	"sapphirehead/internal/standin/demo"
@@ -32,6 +33,7 @@
 	Service     serviceCommand     `cmd:"" help:"One application service."`
 	Slopes      slopesCommand      `cmd:"" help:"Measure what requests cost an entry host."`
 	Overhead    overheadCommand    `cmd:"" help:"Measure what an entry host adds to each streamed token."`
+	NodeSlopes  nodeSlopesCommand  `cmd:"" help:"Measure what fellow nodes and edits cost a node."`
 	Demo        demoCommand        `cmd:"" help:"Start a whole system on loopback, send requests and check each answer."`
 }
 
@@ -219,3 +221,20 @@
 	context := kong.Parse(&line, kong.Name("sapphire-standin"), kong.Description("Stand-ins for tests."))
 	context.FatalIfErrorf(context.Run())
 }
+
+type nodeSlopesCommand struct {
+	Nodes []int `help:"Sizes of the clusters." default:"5,20,80,380"`
+}
+
+// Run measures and prints the slopes.
+func (command *nodeSlopesCommand) Run() error {
+	var slopes []*nodeslope.Slope
+	for _, nodes := range command.Nodes {
+		slope, err := nodeslope.Measure(nodes)
+		if err != nil {
+			return err
+		}
+		slopes = append(slopes, slope)
+	}
+	return nodeslope.Print(os.Stdout, slopes)
+}
--- a/internal/caller/callerhttp/errors.go
+++ b/internal/caller/callerhttp/errors.go
@@ -16,6 +16,9 @@
 	errorTypeOutcomeUnknown = "outcomeUnknown"
 	errorTypeIncomplete     = "incomplete"
 	errorTypeInternal       = "internal"
+	errorTypeKeyExpired     = "keyExpired"
+	errorTypeKeyAhead       = "keyAhead"
+	errorTypeKeyReused      = "keyReused"
 	errorTypeStreamNotFound = "streamNotFound"
 	errorTypeUnavailable    = "unavailable"
 )
@@ -52,6 +55,7 @@
 	var notRun *request.NotRunError
 	var unknown *request.OutcomeUnknownError
 	var incomplete *request.IncompleteError
+	var key *request.KeyError
 	var notFound *request.StreamNotFoundError
 	status := http.StatusInternalServerError
 	switch {
@@ -66,6 +70,8 @@
 		status, form.Type = http.StatusBadGateway, errorTypeOutcomeUnknown
 	case errors.As(err, &incomplete):
 		status, form.Type = http.StatusGatewayTimeout, errorTypeIncomplete
+	case errors.As(err, &key):
+		status, form.Type = http.StatusUnprocessableEntity, keyErrorType(key.Problem())
 	case errors.As(err, &notFound):
 		status, form.Type = http.StatusNotFound, errorTypeStreamNotFound
 	default:
@@ -74,6 +80,17 @@
 	return status, errorsForm{Error: form}
 }
 
+func keyErrorType(problem request.KeyProblem) string {
+	switch problem {
+	case request.KeyExpired:
+		return errorTypeKeyExpired
+	case request.KeyAhead:
+		return errorTypeKeyAhead
+	default:
+		return errorTypeKeyReused
+	}
+}
+
 func writeError(writer http.ResponseWriter, id string, err error) {
 	status, form := errorOf(id, err)
 	var notRun *request.NotRunError
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	mathrand "math/rand/v2"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"sapphirehead/internal/clock"
 	"sapphirehead/internal/logging"
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/node/nodepb"
@@ -20,9 +18,6 @@
 	handOverSuccessors = returnSuccessors
 	// handOverParallel bounds the streams that are handed over at the same time.
 	handOverParallel = 32
-	// leavingFanout is the number of fellow nodes that are told at once that
-	// servers leave; each tells as many more when it is news there.
-	leavingFanout = 4
 )
 
 // release gives the answer away: its run stands still while the function give
@@ -107,34 +102,10 @@
 	})
 }
 
-// spreadLeaving tells fellow nodes at once that servers are leaving.
-func (entry *Entry) spreadLeaving(leaving map[string]clock.Millis) {
-	var servers []*nodepb.LeavingServer
-	for id, notice := range leaving {
-		servers = append(servers, nodepb.LeavingServer_builder{Id: new(id), NoticeMillis: new(int64(notice))}.Build())
-	}
-	call := nodepb.Call_builder{Leaving: nodepb.Leaving_builder{Servers: servers}.Build()}.Build()
-	members := entry.members.Live()
-	mathrand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	for _, member := range members[:min(leavingFanout, len(members))] {
-		entry.answers.group.Go(func() {
-			if _, err := entry.links.Call(entry.answers.life, member.Address(), call); err != nil {
-				entry.counters.Add("leavingFailed", 1)
-			}
-		})
-	}
-}
-
-// answerStreamCall handles the calls of fellow nodes that are about streams and
-// leaving servers.
+// answerStreamCall handles the calls of fellow nodes that are about streams.
 func (entry *Entry) answerStreamCall(call *nodepb.Call) *nodepb.Reply {
 	done := nodepb.Reply_builder{Done: &nodepb.Done{}}.Build()
 	switch call.WhichBody() {
-	case nodepb.Call_Leaving_case:
-		for _, server := range call.GetLeaving().GetServers() {
-			entry.addNotice(server.GetId(), clock.Millis(server.GetNoticeMillis()))
-		}
-		return done
 	case nodepb.Call_Hints_case:
 		entry.takeHints(call.GetHints())
 		return done
