--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -111,12 +111,29 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	fmt.Fprintf(output, "%s is ahead of every other policy in %d of %d seeds\n", options.policies[0].name, aheadIn(deployment, results, relative), options.seeds)
 	if options.byKind {
 		return printKinds(output, options, results)
 	}
 	return nil
 }
 
+// aheadIn returns the number of seeds in which the first policy has the least
+// weighted measure of all.
+func aheadIn(deployment deployment, results [][]*result, relative []*result) int {
+	ahead := 0
+	for seed, first := range results[0] {
+		ours := first.weighted(deployment, relative[seed])
+		behind := slices.ContainsFunc(results[1:], func(other []*result) bool {
+			return other[seed].weighted(deployment, relative[seed]) <= ours
+		})
+		if !behind {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 func printRow(table io.Writer, deployment deployment, policy Policy, results, relative []*result) {
 	share := func(count func(total kindResult) int) string {
 		return spreadOf(results, func(_ int, result *result) float64 {
