--- a/cmd/sapphire-standin/main.go
+++ b/cmd/sapphire-standin/main.go
@@ -18,6 +18,7 @@
 	"sapphirehead/internal/slopes/stewardslope"
 	"sapphirehead/internal/standin/cloudstandin"
 	"sapphirehead/internal/standin/demo"
+	"sapphirehead/internal/standin/overhead"
 	"sapphirehead/internal/standin/platformstandin"
 	"sapphirehead/internal/standin/runnerstandin"
 	"sapphirehead/internal/standin/servicestandin"
@@ -32,6 +33,7 @@
 	Runner        runnerCommand        `cmd:"" help:"One model runner."`
 	Service       serviceCommand       `cmd:"" help:"One application service."`
 	Slopes        slopesCommand        `cmd:"" help:"Measure what requests cost an entry host."`
+	Overhead      overheadCommand      `cmd:"" help:"Measure what an entry host adds to each streamed token."`
 	StewardSlopes stewardSlopesCommand `cmd:"" help:"Measure what a steward costs."`
 	NodeSlopes    nodeSlopesCommand    `cmd:"" help:"Measure what fellow nodes and edits cost a node."`
 	Demo          demoCommand          `cmd:"" help:"Start a whole system on loopback, send requests and check each answer."`
@@ -196,6 +198,13 @@
 	return demo.Run(command.Bin)
 }
 
+type overheadCommand struct {
+	Bin string `help:"Folder with the programs." default:"bin" type:"existingdir"`
+}
+
+// Run measures and prints the overhead.
+func (command *overheadCommand) Run() error { return overhead.Run(os.Stdout, command.Bin) }
+
 type slopesCommand struct {
 	Bin string `help:"Folder with the programs." default:"bin" type:"existingdir"`
 }
