Show a reclaimed runner and a handed-over stream in the demonstration

Change: the stand-in caller returns with Last-Event-ID; make demo has the cloud reclaim a runner under twelve streams longer than the notice, and stops an entry host whose grace is shorter than its stream, whose caller gets the rest at another entry host.

--- a/internal/standin/callerstandin/caller.go
+++ b/internal/standin/callerstandin/caller.go
@@ -100,7 +100,7 @@
 
 // Chat sends a chat and returns the whole answer.
 func (caller *Caller) Chat(ctx context.Context, address, model, content string, maxTokens int) (Answer, error) {
-	reply, err := caller.sendChat(ctx, address, model, content, maxTokens, false)
+	reply, err := caller.sendChat(ctx, address, model, content, maxTokens, false, "")
 	if err != nil {
 		return Answer{}, err
 	}
@@ -122,19 +122,28 @@
 // StreamChat sends a chat and reads its events until the end mark. The
 // function progress is called after each event with the number of events.
 func (caller *Caller) StreamChat(ctx context.Context, address, model, content string, maxTokens int, progress func(events int)) (Answer, error) {
-	reply, err := caller.sendChat(ctx, address, model, content, maxTokens, true)
+	return caller.ReturnChat(ctx, address, model, content, maxTokens, Answer{}, progress)
+}
+
+// ReturnChat repeats a chat of which the caller holds the beginning, and reads
+// the rest.
+func (caller *Caller) ReturnChat(ctx context.Context, address, model, content string, maxTokens int, answer Answer, progress func(events int)) (Answer, error) {
+	reply, err := caller.sendChat(ctx, address, model, content, maxTokens, true, answer.lastID)
 	if err != nil {
-		return Answer{}, err
+		return answer, err
 	}
 	defer reply.Body.Close()
 	if reply.StatusCode != http.StatusOK {
 		body, _ := io.ReadAll(reply.Body)
 		return refused(reply.StatusCode, body), nil
 	}
-	answer := Answer{status: reply.StatusCode}
+	answer.status = reply.StatusCode
 	scanner := bufio.NewScanner(reply.Body)
 	for scanner.Scan() {
 		line := scanner.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			answer.lastID = id
+		}
 		data, ok := strings.CutPrefix(line, "data: ")
 		switch {
 		case strings.HasPrefix(line, "id: "):
@@ -166,13 +175,20 @@
 	return nil
 }
 
-func (caller *Caller) sendChat(ctx context.Context, address, model, content string, maxTokens int, stream bool) (*http.Response, error) {
+func (caller *Caller) sendChat(ctx context.Context, address, model, content string, maxTokens int, stream bool, lastEventID string) (*http.Response, error) {
 	form := chatForm{Model: model, Messages: []messageForm{{Role: "user", Content: content}}, MaxTokens: maxTokens, Stream: stream}
 	body, err := json.Marshal(form)
 	if err != nil {
 		return nil, err
 	}
-	return caller.send(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", "", body)
+	message, err := caller.message(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", "", body)
+	if err != nil {
+		return nil, err
+	}
+	if lastEventID != "" {
+		message.Header.Set("Last-Event-ID", lastEventID)
+	}
+	return caller.http.Do(message)
 }
 
 // Call sends a call to an application service.
@@ -193,6 +209,14 @@
 }
 
 func (caller *Caller) send(ctx context.Context, method, target, idempotencyKey string, body []byte) (*http.Response, error) {
+	message, err := caller.message(ctx, method, target, idempotencyKey, body)
+	if err != nil {
+		return nil, err
+	}
+	return caller.http.Do(message)
+}
+
+func (caller *Caller) message(ctx context.Context, method, target, idempotencyKey string, body []byte) (*http.Request, error) {
 	message, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -202,7 +226,7 @@
 	if idempotencyKey != "" {
 		message.Header.Set("Idempotency-Key", idempotencyKey)
 	}
-	return caller.http.Do(message)
+	return message, nil
 }
 
 func refused(status int, body []byte) Answer {
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -74,6 +74,8 @@
 		{"status lookup through entry-b", session.lookUp},
 		{"requests refused: unknown model, wrong key, unknown route", session.refusals},
 		{"runner killed in mid-stream: answer whole", session.killRunner},
+		{"runner reclaimed by the cloud in mid-stream: answers whole", session.reclaimRunner},
+		{"entry-c stopped with a stream too long for its grace: rest through entry-b", session.handOver},
 		{"entry-a stopped gracefully with a stream in progress: answer whole", session.stopEntry},
 		{"chat through entry-b after that", session.wholeChat},
 	}
--- /dev/null
+++ b/internal/standin/demo/leaving.go
@@ -0,0 +1,100 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/standin/callerstandin"
+)
+
+// reclaimedHost is the runner that a steward started, which the cloud can take
+// back.
+const reclaimedHost = "host-1"
+
+// reclaimRunner has the cloud announce that it takes a runner back while streams
+// are under way that last longer than the notice.
+func (session *session) reclaimRunner(ctx context.Context) error {
+	const streams, tokens, noticeMillis = 12, 150, 1000
+	results := make(chan error, streams)
+	started := make(chan struct{}, streams*tokens)
+	for i := range streams {
+		go func() {
+			content := fmt.Sprintf("Draft the cleaning report of the long filter %d", i)
+			answer, err := session.caller.StreamChat(ctx, session.entryA(), model, content, tokens, func(int) { started <- struct{}{} })
+			if err == nil {
+				err = callerstandin.CheckText(answer, callerstandin.Expected(model, content, tokens))
+			}
+			results <- err
+		}()
+	}
+	for range streams {
+		select {
+		case <-started:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	body := fmt.Sprintf(`{"hostId": %q, "noticeMillis": %d}`, reclaimedHost, noticeMillis)
+	answer, err := session.caller.Call(ctx, http.MethodPost, session.system.cloud.Address("api"), "/control/reclaim", "", []byte(body))
+	if err != nil || answer.Status() != http.StatusOK {
+		return errors.Errorf("reclaim: status %d: %v", answer.Status(), err)
+	}
+	for range streams {
+		if err := <-results; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// handOver stops an entry host whose grace is shorter than the stream that it
+// serves. The caller returns to another one for the rest.
+func (session *session) handOver(ctx context.Context) error {
+	const content, tokens = "Summarise the renewal history of account 9", 250
+	entryC, err := session.system.startEntry("entry-c", "lj-a", fmt.Sprintf("%q", session.system.entryB.Address("node")), 1000)
+	if err != nil {
+		return err
+	}
+	if err := session.awaitReady(ctx, entryC.Address("caller")); err != nil {
+		return err
+	}
+	var signalled error
+	part, err := session.caller.StreamChat(ctx, entryC.Address("caller"), model, content, tokens, func(events int) {
+		if events == 5 {
+			signalled = entryC.Signal(syscall.SIGTERM)
+		}
+	})
+	if err == nil || signalled != nil {
+		return errors.Errorf("the stream was not cut: %v", signalled)
+	}
+	if part.Tokens() == 0 || part.Tokens() >= tokens {
+		return errors.Errorf("%d tokens before the hand-over", part.Tokens())
+	}
+	if err := entryC.Wait(); err != nil {
+		return errors.Wrap(err, "entry-c did not stop cleanly")
+	}
+	whole, err := session.caller.ReturnChat(ctx, session.entryB(), model, content, tokens, part, func(int) {})
+	if err != nil {
+		return err
+	}
+	return callerstandin.CheckText(whole, callerstandin.Expected(model, content, tokens))
+}
+
+// awaitReady waits until an entry host tells the balancer that it is ready.
+func (session *session) awaitReady(ctx context.Context, address string) error {
+	system := clock.System()
+	for {
+		answer, err := session.caller.Call(ctx, http.MethodGet, address, "/readyz", "", nil)
+		if err == nil && answer.Status() == http.StatusOK {
+			return nil
+		}
+		if err := system.Wait(ctx, pollInterval); err != nil {
+			return errors.Wrap(err, "not ready")
+		}
+	}
+}
--- a/internal/standin/demo/system.go
+++ b/internal/standin/demo/system.go
@@ -41,7 +41,7 @@
 
 [stop]
 readyOffMillis = 300
-graceMillis = 20000
+graceMillis = %d
 
 [[clientAccounts]]
 name = "garage-north"
@@ -63,6 +63,9 @@
 address = %q
 `
 
+// graceMillis is the grace of the two entry hosts.
+const graceMillis = 20_000
+
 // system is the set of processes of the demonstration.
 type system struct {
 	harness  *harness.Harness
@@ -118,16 +121,16 @@
 
 func (system *system) startEntries() error {
 	var err error
-	system.entryA, err = system.startEntry("entry-a", "lj-a", "")
+	system.entryA, err = system.startEntry("entry-a", "lj-a", "", graceMillis)
 	if err != nil {
 		return err
 	}
-	system.entryB, err = system.startEntry("entry-b", "lj-b", fmt.Sprintf("%q", system.entryA.Address("node")))
+	system.entryB, err = system.startEntry("entry-b", "lj-b", fmt.Sprintf("%q", system.entryA.Address("node")), graceMillis)
 	return err
 }
 
-func (system *system) startEntry(name, dataCentre, fellows string) (*harness.Process, error) {
-	content := fmt.Sprintf(entrySettings, name, dataCentre, operatorToken, fellows, system.platform.Address("api"), system.cloud.Address("api"), callerKey)
+func (system *system) startEntry(name, dataCentre, fellows string, graceMillis int) (*harness.Process, error) {
+	content := fmt.Sprintf(entrySettings, name, dataCentre, operatorToken, fellows, system.platform.Address("api"), system.cloud.Address("api"), graceMillis, callerKey)
 	file, err := system.harness.WriteFile(name+".toml", content)
 	if err != nil {
 		return nil, err
