Let the runner and service stand-ins stop gracefully

Cause: SIGTERM cut every stream of a stand-in at once, so a planned stop of a backend server could not be shown.

Change: on the first signal they take no new work and end what is in progress; the second cuts.

--- a/cmd/sapphire-standin/main.go
+++ b/cmd/sapphire-standin/main.go
@@ -77,7 +77,7 @@
 
 // Run serves the runner.
 func (command *runnerCommand) Run() error {
-	stop, _ := program.Signals()
+	stop, kill := program.Signals()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -89,8 +89,9 @@
 		return err
 	}
 	program.PrintListening(map[string]string{serverName: listener.Addr().String()})
-	runner := runnerstandin.New(stop, clock.System(), command.ID, command.Slots, clock.Millis(command.DecodeMillis), command.Model, command.IgnoresFence)
-	return standinhttp.Serve(stop, listener, runner.Router())
+	runner := runnerstandin.New(kill, clock.System(), command.ID, command.Slots, clock.Millis(command.DecodeMillis), command.Model, command.IgnoresFence)
+	context.AfterFunc(stop, runner.Leave)
+	return standinhttp.ServeGracefully(stop, kill, listener, runner.Router())
 }
 
 type serviceCommand struct {
@@ -103,7 +104,7 @@
 
 // Run serves the application service.
 func (command *serviceCommand) Run() error {
-	stop, _ := program.Signals()
+	stop, kill := program.Signals()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -113,7 +114,7 @@
 		return err
 	}
 	program.PrintListening(map[string]string{serverName: listener.Addr().String()})
-	return standinhttp.Serve(stop, listener, servicestandin.New(clock.System(), command.ID, clock.Millis(command.WorkMillis)).Router())
+	return standinhttp.ServeGracefully(stop, kill, listener, servicestandin.New(clock.System(), command.ID, clock.Millis(command.WorkMillis)).Router())
 }
 
 type cloudCommand struct {
--- a/internal/standin/standinhttp/standinhttp.go
+++ b/internal/standin/standinhttp/standinhttp.go
@@ -44,3 +44,23 @@
 	}
 	return err
 }
+
+// ServeGracefully serves the handler on the listener. When stop ends, it takes
+// no more connections and ends once the calls in progress have their answers;
+// when kill ends, it closes every connection.
+func ServeGracefully(stop, kill context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler}
+	drained := make(chan struct{})
+	undo := context.AfterFunc(stop, func() {
+		defer close(drained)
+		if server.Shutdown(kill) != nil {
+			server.Close()
+		}
+	})
+	err := server.Serve(listener)
+	if undo() || !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-drained
+	return nil
+}
