--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,10 @@
 	$(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 	PATH="$(GOBIN):$$PATH" $(GOBIN)/buf generate
 
+.PHONY: measure
+measure: build ## compare the policy with plain ones in virtual time, 20 seeds
+	$(BIN)/sapphire-measure --by-kind
 .PHONY: slopes
 slopes: build ## measure what docs/CAPACITY.md is worked out from
 	$(BIN)/sapphire-standin slopes --bin $(BIN)
+	$(BIN)/sapphire-standin node-slopes
--- a/internal/entry/returns.go
+++ b/internal/entry/returns.go
@@ -49,7 +49,9 @@
 	defer cancel()
 	stop := context.AfterFunc(entry.answers.life, cancel)
 	defer stop()
-	return entry.driver.Call(ctx, to, call)
+	answer, err := entry.driver.Call(ctx, to, call)
+	entry.endClaim(to, err)
+	return answer, err
 }
 
 // find returns the answer for which a caller returns.
--- a/internal/table/conflict.go
+++ b/internal/table/conflict.go
@@ -141,6 +141,8 @@
 		{"betweenTokensMillis", fmt.Sprint(row.BetweenTokens())},
 		{"deadlineMillis", fmt.Sprint(row.Deadline())},
 		{"nonIdempotent", fmt.Sprint(row.NonIdempotent())},
+		{"maxInFlight", fmt.Sprint(row.MaxInFlight())},
+		{"ratePerSecond", fmt.Sprint(row.RatePerSecond())},
 	}
 }
 
@@ -153,6 +155,7 @@
 		{"kind", row.Kind().String()},
 		{"models", "[" + strings.Join(models, " ") + "]"},
 		{"hostClass", fmt.Sprintf("%q", row.HostClass())},
+		{"otherClasses", fmt.Sprintf("%q", row.OtherClasses())},
 		{"minHosts", fmt.Sprint(row.MinHosts())},
 		{"maxHosts", fmt.Sprint(row.MaxHosts())},
 		{"slots", fmt.Sprint(row.Slots())},
--- a/internal/table/tablecodec/tablecodec.go
+++ b/internal/table/tablecodec/tablecodec.go
@@ -31,6 +31,8 @@
 	BetweenTokensMillis int64   `json:"betweenTokensMillis,omitempty" toml:"betweenTokensMillis,omitempty"`
 	DeadlineMillis      int64   `json:"deadlineMillis,omitempty" toml:"deadlineMillis,omitempty"`
 	NonIdempotent       bool    `json:"nonIdempotent,omitempty" toml:"nonIdempotent,omitempty"`
+	MaxInFlight         int     `json:"maxInFlight,omitempty" toml:"maxInFlight,omitempty"`
+	RatePerSecond       float64 `json:"ratePerSecond,omitempty" toml:"ratePerSecond,omitempty"`
 	Revision            int64   `json:"revision,omitempty" toml:"revision,omitempty"`
 }
 
@@ -45,6 +47,7 @@
 	Kind          string      `json:"kind" toml:"kind"`
 	Models        []modelForm `json:"models,omitempty" toml:"models,omitempty"`
 	HostClass     string      `json:"hostClass,omitempty" toml:"hostClass,omitempty"`
+	OtherClasses  []string    `json:"otherClasses,omitempty" toml:"otherClasses,omitempty"`
 	MinHosts      int         `json:"minHosts,omitempty" toml:"minHosts,omitempty"`
 	MaxHosts      int         `json:"maxHosts,omitempty" toml:"maxHosts,omitempty"`
 	Slots         int         `json:"slots,omitempty" toml:"slots,omitempty"`
@@ -144,7 +147,7 @@
 			orDefault(form.BetweenTokensMillis, row.BetweenTokens()),
 			orDefault(form.DeadlineMillis, row.Deadline()),
 		).
-		WithNonIdempotent(form.NonIdempotent).WithRevision(form.Revision)
+		WithNonIdempotent(form.NonIdempotent).WithLimits(form.MaxInFlight, form.RatePerSecond).WithRevision(form.Revision)
 }
 
 func orDefault(millis int64, fallback clock.Millis) clock.Millis {
@@ -164,7 +167,7 @@
 		slots = pool.DefaultSlots
 	}
 	return pool.New(form.Name, kind).WithModels(models...).
-		WithHosts(form.HostClass, form.MinHosts, form.MaxHosts).WithSlots(slots).
+		WithHosts(form.HostClass, form.MinHosts, form.MaxHosts).WithOtherClasses(form.OtherClasses...).WithSlots(slots).
 		WithIgnoresFence(form.IgnoresFence).WithRefusesRepeat(form.RefusesRepeat).WithRevision(form.Revision)
 }
 
@@ -191,6 +194,8 @@
 		BetweenTokensMillis: int64(row.BetweenTokens()),
 		DeadlineMillis:      int64(row.Deadline()),
 		NonIdempotent:       row.NonIdempotent(),
+		MaxInFlight:         row.MaxInFlight(),
+		RatePerSecond:       row.RatePerSecond(),
 		Revision:            row.Revision(),
 	}
 }
@@ -200,6 +205,7 @@
 		Name:          row.Name(),
 		Kind:          row.Kind().String(),
 		HostClass:     row.HostClass(),
+		OtherClasses:  row.OtherClasses(),
 		MinHosts:      row.MinHosts(),
 		MaxHosts:      row.MaxHosts(),
 		Slots:         row.Slots(),
