--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -54,11 +54,12 @@
 	readyOff, grace := stopTimes(entry.settings.ReadyOff(), entry.settings.Grace(), notice)
 	entry.log.Info().Int64("inFlight", entry.admission.InFlight()).Int64("graceMillis", int64(grace)).Msg("stopping: no longer ready")
 	entry.stopping.Store(true)
+	entry.fellows.PassOn()
 	callers.SetKeepAlivesEnabled(false)
 	entry.clock.Wait(kill, readyOff)
 	entry.admission.Close()
 	reserve := min(handOverTime, grace/2)
-	if !entry.awaitIdle(kill, grace-reserve) {
+	if !entry.awaitIdle(kill, grace-reserve) && kill.Err() == nil {
 		ctx, cancel := entry.clock.WithTimeout(kill, reserve)
 		entry.handOver(ctx)
 		cancel()
@@ -74,13 +75,14 @@
 }
 
 // stopTimes returns the times for the balancer and for requests in progress.
-// Without notice of a reclaim they are as set.
+// Without notice of a reclaim they are as set; otherwise a quarter of the
+// notice is left over for the end of the process.
 func stopTimes(readyOff, grace, notice clock.Millis) (off, left clock.Millis) {
 	if notice == 0 {
 		return readyOff, grace
 	}
-	off = min(readyOff, notice/4)
-	return off, min(grace, max(notice-off-lastAnswersTime, 1))
+	off = min(readyOff, notice/8)
+	return off, min(grace, notice*3/4-off)
 }
 
 // awaitIdle waits until nothing is in progress, and reports whether that came
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,15 +3,14 @@
 //
 // Writers and readers are apart. The request path reads the tables in force,
 // the backend servers and the fellow nodes from immutable snapshots. Three
-// loops write them: tables (watch of the platform), servers (list of hosts,
-// notices and evidence from requests, one goroutine) and fellows (heartbeats).
+// loops write them: tables (TablesFollower), servers (list of hosts, notices
+// and evidence from requests, one goroutine) and fellow nodes (Fellows).
 package entry
 
 import (
 	"context"
 	"crypto/rand"
 	"expvar"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -28,11 +27,9 @@
 	"sapphirehead/internal/logging"
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/node/nodelink"
-	"sapphirehead/internal/operator"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/request"
-	"sapphirehead/internal/runner"
 	"sapphirehead/internal/runner/runnerhttp"
 	"sapphirehead/internal/service"
 	"sapphirehead/internal/service/servicehttp"
@@ -50,8 +47,6 @@
 	log         zerolog.Logger
 	counters    *expvar.Map
 	incarnation int64
-	sequence    atomic.Int64
-	ready       atomic.Bool
 	stopping    atomic.Bool
 	inForce     *table.InForce
 	fleet       *backend.Fleet
@@ -60,13 +55,17 @@
 	located     chan *Answer
 	reclaimed   chan clock.Millis
 	members     *node.Members
+	contact     *node.Contact
+	fellows     *Fellows
+	tables      *TablesFollower
 	accounts    *caller.Accounts
 	admission   *caller.Admission
+	choosing    *choosing
+	runners     *runnerhttp.Client
 	platform    *platformhttp.Client
 	store       *platform.Store
 	cloud       *cloudhttp.Client
 	ledger      *service.Ledger
-	editor      *operator.Editor
 	links       *nodelink.Links
 	driver      *Driver
 	answers     *Answers
@@ -93,7 +92,6 @@
 		hints:       node.NewHints(clock),
 		located:     make(chan *Answer, maxHintsWaiting),
 		reclaimed:   newReclaimed(),
-		members:     node.NewMembers(clock, settings.Host(), node.DefaultSilence),
 		accounts:    accountsOf(settings),
 		admission:   caller.NewAdmission(settings.MaxInFlight()),
 		platform:    platformhttp.New(settings.Platform().Address(), clock, settings.Platform().Timeout()),
@@ -103,8 +101,9 @@
 		entry.cloud = cloudhttp.New(settings.Cloud().Address(), clock, settings.Cloud().Timeout())
 	}
 	entry.ledger = entry.newLedger()
-	entry.editor = operator.NewEditor(entry.loadTables, entry.commitTables, entry.newestTables, entry.alarmOlderStore)
-	entry.links = nodelink.New(clock, entry.answerCall)
+	entry.joinFellows()
+	entry.runners = runnerhttp.New(entry.clock, connectTimeout)
+	entry.choosing = newChoosing(entry)
 	entry.driver = entry.newDriver()
 	entry.answers = NewAnswers(clock, entry.runAnswer)
 	return entry, entry.listen()
@@ -119,13 +118,9 @@
 }
 
 func (entry *Entry) newDriver() *Driver {
-	chooser := runner.NewChooser(entry.fleet, entry.settings.DataCentre(), mathrand.IntN)
-	choose := func(to *request.Request, exclude []string) (*backend.Server, bool) {
-		return chooser.Choose(to.Route().Pool(), exclude)
-	}
-	runners := runnerhttp.New(entry.clock, connectTimeout)
+	runners := entry.runners
 	services := servicehttp.New(connectTimeout)
-	return NewDriver(entry.clock, choose, func(*request.Request) bool { return true }, entry.claim, entry.record,
+	return NewDriver(entry.clock, entry.choosing.choose, entry.choosing.retry, entry.claim, entry.record,
 		runners.Open, runners.Cancel, services.Call, entry.noteLeaving, entry.countAttempt,
 		runners.Renew, entry.noteLocated)
 }
@@ -170,7 +165,7 @@
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
-	for _, loop := range []func(context.Context){entry.watchTables, entry.writeServers, entry.watchNotices, entry.beat, entry.sendHints, entry.settleClaims} {
+	for _, loop := range []func(context.Context){entry.followTables, entry.writeServers, entry.watchNotices, entry.fellows.Run, entry.sendHints, entry.settleClaims, entry.balance, entry.followCaches} {
 		group.Go(func() error {
 			loop(loops)
 			return nil
@@ -198,11 +193,11 @@
 
 func (entry *Entry) callerHandler() http.Handler {
 	handler := callerhttp.New(entry.clock, entry.inForce.Current, func() *caller.Accounts { return entry.accounts },
-		entry.admission.Admit, entry.isReady, entry.newID, entry.chat, entry.call, entry.find)
+		entry.choosing.admit, entry.isReady, entry.newID, entry.chat, entry.call, entry.find)
 	return handler.Router()
 }
 
-func (entry *Entry) isReady() bool { return entry.ready.Load() && !entry.stopping.Load() }
+func (entry *Entry) isReady() bool { return entry.contact.InTouch() && !entry.stopping.Load() }
 
 // newID returns a new identity of a request.
 func (entry *Entry) newID() string {
@@ -212,6 +207,7 @@
 }
 
 func (entry *Entry) countAttempt(to *request.Request, server *backend.Server, cause request.Cause) {
+	entry.choosing.ended(to, server, cause)
 	if cause == 0 {
 		server.Succeeded()
 		entry.counters.Add("attemptsSucceeded", 1)
--- a/internal/standin/cloudstandin/cloud.go
+++ b/internal/standin/cloudstandin/cloud.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -41,10 +42,21 @@
 	NoticeMillis clock.Millis `json:"noticeMillis"`
 }
 
+// Faults are the ways in which the stand-in fails and its delays.
+type Faults struct {
+	// Refuse names data centres that start no hosts.
+	Refuse []string `json:"refuse"`
+	// LoseStarts is the number of starts to come whose answers are lost.
+	LoseStarts int `json:"loseStarts"`
+	// BootMillis is the time from a start until the host comes up.
+	BootMillis clock.Millis `json:"bootMillis"`
+}
+
 const (
-	stateLive    = "live"
-	stateLeaving = "leaving"
-	stateGone    = "gone"
+	stateStarting = "starting"
+	stateLive     = "live"
+	stateLeaving  = "leaving"
+	stateGone     = "gone"
 )
 
 // Cloud is the state of the stand-in.
@@ -58,6 +70,7 @@
 	hosts   map[string]Host
 	notices []Notice
 	changed chan struct{}
+	faults  Faults
 	serial  int
 }
 
@@ -76,6 +89,7 @@
 	router.HandleFunc("/v1/hosts/{id}", cloud.serveStop).Methods(http.MethodDelete)
 	router.HandleFunc("/v1/notices", cloud.serveNotices).Methods(http.MethodGet)
 	router.HandleFunc("/control/reclaim", cloud.serveReclaim).Methods(http.MethodPost)
+	router.HandleFunc("/control/faults", cloud.serveFaults).Methods(http.MethodPost)
 	router.HandleFunc("/control/offers", cloud.serveSetOffers).Methods(http.MethodPost)
 	return router
 }
@@ -125,14 +139,83 @@
 		return
 	}
 	if !known {
-		if err := cloud.start(host); err != nil {
+		if err := cloud.boot(host); err != nil {
 			http.Error(writer, err.Error(), http.StatusInternalServerError)
 			return
 		}
 	}
+	if cloud.losesAnswer() {
+		panic(http.ErrAbortHandler)
+	}
 	standinhttp.Write(writer, http.StatusCreated, host)
 }
 
+// boot brings a host up, at once or after the time to boot.
+func (cloud *Cloud) boot(host Host) error {
+	cloud.mutex.Lock()
+	delay := cloud.faults.BootMillis
+	cloud.mutex.Unlock()
+	if delay == 0 {
+		return cloud.start(host)
+	}
+	cloud.clock.AfterFunc(delay, func() {
+		if cloud.finishBoot(host.ID) {
+			_ = cloud.start(host)
+		}
+	})
+	return nil
+}
+
+// finishBoot makes a starting host live, unless it was stopped meanwhile.
+func (cloud *Cloud) finishBoot(id string) bool {
+	cloud.mutex.Lock()
+	defer cloud.mutex.Unlock()
+	host := cloud.hosts[id]
+	if host.State != stateStarting {
+		return false
+	}
+	host.State = stateLive
+	cloud.hosts[id] = host
+	return true
+}
+
+func (cloud *Cloud) losesAnswer() bool {
+	cloud.mutex.Lock()
+	defer cloud.mutex.Unlock()
+	if cloud.faults.LoseStarts == 0 {
+		return false
+	}
+	cloud.faults.LoseStarts--
+	return true
+}
+
+func (cloud *Cloud) serveFaults(writer http.ResponseWriter, message *http.Request) {
+	var faults Faults
+	if standinhttp.Read(writer, message, &faults) {
+		cloud.SetFaults(faults)
+	}
+}
+
+// SetFaults makes the stand-in fail from now on.
+func (cloud *Cloud) SetFaults(faults Faults) {
+	cloud.mutex.Lock()
+	defer cloud.mutex.Unlock()
+	cloud.faults = faults
+}
+
+// Hosts returns every host that is not gone.
+func (cloud *Cloud) Hosts() []Host {
+	cloud.mutex.Lock()
+	defer cloud.mutex.Unlock()
+	var hosts []Host
+	for _, host := range cloud.hosts {
+		if host.State != stateGone {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
 // admit registers a host unless the request id is known or no capacity is left.
 func (cloud *Cloud) admit(wanted Host) (host Host, known, ok bool) {
 	cloud.mutex.Lock()
@@ -151,12 +234,15 @@
 			capacity = offer.Capacity
 		}
 	}
-	if used >= capacity {
+	if used >= capacity || slices.Contains(cloud.faults.Refuse, wanted.DataCentre) {
 		return Host{}, false, false
 	}
 	cloud.serial++
 	wanted.ID = "host-" + strconv.Itoa(cloud.serial)
 	wanted.State = stateLive
+	if cloud.faults.BootMillis > 0 {
+		wanted.State = stateStarting
+	}
 	cloud.hosts[wanted.ID] = wanted
 	return wanted, false, true
 }
@@ -240,7 +326,7 @@
 	cloud.mutex.Lock()
 	var taken []Host
 	for id, host := range cloud.hosts {
-		if host.State == stateLive && (id == hostID || (dataCentre != "" && host.DataCentre == dataCentre && host.Reclaimable)) {
+		if (host.State == stateLive || host.State == stateStarting) && (id == hostID || (dataCentre != "" && host.DataCentre == dataCentre && host.Reclaimable)) {
 			host.State = stateLeaving
 			cloud.hosts[id] = host
 			taken = append(taken, host)
--- a/internal/table/rules.go
+++ b/internal/table/rules.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"unicode"
 
@@ -107,6 +108,12 @@
 	if row.FirstToken() <= 0 || row.FirstToken() > row.Deadline() {
 		checker.report("firstTokenMillis", "is %d: allowed is 1 to deadlineMillis (%d)", row.FirstToken(), row.Deadline())
 	}
+	if row.MaxInFlight() < 0 {
+		checker.report("maxInFlight", "is %d: allowed is 0 for any number, or more", row.MaxInFlight())
+	}
+	if row.RatePerSecond() < 0 {
+		checker.report("ratePerSecond", "is %v: allowed is 0 for any number, or more", row.RatePerSecond())
+	}
 	if row.BetweenTokens() <= 0 || row.BetweenTokens() > row.Deadline() {
 		checker.report("betweenTokensMillis", "is %d: allowed is 1 to deadlineMillis (%d)", row.BetweenTokens(), row.Deadline())
 	}
@@ -150,6 +157,14 @@
 	if row.Slots() <= 0 || row.Slots() > maxSlots {
 		checker.report("slots", "is %d: allowed is 1 to %d", row.Slots(), maxSlots)
 	}
+	if len(row.OtherClasses()) > 0 && row.HostClass() == "" {
+		checker.report("otherClasses", "a pool with other classes needs a hostClass")
+	}
+	for i, class := range row.HostClasses() {
+		if class == "" || slices.Contains(row.HostClasses()[:i], class) {
+			checker.report("otherClasses", "%q is empty or named twice", class)
+		}
+	}
 	switch row.Kind() {
 	case pool.KindRunner:
 		checker.models(row)
