Pass redirects of services on, and call a call unsent only without a connection

Cause: the client of services followed redirects: a 307 made it send a charge a second time, to another address. A call given up before it had a connection counted as perhaps run, so its claim stayed.

Change: redirects go to the caller; a call without a connection is not sent. The digest of the call goes along with its key, for services that refuse repeats by themselves.

Seen to fail: redirects followed (two calls counted), no connection ignored, any failure taken as not sent, kept connections for calls with side effects (the transport sent the charge again).

--- a/internal/service/servicehttp/client.go
+++ b/internal/service/servicehttp/client.go
@@ -3,7 +3,8 @@
 // A call that may not be repeated goes over a connection of its own: the
 // standard transport repeats a request by itself when a kept connection turns
 // out to be closed, and does so even for a POST if the request carries an
-// Idempotency-Key. On a fresh connection it never does.
+// Idempotency-Key. On a fresh connection it never does. Without a connection
+// no byte can have left; every other failure leaves it open.
 package servicehttp
 
 import (
@@ -12,6 +13,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -29,6 +32,9 @@
 	HeaderRequestID = "X-Request-Id"
 	HeaderAccount   = "X-Client-Account"
 	HeaderKey       = "Idempotency-Key"
+	// HeaderFingerprint is a digest of method, path and body, by which a
+	// service that refuses repeated keys tells a repeat from another call.
+	HeaderFingerprint = "X-Call-Fingerprint"
 )
 
 // Client calls application services.
@@ -41,29 +47,33 @@
 func New(connectTimeout clock.Millis) *Client {
 	dialer := &net.Dialer{Timeout: connectTimeout.Duration()}
 	return &Client{
-		kept:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}},
-		fresh: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+		kept:  newClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}),
+		fresh: newClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}),
 	}
 }
 
+// newClient returns a client that passes redirects on: following one would
+// send the call again.
+func newClient(transport *http.Transport) *http.Client {
+	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Transport: transport, CheckRedirect: refuse}
+}
+
 // Call sends the call to the server. The cause tells what is known about the
 // attempt when err is not nil.
 func (client *Client) Call(ctx context.Context, server *backend.Server, from *request.Request, call service.Call) (answer service.Answer, cause request.Cause, err error) {
-	message, err := http.NewRequestWithContext(ctx, call.Method(), "http://"+server.Address()+call.Path(), bytes.NewReader(call.Body()))
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	message, err := newMessage(httptrace.WithClientTrace(ctx, trace), server, from, call)
 	if err != nil {
 		return service.Answer{}, request.CauseNotSent, err
 	}
-	message.Header.Set(HeaderRequestID, from.ID())
-	message.Header.Set(HeaderAccount, from.Account())
-	if call.ContentType() != "" {
-		message.Header.Set("Content-Type", call.ContentType())
-	}
-	if from.Key() != "" {
-		message.Header.Set(HeaderKey, from.Key())
-	}
 	reply, err := client.transport(from).Do(message)
+	if err != nil && !connected.Load() {
+		return service.Answer{}, request.CauseNotSent, err
+	}
 	if err != nil {
-		return service.Answer{}, causeOf(err), err
+		return service.Answer{}, request.CauseCut, err
 	}
 	defer reply.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, MaxAnswerBytes+1))
@@ -89,10 +99,19 @@
 	return client.kept
 }
 
-func causeOf(err error) request.Cause {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return request.CauseNotSent
+func newMessage(ctx context.Context, server *backend.Server, from *request.Request, call service.Call) (*http.Request, error) {
+	message, err := http.NewRequestWithContext(ctx, call.Method(), "http://"+server.Address()+call.Path(), bytes.NewReader(call.Body()))
+	if err != nil {
+		return nil, err
+	}
+	message.Header.Set(HeaderRequestID, from.ID())
+	message.Header.Set(HeaderAccount, from.Account())
+	if call.ContentType() != "" {
+		message.Header.Set("Content-Type", call.ContentType())
+	}
+	if from.Key() != "" {
+		message.Header.Set(HeaderKey, from.Key())
+		message.Header.Set(HeaderFingerprint, from.Fingerprint())
 	}
-	return request.CauseCut
+	return message, nil
 }
--- /dev/null
+++ b/internal/service/servicehttp/client_test.go
@@ -0,0 +1,109 @@
+package servicehttp_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
+	"sapphirehead/internal/service"
+	"sapphirehead/internal/service/servicehttp"
+)
+
+var charge = route.New("charges", route.KindService, "booking").WithPath("/charges").WithNonIdempotent(true)
+
+// call sends one charge with a key to the address.
+func call(ctx context.Context, client *servicehttp.Client, address string) (service.Answer, request.Cause, error) {
+	server := backend.NewServer("booking-1", address, "lj-a", "plain", "booking")
+	from := request.New("req-1", "garage", charge, "renewal-17", request.Prompt{}, 0).WithFingerprint("f")
+	return client.Call(ctx, server, from, service.NewCall(http.MethodPost, "/charges?month=5", "text/plain", []byte("set")))
+}
+
+// expectCause calls a service that behaves as given and checks what is said of
+// the attempt, and that the service got the call once.
+func expectCause(t *testing.T, want request.Cause, serve http.HandlerFunc) service.Answer {
+	t.Helper()
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, message *http.Request) {
+		calls.Add(1)
+		body, _ := io.ReadAll(message.Body)
+		require.Equal(t, "set", string(body))
+		require.Equal(t, "f", message.Header.Get(servicehttp.HeaderFingerprint))
+		serve(writer, message)
+	}))
+	defer server.Close()
+	answer, cause, err := call(t.Context(), servicehttp.New(clock.Second), server.Listener.Addr().String())
+	require.Equal(t, want, cause)
+	require.Equal(t, want == 0, err == nil)
+	require.Equal(t, int64(1), calls.Load())
+	return answer
+}
+
+// TestCall checks what is known of a call with side effects after each end.
+func TestCall(t *testing.T) {
+	t.Run("answered", func(t *testing.T) {
+		answer := expectCause(t, 0, func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusCreated) })
+		require.Equal(t, http.StatusCreated, answer.Status())
+	})
+	t.Run("a redirect is passed on, not followed", func(t *testing.T) {
+		answer := expectCause(t, 0, func(writer http.ResponseWriter, message *http.Request) {
+			http.Redirect(writer, message, "/charges", http.StatusTemporaryRedirect)
+		})
+		require.Equal(t, http.StatusTemporaryRedirect, answer.Status())
+	})
+	t.Run("cut without an answer", func(t *testing.T) {
+		expectCause(t, request.CauseCut, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	})
+	t.Run("cut within the answer", func(t *testing.T) {
+		expectCause(t, request.CauseCut, func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Content-Length", "10")
+			writer.WriteHeader(http.StatusCreated)
+		})
+	})
+	t.Run("unavailable proves nothing", func(t *testing.T) {
+		expectCause(t, 0, func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusServiceUnavailable) })
+	})
+	t.Run("the service says that it did not run", func(t *testing.T) {
+		expectCause(t, request.CauseRefused, func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("X-Not-Run", "true")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		})
+	})
+	t.Run("cut after an earlier call went well: not sent again", func(t *testing.T) {
+		var calls atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			if calls.Add(1) > 1 {
+				panic(http.ErrAbortHandler)
+			}
+		}))
+		defer server.Close()
+		client := servicehttp.New(clock.Second)
+		_, _, err := call(t.Context(), client, server.Listener.Addr().String())
+		require.NoError(t, err)
+		_, cause, _ := call(t.Context(), client, server.Listener.Addr().String())
+		require.Equal(t, request.CauseCut, cause)
+		require.Equal(t, int64(2), calls.Load())
+	})
+	t.Run("no connection", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		require.NoError(t, listener.Close())
+		_, cause, _ := call(t.Context(), servicehttp.New(clock.Second), listener.Addr().String())
+		require.Equal(t, request.CauseNotSent, cause)
+	})
+	t.Run("given up before a connection", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, cause, _ := call(ctx, servicehttp.New(clock.Second), "127.0.0.1:1")
+		require.Equal(t, request.CauseNotSent, cause)
+	})
+}
