--- a/internal/slopes/stewardslope/stewardslope.go
+++ b/internal/slopes/stewardslope/stewardslope.go
@@ -140,9 +140,9 @@
 		return nil, "", err
 	}
 	runners := httptest.NewServer(http.HandlerFunc(serveRunner))
-	entry := httptest.NewServer(operatorhttp.New(token, nil, nil, func() operator.Status {
-		return statusOf(fleet, strings.TrimPrefix(runners.URL, "http://"))
-	}, func(string, string) {}).Router())
+	reader := func(given string) (operator.Token, bool) { return operator.NewToken("steward", false), given == token }
+	status := func() operator.Status { return statusOf(fleet, strings.TrimPrefix(runners.URL, "http://")) }
+	entry := httptest.NewServer(operatorhttp.New(reader, nil, nil, nil, status, nil, nil, nil, nil, func(string, string, string) {}).Router())
 	file, err := harness.WriteFile("steward.toml", fmt.Sprintf(stewardSettings, dataCentre, address, cloud.Address("api"),
 		weights.Address("api"), strings.TrimPrefix(entry.URL, "http://"), token))
 	if err != nil {
@@ -182,10 +182,10 @@
 func statusOf(fleet fleet, address string) operator.Status {
 	servers := make([]operator.ServerStatus, 0, fleet.runners)
 	for i := range fleet.runners {
-		servers = append(servers, operator.NewServerStatus("runner-"+strconv.Itoa(i), address, dataCentre, poolName(i%fleet.pools), false, 0, 0))
+		servers = append(servers, operator.NewServerStatus("runner-"+strconv.Itoa(i), address, dataCentre, poolName(i%fleet.pools), false, "closed", 0, 0))
 	}
 	for i := range fleet.others {
-		servers = append(servers, operator.NewServerStatus("other-"+strconv.Itoa(i), address, dataCentre, "others", false, 0, 0))
+		servers = append(servers, operator.NewServerStatus("other-"+strconv.Itoa(i), address, dataCentre, "others", false, "closed", 0, 0))
 	}
 	self := node.NewMember("entry-1", "127.0.0.1:1", dataCentre, 1).WithNews(1, 1, true, false)
 	return operator.NewStatus(self, nil, servers)
