--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 GO ?= go
 BIN := bin
 GOLANGCI_VERSION := v2.15.0
+# The version of the programs; "development" outside a git checkout.
+VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo development)
 GOBIN := $(shell $(GO) env GOPATH)/bin
 GOLANGCI := $(GOBIN)/golangci-lint
 
@@ -12,7 +14,7 @@
 
 .PHONY: build
 build: ## build the programs into bin
-	$(GO) build -o $(BIN)/ ./cmd/...
+	$(GO) build -ldflags '-X sapphirehead/internal/program.Version=$(VERSION)' -o $(BIN)/ ./cmd/...
 
 .PHONY: demo
 demo: build ## start a whole system on loopback and check each answer
@@ -54,6 +56,17 @@
 fuzz: ## run every test that uses rapid with random seeds for FUZZ_MINUTES
 	$(GO) run ./internal/fuzz --minutes=$(FUZZ_MINUTES) --skip='$(KNOWN_RED)' $(RAPID_PACKAGES)
 
+FUZZ_TIME := 20s
+
+.PHONY: fuzznative
+fuzznative: ## feed bad input to every decoder, each for FUZZ_TIME
+	@set -e; for file in $$(grep -rl '^func Fuzz' --include='*_test.go' internal); do \
+		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\).*/\1/p' $$file); do \
+			echo "$$name in $$(dirname $$file)"; \
+			$(GO) test ./$$(dirname $$file) -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZ_TIME); \
+		done; \
+	done
+
 .PHONY: lint
 lint: $(GOLANGCI) ## check format and code
 	$(GOLANGCI) run ./...
@@ -74,7 +87,31 @@
 .PHONY: measure
 measure: build ## compare the policy with plain ones in virtual time, 20 seeds
 	$(BIN)/sapphire-measure --by-kind
+
+BENCH_PACKAGES := ./internal/runner ./internal/caller ./internal/table
+PROFILE := $(BIN)/profile
+
+.PHONY: bench
+bench: build ## time decisions on 1 and 10 threads, look for lock contention, measure the overhead of a token
+	$(GO) test -run '^$$' -bench . -cpu 1,10 $(BENCH_PACKAGES)
+	mkdir -p $(PROFILE)
+	for package in $(BENCH_PACKAGES); do \
+		name=$(PROFILE)/$$(basename $$package); \
+		$(GO) test -run '^$$' -bench . -cpu 10 -mutexprofile $$name.mutex -o $$name.test $$package >/dev/null && \
+		echo "lock contention in $$package (sync.Mutex of ours would be listed here):" && \
+		$(GO) tool pprof -top -nodecount=8 $$name.test $$name.mutex 2>/dev/null | tail -n +4 || exit 1; \
+	done
+	$(BIN)/sapphire-standin overhead --bin $(BIN)
+
 .PHONY: slopes
 slopes: build ## measure what docs/CAPACITY.md is worked out from
 	$(BIN)/sapphire-standin slopes --bin $(BIN)
+
+.PHONY: measurefleet
+measurefleet: ## compare ways of renting hosts in virtual time
+	$(GO) run ./internal/measure/fleet
+
+.PHONY: stewardslopes
+stewardslopes: build ## measure what a steward costs
+	$(BIN)/sapphire-standin steward-slopes --bin $(BIN)
 	$(BIN)/sapphire-standin node-slopes
--- a/cmd/sapphire-standin/main.go
+++ b/cmd/sapphire-standin/main.go
@@ -15,8 +15,10 @@
 	"sapphirehead/internal/program"
 	"sapphirehead/internal/slopes/nodeslope"
 	"sapphirehead/internal/slopes/requestslope"
+	"sapphirehead/internal/slopes/stewardslope"
 	"sapphirehead/internal/standin/cloudstandin"
 	"sapphirehead/internal/standin/demo"
+	"sapphirehead/internal/standin/overhead"
 	"sapphirehead/internal/standin/platformstandin"
 	"sapphirehead/internal/standin/runnerstandin"
 	"sapphirehead/internal/standin/servicestandin"
@@ -25,14 +27,16 @@
 )
 
 type commandLine struct {
-	Platform    platformCommand    `cmd:"" help:"Object API and list of hosts."`
-	Cloud       cloudCommand       `cmd:"" help:"Cloud API; hosts that it starts are runners within this process."`
-	Weightstore weightstoreCommand `cmd:"" help:"Weight store."`
-	Runner      runnerCommand      `cmd:"" help:"One model runner."`
-	Service     serviceCommand     `cmd:"" help:"One application service."`
-	Slopes      slopesCommand      `cmd:"" help:"Measure what requests cost an entry host."`
-	NodeSlopes  nodeSlopesCommand  `cmd:"" help:"Measure what fellow nodes and edits cost a node."`
-	Demo        demoCommand        `cmd:"" help:"Start a whole system on loopback, send requests and check each answer."`
+	Platform      platformCommand      `cmd:"" help:"Object API and list of hosts."`
+	Cloud         cloudCommand         `cmd:"" help:"Cloud API; hosts that it starts are runners within this process."`
+	Weightstore   weightstoreCommand   `cmd:"" help:"Weight store."`
+	Runner        runnerCommand        `cmd:"" help:"One model runner."`
+	Service       serviceCommand       `cmd:"" help:"One application service."`
+	Slopes        slopesCommand        `cmd:"" help:"Measure what requests cost an entry host."`
+	Overhead      overheadCommand      `cmd:"" help:"Measure what an entry host adds to each streamed token."`
+	StewardSlopes stewardSlopesCommand `cmd:"" help:"Measure what a steward costs."`
+	NodeSlopes    nodeSlopesCommand    `cmd:"" help:"Measure what fellow nodes and edits cost a node."`
+	Demo          demoCommand          `cmd:"" help:"Start a whole system on loopback, send requests and check each answer."`
 }
 
 const serverName = "api"
@@ -79,7 +83,7 @@
 
 // Run serves the runner.
 func (command *runnerCommand) Run() error {
-	stop, _ := program.Signals()
+	stop, kill := program.Signals()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -91,8 +95,9 @@
 		return err
 	}
 	program.PrintListening(map[string]string{serverName: listener.Addr().String()})
-	runner := runnerstandin.New(stop, clock.System(), command.ID, command.Slots, clock.Millis(command.DecodeMillis), command.Model, command.IgnoresFence)
-	return standinhttp.Serve(stop, listener, runner.Router())
+	runner := runnerstandin.New(kill, clock.System(), command.ID, command.Slots, clock.Millis(command.DecodeMillis), command.Model, command.IgnoresFence)
+	context.AfterFunc(stop, runner.Leave)
+	return standinhttp.ServeGracefully(stop, kill, listener, runner.Router())
 }
 
 type serviceCommand struct {
@@ -105,7 +110,7 @@
 
 // Run serves the application service.
 func (command *serviceCommand) Run() error {
-	stop, _ := program.Signals()
+	stop, kill := program.Signals()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -115,7 +120,7 @@
 		return err
 	}
 	program.PrintListening(map[string]string{serverName: listener.Addr().String()})
-	return standinhttp.Serve(stop, listener, servicestandin.New(clock.System(), command.ID, clock.Millis(command.WorkMillis)).Router())
+	return standinhttp.ServeGracefully(stop, kill, listener, servicestandin.New(clock.System(), command.ID, clock.Millis(command.WorkMillis)).Router())
 }
 
 type cloudCommand struct {
@@ -194,6 +199,13 @@
 	return demo.Run(command.Bin)
 }
 
+type overheadCommand struct {
+	Bin string `help:"Folder with the programs." default:"bin" type:"existingdir"`
+}
+
+// Run measures and prints the overhead.
+func (command *overheadCommand) Run() error { return overhead.Run(os.Stdout, command.Bin) }
+
 type slopesCommand struct {
 	Bin string `help:"Folder with the programs." default:"bin" type:"existingdir"`
 }
@@ -207,6 +219,15 @@
 	return slopes.Print(os.Stdout)
 }
 
+type stewardSlopesCommand struct {
+	Bin string `help:"Folder with the programs." default:"bin" type:"existingdir"`
+}
+
+// Run measures and prints what a steward costs.
+func (command *stewardSlopesCommand) Run() error {
+	return stewardslope.Report(context.Background(), os.Stdout, command.Bin)
+}
+
 func main() {
 	var line commandLine
 	context := kong.Parse(&line, kong.Name("sapphire-standin"), kong.Description("Stand-ins for tests."))
--- a/cmd/sapphire-steward/main.go
+++ b/cmd/sapphire-steward/main.go
@@ -24,10 +24,19 @@
 	Settings string `help:"Settings file." required:"" type:"path"`
 }
 
+type settingsCommand struct{}
+
+// Run prints the reference.
+func (command *settingsCommand) Run() error {
+	fmt.Print(settings.Markdown(settings.StewardReference()))
+	return nil
+}
+
 type commandLine struct {
-	Run     runCommand       `cmd:"" default:"withargs" help:"Control the fleet."`
-	Check   checkCommand     `cmd:"" help:"Check the settings file and exit."`
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Run      runCommand       `cmd:"" default:"withargs" help:"Control the fleet."`
+	Check    checkCommand     `cmd:"" help:"Check the settings file and exit."`
+	Settings settingsCommand  `cmd:"" help:"Print the reference of the settings file and exit."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
 // Run controls until it is told to stop.
@@ -36,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	log := logging.New(os.Stderr, "sapphire-steward", loaded.Host(), loaded.DataCentre())
+	log := logging.New(os.Stderr, loaded.LogLevel(), "sapphire-steward", loaded.Host(), loaded.DataCentre())
 	control, err := steward.New(loaded, clock.System(), log)
 	if err != nil {
 		return err
--- a/internal/backend/circuit.go
+++ b/internal/backend/circuit.go
@@ -30,6 +30,31 @@
 	started  atomic.Int64
 }
 
+// CircuitState is whether a server may be chosen.
+type CircuitState int
+
+// The states of a circuit.
+const (
+	CircuitClosed CircuitState = iota
+	CircuitOpen
+	CircuitHalfOpen
+)
+
+// String returns the name of the state.
+func (state CircuitState) String() string { return [...]string{"closed", "open", "halfOpen"}[state] }
+
+// State returns the state at the time.
+func (circuit *Circuit) State(now clock.Millis) CircuitState {
+	switch until := circuit.until.Load(); {
+	case until == 0:
+		return CircuitClosed
+	case int64(now) < until:
+		return CircuitOpen
+	default:
+		return CircuitHalfOpen
+	}
+}
+
 // Start records when the server began to take work here; only the first call
 // counts.
 func (circuit *Circuit) Start(now clock.Millis) {
--- a/internal/backend/circuit_test.go
+++ b/internal/backend/circuit_test.go
@@ -79,3 +79,19 @@
 		require.Equal(t, budgetMost, take(budget))
 	})
 }
+
+func TestCircuitState(t *testing.T) {
+	expectState := func(t *testing.T, circuit *Circuit, now clock.Millis, want CircuitState) {
+		t.Helper()
+		require.Equal(t, want, circuit.State(now), "is %s", circuit.State(now))
+	}
+	circuit := &Circuit{}
+	t.Run("closed at first", func(t *testing.T) { expectState(t, circuit, 1000, CircuitClosed) })
+	for range failuresToOpen {
+		circuit.Failed(1000)
+	}
+	t.Run("open after failures", func(t *testing.T) { expectState(t, circuit, 1000+openLeast-1, CircuitOpen) })
+	t.Run("half open after its time", func(t *testing.T) { expectState(t, circuit, 1000+openLeast, CircuitHalfOpen) })
+	circuit.Succeeded(1000 + openLeast)
+	t.Run("closed by a success", func(t *testing.T) { expectState(t, circuit, 1000+openLeast, CircuitClosed) })
+}
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -24,6 +24,7 @@
 func (entry *Entry) waitForStop(stop, loops context.Context) clock.Millis {
 	select {
 	case <-stop.Done():
+	case <-entry.asked.Done():
 	case <-loops.Done():
 	case notice := <-entry.reclaimed:
 		return notice
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sapphirehead/internal/backend"
+	"sapphirehead/internal/burn"
 	"sapphirehead/internal/caller"
 	"sapphirehead/internal/caller/callerhttp"
 	"sapphirehead/internal/clock"
@@ -27,6 +29,7 @@
 	"sapphirehead/internal/logging"
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/node/nodelink"
+	"sapphirehead/internal/operator"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/request"
@@ -68,6 +71,13 @@
 	ledger      *service.Ledger
 	links       *nodelink.Links
 	driver      *Driver
+	meter       *burn.Meter
+	replays     sync.Map
+	history     *operator.History
+	secured     secured
+	untrustedAt atomic.Int64
+	asked       context.Context
+	askedToStop context.CancelFunc
 	answers     *Answers
 	listeners   listeners
 }
@@ -101,26 +111,25 @@
 		entry.cloud = cloudhttp.New(settings.Cloud().Address(), clock, settings.Cloud().Timeout())
 	}
 	entry.ledger = entry.newLedger()
+	entry.history = operator.NewHistory(entry.loadHistory, entry.commitHistory)
+	entry.meter = burn.New(clock, settings.Objective(), burn.DefaultSeries)
+	entry.asked, entry.askedToStop = context.WithCancel(context.Background())
+	if err := entry.loadKeys(); err != nil {
+		return nil, err
+	}
 	entry.joinFellows()
 	entry.runners = runnerhttp.New(entry.clock, connectTimeout)
 	entry.choosing = newChoosing(entry)
 	entry.driver = entry.newDriver()
 	entry.answers = NewAnswers(clock, entry.runAnswer)
+	entry.publishGauges()
 	return entry, entry.listen()
 }
 
-func accountsOf(settings *settings.Entry) *caller.Accounts {
-	byHash := map[string]*caller.Account{}
-	for _, account := range settings.Accounts() {
-		byHash[caller.HashKey(account.Key())] = caller.NewAccount(account.Name(), account.MaxInFlight())
-	}
-	return caller.NewAccounts(byHash)
-}
-
 func (entry *Entry) newDriver() *Driver {
 	runners := entry.runners
 	services := servicehttp.New(connectTimeout)
-	return NewDriver(entry.clock, entry.choosing.choose, entry.choosing.retry, entry.claim, entry.record,
+	return NewDriver(entry.clock, entry.choosing.choose, entry.choosing.retry, entry.measuredClaim, entry.record,
 		runners.Open, runners.Cancel, services.Call, entry.noteLeaving, entry.countAttempt,
 		runners.Renew, entry.noteLocated)
 }
@@ -135,9 +144,9 @@
 		listener, err = net.Listen("tcp", address)
 		return listener
 	}
-	entry.listeners.caller = open(entry.settings.CallerListen())
-	entry.listeners.operator = open(entry.settings.OperatorListen())
-	entry.listeners.node = open(entry.settings.NodeListen())
+	entry.listeners.caller = secureListener(entry.secured.caller, open(entry.settings.CallerListen()))
+	entry.listeners.operator = secureListener(entry.secured.operator, open(entry.settings.OperatorListen()))
+	entry.listeners.node = secureListener(entry.secured.node, open(entry.settings.NodeListen()))
 	return errors.Wrap(err, "listen")
 }
 
@@ -160,12 +169,12 @@
 	loops, cancel := context.WithCancel(kill)
 	defer cancel()
 	group, loops := errgroup.WithContext(loops)
-	callers := &http.Server{Handler: entry.callerHandler()}
-	operators := &http.Server{Handler: entry.operatorHandler()}
+	callers := &http.Server{Handler: entry.callerHandler(), ErrorLog: entry.handshakes("caller")}
+	operators := &http.Server{Handler: entry.operatorHandler(), ErrorLog: entry.handshakes("operator")}
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
-	for _, loop := range []func(context.Context){entry.followTables, entry.writeServers, entry.watchNotices, entry.fellows.Run, entry.sendHints, entry.settleClaims, entry.balance, entry.followCaches} {
+	for _, loop := range []func(context.Context){entry.followTables, entry.writeServers, entry.watchNotices, entry.fellows.Run, entry.sendHints, entry.settleClaims, entry.balance, entry.followCaches, entry.watchKeys} {
 		group.Go(func() error {
 			loop(loops)
 			return nil
@@ -193,7 +202,7 @@
 
 func (entry *Entry) callerHandler() http.Handler {
 	handler := callerhttp.New(entry.clock, entry.inForce.Current, func() *caller.Accounts { return entry.accounts },
-		entry.choosing.admit, entry.isReady, entry.newID, entry.chat, entry.call, entry.find)
+		entry.measuredAdmit, entry.isReady, entry.newID, entry.measuredChat, entry.measuredCall, entry.measuredFind)
 	return handler.Router()
 }
 
--- a/internal/entry/joined.go
+++ b/internal/entry/joined.go
@@ -16,7 +16,7 @@
 	seeds := entry.settings.Fellows()
 	entry.members = node.NewMembers(entry.clock, entry.self, mathrand.IntN, seeds)
 	entry.contact = node.NewContact(entry.clock, entry.members)
-	entry.links = nodelink.New(entry.clock, nodelink.DialTCP, entry.answerCall)
+	entry.links = nodelink.New(entry.clock, entry.dialNode, entry.answerCall)
 	entry.tables = NewTablesFollower(entry.clock, entry.members, entry.contact, entry.inForce, entry.loadTables, entry.watchTables,
 		entry.commitTables, entry.links.Call, func() { entry.fellows.PassOn() }, entry.log, entry.counters)
 	entry.fellows = NewFellows(entry.clock, entry.members, seeds, entry.links.Call, entry.links.CloseIdle,
@@ -49,6 +49,11 @@
 		return entry.answerClaimOperation(call.GetClaimOperation())
 	case nodepb.Call_ClaimQuery_case:
 		return entry.answerClaimQuery(call.GetClaimQuery())
+	case nodepb.Call_BurnQuery_case:
+		return nodepb.Reply_builder{BurnReport: burnReportMessage(entry.meter.Report())}.Build()
+	case nodepb.Call_Drain_case:
+		entry.stopFor(call.GetDrain().GetOperator())
+		return nodepb.Reply_builder{Draining: &nodepb.Draining{}}.Build()
 	default:
 		return entry.answerStreamCall(call)
 	}
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -69,7 +69,7 @@
 		clock: clock, members: members, contact: contact, inForce: inForce, load: load, watch: watch, call: call,
 		passOn: passOn, log: log, counters: counters, ahead: make(chan struct{}, 1),
 	}
-	follower.editor = operator.NewEditor(load, commit, follower.newest, follower.alarm)
+	follower.editor = follower.EditorOver(load, commit)
 	return follower
 }
 
@@ -269,7 +269,7 @@
 	return nodepb.Reply_builder{Tables: answer}.Build()
 }
 
-// Commit commits an operator's edit and puts it in force here.
+// Commit commits an edit and puts it in force here.
 func (follower *TablesFollower) Commit(ctx context.Context, edit *table.Edit) (*table.Tables, error) {
 	tables, err := follower.editor.Commit(ctx, edit)
 	if err != nil {
@@ -279,6 +279,15 @@
 	return tables, nil
 }
 
+// EditorOver returns an editor like the follower's own over calls to the
+// platform that the caller may watch.
+func (follower *TablesFollower) EditorOver(
+	load func(ctx context.Context) (tables *table.Tables, condition int64, err error),
+	commit func(ctx context.Context, tables *table.Tables, condition int64) error,
+) *operator.Editor {
+	return operator.NewEditor(load, commit, follower.newest, follower.alarm)
+}
+
 // Stored returns the tables as the platform stores them.
 func (follower *TablesFollower) Stored(ctx context.Context) (*table.Tables, error) {
 	tables, _, err := follower.load(ctx)
--- a/internal/operator/leases.go
+++ b/internal/operator/leases.go
@@ -25,6 +25,12 @@
 	return status
 }
 
+// WithFence returns a copy with the fencing number of the stored lease.
+func (status LeaseStatus) WithFence(fence int64) LeaseStatus {
+	status.fence = fence
+	return status
+}
+
 // Name returns the name of the lease.
 func (status LeaseStatus) Name() string { return status.name }
 
@@ -34,7 +40,7 @@
 // Held reports whether the reporting steward holds the lease.
 func (status LeaseStatus) Held() bool { return status.held }
 
-// Fence returns the fencing number of a held lease.
+// Fence returns the fencing number of the lease, or 0 if it is not known.
 func (status LeaseStatus) Fence() int64 { return status.fence }
 
 // Left returns the time until a held lease ends unless it is renewed.
--- a/internal/operator/operatorhttp/forms.go
+++ b/internal/operator/operatorhttp/forms.go
@@ -6,6 +6,7 @@
 import (
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/operator"
+	"sapphirehead/internal/table"
 )
 
 type memberForm struct {
@@ -24,6 +25,7 @@
 	DataCentre string `json:"dataCentre"`
 	Pool       string `json:"pool"`
 	Leaving    bool   `json:"leaving"`
+	Circuit    string `json:"circuit"`
 	InFlight   int64  `json:"inFlight"`
 	Failures   int64  `json:"failures"`
 }
@@ -34,6 +36,12 @@
 	Servers []serverForm `json:"servers"`
 }
 
+// drainForm names what is to be drained: one of both.
+type drainForm struct {
+	Node   string `json:"node,omitempty"`
+	Server string `json:"backendServer,omitempty"`
+}
+
 type committedForm struct {
 	Version int64 `json:"version"`
 }
@@ -44,16 +52,39 @@
 	Message string `json:"message"`
 }
 
+type differenceForm struct {
+	Field  string `json:"field"`
+	Stored string `json:"stored"`
+	Wanted string `json:"wanted"`
+}
+
+// conflictForm shows the row that another edit changed.
+type conflictForm struct {
+	Row         string           `json:"row"`
+	Have        int64            `json:"have"`
+	Named       int64            `json:"named"`
+	Differences []differenceForm `json:"differences"`
+}
+
 type errorForm struct {
 	Type     string        `json:"type"`
 	Message  string        `json:"message"`
 	Problems []problemForm `json:"problems,omitempty"`
+	Conflict *conflictForm `json:"conflict,omitempty"`
 }
 
 type errorsForm struct {
 	Error errorForm `json:"error"`
 }
 
+func conflictFormOf(err *table.ConflictError) *conflictForm {
+	form := &conflictForm{Row: err.Row(), Have: err.Have(), Named: err.Named(), Differences: []differenceForm{}}
+	for _, difference := range err.Differences() {
+		form.Differences = append(form.Differences, differenceForm{Field: difference.Field(), Stored: difference.Stored(), Wanted: difference.Wanted()})
+	}
+	return form
+}
+
 func memberFormOf(member node.Member) memberForm {
 	return memberForm{
 		Host:          member.Host(),
@@ -82,6 +113,7 @@
 			DataCentre: server.DataCentre(),
 			Pool:       server.Pool(),
 			Leaving:    server.Leaving(),
+			Circuit:    server.Circuit(),
 			InFlight:   server.InFlight(),
 			Failures:   server.Failures(),
 		})
@@ -97,7 +129,7 @@
 	servers := make([]operator.ServerStatus, 0, len(form.Servers))
 	for _, server := range form.Servers {
 		servers = append(servers, operator.NewServerStatus(
-			server.ID, server.Address, server.DataCentre, server.Pool, server.Leaving, server.InFlight, server.Failures,
+			server.ID, server.Address, server.DataCentre, server.Pool, server.Leaving, server.Circuit, server.InFlight, server.Failures,
 		))
 	}
 	return operator.NewStatus(form.Self.member(), members, servers)
--- a/internal/operator/operatorhttp/leases.go
+++ b/internal/operator/operatorhttp/leases.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
 	"net/http"
 
 	"github.com/gorilla/mux"
-	"github.com/pkg/errors"
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/operator"
@@ -27,16 +25,16 @@
 }
 
 // StewardRouter returns the HTTP routes of a steward's operators' address:
-// metrics and leases. Calls without the token are refused and reported to
+// metrics and leases. Calls without a token are refused and reported to
 // refuse.
-func StewardRouter(token string, leases func() []operator.LeaseStatus, refuse func(remote, reason string)) http.Handler {
+func StewardRouter(
+	token func(given string) (operator.Token, bool), leases func() []operator.LeaseStatus, refuse func(remote, operator, reason string),
+) http.Handler {
 	handler := &Handler{token: token, refuse: refuse}
+	handler.leases = func(context.Context) ([]operator.LeaseStatus, error) { return leases(), nil }
 	router := mux.NewRouter()
-	router.Use(handler.authorize)
-	router.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
-	router.HandleFunc("/admin/v1/leases", func(writer http.ResponseWriter, _ *http.Request) {
-		writeJSON(writer, http.StatusOK, leasesFormOf(leases()))
-	}).Methods(http.MethodGet)
+	router.Handle("/debug/vars", handler.authorize(false, expvar.Handler())).Methods(http.MethodGet)
+	router.Handle("/admin/v1/leases", handler.authorize(false, http.HandlerFunc(handler.serveLeases))).Methods(http.MethodGet)
 	return router
 }
 
@@ -50,19 +48,16 @@
 	return form
 }
 
-// Leases returns the report of a steward about the leases that it follows.
+// Leases returns the leases as an entry host reads them from the platform, or
+// as a steward follows them.
 func (client *Client) Leases(ctx context.Context) ([]operator.LeaseStatus, error) {
-	body, err := client.call(ctx, http.MethodGet, "/leases", nil)
-	if err != nil {
-		return nil, err
-	}
 	var form leasesForm
-	if err := json.Unmarshal(body, &form); err != nil {
-		return nil, errors.Wrap(err, "decode leases")
+	if err := client.read(ctx, "/leases", &form); err != nil {
+		return nil, err
 	}
 	leases := make([]operator.LeaseStatus, 0, len(form.Leases))
 	for _, lease := range form.Leases {
-		status := operator.NewLeaseStatus(lease.Name, lease.Holder, lease.Rank)
+		status := operator.NewLeaseStatus(lease.Name, lease.Holder, lease.Rank).WithFence(lease.Fence)
 		if lease.Held {
 			status = status.WithHolding(lease.Fence, clock.Millis(lease.LeftMillis))
 		}
--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -254,3 +254,11 @@
 	}
 	lease.holding.Store(&next)
 }
+
+// HostsLease returns the name of the lease under which the hosts of a pool are
+// started and given back.
+func HostsLease(pool string) string { return "hosts." + pool }
+
+// OrdersLease returns the name of the lease under which the runners of a pool
+// in a data centre get orders.
+func OrdersLease(pool, dataCentre string) string { return "orders." + pool + "." + dataCentre }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,6 +19,8 @@
 	KindClaims = "claims"
 	KindLeases = "leases"
 	KindDrains = "drains"
+	// KindHistory objects are pages of the history of edits.
+	KindHistory = "history"
 )
 
 // TablesName is the name of the one object that holds both tables.
--- a/internal/settings/steward.go
+++ b/internal/settings/steward.go
@@ -9,34 +9,36 @@
 	"sapphirehead/internal/clock"
 )
 
-const (
-	defaultLeaseMillis      = 15_000
-	minLeaseMillis          = 500
-	maxLeaseMillis          = 120_000
-	defaultRoundMillis      = 1_000
-	defaultDrainGraceMillis = 120_000
-	maxDrainGraceMillis     = 3_600_000
-	defaultStopGraceMillis  = 10_000
-)
-
+// entryHostForm is the entry host beside the steward, from which it learns
+// what entry hosts know of backend servers.
 type entryHostForm struct {
-	Address       string `toml:"address"`
-	Token         string `toml:"token"`
-	TimeoutMillis int64  `toml:"timeoutMillis"`
+	Address       string `toml:"address" required:"true" format:"address" help:"operators' address of the entry host beside the steward"`
+	Token         string `toml:"token" required:"true" format:"secret" help:"an operator's token there; the role read suffices"`
+	TimeoutMillis int64  `toml:"timeoutMillis" default:"1000" min:"1" max:"60000" help:"time that one call may take"`
+	CAFile        string `toml:"caFile" format:"file" example:"/etc/sapphirehead/operators-ca.pem" help:"authorities that signed the entry host's certificate; turns on TLS"`
+	CertFile      string `toml:"certFile" format:"file" example:"/etc/sapphirehead/steward.pem" help:"the steward's certificate, if the entry host asks for one"`
+	KeyFile       string `toml:"keyFile" format:"file" example:"/etc/sapphirehead/steward.key" help:"private key of the certificate"`
+}
+
+type stewardOperatorForm struct {
+	Listen string      `toml:"listen" required:"true" format:"address" help:"address of the steward's metrics and leases"`
+	Token  string      `toml:"token" format:"secret" help:"short for one token with the name operator"`
+	Tokens []tokenForm `toml:"tokens"`
 }
 
 type stewardForm struct {
-	Host             string        `toml:"host"`
-	DataCentre       string        `toml:"dataCentre"`
-	Platform         serverForm    `toml:"platform"`
-	Cloud            serverForm    `toml:"cloud"`
-	WeightStore      serverForm    `toml:"weightStore"`
-	Entry            entryHostForm `toml:"entry"`
-	Operator         operatorForm  `toml:"operator"`
-	LeaseMillis      int64         `toml:"leaseMillis"`
-	RoundMillis      int64         `toml:"roundMillis"`
-	DrainGraceMillis int64         `toml:"drainGraceMillis"`
-	StopGraceMillis  int64         `toml:"stopGraceMillis"`
+	Host             string               `toml:"host" required:"true" example:"entry-1" help:"name of this host, unique"`
+	DataCentre       string               `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
+	Platform         serverForm           `toml:"platform"`
+	Cloud            serverForm           `toml:"cloud"`
+	WeightStore      serverForm           `toml:"weightStore"`
+	Entry            *entryHostForm       `toml:"entry"`
+	Operator         *stewardOperatorForm `toml:"operator"`
+	LeaseMillis      int64                `toml:"leaseMillis" default:"15000" min:"500" max:"120000" help:"duration of a lease; a successor acts after it"`
+	RoundMillis      int64                `toml:"roundMillis" default:"1000" min:"1" max:"60000" help:"time between two rounds of control; at most half of leaseMillis"`
+	DrainGraceMillis int64                `toml:"drainGraceMillis" default:"120000" min:"1" max:"3600000" help:"time that a host that is given back gets to finish its requests"`
+	StopGraceMillis  int64                `toml:"stopGraceMillis" default:"10000" min:"1" max:"600000" help:"time that a planned stop may take"`
+	Log              logForm              `toml:"log"`
 }
 
 // Steward is the settings of sapphire-steward.
@@ -49,7 +51,9 @@
 	entry          Server
 	entryToken     string
 	operatorListen string
-	operatorToken  string
+	entryFiles     *TLS
+	operatorTokens []Token
+	logLevel       string
 	lease          clock.Millis
 	round          clock.Millis
 	drainGrace     clock.Millis
@@ -82,8 +86,15 @@
 // OperatorListen returns the address on which operators are served, or nothing.
 func (steward *Steward) OperatorListen() string { return steward.operatorListen }
 
-// OperatorToken returns the operators' token. It must never be logged.
-func (steward *Steward) OperatorToken() string { return steward.operatorToken }
+// EntryFiles returns the files for TLS to that entry host, or nil for plain
+// HTTP. The steward's own certificate may be missing.
+func (steward *Steward) EntryFiles() *TLS { return steward.entryFiles }
+
+// OperatorTokens returns the operators' tokens.
+func (steward *Steward) OperatorTokens() []Token { return steward.operatorTokens }
+
+// LogLevel returns the least level of a line of the log.
+func (steward *Steward) LogLevel() string { return steward.logLevel }
 
 // DrainGrace returns how long a host that is given back may finish its requests.
 func (steward *Steward) DrainGrace() clock.Millis { return steward.drainGrace }
@@ -113,61 +124,49 @@
 	if err := document.err(); err != nil {
 		return nil, err
 	}
-	setDefault(&form.Platform.TimeoutMillis, defaultTimeoutMillis)
-	setDefault(&form.Cloud.TimeoutMillis, defaultTimeoutMillis)
-	setDefault(&form.WeightStore.TimeoutMillis, defaultTimeoutMillis)
-	setDefault(&form.Entry.TimeoutMillis, defaultTimeoutMillis)
-	setDefault(&form.DrainGraceMillis, defaultDrainGraceMillis)
-	setDefault(&form.StopGraceMillis, defaultStopGraceMillis)
-	setDefault(&form.LeaseMillis, defaultLeaseMillis)
-	setDefault(&form.RoundMillis, defaultRoundMillis)
 	form.check(document)
 	if err := document.err(); err != nil {
 		return nil, err
 	}
-	return &Steward{
-		host:           form.Host,
-		dataCentre:     form.DataCentre,
-		platform:       form.Platform.server(),
-		cloud:          form.Cloud.server(),
-		weightStore:    form.WeightStore.server(),
-		entry:          serverForm{Address: form.Entry.Address, TimeoutMillis: form.Entry.TimeoutMillis}.server(),
-		entryToken:     form.Entry.Token,
-		operatorListen: form.Operator.Listen,
-		operatorToken:  form.Operator.Token,
-		lease:          clock.Millis(form.LeaseMillis),
-		round:          clock.Millis(form.RoundMillis),
-		drainGrace:     clock.Millis(form.DrainGraceMillis),
-		stopGrace:      clock.Millis(form.StopGraceMillis),
-	}, nil
+	return form.steward(), nil
 }
 
+// check reports faults that concern several keys.
 func (form *stewardForm) check(document *document) {
-	document.text("host", form.Host, "entry-1")
-	document.text("dataCentre", form.DataCentre, "lj-a")
-	document.address("platform.address", form.Platform.Address)
-	document.number("platform.timeoutMillis", form.Platform.TimeoutMillis, 1, maxTimeoutMillis)
-	document.address("cloud.address", form.Cloud.Address)
-	document.number("cloud.timeoutMillis", form.Cloud.TimeoutMillis, 1, maxTimeoutMillis)
-	document.address("weightStore.address", form.WeightStore.Address)
-	document.number("weightStore.timeoutMillis", form.WeightStore.TimeoutMillis, 1, maxTimeoutMillis)
-	document.number("leaseMillis", form.LeaseMillis, minLeaseMillis, maxLeaseMillis)
-	document.number("roundMillis", form.RoundMillis, 1, form.LeaseMillis/2)
-	document.number("drainGraceMillis", form.DrainGraceMillis, 1, maxDrainGraceMillis)
-	document.number("stopGraceMillis", form.StopGraceMillis, 1, maxGraceMillis)
-	if form.Entry.Address != "" {
-		document.address("entry.address", form.Entry.Address)
-		document.number("entry.timeoutMillis", form.Entry.TimeoutMillis, 1, maxTimeoutMillis)
-		document.token("entry.token", form.Entry.Token)
+	if form.RoundMillis > form.LeaseMillis/2 {
+		document.report("roundMillis", fmt.Sprintf("is %d: allowed is at most half of leaseMillis (%d)", form.RoundMillis, form.LeaseMillis))
+	}
+	if form.Operator != nil {
+		checkTokens(document, form.Operator.Token, form.Operator.Tokens)
 	}
-	if form.Operator.Listen != "" {
-		document.address("operator.listen", form.Operator.Listen)
-		document.token("operator.token", form.Operator.Token)
+	if form.Entry != nil && (form.Entry.CertFile == "") != (form.Entry.KeyFile == "") {
+		document.report("entry.keyFile", "and entry.certFile: give both or neither")
 	}
 }
 
-func (document *document) token(key, value string) {
-	if len(value) < minTokenLength {
-		document.report(key, fmt.Sprintf("has %d characters: allowed is %d or more", len(value), minTokenLength))
+func (form *stewardForm) steward() *Steward {
+	steward := &Steward{
+		host:        form.Host,
+		dataCentre:  form.DataCentre,
+		platform:    form.Platform.server(),
+		cloud:       form.Cloud.server(),
+		weightStore: form.WeightStore.server(),
+		lease:       clock.Millis(form.LeaseMillis),
+		round:       clock.Millis(form.RoundMillis),
+		drainGrace:  clock.Millis(form.DrainGraceMillis),
+		stopGrace:   clock.Millis(form.StopGraceMillis),
+		logLevel:    form.Log.Level,
+	}
+	if form.Operator != nil {
+		steward.operatorListen = form.Operator.Listen
+		steward.operatorTokens = tokensOf(form.Operator.Token, form.Operator.Tokens)
+	}
+	if form.Entry != nil {
+		steward.entry = Server{address: form.Entry.Address, timeout: clock.Millis(form.Entry.TimeoutMillis)}
+		steward.entryToken = form.Entry.Token
+		if form.Entry.CAFile != "" {
+			steward.entryFiles = &TLS{certFile: form.Entry.CertFile, keyFile: form.Entry.KeyFile, caFile: form.Entry.CAFile}
+		}
 	}
+	return steward
 }
--- a/internal/standin/chaos/system.go
+++ b/internal/standin/chaos/system.go
@@ -303,7 +303,7 @@
 }
 
 func (system *system) operator(entry *entryHost) *operatorhttp.Client {
-	return operatorhttp.NewClient(entry.target.Load().process.Address("operator"), operatorToken, system.clock, callTimeout)
+	return operatorhttp.NewClient(entry.target.Load().process.Address("operator"), operatorToken, nil, system.clock, callTimeout)
 }
 
 // kill ends a process without warning.
--- a/internal/steward/orders.go
+++ b/internal/steward/orders.go
@@ -61,7 +61,7 @@
 }
 
 func (steward *Steward) newOrdersKeeper(pool, dataCentre string) *keeper {
-	keeper := steward.newKeeper(ordersLease(pool, dataCentre), pool, dataCentre)
+	keeper := steward.newKeeper(platform.OrdersLease(pool, dataCentre), pool, dataCentre)
 	orders := &orders{steward: steward, lease: keeper.lease, pool: pool, dataCentre: dataCentre, ordered: map[string]orderedLoad{}}
 	keeper.round = orders.round
 	return keeper
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -17,11 +17,13 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"expvar"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 
@@ -32,6 +34,7 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/cloud/cloudhttp"
+	"sapphirehead/internal/keys"
 	"sapphirehead/internal/operator"
 	"sapphirehead/internal/operator/operatorhttp"
 	"sapphirehead/internal/platform"
@@ -46,6 +49,12 @@
 
 const (
 	connectTimeout = 500 * clock.Millisecond
+	// refreshPerServer is the least time between two refreshes for each backend
+	// server listed, which bounds their share of the processor.
+	refreshPerServer = 2 * clock.Millisecond
+	// roundPerRunner is the least time between two rounds for each runner of the
+	// pool.
+	roundPerRunner = 50 * clock.Millisecond
 	// maxCalls bounds the calls to runners and the cloud that are under way.
 	maxCalls = 64
 )
@@ -96,7 +105,11 @@
 	}
 	steward.view.Store(&view{})
 	if settings.Entry().Address() != "" {
-		steward.entry = operatorhttp.NewClient(settings.Entry().Address(), settings.EntryToken(), clock, settings.Entry().Timeout())
+		certificates, err := entryCertificates(settings.EntryFiles())
+		if err != nil {
+			return nil, err
+		}
+		steward.entry = operatorhttp.NewClient(settings.Entry().Address(), settings.EntryToken(), certificates, clock, settings.Entry().Timeout())
 	}
 	if settings.OperatorListen() == "" {
 		return steward, nil
@@ -106,6 +119,15 @@
 	return steward, errors.Wrap(err, "listen")
 }
 
+// entryCertificates returns what TLS to the entry host needs, or nil for plain
+// HTTP. The files are read once.
+func entryCertificates(files *settings.TLS) (*tls.Config, error) {
+	if files == nil {
+		return nil, nil
+	}
+	return keys.ClientConfig(os.ReadFile, keys.NewFiles(files.CertFile(), files.KeyFile(), files.CAFile()))
+}
+
 func newIncarnation(host string) string {
 	var bytes [8]byte
 	rand.Read(bytes[:])
@@ -130,7 +152,7 @@
 func (steward *Steward) Run(stop, kill context.Context) error {
 	ended, end := context.WithCancel(kill)
 	defer end()
-	operators := &http.Server{Handler: operatorhttp.StewardRouter(steward.settings.OperatorToken(), steward.Leases, steward.refuse)}
+	operators := &http.Server{Handler: operatorhttp.StewardRouter(steward.operatorToken, steward.Leases, steward.refuse)}
 	group := &errgroup.Group{}
 	if steward.listener != nil {
 		group.Go(func() error {
@@ -193,7 +215,8 @@
 			missing.cancelled, missing.cancel = context.WithCancel(stop)
 			group.Go(func() { missing.run(ended) })
 		}
-		steward.clock.Wait(stop, steward.jittered(steward.settings.Round()))
+		listed := clock.Millis(len(steward.view.Load().servers))
+		steward.clock.Wait(stop, steward.jittered(max(steward.settings.Round(), listed*refreshPerServer)))
 	}
 }
 
@@ -216,10 +239,10 @@
 			continue
 		}
 		if row.HostClass() != "" {
-			want(hostsLease(row.Name()), func() *keeper { return steward.newHostsKeeper(row.Name()) })
+			want(platform.HostsLease(row.Name()), func() *keeper { return steward.newHostsKeeper(row.Name()) })
 		}
 		for _, dataCentre := range steward.view.Load().dataCentres(row.Name()) {
-			want(ordersLease(row.Name(), dataCentre), func() *keeper { return steward.newOrdersKeeper(row.Name(), dataCentre) })
+			want(platform.OrdersLease(row.Name(), dataCentre), func() *keeper { return steward.newOrdersKeeper(row.Name(), dataCentre) })
 		}
 	}
 	for name, keeper := range steward.keepers {
@@ -231,10 +254,6 @@
 	return missing
 }
 
-func hostsLease(pool string) string { return "hosts." + pool }
-
-func ordersLease(pool, dataCentre string) string { return "orders." + pool + "." + dataCentre }
-
 func (steward *Steward) allKeepers() []*keeper {
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
@@ -254,8 +273,15 @@
 	return leases
 }
 
-func (steward *Steward) refuse(remote, reason string) {
-	steward.log.Warn().Str("remote", remote).Str("reason", reason).Msg("operator refused")
+// operatorToken finds the rights that belong to a token.
+func (steward *Steward) operatorToken(given string) (operator.Token, bool) {
+	token, ok := settings.FindToken(steward.settings.OperatorTokens(), given)
+	return operator.NewToken(token.Name(), token.MayWrite()), ok
+}
+
+func (steward *Steward) refuse(remote, name, reason string) {
+	steward.counters.Add("operatorsRefused", 1)
+	steward.log.Warn().Str("remote", remote).Str("operator", name).Str("reason", reason).Msg("operator refused")
 }
 
 // jittered returns the time less up to a tenth, so that stewards don't act in
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -64,11 +64,15 @@
 	fleet.cloud = cloudstandin.New(system, offers, fleet.start, func(cloudstandin.Host, clock.Millis) {}, fleet.stop)
 	fleet.serve("platform", fleet.platform.Router())
 	fleet.serve("cloud", fleet.cloud.Router())
-	fleet.serve("entry", operatorhttp.New(token, nil, nil, fleet.status, func(string, string) {}).Router())
+	fleet.serve("entry", operatorhttp.New(fleet.token, nil, nil, nil, fleet.status, nil, nil, nil, nil, func(string, string, string) {}).Router())
 	fleet.serve("weights", weightstandin.New(loadsPerSecond).Router())
 	return fleet
 }
 
+func (fleet *fleet) token(given string) (operator.Token, bool) {
+	return operator.NewToken("steward", false), given == token
+}
+
 func (fleet *fleet) serve(name string, handler http.Handler) {
 	server := httptest.NewServer(handler)
 	fleet.t.Cleanup(server.CloseClientConnections)
@@ -84,7 +88,7 @@
 	var servers []operator.ServerStatus
 	for _, listed := range hosts {
 		server := listed.Server()
-		servers = append(servers, operator.NewServerStatus(server.ID(), server.Address(), server.DataCentre(), server.Pool(), listed.Leaving(), 0, 0))
+		servers = append(servers, operator.NewServerStatus(server.ID(), server.Address(), server.DataCentre(), server.Pool(), listed.Leaving(), "closed", 0, 0))
 	}
 	self := node.NewMember("entry-1", "127.0.0.1:1", "lj-a", 1).WithNews(1, fleet.version.Load(), true, false)
 	return operator.NewStatus(self, nil, servers)
@@ -254,6 +258,19 @@
 		fleet.expectEvents(map[string]int{"ordered": 5})
 		require.Nil(t, control.Counters().Get("leaseErrors"))
 	})
+	run("nobody renews and nobody orders while the platform is down", func(t *testing.T) {
+		fleet := newFleet(t, 100)
+		fleet.writeTables(1, 0, 2)
+		control, stop := fleet.run("entry-1")
+		fleet.expectEvents(map[string]int{"ordered": 3})
+		fleet.platform.SetFault(platformstandin.FaultDown, 0)
+		fleet.expectNoneHeld(control)
+		fleet.cloud.Reclaim("", "lj-a", clock.Minute)
+		require.Empty(t, fleet.events)
+		fleet.platform.SetFault(platformstandin.FaultNone, 0)
+		fleet.expectEvents(map[string]int{"started lj-a": 1, "ordered": 1})
+		stop()
+	})
 	run("a graceful stop gives the leases back, and a successor goes on", func(t *testing.T) {
 		fleet := newFleet(t, 100)
 		fleet.writeTables(1, 0, 2)
@@ -267,11 +284,27 @@
 	})
 }
 
+// expectNoneHeld waits until the steward holds no lease any more.
+func (fleet *fleet) expectNoneHeld(control *steward.Steward) {
+	fleet.t.Helper()
+	system := clock.System()
+	for {
+		held := false
+		for _, lease := range control.Leases() {
+			held = held || lease.Held()
+		}
+		if !held {
+			return
+		}
+		require.NoError(fleet.t, system.Wait(fleet.life, 10*clock.Millisecond))
+	}
+}
+
 // expectLeases checks the leases that a steward reports on its operators'
 // address.
 func (fleet *fleet) expectLeases(control *steward.Steward, holder string, count int) {
 	fleet.t.Helper()
-	client := operatorhttp.NewClient(control.OperatorAddress(), token, clock.System(), clock.Second)
+	client := operatorhttp.NewClient(control.OperatorAddress(), token, nil, clock.System(), clock.Second)
 	leases, err := client.Leases(context.Background())
 	require.NoError(fleet.t, err)
 	require.Len(fleet.t, leases, count)
