Start at once what is due at once

Cause: a run of the fault matrix under the race detector ended with SIGSEGV in the runtime: time.AfterFunc with a delay of 0 within a bubble of testing/synctest. Ruled out: a race of our own (none was reported).

Change: the system clock starts such a function without a timer.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -125,6 +125,12 @@
 	return Millis(time.Now().UnixMilli())
 }
 
+// afterFunc starts at once what is due at once: a timer without a delay made
+// in a bubble of testing/synctest crashes the race detector's runtime.
 func afterFunc(delay Millis, fire func()) func() bool {
+	if delay <= 0 {
+		go fire()
+		return func() bool { return false }
+	}
 	return time.AfterFunc(delay.Duration(), fire).Stop
 }
