--- a/internal/node/leaving.go
+++ b/internal/node/leaving.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,7 +21,15 @@
 	server string
 	since  clock.Millis
 	notice clock.Millis
+	// told counts the beats with the evidence, and pushed is set once it was
+	// passed on to all links. A beat reaches one node, so it must not stand in
+	// for the push.
 	told   int
+	pushed bool
+}
+
+func (record *leavingRecord) evidence(now clock.Millis) Leaving {
+	return NewLeaving(record.server, now-record.since, record.notice)
 }
 
 // leavingServers is the recent evidence of leaving servers, oldest first. Its
@@ -46,7 +55,8 @@
 	record := &leavingRecord{server: evidence.server, since: now - max(evidence.age, 0), notice: evidence.notice}
 	leaving.known[evidence.server] = record
 	leaving.sum ^= xxhash.Sum64String(evidence.server)
-	leaving.records = append(leaving.records, record)
+	index, _ := slices.BinarySearchFunc(leaving.records, record.since+1, func(known *leavingRecord, since clock.Millis) int { return cmp.Compare(known.since, since) })
+	leaving.records = slices.Insert(leaving.records, index, record)
 	if len(leaving.records) > maxLeaving {
 		leaving.dropOldest()
 	}
@@ -65,9 +75,22 @@
 	leaving.records = leaving.records[1:]
 }
 
-// untold reports whether there is evidence that was never told.
-func (leaving *leavingServers) untold() bool {
-	return slices.ContainsFunc(leaving.records, func(record *leavingRecord) bool { return record.told == 0 })
+// unpushed reports whether there is evidence that was not pushed.
+func (leaving *leavingServers) unpushed() bool {
+	return slices.ContainsFunc(leaving.records, func(record *leavingRecord) bool { return !record.pushed })
+}
+
+// push returns evidence that was not pushed yet, as much as a push may hold.
+func (leaving *leavingServers) push(now clock.Millis) []Leaving {
+	leaving.expire(now)
+	var pushed []Leaving
+	for _, record := range leaving.records {
+		if len(pushed) < pushLeaving && !record.pushed {
+			record.pushed = true
+			pushed = append(pushed, record.evidence(now))
+		}
+	}
+	return pushed
 }
 
 // all returns all evidence.
@@ -75,26 +98,21 @@
 	leaving.expire(now)
 	all := make([]Leaving, 0, len(leaving.records))
 	for _, record := range leaving.records {
-		all = append(all, Leaving{server: record.server, age: now - record.since, notice: record.notice})
+		all = append(all, record.evidence(now))
 	}
 	return all
 }
 
-// tell returns at most count pieces of evidence, those told least often first,
-// and counts them as told. Fresh leaves out what was told before.
-func (leaving *leavingServers) tell(count int, fresh bool, now clock.Millis) []Leaving {
+// tell returns evidence for a beat, that told least often first, and counts it
+// as told.
+func (leaving *leavingServers) tell(now clock.Millis) []Leaving {
 	leaving.expire(now)
-	chosen := make([]*leavingRecord, 0, len(leaving.records))
-	for _, record := range leaving.records {
-		if !fresh || record.told == 0 {
-			chosen = append(chosen, record)
-		}
-	}
+	chosen := slices.Clone(leaving.records)
 	slices.SortStableFunc(chosen, func(a, b *leavingRecord) int { return a.told - b.told })
-	told := make([]Leaving, 0, min(count, len(chosen)))
-	for _, record := range chosen[:min(count, len(chosen))] {
+	told := make([]Leaving, 0, digestLeaving)
+	for _, record := range chosen[:min(digestLeaving, len(chosen))] {
 		record.told++
-		told = append(told, Leaving{server: record.server, age: now - record.since, notice: record.notice})
+		told = append(told, record.evidence(now))
 	}
 	return told
 }
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -17,7 +17,8 @@
 	watchersPerDataCentre = 2
 	// strangerBeats is the number of beats between two exchanges outside the
 	// links: with any known member, also a silent one, or an address from the
-	// settings. They mend a parted set of nodes.
+	// settings. They mend a parted set of nodes. A node that hears nobody makes
+	// one at each beat.
 	strangerBeats = 30
 	// watchKey is the key under which watchers are chosen.
 	watchKey = "tables"
@@ -84,7 +85,7 @@
 	members.beats++
 	links := members.view.Load().links
 	addresses := members.overdue(now)
-	if len(links) == 0 || members.beats%strangerBeats == 0 {
+	if len(links) == 0 || members.beats%strangerBeats == 0 || now-members.LastContact() > contactAge {
 		addresses = append(addresses, members.stranger()...)
 	}
 	if len(links) > 0 {
@@ -159,7 +160,7 @@
 		silent := record.member.WithSilent(true)
 		record.member = &silent
 		record.changed = now
-		record.told = 0
+		record.told, record.pushed = 0, false
 		members.publish(true)
 		return false, true
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -59,8 +59,10 @@
 	member *Member
 	// hash is that of the member's start.
 	hash uint64
-	// told counts the digests with the latest news.
-	told int
+	// told counts the digests with the latest news, and pushed is set once it
+	// was passed on to all links.
+	told   int
+	pushed bool
 	// changed is when the member began to be live, stopping or silent.
 	changed clock.Millis
 	// beaten is when the member last sent a beat by itself, or 0.
@@ -124,7 +126,7 @@
 			sender.beaten = now
 		}
 		if sender.member.silent {
-			sender.told = 0
+			sender.told, sender.pushed = 0, false
 		}
 	}
 	for _, member := range digest.members {
@@ -173,7 +175,7 @@
 		known.failures = 0
 	}
 	if structural || old.ready != member.ready {
-		known.told = 0
+		known.told, known.pushed = 0, !structural
 	}
 	return structural, true
 }
@@ -236,7 +238,7 @@
 func (members *Members) Digest() Digest {
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
-	chosen := members.freshNews(digestMembers, tellTimes)
+	chosen := members.freshNews(digestMembers, func(record *record) bool { return record.told < tellTimes })
 	for range members.hosts {
 		if len(chosen) >= digestMembers {
 			break
@@ -247,7 +249,7 @@
 			chosen = append(chosen, *members.records[host].member)
 		}
 	}
-	return members.digest(chosen, members.leaving.tell(digestLeaving, false, members.clock.Now()))
+	return members.digest(chosen, members.leaving.tell(members.clock.Now()))
 }
 
 func (members *Members) digest(chosen []Member, leaving []Leaving) Digest {
@@ -262,14 +264,17 @@
 	return NewSums(sum, members.leaving.sum)
 }
 
-// Push returns what to tell all links at once: news that was never told. More
-// is set if some did not fit. Were news pushed more than once, the start of many
+// Push returns what to tell all links at once: news that was never pushed.
+// More is set if some did not fit. Were news pushed more than once, the start of many
 // nodes would load all links for nothing; beats repeat it.
 func (members *Members) Push() (digest Digest, more bool) {
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
-	digest = members.digest(members.freshNews(pushMembers, 1), members.leaving.tell(pushLeaving, true, members.clock.Now()))
-	return digest, members.untold()
+	news := members.freshNews(pushMembers, func(record *record) bool { return !record.pushed })
+	for _, member := range news {
+		members.records[member.host].pushed = true
+	}
+	return members.digest(news, members.leaving.push(members.clock.Now())), members.unpushed()
 }
 
 // Greeting returns this node's own news only.
@@ -279,28 +284,28 @@
 	return members.digest(nil, nil)
 }
 
-// untold reports whether there is news that was never told.
-func (members *Members) untold() bool {
+// unpushed reports whether there is news that was not pushed.
+func (members *Members) unpushed() bool {
 	for _, record := range members.records {
-		if record.told == 0 {
+		if !record.pushed {
 			return true
 		}
 	}
-	return members.leaving.untold()
+	return members.leaving.unpushed()
 }
 
-// freshNews returns members whose news has been told fewer times, those told
-// least often first, and counts them as told.
-func (members *Members) freshNews(count, times int) []Member {
-	var fresh []*record
+// freshNews returns members whose news counts as fresh, those told least often
+// first, and counts them as told.
+func (members *Members) freshNews(count int, fresh func(record *record) bool) []Member {
+	var news []*record
 	for _, host := range members.hosts {
-		if record := members.records[host]; record.told < times {
-			fresh = append(fresh, record)
+		if record := members.records[host]; fresh(record) {
+			news = append(news, record)
 		}
 	}
-	slices.SortStableFunc(fresh, func(a, b *record) int { return a.told - b.told })
+	slices.SortStableFunc(news, func(a, b *record) int { return a.told - b.told })
 	chosen := make([]Member, 0, count)
-	for _, record := range fresh[:min(count, len(fresh))] {
+	for _, record := range news[:min(count, len(news))] {
 		record.told++
 		chosen = append(chosen, *record.member)
 	}
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -131,6 +131,7 @@
 		manual := clock.NewManual(1000)
 		members := newMembers(manual, "a", "lj-a", fellow("b", "lj-b", 1), fellow("c", "lj-c", 1), fellow("d", "lj-c", 1))
 		manual.Advance(13 * clock.Second)
+		members.Take(node.NewDigest(fellow("e", "lj-b", 1), nil, nil, node.Sums{}), false)
 		asked := len(members.Partners())
 		require.Greater(t, asked, 3)
 		require.Len(t, members.Partners(), 1)
