--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -14,6 +14,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -120,14 +121,15 @@
 
 // Request is one request of a caller. It does not change.
 type Request struct {
-	id       string
-	account  string
-	route    route.Route
-	key      string
-	prompt   Prompt
-	received clock.Millis
-	streamed bool
-	held     int
+	id          string
+	account     string
+	route       route.Route
+	key         string
+	fingerprint string
+	prompt      Prompt
+	received    clock.Millis
+	streamed    bool
+	held        int
 
 	promptUnknown bool
 }
@@ -138,6 +140,16 @@
 	return &Request{id: id, account: account, route: on, key: key, prompt: prompt, received: received}
 }
 
+// WithFingerprint returns a copy with the digest of what the call asks for.
+func (request *Request) WithFingerprint(fingerprint string) *Request {
+	changed := *request
+	changed.fingerprint = fingerprint
+	return &changed
+}
+
+// Fingerprint returns the digest of what the call asks for, or empty.
+func (request *Request) Fingerprint() string { return request.fingerprint }
+
 // ID returns the system's identity of the request.
 func (request *Request) ID() string { return request.id }
 
@@ -159,6 +171,10 @@
 // Deadline returns when the whole answer is due.
 func (request *Request) Deadline() clock.Millis { return request.received + request.route.Deadline() }
 
+// Priority returns the rank that engines give the request in their queues: its
+// worth as a whole number.
+func (request *Request) Priority() int { return int(math.Round(request.route.Worth())) }
+
 // NeedsClaim reports whether the right to run must be claimed first.
 func (request *Request) NeedsClaim() bool { return request.route.NonIdempotent() && request.key != "" }
 
