--- a/internal/entry/claimmessages.go
+++ b/internal/entry/claimmessages.go
@@ -50,7 +50,9 @@
 	message := &nodepb.ClaimAnswer{}
 	message.SetStatus(int32(answer.Status()))
 	message.SetContentType(answer.ContentType())
-	message.SetBody(answer.Body())
+	if len(answer.Body()) > 0 {
+		message.SetBody(answer.Body())
+	}
 	return message
 }
 
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -75,22 +75,22 @@
 // goes on without the caller.
 func (entry *Entry) record(ctx context.Context, to *request.Request, answer service.Answer) error {
 	done := make(chan error, 1)
-	ctx = context.WithoutCancel(ctx)
-	go func() {
-		err := entry.ledger.Record(ctx, to, answer, entry.refusesRepeat(to))
+	background := context.WithoutCancel(ctx)
+	entry.recording.Go(func() {
+		err := entry.ledger.Record(background, to, answer, entry.refusesRepeat(to))
 		if err != nil {
 			entry.counters.Add("outcomesNotRecorded", 1)
 			entry.log.Warn().Err(err).Str(logging.FieldRequestID, to.ID()).Msg("outcome not recorded")
 		}
 		done <- err
-	}()
-	ctx, cancel := entry.clock.WithTimeout(ctx, recordWait)
+	})
+	limited, cancel := entry.clock.WithTimeout(background, recordWait)
 	defer cancel()
 	select {
 	case err := <-done:
 		return err
-	case <-ctx.Done():
-		return ctx.Err()
+	case <-limited.Done():
+		return context.Cause(limited)
 	}
 }
 
@@ -104,6 +104,10 @@
 
 // settleRest gives outcomes and releases a last chance before the end.
 func (entry *Entry) settleRest(kill context.Context) {
+	if kill.Err() != nil {
+		return
+	}
+	entry.recording.Wait()
 	ctx, cancel := entry.clock.WithTimeout(kill, settleRestWait)
 	defer cancel()
 	for ctx.Err() == nil && !entry.ledger.Settle(ctx) {
@@ -171,17 +175,18 @@
 		err   error
 	}
 	done := make(chan outcome, 1)
+	background := context.WithoutCancel(ctx)
 	go func() {
-		reply, err := entry.links.Call(context.WithoutCancel(ctx), address, call)
+		reply, err := entry.links.Call(background, address, call)
 		done <- outcome{reply: reply, err: err}
 	}()
-	ctx, cancel := entry.clock.WithTimeout(ctx, timeout)
+	limited, cancel := entry.clock.WithTimeout(ctx, timeout)
 	defer cancel()
 	select {
 	case result := <-done:
 		return result.reply, result.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
+	case <-limited.Done():
+		return nil, context.Cause(limited)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -66,6 +67,7 @@
 	store       *platform.Store
 	cloud       *cloudhttp.Client
 	ledger      *service.Ledger
+	recording   sync.WaitGroup
 	links       *nodelink.Links
 	driver      *Driver
 	answers     *Answers
--- a/internal/service/ledger.go
+++ b/internal/service/ledger.go
@@ -106,7 +106,7 @@
 	}
 	operation := ledger.operation(OperationClaim, key, to)
 	verdict := ledger.decide(ctx, operation)
-	if verdict.claim == request.ClaimTaken && ledger.neverRuns(ctx, verdict) {
+	if ledger.neverRuns(ctx, verdict) {
 		verdict = ledger.decide(ctx, operation.WithSupersedes(verdict.nonce))
 	}
 	mayLand := verdict.claim == request.ClaimUnavailable && verdict.landed && !trusted
@@ -132,6 +132,8 @@
 	}
 }
 
+// neverRuns reports whether the claim that is in the way, if any, is one whose
+// holder says that its request never runs.
 func (ledger *Ledger) neverRuns(ctx context.Context, taken Verdict) bool {
 	switch taken.holder {
 	case "":
--- a/internal/service/operation.go
+++ b/internal/service/operation.go
@@ -105,7 +105,7 @@
 }
 
 // NewVerdict returns a verdict. Nonce and holder are those of a claim that is
-// taken.
+// in the way without an outcome.
 func NewVerdict(claim request.Claim, answer Answer, nonce, holder string) Verdict {
 	return Verdict{claim: claim, answer: answer, nonce: nonce, holder: holder}
 }
--- a/internal/service/shard.go
+++ b/internal/service/shard.go
@@ -95,7 +95,7 @@
 	case known.state == StateTaken && operation.supersedes != "" && known.nonce == operation.supersedes:
 		return draft.take(operation)
 	case known.fingerprint != operation.fingerprint:
-		return Verdict{claim: request.ClaimMismatch}
+		return Verdict{claim: request.ClaimMismatch, nonce: known.nonce, holder: known.holder}
 	case known.state == StateRecorded:
 		return Verdict{claim: request.ClaimRecorded, answer: known.answer}
 	case known.state == StateNotKept:
