--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -69,6 +69,7 @@
 	store       *platform.Store
 	cloud       *cloudhttp.Client
 	ledger      *service.Ledger
+	recording   sync.WaitGroup
 	links       *nodelink.Links
 	driver      *Driver
 	meter       *burn.Meter
--- a/internal/service/shard.go
+++ b/internal/service/shard.go
@@ -64,6 +64,8 @@
 	wall   clock.Millis
 	window clock.Millis
 	copied bool
+	// swept is set once expired claims have been looked for.
+	swept bool
 }
 
 func (draft *draft) apply(operation Operation) Verdict {
@@ -95,7 +97,7 @@
 	case known.state == StateTaken && operation.supersedes != "" && known.nonce == operation.supersedes:
 		return draft.take(operation)
 	case known.fingerprint != operation.fingerprint:
-		return Verdict{claim: request.ClaimMismatch}
+		return Verdict{claim: request.ClaimMismatch, nonce: known.nonce, holder: known.holder}
 	case known.state == StateRecorded:
 		return Verdict{claim: request.ClaimRecorded, answer: known.answer}
 	case known.state == StateNotKept:
@@ -200,9 +202,10 @@
 // expire shrinks undated claims past the window to their digests. Dated ones
 // go with their bucket.
 func (draft *draft) expire() {
-	if draft.epoch != 0 {
+	if draft.epoch != 0 || draft.swept {
 		return
 	}
+	draft.swept = true
 	for id, claim := range draft.claims {
 		if claim.at+draft.window+MaxAhead >= draft.wall || len(draft.forgotten) >= MaxForgotten {
 			continue
