Begin the slow start of a runner when it is first seen

Cause: slow start began only after a closed circuit; nothing recorded when a fresh runner came.

Change: the placer records it when it takes a runner into its candidates.

Test seen to fail: a fresh runner is loaded slowly, without the record.

--- a/internal/runner/placer.go
+++ b/internal/runner/placer.go
@@ -110,7 +110,7 @@
 
 // Refresh prepares the candidates of the fleet's current snapshot, so that no
 // request has to.
-func (placer *Placer) Refresh() { placer.subsets.of(placer.fleet.Current(), placer.node) }
+func (placer *Placer) Refresh() { placer.subsets.of(placer.fleet.Current(), placer.node, placer.clock.Now()) }
 
 // Place returns the server for an attempt whose prompt has the chain and which
 // goes on after so many tokens of the answer. It counts the prompt as sent.
@@ -132,7 +132,7 @@
 }
 
 func (placer *Placer) pick(to *request.Request, chain Chain, offset int, exclude []string) (Estimate, bool) {
-	candidates := placer.subsets.of(placer.fleet.Current(), placer.node).candidates(to.Route().Pool())
+	candidates := placer.subsets.of(placer.fleet.Current(), placer.node, placer.clock.Now()).candidates(to.Route().Pool())
 	if len(candidates) == 0 {
 		return Estimate{}, false
 	}
--- a/internal/runner/placer_test.go
+++ b/internal/runner/placer_test.go
@@ -90,6 +90,21 @@
 		}
 		placing.expectPlaced(t, long, 1)
 	})
+	t.Run("a fresh runner is loaded slowly", func(t *testing.T) {
+		placing := newPlacing(1, firstOf)
+		placing.placer.Refresh()
+		placing.manual.Advance(clock.Minute)
+		placing.fleet.Update([]backend.Listed{
+			backend.NewListed(placing.server(0), false),
+			backend.NewListed(backend.NewServer("runner-1", "runner-1:1", "lj-a", "gpu-small", "runners"), false),
+		})
+		placing.report(0, 2, 0, 0)
+		placing.report(1, 0, 0, 0)
+		placing.expectPlaced(t, long, 0)
+		placing.manual.Advance(clock.Minute)
+		placing.report(0, 8, 0, 0)
+		placing.expectPlaced(t, chainFrom(5000, 100), 1)
+	})
 	t.Run("excluded and leaving ones are never chosen", func(t *testing.T) {
 		placing := newPlacing(3, firstOf)
 		placing.fleet.MarkLeaving("runner-0")
@@ -109,7 +124,7 @@
 	t.Run("at size a node looks at a bounded subset", func(t *testing.T) {
 		placing := newPlacing(3700, firstOf)
 		placing.placer.Refresh()
-		subset := placing.placer.subsets.of(placing.fleet.Current(), "entry-1")
+		subset := placing.placer.subsets.of(placing.fleet.Current(), "entry-1", placing.manual.Now())
 		require.Len(t, subset.candidates("runners"), MaxCandidates)
 	})
 }
--- a/internal/runner/subset.go
+++ b/internal/runner/subset.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
 )
 
 // candidate is a server with the name by which the index knows it.
@@ -27,12 +28,18 @@
 }
 
 // of returns the subset of the snapshot, and makes it if it is a new one. Two
-// goroutines that make the same one do no harm.
-func (subsets *subsets) of(snapshot *backend.Snapshot, node string) *subset {
+// goroutines that make the same one do no harm. A server that is new here begins
+// its slow start now.
+func (subsets *subsets) of(snapshot *backend.Snapshot, node string, now clock.Millis) *subset {
 	if known := subsets.current.Load(); known != nil && known.snapshot == snapshot {
 		return known
 	}
 	made := newSubset(snapshot, node)
+	for _, candidates := range made.byPool {
+		for _, candidate := range candidates {
+			candidate.server.Circuit().Start(now)
+		}
+	}
 	subsets.current.Store(made)
 	return made
 }
