--- a/internal/runner/placer.go
+++ b/internal/runner/placer.go
@@ -110,7 +110,9 @@
 
 // Refresh prepares the candidates of the fleet's current snapshot, so that no
 // request has to.
-func (placer *Placer) Refresh() { placer.subsets.of(placer.fleet.Current(), placer.node, placer.clock.Now()) }
+func (placer *Placer) Refresh() {
+	placer.subsets.of(placer.fleet.Current(), placer.node, placer.clock.Now())
+}
 
 // Place returns the server for an attempt whose prompt has the chain and which
 // goes on after so many tokens of the answer. It counts the prompt as sent.
