Test that an order without a permit does not arrive

Cause: the check at the moment of sending had no test of its own.

Change: TestOrder sends orders with and without a permit to a server that counts whole ones.

--- /dev/null
+++ b/internal/runner/runnerhttp/order_test.go
@@ -0,0 +1,54 @@
+package runnerhttp_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/pool"
+	"sapphirehead/internal/runner"
+	"sapphirehead/internal/runner/runnerhttp"
+)
+
+// expectOrder sends an order to a runner that answers with the status, and
+// checks how many whole orders arrived.
+func expectOrder(t *testing.T, permit bool, status, arrived int) error {
+	t.Helper()
+	whole := make(chan struct{}, 2)
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, message *http.Request) {
+		var form map[string]any
+		if json.NewDecoder(message.Body).Decode(&form) == nil {
+			whole <- struct{}{}
+		}
+		writer.WriteHeader(status)
+	}))
+	client := runnerhttp.New(clock.System(), clock.Second)
+	to := backend.NewServer("host-1", strings.TrimPrefix(server.URL, "http://"), "lj-a", "gpu", "runners")
+	order := runner.NewOrder(41, []pool.Model{pool.NewModel("desk", "v1")}, runner.RoleServe)
+	err := client.Order(context.Background(), to, order, func() bool { return permit })
+	server.Close()
+	require.Len(t, whole, arrived)
+	return err
+}
+
+func TestOrder(t *testing.T) {
+	t.Run("permitted", func(t *testing.T) {
+		require.NoError(t, expectOrder(t, true, http.StatusNoContent, 1))
+	})
+	t.Run("not permitted at the moment of sending: nothing arrives", func(t *testing.T) {
+		var refused *runner.NotPermittedError
+		require.ErrorAs(t, expectOrder(t, false, http.StatusNoContent, 0), &refused)
+	})
+	t.Run("old fencing number", func(t *testing.T) {
+		var old *runner.OldFenceError
+		require.ErrorAs(t, expectOrder(t, true, http.StatusConflict, 1), &old)
+		require.Equal(t, int64(41), old.Fence())
+	})
+}
