Count a client account once, however many keys it has

Cause: keys can be rotated, so several hashes lead to one account, and Accounts.All returned the account once for each key: its share was counted twice.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -42,11 +42,11 @@
 // NewAccounts returns the accounts by the hash of their keys.
 func NewAccounts(byHash map[string]*Account) *Accounts { return &Accounts{byHash: byHash} }
 
-// All returns every account, in order of name.
+// All returns every account once, in order of name, however many keys it has.
 func (accounts *Accounts) All() []*Account {
 	all := slices.Collect(maps.Values(accounts.byHash))
 	slices.SortFunc(all, func(a, b *Account) int { return strings.Compare(a.name, b.name) })
-	return all
+	return slices.Compact(all)
 }
 
 // HashKey returns the form in which keys are kept.
