Do not push again what a starting node gets of all members

A starting node pushed all members that it had fetched, although the node that answered had passed them on. Not separated: what the load of the machine added; the old code was not run to its end on a quiet machine.

Change: Members.TakeAll marks the news of such an answer as pushed.

Proof: TestTakeAll; without the mark "they are not pushed again" failed (b, c, seed pushed in place of seed).

--- a/internal/entry/fellows.go
+++ b/internal/entry/fellows.go
@@ -171,12 +171,17 @@
 
 func (fellows *Fellows) take(digest node.Digest, beat bool) {
 	urgent, leaving := fellows.members.Take(digest, beat)
-	for _, evidence := range leaving {
-		fellows.leaving(evidence.Server(), evidence.Left())
-	}
 	if urgent {
 		fellows.PassOn()
 	}
+	fellows.heed(leaving)
+}
+
+// heed acts on new evidence and on members that may be ahead.
+func (fellows *Fellows) heed(leaving []node.Leaving) {
+	for _, evidence := range leaving {
+		fellows.leaving(evidence.Server(), evidence.Left())
+	}
 	fellows.ahead()
 }
 
@@ -188,13 +193,23 @@
 		if !fellows.exchange(ctx, address, fellows.members.Greeting(), true) {
 			return
 		}
-		if fellows.query(ctx, address, nodepb.Call_builder{MembersQuery: &nodepb.MembersQuery{}}.Build()) {
+		if fellows.takeAll(ctx, address) {
 			answered <- struct{}{}
 		}
 	})
 	return len(answered) > 0
 }
 
+// takeAll asks a fellow node for all members, and reports whether it answered.
+func (fellows *Fellows) takeAll(ctx context.Context, address string) bool {
+	reply, err := fellows.call(ctx, address, nodepb.Call_builder{MembersQuery: &nodepb.MembersQuery{}}.Build())
+	if err != nil {
+		return false
+	}
+	fellows.heed(fellows.members.TakeAll(nodelink.DecodeDigest(reply.GetHeartbeat())))
+	return true
+}
+
 // fetchLacking asks a fellow node for what this node has not heard.
 func (fellows *Fellows) fetchLacking(ctx context.Context, address string, digest node.Digest) {
 	if fellows.members.LacksEvidence(digest) {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -144,6 +144,22 @@
 	return structural || len(leaving) > 0, leaving
 }
 
+// TakeAll takes in the answer to a node's question for all members at its
+// start. The node that answered has passed these news on already, so they are
+// not pushed again: were each starting node to push all members that it gets,
+// the start of many nodes would load all links.
+func (members *Members) TakeAll(digest Digest) (leaving []Leaving) {
+	_, leaving = members.Take(digest, false)
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	for _, member := range digest.members {
+		if known, ok := members.records[member.host]; ok && !member.newerThan(*known.member) {
+			known.pushed = true
+		}
+	}
+	return leaving
+}
+
 // takeMember takes in news of one member. Structural is set if the member
 // started, stopped, went silent or came back, newer if it was news at all.
 func (members *Members) takeMember(member Member, now clock.Millis) (structural, newer bool) {
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -219,6 +219,34 @@
 	})
 }
 
+// expectPushed checks whose news is passed on at once.
+func expectPushed(t *testing.T, members *node.Members, hosts ...string) {
+	t.Helper()
+	pushed := []string{}
+	for _, member := range push(members).Members() {
+		pushed = append(pushed, member.Host())
+	}
+	require.Equal(t, append([]string{}, hosts...), pushed)
+}
+
+// TestTakeAll checks what a starting node does with the members that it gets.
+func TestTakeAll(t *testing.T) {
+	b, c := fellow("b", "lj-a", 5), fellow("c", "lj-b", 5)
+	begin := func() *node.Members {
+		members := newMembers(clock.NewManual(1000), "a", "lj-a")
+		members.TakeAll(node.NewDigest(fellow("seed", "lj-a", 1), []node.Member{b, c}, nil, node.Sums{}))
+		return members
+	}
+	t.Run("all are live", func(t *testing.T) { expectLive(t, begin(), "b", "c", "seed") })
+	t.Run("they are not pushed again", func(t *testing.T) { expectPushed(t, begin(), "seed") })
+	t.Run("later news of them is", func(t *testing.T) {
+		members := begin()
+		push(members)
+		expectUrgent(t, members, stopping(c), true)
+		expectPushed(t, members, "c", "teller")
+	})
+}
+
 // evidenceAge is how long evidence is passed on.
 const evidenceAge = clock.Minute
 
