Give the slopes' runner room in its pool

Cause: sapphire-standin slopes failed with notRun: admission by deadline now counts the slots of the pool's row, 8 by default, and the load keeps 64 requests in flight at a stand-in with 4,000 slots.

Change: the tables of the measurement say 4,000 slots.

--- a/internal/slopes/requestslope/requestslope.go
+++ b/internal/slopes/requestslope/requestslope.go
@@ -82,12 +82,14 @@
 [[pools]]
 name = "runners"
 kind = "runner"
+slots = 4000
 [[pools.models]]
 name = "desk-small"
 version = "v1"
 [[pools]]
 name = "booking"
 kind = "service"
+slots = 4000
 `
 
 // Slopes is what one request, one token and one stream in flight cost.
