--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -8,7 +8,18 @@
 	"sapphirehead/internal/logging"
 )
 
-const hostsInterval = 500 * clock.Millisecond
+const (
+	// hostsInterval is the longest time between two reads of the list of hosts
+	// at one node, while few nodes are live.
+	hostsInterval = 500 * clock.Millisecond
+	// hostsReaders is the number of live nodes up to which each reads at that
+	// interval. Beyond it the interval grows with the nodes, so that the reads
+	// of all together don't. What one of them sees leaving is told to all at
+	// once.
+	hostsReaders = 20
+	// maxHostsInterval bounds the time until a node hears of a new server.
+	maxHostsInterval = 5 * clock.Second
+)
 
 // writeServers is the only writer of the fleet.
 func (entry *Entry) writeServers(ctx context.Context) {
@@ -29,9 +40,15 @@
 	return leaving
 }
 
+// listInterval returns the longest time between two reads of the list, of a
+// node among so many live ones.
+func listInterval(nodes int) clock.Millis {
+	return min(hostsInterval*clock.Millis(max(nodes, hostsReaders))/hostsReaders, maxHostsInterval)
+}
+
 // takeEvidence marks leaving servers until it is time to read the list again.
 func (entry *Entry) takeEvidence(ctx context.Context) {
-	ctx, cancel := entry.clock.WithTimeout(ctx, jittered(hostsInterval))
+	ctx, cancel := entry.clock.WithTimeout(ctx, jittered(listInterval(1+len(entry.members.Live()))))
 	defer cancel()
 	for {
 		select {
--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -23,7 +23,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	mathrand "math/rand/v2"
 	"net/http"
@@ -35,7 +34,6 @@
 
 	"github.com/pkg/errors"
 
-	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/platform"
 )
@@ -69,6 +67,8 @@
 	timeout clock.Millis
 	http    *http.Client
 	breaker *platform.Breaker
+	// listed is the list of hosts as it was read last, or nil.
+	listed atomic.Pointer[listedHosts]
 }
 
 // New returns a client for the platform at the host and port. Each call but a
@@ -211,55 +211,6 @@
 	}
 }
 
-type hostForm struct {
-	ID         string `json:"id"`
-	Address    string `json:"address"`
-	DataCentre string `json:"dataCentre"`
-	HostClass  string `json:"hostClass"`
-	Pool       string `json:"pool"`
-	State      string `json:"state"`
-}
-
-type hostsForm struct {
-	Hosts []hostForm `json:"hosts"`
-}
-
-const hostStateLeaving = "leaving"
-
-// Hosts returns the lagging list of live and leaving hosts.
-func (client *Client) Hosts(ctx context.Context) ([]backend.Listed, error) {
-	ctx, cancel := client.clock.WithTimeout(ctx, client.timeout)
-	defer cancel()
-	answer, _, err := client.do(ctx, http.MethodGet, "/hosts", nil, nil, maxHostsBytes)
-	if err == nil {
-		err = answer.problem
-	}
-	if err != nil {
-		return nil, platform.NewUnavailableError(false, err)
-	}
-	if answer.status != http.StatusOK {
-		return nil, platform.NewUnavailableError(false, errors.Errorf("status %d", answer.status))
-	}
-	return DecodeHosts(answer.body)
-}
-
-// DecodeHosts reads the list of hosts.
-func DecodeHosts(body []byte) ([]backend.Listed, error) {
-	var form hostsForm
-	if err := json.Unmarshal(body, &form); err != nil {
-		return nil, errors.Wrap(err, "decode list of hosts")
-	}
-	list := make([]backend.Listed, 0, len(form.Hosts))
-	for _, host := range form.Hosts {
-		if host.ID == "" || host.Address == "" {
-			return nil, errors.New("list of hosts: a host has no id or no address")
-		}
-		server := backend.NewServer(host.ID, host.Address, host.DataCentre, host.HostClass, host.Pool)
-		list = append(list, backend.NewListed(server, host.State == hostStateLeaving))
-	}
-	return list, nil
-}
-
 func readLimited(reader io.Reader, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(reader, limit+1))
 	if err != nil {
--- /dev/null
+++ b/internal/platform/platformhttp/hosts.go
@@ -0,0 +1,82 @@
+package platformhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/platform"
+)
+
+type hostForm struct {
+	ID         string `json:"id"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	HostClass  string `json:"hostClass"`
+	Pool       string `json:"pool"`
+	State      string `json:"state"`
+}
+
+type hostsForm struct {
+	Hosts []hostForm `json:"hosts"`
+}
+
+const hostStateLeaving = "leaving"
+
+// listedHosts is the list of hosts at one tag.
+type listedHosts struct {
+	tag  string
+	list []backend.Listed
+}
+
+// Hosts returns the lagging list of live and leaving hosts. A list that has
+// not changed since the last call is not sent again. Callers must not change
+// the slice.
+func (client *Client) Hosts(ctx context.Context) ([]backend.Listed, error) {
+	ctx, cancel := client.clock.WithTimeout(ctx, client.timeout)
+	defer cancel()
+	known := client.listed.Load()
+	header := http.Header{}
+	if known != nil && known.tag != "" {
+		header.Set("If-None-Match", known.tag)
+	}
+	answer, _, err := client.do(ctx, http.MethodGet, "/hosts", header, nil, maxHostsBytes)
+	if err == nil {
+		err = answer.problem
+	}
+	if err != nil {
+		return nil, platform.NewUnavailableError(false, err)
+	}
+	switch {
+	case answer.status == http.StatusNotModified && known != nil:
+		return known.list, nil
+	case answer.status != http.StatusOK:
+		return nil, platform.NewUnavailableError(false, errors.Errorf("status %d", answer.status))
+	}
+	list, err := DecodeHosts(answer.body)
+	if err != nil {
+		return nil, err
+	}
+	client.listed.Store(&listedHosts{tag: answer.tag, list: list})
+	return list, nil
+}
+
+// DecodeHosts reads the list of hosts.
+func DecodeHosts(body []byte) ([]backend.Listed, error) {
+	var form hostsForm
+	if err := json.Unmarshal(body, &form); err != nil {
+		return nil, errors.Wrap(err, "decode list of hosts")
+	}
+	list := make([]backend.Listed, 0, len(form.Hosts))
+	for _, host := range form.Hosts {
+		if host.ID == "" || host.Address == "" {
+			return nil, errors.New("list of hosts: a host has no id or no address")
+		}
+		server := backend.NewServer(host.ID, host.Address, host.DataCentre, host.HostClass, host.Pool)
+		list = append(list, backend.NewListed(server, host.State == hostStateLeaving))
+	}
+	return list, nil
+}
--- a/internal/standin/platformstandin/platform.go
+++ b/internal/standin/platformstandin/platform.go
@@ -70,6 +70,7 @@
 	objects map[key]*object
 	hosts   map[string]Host
 	listed  []Host
+	lists   int64
 	fault   faultForm
 	calls   int64
 	writes  int64
@@ -167,6 +168,7 @@
 func (platform *Platform) publish() {
 	platform.mutex.Lock()
 	defer platform.mutex.Unlock()
+	platform.lists++
 	platform.listed = make([]Host, 0, len(platform.hosts))
 	for _, host := range platform.hosts {
 		platform.listed = append(platform.listed, host)
@@ -177,10 +179,15 @@
 	platform.RemoveHost(mux.Vars(message)["id"])
 }
 
-func (platform *Platform) serveHosts(writer http.ResponseWriter, _ *http.Request) {
+func (platform *Platform) serveHosts(writer http.ResponseWriter, message *http.Request) {
 	platform.mutex.Lock()
-	hosts := platform.listed
+	hosts, tag := platform.listed, strconv.Quote("list-"+strconv.FormatInt(platform.lists, 10))
 	platform.mutex.Unlock()
+	writer.Header().Set("ETag", tag)
+	if message.Header.Get("If-None-Match") == tag {
+		writer.WriteHeader(http.StatusNotModified)
+		return
+	}
 	standinhttp.Write(writer, http.StatusOK, hostsForm{Hosts: hosts})
 }
 
