Never call an edit uncommitted after tables that hold it were read

Cause: make fuzz, TestEdits: an edit's answer was lost; a read then gave an older store that holds the edit, the repair of that store met a conflict, and the next read failed. The editor had taken the read as the end of the doubt and reported "unavailable", which says that the edit was not committed, though it was. Ruled out: the merge of histories and the oracle.

Change: tables that hold the edit keep the attempt open until the commit is returned, so any failure after them is "outcome unknown".

--- a/internal/operator/editor.go
+++ b/internal/operator/editor.go
@@ -148,10 +148,15 @@
 	return attempt.open && condition < attempt.condition
 }
 
-// apply returns the tables after the edit, built on what was read.
+// apply returns the tables after the edit, built on what was read. Tables that
+// hold the edit already prove that it was committed, so no later failure may
+// say that it was not.
 func (attempt *attempt) apply(base *table.Tables, condition int64) (*table.Tables, error) {
 	changed, err := base.Apply(attempt.edit)
-	if attempt.open && condition > attempt.condition {
+	switch {
+	case base.HasEdit(attempt.edit.ID()):
+		attempt.open = true
+	case attempt.open && condition > attempt.condition:
 		if err != nil && base.Version()-attempt.version >= table.MaxRecentEdits {
 			return nil, &UnknownError{edit: attempt.edit.ID()}
 		}
--- a/internal/operator/editor_test.go
+++ b/internal/operator/editor_test.go
@@ -138,6 +138,18 @@
 		expectCommitted(t, desk, bookings("e3", 7, 2), 3)
 		require.Equal(t, 1, desk.alarms)
 	})
+	t.Run("committed before, then the repair of an older store meets a conflict and an outage: unknown", func(t *testing.T) {
+		desk := newDesk()
+		older := desk.store.now().tables
+		expectCommitted(t, desk, bookings("edit-1", 2, 0), 2)
+		desk.inForce = desk.store.now().tables
+		require.NoError(t, desk.store.write(older, desk.store.now().version))
+		desk.fault = func(_ *table.Tables, condition int64) error {
+			desk.store.down = true
+			return platform.NewConflictError(platform.KindTables, platform.TablesName, condition)
+		}
+		expectUnknown(t, desk, bookings("edit-1", 2, 0))
+	})
 	t.Run("a fellow node has a higher version that can't be had: not committed", func(t *testing.T) {
 		desk := newDesk()
 		desk.highest = 5
--- a/internal/slopes/requestslope/requestslope.go
+++ b/internal/slopes/requestslope/requestslope.go
@@ -26,9 +26,6 @@
 )
 
 const (
-	callerKey     = "key-of-the-load"
-	operatorToken = "token-of-operators"
-	model         = "desk-small"
 	// maxConcurrent is the number of requests in flight under load.
 	maxConcurrent = 64
 	loadRequests  = 2000
@@ -37,61 +34,11 @@
 	// heldTokens is the length of a stream that stays in flight while memory
 	// is read.
 	heldTokens = 400
-	// decodeMillis of the stand-in runner under load and while streams are held.
-	decodeFast  = 1
-	decodeSlow  = 20
-	runnerSlots = 4000
+	// Time for a token of the stand-in runner under load and while streams are held.
+	decodeFast = 1 * clock.Millisecond
+	decodeSlow = 20 * clock.Millisecond
 )
 
-const entrySettings = `host = "entry-1"
-dataCentre = "lj-a"
-[caller]
-listen = "127.0.0.1:0"
-[operator]
-listen = "127.0.0.1:0"
-token = %q
-[node]
-listen = "127.0.0.1:0"
-[platform]
-address = %q
-[[clientAccounts]]
-name = "load"
-key = %q
-`
-
-const tables = `
-[[routes]]
-name = "desk"
-kind = "chat"
-pool = "runners"
-model = "desk-small"
-worth = 1.0
-[[routes]]
-name = "bookings"
-kind = "service"
-pool = "booking"
-path = "/bookings"
-worth = 1.0
-nonIdempotent = true
-[[routes]]
-name = "status"
-kind = "service"
-pool = "booking"
-path = "/status"
-worth = 1.0
-[[pools]]
-name = "runners"
-kind = "runner"
-slots = 4000
-[[pools.models]]
-name = "desk-small"
-version = "v1"
-[[pools]]
-name = "booking"
-kind = "service"
-slots = 4000
-`
-
 // Slopes is what one request, one token and one stream in flight cost.
 type Slopes struct {
 	request  float64
@@ -184,11 +131,11 @@
 func (bench *bench) chat(tokens int) func(ctx context.Context, serial int) error {
 	return func(ctx context.Context, serial int) error {
 		content := fmt.Sprintf("Draft the report of filter %d", serial)
-		answer, err := bench.caller.StreamChat(ctx, bench.entry.Address("caller"), model, content, tokens, func(int) {})
+		answer, err := bench.caller.StreamChat(ctx, bench.entry.Address("caller"), harness.Model, content, tokens, func(int) {})
 		if err != nil {
 			return err
 		}
-		return callerstandin.CheckText(answer, callerstandin.Expected(model, content, tokens))
+		return callerstandin.CheckText(answer, callerstandin.Expected(harness.Model, content, tokens))
 	}
 }
 
@@ -263,7 +210,7 @@
 	for serial := range count {
 		group.Go(func() error {
 			content := fmt.Sprintf("Summarise the history of account %d", serial)
-			_, err := bench.caller.StreamChat(ctx, bench.entry.Address("caller"), model, content, heldTokens, func(events int) {
+			_, err := bench.caller.StreamChat(ctx, bench.entry.Address("caller"), harness.Model, content, heldTokens, func(events int) {
 				if events == 1 {
 					started <- struct{}{}
 				}
@@ -284,50 +231,28 @@
 	return before, usage.Memory(), err
 }
 
-func newBench(bin string, decodeMillis int) (*bench, func(), error) {
+func newBench(bin string, decode clock.Millis) (*bench, func(), error) {
 	folder, err := os.MkdirTemp("", "sapphirehead-slopes")
 	if err != nil {
 		return nil, nil, err
 	}
-	bench := &bench{harness: harness.New(bin, folder, clock.System()), caller: callerstandin.New(callerKey)}
+	bench := &bench{harness: harness.New(bin, folder, clock.System()), caller: callerstandin.New(harness.CallerKey)}
 	closeBench := func() {
 		bench.harness.Close()
 		os.RemoveAll(folder)
 	}
-	if err := bench.start(decodeMillis); err != nil {
+	if err := bench.start(decode); err != nil {
 		closeBench()
 		return nil, nil, errors.Wrap(err, bench.harness.Logs())
 	}
 	return bench, closeBench, nil
 }
 
-func (bench *bench) start(decodeMillis int) error {
-	platform, err := bench.harness.Start("platform", "sapphire-standin", "platform", "--lag-millis=1")
-	if err != nil {
-		return err
-	}
-	address := platform.Address("api")
-	for _, arguments := range [][]string{
-		{"runner", "--id=runner-1", "--model=" + model, fmt.Sprintf("--slots=%d", runnerSlots), fmt.Sprintf("--decode-millis=%d", decodeMillis)},
-		{"service", "--id=booking-1", "--pool=booking", "--work-millis=0"},
-	} {
-		arguments = append(arguments, "--platform="+address, "--data-centre=lj-a")
-		if _, err := bench.harness.Start(arguments[1], "sapphire-standin", arguments...); err != nil {
-			return err
-		}
-	}
-	settings, err := bench.harness.WriteFile("entry.toml", fmt.Sprintf(entrySettings, operatorToken, address, callerKey))
+func (bench *bench) start(decode clock.Millis) error {
+	single, err := bench.harness.StartSingle(decode)
 	if err != nil {
 		return err
 	}
-	bench.entry, err = bench.harness.Start("entry-1", "sapphire-entry", "--settings="+settings)
-	if err != nil {
-		return err
-	}
-	file, err := bench.harness.WriteFile("tables.toml", tables)
-	if err != nil {
-		return err
-	}
-	output, err := bench.harness.Command("sapphirectl", "--address="+bench.entry.Address("operator"), "--token="+operatorToken, "apply", "--wait", "--file="+file)
-	return errors.Wrap(err, output)
+	bench.entry = single.Entry()
+	return nil
 }
--- a/internal/standin/chaos/load.go
+++ b/internal/standin/chaos/load.go
@@ -13,6 +13,7 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/standin/callerstandin"
+	"sapphirehead/internal/standin/harness"
 )
 
 // Bounds of the load.
@@ -67,7 +68,7 @@
 
 func newLoad(system *system, tally *Tally, total int) *load {
 	return &load{
-		system: system, tally: tally, caller: callerstandin.New(callerKey), total: int64(total),
+		system: system, tally: tally, caller: callerstandin.New(harness.CallerKey), total: int64(total),
 		done: make(chan struct{}, total), whole: map[string]string{}, notRun: map[string]bool{},
 	}
 }
--- a/internal/standin/chaos/system.go
+++ b/internal/standin/chaos/system.go
@@ -4,7 +4,6 @@
 	"context"
 	_ "embed"
 	"fmt"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -22,57 +21,20 @@
 var tablesFile string
 
 // Keys of the system under test.
-const (
-	callerKey     = "key-garage-north"
-	account       = "garage-north"
-	operatorToken = "token-of-operators"
-	model         = "desk-small"
-)
-
 const (
 	// startTimeout bounds the time until a part of the system works.
 	startTimeout = 30 * clock.Second
 	pollInterval = 50 * clock.Millisecond
 	callTimeout  = 3 * clock.Second
+	entryGrace   = 1200 * clock.Millisecond
 )
 
+// model is what the callers ask for.
+const model = harness.Model
+
 // dataCentres are the places of entry hosts, runners and services.
 var dataCentres = []string{"lj-a", "lj-b", "lj-c"}
 
-const entrySettings = `host = %q
-dataCentre = %q
-[caller]
-listen = "127.0.0.1:0"
-[operator]
-listen = "127.0.0.1:0"
-token = %q
-[node]
-listen = "127.0.0.1:0"
-fellows = [%s]
-[platform]
-address = %q
-[cloud]
-address = %q
-[stop]
-readyOffMillis = 300
-graceMillis = 1200
-[[clientAccounts]]
-name = %q
-key = %q
-`
-
-const stewardSettings = `host = %q
-dataCentre = %q
-leaseMillis = 3000
-roundMillis = 300
-[platform]
-address = %q
-[cloud]
-address = %q
-[weightStore]
-address = %q
-`
-
 // entryHost is one entry host through its restarts.
 type entryHost struct {
 	name       string
@@ -223,11 +185,10 @@
 	var fellows []string
 	for _, other := range system.entries {
 		if other != entry && other.relay != nil {
-			fellows = append(fellows, fmt.Sprintf("%q", other.relay.Address()))
+			fellows = append(fellows, other.relay.Address())
 		}
 	}
-	content := fmt.Sprintf(entrySettings, entry.name, entry.dataCentre, operatorToken, strings.Join(fellows, ", "),
-		system.platform.Address("api"), system.cloud.Address("api"), account, callerKey)
+	content := harness.EntrySettings(entry.name, entry.dataCentre, system.platform.Address("api"), system.cloud.Address("api"), fellows, entryGrace)
 	file, err := system.harness.WriteFile(entry.name+".toml", content)
 	if err != nil {
 		return err
@@ -249,7 +210,7 @@
 }
 
 func (system *system) startSteward(entry *entryHost) error {
-	content := fmt.Sprintf(stewardSettings, entry.name, entry.dataCentre, system.platform.Address("api"), system.cloud.Address("api"), system.weights.Address("api"))
+	content := harness.StewardSettings(entry.name, entry.dataCentre, system.platform.Address("api"), system.cloud.Address("api"), system.weights.Address("api"), "")
 	file, err := system.harness.WriteFile(entry.name+"-steward.toml", content)
 	if err != nil {
 		return err
@@ -264,15 +225,9 @@
 // writeTables applies the tables with sapphirectl and waits until every entry
 // host is ready.
 func (system *system) writeTables(ctx context.Context) error {
-	file, err := system.harness.WriteFile("tables.toml", tablesFile)
-	if err != nil {
+	if err := system.harness.Apply(system.entries[0].target.Load().process, tablesFile); err != nil {
 		return err
 	}
-	output, err := system.harness.Command("sapphirectl", "--address="+system.entries[0].target.Load().process.Address("operator"),
-		"--token="+operatorToken, "apply", "--wait", "--file="+file)
-	if err != nil {
-		return errors.Wrap(err, output)
-	}
 	for _, entry := range system.entries {
 		if err := system.awaitReady(ctx, entry); err != nil {
 			return err
@@ -303,7 +258,7 @@
 }
 
 func (system *system) operator(entry *entryHost) *operatorhttp.Client {
-	return operatorhttp.NewClient(entry.target.Load().process.Address("operator"), operatorToken, nil, system.clock, callTimeout)
+	return operatorhttp.NewClient(entry.target.Load().process.Address("operator"), harness.OperatorToken, nil, system.clock, callTimeout)
 }
 
 // kill ends a process without warning.
--- a/internal/standin/chaos/verdict.go
+++ b/internal/standin/chaos/verdict.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"sapphirehead/internal/standin/harness"
 )
 
 type runsForm struct {
@@ -51,12 +53,12 @@
 		}
 	}
 	for key := range load.whole {
-		if runs[account+"/"+key] == 0 {
+		if runs[harness.Account+"/"+key] == 0 {
 			load.tally.add(countUnanswered, "%s", key)
 		}
 	}
 	for key, notRun := range load.notRun {
-		if notRun && runs[account+"/"+key] > 0 {
+		if notRun && runs[harness.Account+"/"+key] > 0 {
 			load.tally.add(countNotRunRan, "%s", key)
 		}
 	}
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -16,10 +16,11 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/standin/callerstandin"
+	"sapphirehead/internal/standin/harness"
 )
 
 const (
-	model = "desk-small"
+	model = harness.Model
 	// runTimeout bounds the whole demonstration.
 	runTimeout = 55 * clock.Second
 	// pollInterval is the time between two looks at a condition.
@@ -47,7 +48,7 @@
 	ctx, cancel := clock.System().WithTimeout(context.Background(), runTimeout)
 	defer cancel()
 	fmt.Println("ok  started the stand-ins, two entry hosts and two stewards; tables in force")
-	session := &session{system: system, caller: callerstandin.New(callerKey)}
+	session := &session{system: system, caller: callerstandin.New(harness.CallerKey)}
 	for _, step := range session.steps() {
 		if err := step.run(ctx); err != nil {
 			return errors.Wrapf(err, "%s\nfailed: %s", system.harness.Logs(), step.name)
--- a/internal/standin/demo/leaving.go
+++ b/internal/standin/demo/leaving.go
@@ -56,7 +56,7 @@
 // serves. The caller returns to another one for the rest.
 func (session *session) handOver(ctx context.Context) error {
 	const content, tokens = "Summarise the renewal history of account 9", 250
-	entryC, err := session.system.startEntry("entry-c", "lj-a", fmt.Sprintf("%q", session.system.entryB.Address("node")), 1000)
+	entryC, err := session.system.startEntry("entry-c", "lj-a", 1*clock.Second, session.system.entryB.Address("node"))
 	if err != nil {
 		return err
 	}
--- a/internal/standin/demo/system.go
+++ b/internal/standin/demo/system.go
@@ -2,7 +2,6 @@
 
 import (
 	_ "embed"
-	"fmt"
 
 	"github.com/pkg/errors"
 
@@ -13,62 +12,8 @@
 //go:embed tables.toml
 var tablesFile string
 
-// Keys of the demonstration.
-const (
-	callerKey     = "key-garage-north"
-	operatorToken = "token-of-operators"
-)
-
-const entrySettings = `host = %q
-dataCentre = %q
-
-[caller]
-listen = "127.0.0.1:0"
-
-[operator]
-listen = "127.0.0.1:0"
-token = %q
-
-[node]
-listen = "127.0.0.1:0"
-fellows = [%s]
-
-[platform]
-address = %q
-
-[cloud]
-address = %q
-
-[stop]
-readyOffMillis = 300
-graceMillis = %d
-
-[[clientAccounts]]
-name = "garage-north"
-key = %q
-`
-
-const stewardSettings = `host = %q
-dataCentre = %q
-leaseMillis = 3000
-roundMillis = 300
-
-[platform]
-address = %q
-
-[cloud]
-address = %q
-
-[weightStore]
-address = %q
-
-[entry]
-address = %q
-token = %q
-`
-
-// graceMillis is the grace of the two entry hosts.
-const graceMillis = 20_000
+// grace is the grace of the two entry hosts.
+const grace = 20 * clock.Second
 
 // system is the set of processes of the demonstration.
 type system struct {
@@ -125,16 +70,16 @@
 
 func (system *system) startEntries() error {
 	var err error
-	system.entryA, err = system.startEntry("entry-a", "lj-a", "", graceMillis)
+	system.entryA, err = system.startEntry("entry-a", "lj-a", grace)
 	if err != nil {
 		return err
 	}
-	system.entryB, err = system.startEntry("entry-b", "lj-b", fmt.Sprintf("%q", system.entryA.Address("node")), graceMillis)
+	system.entryB, err = system.startEntry("entry-b", "lj-b", grace, system.entryA.Address("node"))
 	return err
 }
 
-func (system *system) startEntry(name, dataCentre, fellows string, graceMillis int) (*harness.Process, error) {
-	content := fmt.Sprintf(entrySettings, name, dataCentre, operatorToken, fellows, system.platform.Address("api"), system.cloud.Address("api"), graceMillis, callerKey)
+func (system *system) startEntry(name, dataCentre string, grace clock.Millis, fellows ...string) (*harness.Process, error) {
+	content := harness.EntrySettings(name, dataCentre, system.platform.Address("api"), system.cloud.Address("api"), fellows, grace)
 	file, err := system.harness.WriteFile(name+".toml", content)
 	if err != nil {
 		return nil, err
@@ -147,8 +92,8 @@
 		name, dataCentre string
 		entry            *harness.Process
 	}{{"entry-a", "lj-a", system.entryA}, {"entry-b", "lj-b", system.entryB}} {
-		content := fmt.Sprintf(stewardSettings, host.name, host.dataCentre, system.platform.Address("api"), system.cloud.Address("api"),
-			system.weights.Address("api"), host.entry.Address("operator"), operatorToken)
+		content := harness.StewardSettings(host.name, host.dataCentre, system.platform.Address("api"), system.cloud.Address("api"),
+			system.weights.Address("api"), host.entry.Address("operator"))
 		file, err := system.harness.WriteFile(host.name+"-steward.toml", content)
 		if err != nil {
 			return err
@@ -161,16 +106,11 @@
 }
 
 func (system *system) operate(entry *harness.Process, arguments ...string) (string, error) {
-	arguments = append([]string{"--address=" + entry.Address("operator"), "--token=" + operatorToken}, arguments...)
+	arguments = append([]string{"--address=" + entry.Address("operator"), "--token=" + harness.OperatorToken}, arguments...)
 	output, err := system.harness.Command("sapphirectl", arguments...)
 	return output, errors.Wrap(err, output)
 }
 
 func (system *system) writeTables() error {
-	file, err := system.harness.WriteFile("tables.toml", tablesFile)
-	if err != nil {
-		return err
-	}
-	_, err = system.operate(system.entryA, "apply", "--wait", "--file="+file)
-	return err
+	return system.harness.Apply(system.entryA, tablesFile)
 }
--- a/internal/standin/overhead/overhead.go
+++ b/internal/standin/overhead/overhead.go
@@ -23,9 +23,6 @@
 )
 
 const (
-	model         = "desk-small"
-	callerKey     = "key-garage-north"
-	operatorToken = "token-of-operators"
 	// tokensPerAnswer and answers are what is read each way.
 	tokensPerAnswer = 200
 	answers         = 20
@@ -35,40 +32,6 @@
 	longestMicros   = 10_000_000
 )
 
-const settings = `host = "entry-a"
-dataCentre = "lj-a"
-[caller]
-listen = "127.0.0.1:0"
-[operator]
-listen = "127.0.0.1:0"
-token = %q
-[node]
-listen = "127.0.0.1:0"
-[platform]
-address = %q
-[[clientAccounts]]
-name = "garage-north"
-key = %q
-`
-
-const tables = `
-[[routes]]
-name = "desk"
-kind = "chat"
-pool = "runners"
-model = "desk-small"
-worth = 5.0
-[[pools]]
-name = "runners"
-kind = "runner"
-hostClass = "gpu-small"
-minHosts = 1
-maxHosts = 1
-[[pools.models]]
-name = "desk-small"
-version = "v1"
-`
-
 // way is one way to the runner with what was measured on it.
 type way struct {
 	name    string
@@ -98,7 +61,7 @@
 	}
 	ctx, cancel := clock.System().WithTimeout(context.Background(), runTimeout)
 	defer cancel()
-	caller := callerstandin.New(callerKey)
+	caller := callerstandin.New(harness.CallerKey)
 	if err := awaitRunner(ctx, caller, ways[1].address); err != nil {
 		return errors.Wrap(err, processes.Logs())
 	}
@@ -114,38 +77,17 @@
 }
 
 func start(processes *harness.Harness) ([]*way, error) {
-	platform, err := processes.Start("platform", "sapphire-standin", "platform")
-	if err != nil {
-		return nil, err
-	}
-	runner, err := processes.Start("runner-a", "sapphire-standin", "runner", "--platform="+platform.Address("api"),
-		"--id=runner-a", "--data-centre=lj-a", "--model="+model, "--decode-millis=1")
-	if err != nil {
-		return nil, err
-	}
-	file, err := processes.WriteFile("entry.toml", fmt.Sprintf(settings, operatorToken, platform.Address("api"), callerKey))
+	single, err := processes.StartSingle(clock.Millisecond)
 	if err != nil {
 		return nil, err
 	}
-	entry, err := processes.Start("entry-a", "sapphire-entry", "--settings="+file)
-	if err != nil {
-		return nil, err
-	}
-	rows, err := processes.WriteFile("tables.toml", tables)
-	if err != nil {
-		return nil, err
-	}
-	text, err := processes.Command("sapphirectl", "--address="+entry.Address("operator"), "--token="+operatorToken, "apply", "--wait", "--file="+rows)
-	if err != nil {
-		return nil, errors.Wrap(err, text)
-	}
-	return []*way{newWay("direct", runner.Address("api")), newWay("through the entry host", entry.Address("caller"))}, nil
+	return []*way{newWay("direct", single.Runner().Address("api")), newWay("through the entry host", single.Entry().Address("caller"))}, nil
 }
 
 // awaitRunner waits until the entry host knows the runner.
 func awaitRunner(ctx context.Context, caller *callerstandin.Caller, address string) error {
 	for {
-		answer, err := caller.Chat(ctx, address, model, "Is the filter ready?", 1)
+		answer, err := caller.Chat(ctx, address, harness.Model, "Is the filter ready?", 1)
 		if err != nil || answer.Status() == http.StatusOK {
 			return err
 		}
@@ -160,7 +102,7 @@
 func (way *way) read(ctx context.Context, caller *callerstandin.Caller, number int) error {
 	content := fmt.Sprintf("%s asks for bake log %d", way.name, number)
 	begun, last := clock.Stopwatch(), time.Duration(0)
-	answer, err := caller.StreamChat(ctx, way.address, model, content, tokensPerAnswer, func(events int) {
+	answer, err := caller.StreamChat(ctx, way.address, harness.Model, content, tokensPerAnswer, func(events int) {
 		now := begun()
 		if number >= warmUpAnswers {
 			way.record(events, now, now-last)
@@ -174,7 +116,7 @@
 		way.total += begun()
 		way.tokens += tokensPerAnswer
 	}
-	return callerstandin.CheckText(answer, callerstandin.Expected(model, content, tokensPerAnswer))
+	return callerstandin.CheckText(answer, callerstandin.Expected(harness.Model, content, tokensPerAnswer))
 }
 
 func (way *way) record(events int, now, gap time.Duration) {
