--- /dev/null
+++ b/cmd/sapphire-edge/main.go
@@ -0,0 +1,78 @@
+// Command sapphire-edge is the serving system on the users' platform: one
+// process on each machine, between callers and backend servers.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/edge"
+	"sapphirehead/internal/logging"
+	"sapphirehead/internal/program"
+	"sapphirehead/internal/settings"
+)
+
+type runCommand struct {
+	Settings string `help:"Settings file." required:"" env:"SAPPHIREHEAD_CONFIG" type:"path"`
+}
+
+type checkCommand struct {
+	Settings string `help:"Settings file." required:"" env:"SAPPHIREHEAD_CONFIG" type:"path"`
+}
+
+type settingsCommand struct{}
+
+// Run prints the reference.
+func (command *settingsCommand) Run() error {
+	fmt.Print(settings.Markdown(settings.EdgeReference()))
+	return nil
+}
+
+type commandLine struct {
+	Run      runCommand       `cmd:"" default:"withargs" help:"Serve callers."`
+	Check    checkCommand     `cmd:"" help:"Check the settings file and exit."`
+	Settings settingsCommand  `cmd:"" help:"Print the reference of the settings file and exit."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// memoryShare is the part of the process's memory at which the garbage
+// collector begins to work harder. Bytes that wait in sockets count too.
+const memoryShare = 0.6
+
+// Run serves until it is told to stop.
+func (command *runCommand) Run() error {
+	load := func() (*settings.Edge, error) { return settings.LoadEdge(command.Settings) }
+	loaded, err := load()
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(loaded.MemoryBytes())))
+	log := logging.New(os.Stdout, loaded.LogLevel(), "sapphire-edge", loaded.Host(), loaded.DataCentre())
+	node, err := edge.New(loaded, clock.System(), log)
+	if err != nil {
+		return err
+	}
+	program.PrintListening(node.Addresses())
+	stop, kill := program.Signals()
+	return node.Run(stop, kill, program.Reloads(), load)
+}
+
+// Run checks the settings.
+func (command *checkCommand) Run() error {
+	if _, err := settings.LoadEdge(command.Settings); err != nil {
+		return err
+	}
+	fmt.Println("settings are valid")
+	return nil
+}
+
+func main() {
+	var line commandLine
+	context := kong.Parse(&line, kong.Name("sapphire-edge"), kong.Vars{"version": program.Version},
+		kong.Description("Serves callers on the users' platform."))
+	context.FatalIfErrorf(context.Run())
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -31,6 +31,13 @@
 	work       Work
 	circuit    Circuit
 	speed      atomic.Pointer[Speed]
+	// start tells two runs of a server under one id apart; it is empty where the
+	// platform gives each run an id of its own.
+	start       string
+	slots       int
+	reclaimable bool
+	leaveAt     atomic.Int64
+	elsewhere   atomic.Int64
 }
 
 // NewServer returns a live backend server without load. The address is a host
@@ -56,6 +63,24 @@
 // Pool returns the name of the pool that the server belongs to.
 func (server *Server) Pool() string { return server.pool }
 
+// Slots returns the number of requests that the server works on at the same
+// time, or 0 if it did not say.
+func (server *Server) Slots() int { return server.slots }
+
+// Reclaimable reports whether the server runs on a reclaimable host.
+func (server *Server) Reclaimable() bool { return server.reclaimable }
+
+// LeaveAt returns when a leaving server ends, or 0 if it did not say.
+func (server *Server) LeaveAt() clock.Millis { return clock.Millis(server.leaveAt.Load()) }
+
+// Key returns the identity of this run of the server.
+func (server *Server) Key() string {
+	if server.start == "" {
+		return server.id
+	}
+	return server.id + "@" + server.start
+}
+
 // Leaving reports whether the server must get no new work.
 func (server *Server) Leaving() bool { return server.leaving.Load() }
 
@@ -66,6 +91,13 @@
 // InFlight returns the number of attempts of this node at the server.
 func (server *Server) InFlight() int64 { return server.inFlight.Load() }
 
+// Elsewhere returns the number of attempts of fellow nodes at the server, as far
+// as they told.
+func (server *Server) Elsewhere() int64 { return server.elsewhere.Load() }
+
+// SetElsewhere records the number of attempts of fellow nodes.
+func (server *Server) SetElsewhere(attempts int64) { server.elsewhere.Store(attempts) }
+
 // Begin counts an attempt and returns the function that ends it.
 func (server *Server) Begin() (end func()) {
 	server.inFlight.Add(1)
@@ -208,6 +240,7 @@
 type Listed struct {
 	server  *Server
 	leaving bool
+	leaveAt clock.Millis
 }
 
 // NewListed returns an entry of the list.
--- /dev/null
+++ b/internal/backend/backendlink/connection.go
@@ -0,0 +1,162 @@
+// Package backendlink carries requests to backend servers over HTTP/1.1. It
+// keeps its own connections in place of those of net/http's transport, because
+// that one repeats a request by itself when a kept connection turns out to be
+// closed, and can't tell whether a byte of a request has left.
+//
+// Each exchange ends in one of three ways that its caller must tell apart:
+// no byte left (UnsentError), the answer is lost (LostError), or an answer:
+//
+//	reply, err := links.Send(ctx, server, request)
+//	var unsent *UnsentError
+//	if errors.As(err, &unsent) { ... another server may run it ... }
+package backendlink
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"sapphirehead/internal/clock"
+)
+
+const (
+	// dialTimeout bounds the wait for a new connection. A way there and back
+	// takes some 3 ms between data centres; a server whose queue is full drops
+	// the opening packet, and waiting seconds for the next is worth nothing.
+	dialTimeout = 400 * clock.Millisecond
+	// unacknowledgedTimeout is how long sent bytes may stay unacknowledged
+	// before the connection counts as dead (TCP_USER_TIMEOUT).
+	unacknowledgedTimeout = 1500 * clock.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find a peer that went
+	// silent while nothing is being sent: after 3 s.
+	keepAliveIdle     = 1 * clock.Second
+	keepAliveInterval = 1 * clock.Second
+	keepAliveCount    = 2
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
+	readerBytes  = 4 << 10
+)
+
+// Dialer returns a dialer whose connections notice a silent peer.
+func Dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout.Duration(),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle.Duration(), Interval: keepAliveInterval.Duration(), Count: keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failed error
+			err := raw.Control(func(descriptor uintptr) {
+				failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+}
+
+// connection is one connection to a backend server.
+type connection struct {
+	conn     net.Conn
+	limited  *io.LimitedReader
+	reader   *bufio.Reader
+	usedAt   clock.Millis
+	idleMost clock.Millis
+	reused   bool
+}
+
+func newConnection(conn net.Conn) *connection {
+	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
+	return &connection{conn: conn, limited: limited, reader: bufio.NewReaderSize(limited, readerBytes)}
+}
+
+// limitHead bounds what is read until liftLimit.
+func (connection *connection) limitHead() { connection.limited.N = maxHeadBytes }
+
+func (connection *connection) liftLimit() { connection.limited.N = 1 << 62 }
+
+// interrupt makes reads and writes in progress and later ones fail.
+func (connection *connection) interrupt() {
+	_ = connection.conn.SetDeadline(time.Unix(1, 0))
+}
+
+func (connection *connection) close() { _ = connection.conn.Close() }
+
+// isQuiet reports whether the idle connection is open and nothing came in. Any
+// byte would belong to no request.
+func (connection *connection) isQuiet() bool {
+	if connection.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := connection.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, failed := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = failed == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// idle is a stack of idle connections to one server; the last used one is on
+// top, so that connections that are not needed grow old at the bottom.
+type idle struct {
+	top atomic.Pointer[idleEntry]
+}
+
+type idleEntry struct {
+	connection *connection
+	below      *idleEntry
+}
+
+func (idle *idle) push(connection *connection) {
+	entry := &idleEntry{connection: connection}
+	for {
+		entry.below = idle.top.Load()
+		if idle.top.CompareAndSwap(entry.below, entry) {
+			return
+		}
+	}
+}
+
+func (idle *idle) pop() *connection {
+	for {
+		entry := idle.top.Load()
+		if entry == nil {
+			return nil
+		}
+		if idle.top.CompareAndSwap(entry, entry.below) {
+			return entry.connection
+		}
+	}
+}
+
+// takeAll empties the stack and returns what it held, last used first.
+func (idle *idle) takeAll() []*connection {
+	var taken []*connection
+	for entry := idle.top.Swap(nil); entry != nil; entry = entry.below {
+		taken = append(taken, entry.connection)
+	}
+	return taken
+}
+
+// dial opens a connection with the context's and the dialer's time limits.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	return Dialer().DialContext(ctx, "tcp", address)
+}
--- a/internal/backend/circuit.go
+++ b/internal/backend/circuit.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// Trip opens the circuit after one failure that leaves no doubt, such as a
+// refused connection.
+func (circuit *Circuit) Trip(now clock.Millis) {
+	circuit.failures.Store(failuresToOpen)
+	circuit.Failed(now)
+}
+
 // Failed counts a failure and opens the circuit if there are too many.
 func (circuit *Circuit) Failed(now clock.Millis) {
 	halfOpen := circuit.until.Load() != 0
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -12,7 +12,7 @@
 // be called from one writer at a time; Current from any goroutine.
 type Fleet struct {
 	current atomic.Pointer[Snapshot]
-	// left holds, for each id known to leave, the number of updates since it
+	// left holds, for each key known to leave, the number of updates since it
 	// was last listed.
 	left   map[string]int
 	speeds *speeds
@@ -37,18 +37,21 @@
 	fleet.age()
 	for _, listed := range list {
 		server := known.Server(listed.server.id)
-		if server == nil || server.address != listed.server.address {
+		if server == nil || server.address != listed.server.address || server.start != listed.server.start {
 			server = listed.server
 			server.speed.Store(fleet.speeds.of(server))
 		}
-		_, left := fleet.left[server.id]
+		_, left := fleet.left[server.Key()]
 		if listed.leaving && !left {
 			first = append(first, server.id)
 		}
 		if listed.leaving || left {
-			fleet.left[server.id] = 0
+			fleet.left[server.Key()] = 0
 			server.MarkLeaving()
 		}
+		if listed.leaveAt != 0 {
+			server.leaveAt.Store(int64(listed.leaveAt))
+		}
 		servers = append(servers, server)
 	}
 	fleet.current.Store(newSnapshot(servers))
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -39,9 +39,33 @@
 
 // Work is what this node has sent to one server.
 type Work struct {
-	sent atomic.Int64
+	sent      atomic.Int64
+	pending   atomic.Int64
+	elsewhere atomic.Int64
 }
 
+// Queue counts prompt tokens that the server has to read for this node, until
+// the returned function is called.
+func (work *Work) Queue(tokens int) (read func()) {
+	work.pending.Add(int64(tokens))
+	var done atomic.Bool
+	return func() {
+		if !done.Swap(true) {
+			work.pending.Add(-int64(tokens))
+		}
+	}
+}
+
+// Own returns the prompt tokens that wait at the server for this node.
+func (work *Work) Own() int64 { return work.pending.Load() }
+
+// Pending returns the prompt tokens that wait at the server for this node and,
+// as far as they told, for its fellow nodes.
+func (work *Work) Pending() int64 { return work.pending.Load() + work.elsewhere.Load() }
+
+// SetElsewhere records the prompt tokens that wait there for fellow nodes.
+func (work *Work) SetElsewhere(tokens int64) { work.elsewhere.Store(tokens) }
+
 // Send counts prompt tokens that the server will have to read for this node.
 func (work *Work) Send(tokens int) { work.sent.Add(int64(tokens)) }
 
--- /dev/null
+++ b/internal/caller/allotment.go
@@ -0,0 +1,114 @@
+package caller
+
+import (
+	"math"
+	"sync/atomic"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/request"
+)
+
+// Allotment is the number of tokens that a client account may use over all
+// nodes: a rate and a burst, as of a token bucket.
+type Allotment struct {
+	perSecond float64
+	burst     float64
+	plain     int
+	tokens    bool
+}
+
+// NewAllotment returns an allotment; a rate of 0 is no limit. If it counts
+// tokens, a request costs the tokens that it names, any other request plain.
+func NewAllotment(perSecond, burst float64, plain int, tokens bool) Allotment {
+	return Allotment{perSecond: perSecond, burst: burst, plain: plain, tokens: tokens}
+}
+
+// PerSecond returns the rate in tokens a second, or 0 for no limit.
+func (allotment Allotment) PerSecond() float64 { return allotment.perSecond }
+
+// Burst returns how many tokens may be used at once.
+func (allotment Allotment) Burst() float64 { return allotment.burst }
+
+// Cost returns what a request counts that names so many tokens, or 0 if it
+// names none.
+func (allotment Allotment) Cost(tokens int) int {
+	if allotment.tokens && tokens > 0 {
+		return tokens
+	}
+	return allotment.plain
+}
+
+// Meter counts what one account uses at this node and, from fellow nodes'
+// news, elsewhere. The level of the bucket is worked out from the sum of both:
+//
+//	level = min(burst, level + elapsed x rate) - used here - used elsewhere
+//
+// Use elsewhere is known late, so the level can fall below 0; it then has to
+// fill up again before anybody is admitted, which keeps the mean rate.
+//
+// A node that hears only some of its fellow nodes refills at its share of the
+// rate, as the others may be using the rest.
+type Meter struct {
+	state atomic.Pointer[meterState]
+	used  atomic.Int64
+}
+
+type meterState struct {
+	level float64
+	at    clock.Millis
+}
+
+// NewMeter returns a meter whose bucket is full.
+func NewMeter(allotment Allotment, now clock.Millis) *Meter {
+	meter := &Meter{}
+	meter.state.Store(&meterState{level: allotment.burst, at: now})
+	return meter
+}
+
+// Used returns the tokens admitted here since the start.
+func (meter *Meter) Used() int64 { return meter.used.Load() }
+
+// Admit takes the tokens of one request, or returns a *request.NotRunError. The
+// share is the part of the rate that this node may refill with, 1 if it hears
+// all of its fellow nodes.
+func (meter *Meter) Admit(allotment Allotment, tokens int, share float64, now clock.Millis) error {
+	if allotment.perSecond == 0 {
+		meter.used.Add(int64(tokens))
+		return nil
+	}
+	for {
+		known := meter.state.Load()
+		level := known.refilled(allotment, share, now)
+		if level < min(float64(tokens), allotment.burst) {
+			missing := min(float64(tokens), allotment.burst) - level
+			wait := clock.Millis(math.Ceil(missing / (allotment.perSecond * share) * float64(clock.Second)))
+			return request.NewOverLimitError("the client account is over its allotment", wait)
+		}
+		if meter.state.CompareAndSwap(known, &meterState{level: level - float64(tokens), at: now}) {
+			meter.used.Add(int64(tokens))
+			return nil
+		}
+	}
+}
+
+// Elsewhere takes in tokens that fellow nodes admitted.
+func (meter *Meter) Elsewhere(allotment Allotment, tokens int64, share float64, now clock.Millis) {
+	if tokens <= 0 {
+		return
+	}
+	for {
+		known := meter.state.Load()
+		level := known.refilled(allotment, share, now) - float64(tokens)
+		// A debt is kept for one burst at most, or a peer's false report would
+		// lock the account out.
+		level = max(level, -allotment.burst)
+		if meter.state.CompareAndSwap(known, &meterState{level: level, at: now}) {
+			return
+		}
+	}
+}
+
+func (state *meterState) refilled(allotment Allotment, share float64, now clock.Millis) float64 {
+	elapsed := float64(max(0, now-state.at)) / float64(clock.Second)
+	return min(allotment.burst, state.level+elapsed*allotment.perSecond*share)
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -12,6 +12,7 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
 )
 
 // Account is one client account.
@@ -20,6 +21,9 @@
 	inFlight *atomic.Int64
 	limit    int
 	usage    *usage
+	rank     int
+	ranked   bool
+	allotted Allotment
 }
 
 // NewAccount returns a client account that may have limit requests in flight
@@ -28,6 +32,32 @@
 	return &Account{name: name, inFlight: &atomic.Int64{}, limit: limit, usage: &usage{}}
 }
 
+// WithRank returns a copy whose requests have the urgency in place of their
+// routes'; 0 is the most urgent.
+func (account *Account) WithRank(rank int) *Account {
+	changed := *account
+	changed.rank, changed.ranked = rank, true
+	return &changed
+}
+
+// WithAllotment returns a copy that may use so many tokens.
+func (account *Account) WithAllotment(allotted Allotment) *Account {
+	changed := *account
+	changed.allotted = allotted
+	return &changed
+}
+
+// RankOn returns the urgency of the account's requests on the route.
+func (account *Account) RankOn(on route.Route) int {
+	if account.ranked {
+		return account.rank
+	}
+	return on.Rank()
+}
+
+// Allotment returns how many tokens the account may use over all nodes.
+func (account *Account) Allotment() Allotment { return account.allotted }
+
 // Name returns the name of the account.
 func (account *Account) Name() string { return account.name }
 
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -106,6 +106,10 @@
 	}
 }
 
+// RuntimeDeadline returns the time after the delay on the clock of the Go
+// runtime, for the deadlines of net's connections.
+func RuntimeDeadline(delay Millis) time.Time { return time.Now().Add(delay.Duration()) }
+
 // Stopwatch returns a function that tells the time since now. It is finer than
 // milliseconds and for measurements only.
 func Stopwatch() (elapsed func() time.Duration) {
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,130 @@
+// Package directory is the configuration in force at a node in the form that
+// the path of a request needs: routes by host name and path, client accounts
+// by key, pools by name.
+//
+// A directory is immutable. InForce publishes the newest one:
+//
+//	route, ok := inForce.Current().Route("desk.example", "/chat/today")
+package directory
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"sapphirehead/internal/caller"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/pool"
+	"sapphirehead/internal/route"
+)
+
+// Limits bound what a caller may send.
+type Limits struct {
+	headerBytes   int
+	bodyBytes     int
+	headerTimeout clock.Millis
+	idleTimeout   clock.Millis
+}
+
+// NewLimits returns limits; 0 is no limit.
+func NewLimits(headerBytes, bodyBytes int, headerTimeout, idleTimeout clock.Millis) Limits {
+	return Limits{headerBytes: headerBytes, bodyBytes: bodyBytes, headerTimeout: headerTimeout, idleTimeout: idleTimeout}
+}
+
+// HeaderBytes returns the size of the largest head of a request.
+func (limits Limits) HeaderBytes() int { return limits.headerBytes }
+
+// BodyBytes returns the size of the largest body.
+func (limits Limits) BodyBytes() int { return limits.bodyBytes }
+
+// HeaderTimeout returns how long a caller may take for a head.
+func (limits Limits) HeaderTimeout() clock.Millis { return limits.headerTimeout }
+
+// IdleTimeout returns how long a caller may keep a connection idle.
+func (limits Limits) IdleTimeout() clock.Millis { return limits.idleTimeout }
+
+// Directory is one version of the configuration.
+type Directory struct {
+	version  int64
+	hosts    map[string][]route.Route
+	routes   int
+	accounts *caller.Accounts
+	pools    map[string]pool.Pool
+	limits   Limits
+}
+
+// New returns a directory. Without accounts, requests need no key.
+func New(version int64, routes []route.Route, pools []pool.Pool, accounts *caller.Accounts, limits Limits) *Directory {
+	directory := &Directory{
+		version: version, hosts: map[string][]route.Route{}, routes: len(routes),
+		accounts: accounts, pools: map[string]pool.Pool{}, limits: limits,
+	}
+	for _, row := range routes {
+		host := strings.ToLower(row.Host())
+		directory.hosts[host] = append(directory.hosts[host], row)
+	}
+	for _, rows := range directory.hosts {
+		slices.SortStableFunc(rows, func(a, b route.Route) int { return len(b.Path()) - len(a.Path()) })
+	}
+	for _, row := range pools {
+		directory.pools[row.Name()] = row
+	}
+	return directory
+}
+
+// Version returns the version, which rises with each edit.
+func (directory *Directory) Version() int64 { return directory.version }
+
+// Size returns the number of routes.
+func (directory *Directory) Size() int { return directory.routes }
+
+// Route returns the route of the host name with the longest prefix of the path.
+func (directory *Directory) Route(host, path string) (route.Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, row := range directory.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, row.Path()) {
+			return row, true
+		}
+	}
+	return route.Route{}, false
+}
+
+// NeedsKey reports whether requests on routes that are not public need a key.
+func (directory *Directory) NeedsKey() bool { return directory.accounts != nil }
+
+// Account returns the client account of the key.
+func (directory *Directory) Account(key string) (*caller.Account, bool) {
+	if directory.accounts == nil {
+		return nil, false
+	}
+	return directory.accounts.ByKey(key)
+}
+
+// Accounts returns every client account in order of name.
+func (directory *Directory) Accounts() []*caller.Account {
+	if directory.accounts == nil {
+		return nil
+	}
+	return directory.accounts.All()
+}
+
+// Pool returns the row of the pool.
+func (directory *Directory) Pool(name string) (pool.Pool, bool) {
+	row, ok := directory.pools[name]
+	return row, ok
+}
+
+// Pools returns every pool in order of name.
+func (directory *Directory) Pools() []pool.Pool {
+	pools := make([]pool.Pool, 0, len(directory.pools))
+	for _, row := range directory.pools {
+		pools = append(pools, row)
+	}
+	slices.SortFunc(pools, func(a, b pool.Pool) int { return strings.Compare(a.Name(), b.Name()) })
+	return pools
+}
+
+// Limits returns what bounds callers.
+func (directory *Directory) Limits() Limits { return directory.limits }
--- /dev/null
+++ b/internal/edge/callers.go
@@ -0,0 +1,246 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/caller"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/directory"
+	"sapphirehead/internal/request"
+	"sapphirehead/internal/route"
+	"sapphirehead/platform/callers"
+)
+
+const (
+	// headerTimeout and idleTimeout bound connections of callers. The
+	// configuration's own limits are shorter and bound what proper callers do, so
+	// these only end connections that nobody uses.
+	headerTimeout = 15 * clock.Second
+	idleTimeout   = 120 * clock.Second
+	// bodyTimeout is how long a caller may take to send a body.
+	bodyTimeout = 10 * clock.Second
+	// maxHeaderBytes and maxBodyBytes hold until a configuration names others.
+	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 4 << 20
+	// freshContact is the age of the latest word from the store up to which a
+	// node may say that a route or key does not exist. It is below the time after
+	// which a node counts as in touch (3 s).
+	freshContact = 2900 * clock.Millisecond
+	// retrySoon is what a caller is told to wait if another node, or this one a
+	// moment later, may well serve it.
+	retrySoon = 300 * clock.Millisecond
+)
+
+// callerServer is the HTTP server for callers and its open connections.
+type callerServer struct {
+	server *http.Server
+	open   atomic.Int64
+}
+
+func (edge *Edge) newCallerServer() *callerServer {
+	callerServer := &callerServer{}
+	callerServer.server = &http.Server{
+		Handler:           http.HandlerFunc(edge.serve),
+		ReadHeaderTimeout: headerTimeout.Duration(),
+		IdleTimeout:       idleTimeout.Duration(),
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         callerServer.count,
+	}
+	return callerServer
+}
+
+func (callerServer *callerServer) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		callerServer.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		callerServer.open.Add(-1)
+	default:
+	}
+}
+
+// visit is one request of a caller on its way through the node.
+type visit struct {
+	edge      *Edge
+	writer    http.ResponseWriter
+	request   *http.Request
+	call      callers.Call
+	directory *directory.Directory
+	route     route.Route
+	account   *caller.Account
+	target    string
+	body      []byte
+	arrived   clock.Millis
+	pool      string
+	attempts  int
+	status    int
+	reason    string
+	first     clock.Millis
+	ran       bool
+}
+
+// serve answers one request. Every request gets one line in the log.
+func (edge *Edge) serve(writer http.ResponseWriter, request *http.Request) {
+	edge.inFlight.Add(1)
+	defer edge.inFlight.Add(-1)
+	visit := &visit{edge: edge, writer: writer, request: request, arrived: edge.clock.Now()}
+	defer visit.record()
+	if edge.stopping.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	if visit.decode() && visit.admit() {
+		visit.forward()
+	}
+}
+
+// decode reads the request, and answers it if that is not possible.
+func (visit *visit) decode() bool {
+	var err error
+	if visit.call, err = callers.Decode(visit.request.Header); err != nil {
+		visit.answer(http.StatusBadRequest, "badRequest", err.Error(), 0)
+		return false
+	}
+	visit.target = visit.request.RequestURI
+	if !strings.HasPrefix(visit.target, "/") {
+		visit.target = visit.request.URL.RequestURI()
+	}
+	visit.directory = visit.edge.directory.Current()
+	limit := maxBodyBytes
+	if visit.directory != nil && visit.directory.Limits().BodyBytes() > 0 {
+		limit = visit.directory.Limits().BodyBytes()
+	}
+	return visit.readBody(limit)
+}
+
+func (visit *visit) readBody(limit int) bool {
+	if visit.request.ContentLength == 0 {
+		return true
+	}
+	control := http.NewResponseController(visit.writer)
+	if err := control.SetReadDeadline(deadlineIn(bodyTimeout)); err != nil {
+		visit.edge.log.Error().Err(err).Msg("no deadline for a body")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(visit.writer, visit.request.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		visit.answer(http.StatusRequestEntityTooLarge, "tooLarge", "the body is too large", 0)
+		return false
+	case err != nil:
+		visit.answer(http.StatusBadRequest, "badRequest", "the body can't be read", 0)
+		return false
+	}
+	if err := control.SetReadDeadline(noDeadline); err != nil {
+		visit.edge.log.Error().Err(err).Msg("deadline of a body stays")
+	}
+	visit.body = body
+	return true
+}
+
+// admit finds route and client account and counts the request against the
+// allotment. It answers a request that may not go on.
+func (visit *visit) admit() bool {
+	now := visit.edge.clock.Now()
+	if visit.directory == nil {
+		visit.refuse("no configuration yet", retrySoon)
+		return false
+	}
+	path, _, _ := strings.Cut(visit.target, "?")
+	fresh := age(&visit.edge.contact.configuration, now) <= freshContact
+	row, ok := visit.directory.Route(visit.request.Host, path)
+	if !ok {
+		return visit.deny(fresh, http.StatusNotFound, "noRoute", "no such route")
+	}
+	visit.route = row
+	if visit.directory.NeedsKey() && !row.Public() {
+		if visit.account, ok = visit.directory.Account(visit.call.Key()); !ok {
+			return visit.deny(fresh, http.StatusUnauthorized, "noKey", "the key is not known")
+		}
+		if err := visit.edge.meter(visit.account, visit.call.Tokens()); err != nil {
+			visit.overLimit(err)
+			return false
+		}
+	}
+	callers.Strip(visit.request.Header)
+	return true
+}
+
+// deny answers that a route or key does not exist, or, if a newer configuration
+// may know it, that the request did not run.
+func (visit *visit) deny(fresh bool, status int, kind, reason string) bool {
+	if !fresh {
+		visit.refuse(reason+" in an old configuration", retrySoon)
+		return false
+	}
+	visit.answer(status, kind, reason, 0)
+	return false
+}
+
+func (visit *visit) overLimit(err error) {
+	var notRun *request.NotRunError
+	if errors.As(err, &notRun) {
+		visit.answer(http.StatusTooManyRequests, "overLimit", notRun.Error(), notRun.RetryAfter())
+		return
+	}
+	visit.refuse(err.Error(), retrySoon)
+}
+
+// refuse answers that the request did not run and never will.
+func (visit *visit) refuse(reason string, retryAfter clock.Millis) {
+	visit.answer(http.StatusServiceUnavailable, "notRun", reason, retryAfter)
+}
+
+type problemForm struct {
+	Type   string `json:"type"`
+	Reason string `json:"reason"`
+}
+
+// answer ends the request with an answer of this node's own.
+func (visit *visit) answer(status int, kind, reason string, retryAfter clock.Millis) {
+	visit.status, visit.reason = status, reason
+	header := visit.writer.Header()
+	header.Set("Content-Type", "application/json")
+	if visit.call.ID() != "" {
+		callers.SetID(header, visit.call.ID())
+	}
+	if retryAfter > 0 {
+		callers.SetRetryAfter(header, retryAfter)
+	}
+	body, err := json.Marshal(problemForm{Type: kind, Reason: reason})
+	if err != nil {
+		visit.edge.log.Error().Err(err).Msg("a problem can't be encoded")
+	}
+	visit.writer.WriteHeader(status)
+	visit.writer.Write(body)
+}
+
+// accountName returns the name of the client account, or empty.
+func (visit *visit) accountName() string {
+	if visit.account == nil {
+		return ""
+	}
+	return visit.account.Name()
+}
+
+// deadline returns when the request must have its final answer: when the caller
+// or the route loses patience.
+func (visit *visit) deadline() clock.Millis {
+	patience := visit.route.Deadline()
+	if visit.call.Patience() > 0 && (patience == 0 || visit.call.Patience() < patience) {
+		patience = visit.call.Patience()
+	}
+	return visit.arrived + patience
+}
+
+// left reports whether the caller has gone.
+func (visit *visit) left() bool {
+	return errors.Is(context.Cause(visit.request.Context()), context.Canceled)
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,154 @@
+// Package edge is the program sapphire-edge put together: the serving system on
+// the users' platform, one process on each machine.
+//
+// The process serves callers, follows the platform's store, and does the duties
+// for which it holds a lease. What it decides lies in the rooms of the peers
+// (request, placement, backend, caller, directory); what the platform calls
+// things lies in platform/. This package connects the two and owns goroutines
+// and listeners.
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/backend/backendlink"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/directory"
+	"sapphirehead/internal/placement"
+	"sapphirehead/internal/settings"
+	"sapphirehead/platform/store"
+)
+
+// Edge is one node.
+type Edge struct {
+	clock     *clock.Clock
+	log       zerolog.Logger
+	settings  atomic.Pointer[settings.Edge]
+	directory *directory.InForce
+	fleet     *backend.Fleet
+	links     *backendlink.Links
+	placement *placement.Placement
+	store     *store.Client
+	transport *http.Transport
+	contact   contact
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
+	counters  *counters
+	budgets   *budgets
+	meters    *meters
+	listeners listeners
+}
+
+type listeners struct {
+	caller  net.Listener
+	ready   net.Listener
+	metrics net.Listener
+}
+
+// New returns a node that listens but does not serve yet.
+func New(loaded *settings.Edge, clock *clock.Clock, log zerolog.Logger) (*Edge, error) {
+	edge := &Edge{
+		clock: clock, log: log, directory: directory.NewInForce(), fleet: backend.NewFleet(), counters: newCounters(),
+		budgets: newBudgets(), meters: newMeters(),
+	}
+	edge.settings.Store(loaded)
+	edge.links = backendlink.New(clock, func() { edge.counters.connections.Add(1) })
+	edge.placement = placement.New(clock, edge.fleet, loaded.DataCentre(), rand.Float64)
+	edge.transport = &http.Transport{
+		DialContext: backendlink.Dialer().DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: maxStoreConnections,
+	}
+	edge.store = store.New(edge.transport, clock,
+		func() string { return edge.settings.Load().Platform().Address() },
+		func() millis { return edge.settings.Load().Platform().Timeout() })
+	if err := edge.listen(loaded); err != nil {
+		return nil, err
+	}
+	return edge, nil
+}
+
+// millis names the type where a parameter hides the package.
+type millis = clock.Millis
+
+// maxStoreConnections is the number of idle connections to the store: two for
+// watches and a few for other calls.
+const maxStoreConnections = 4
+
+func (edge *Edge) listen(loaded *settings.Edge) error {
+	for _, each := range []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{address: loaded.CallerListen(), listener: &edge.listeners.caller},
+		{address: loaded.ReadyListen(), listener: &edge.listeners.ready},
+		{address: loaded.MetricsListen(), listener: &edge.listeners.metrics},
+	} {
+		listener, err := net.Listen("tcp", each.address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		*each.listener = listener
+	}
+	return nil
+}
+
+// Addresses returns the addresses on which the node listens, by purpose.
+func (edge *Edge) Addresses() map[string]string {
+	return map[string]string{
+		"caller":  edge.listeners.caller.Addr().String(),
+		"ready":   edge.listeners.ready.Addr().String(),
+		"metrics": edge.listeners.metrics.Addr().String(),
+	}
+}
+
+// Run serves until stop ends and what was in progress has its answers, or kill
+// ends. Reload tells that the settings file has changed.
+func (edge *Edge) Run(stop, kill context.Context, reload <-chan struct{}, load func() (*settings.Edge, error)) error {
+	edge.log.Info().Str("callers", edge.listeners.caller.Addr().String()).Msg("started")
+	loops, endLoops := context.WithCancel(kill)
+	defer endLoops()
+	var group errgroup.Group
+	for _, loop := range []func(context.Context){
+		edge.followConfiguration, edge.followServers, edge.sweep,
+		func(ctx context.Context) { edge.followSettings(ctx, reload, load) },
+	} {
+		group.Go(func() error {
+			loop(loops)
+			return nil
+		})
+	}
+	ready := &http.Server{Handler: edge.readyHandler(), ReadHeaderTimeout: readyTimeout}
+	metrics := &http.Server{Handler: edge.metricsHandler(), ReadHeaderTimeout: readyTimeout}
+	callers := edge.newCallerServer()
+	group.Go(func() error { return ignoreClosed(ready.Serve(edge.listeners.ready)) })
+	group.Go(func() error { return ignoreClosed(metrics.Serve(edge.listeners.metrics)) })
+	group.Go(func() error { return ignoreClosed(callers.server.Serve(edge.listeners.caller)) })
+	select {
+	case <-stop.Done():
+		edge.stop(kill, callers)
+	case <-kill.Done():
+	}
+	endLoops()
+	callers.server.Close()
+	ready.Close()
+	metrics.Close()
+	err := group.Wait()
+	edge.log.Info().Msg("stopped")
+	return err
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/edge/follow.go
@@ -0,0 +1,221 @@
+package edge
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/platform/store"
+)
+
+const (
+	// watchWait is how long a watch waits at the store. A watch that hears nothing
+	// proves little, as its connection may have gone silent; together with a
+	// call's timeout this keeps a node's knowledge younger than the time after
+	// which it counts as in touch (3 s).
+	watchWait = 2 * clock.Second
+	// retryLeast and retryMost are the waits between calls to a store that does
+	// not answer.
+	retryLeast = 50 * clock.Millisecond
+	retryMost  = 400 * clock.Millisecond
+)
+
+// followed is how one kind of objects is followed by a listing and watches.
+type followed struct {
+	kind string
+	list func(store.Listing)
+	set  func(store.Change)
+	end  func()
+	wait func() clock.Millis
+	away func(error)
+	back func()
+}
+
+// follow keeps up with a kind of objects until the context ends.
+func (edge *Edge) follow(ctx context.Context, followed followed) {
+	wait := retryLeast
+	revision, listed := int64(0), false
+	failing := false
+	for ctx.Err() == nil {
+		next, err := edge.followOnce(ctx, followed, revision, listed)
+		var gone *store.HistoryGoneError
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			if failing {
+				edge.log.Info().Str("kind", followed.kind).Int64("revision", next).Msg("platform's store regained")
+			}
+			revision, listed, failing, wait = next, true, false, retryLeast
+			continue
+		case errors.As(err, &gone):
+			edge.log.Info().Str("kind", followed.kind).Int64("revision", revision).Msg("history of the watch is gone, listing anew")
+			listed = false
+			continue
+		}
+		if !failing {
+			failing = true
+			edge.log.Warn().Err(err).Str("kind", followed.kind).Int64("revision", revision).Msg("platform's store lost")
+		}
+		followed.away(err)
+		edge.transport.CloseIdleConnections()
+		if edge.clock.Wait(ctx, wait) != nil {
+			return
+		}
+		wait = min(2*wait, retryMost)
+	}
+}
+
+// followOnce lists the kind, or watches it once, and returns the revision to go
+// on from.
+func (edge *Edge) followOnce(ctx context.Context, followed followed, revision int64, listed bool) (int64, error) {
+	if !listed {
+		listing, err := edge.store.List(ctx, followed.kind, store.FreshnessLatest)
+		if err != nil {
+			return 0, err
+		}
+		edge.counters.storeCalls.Add(1)
+		followed.back()
+		followed.list(listing)
+		followed.end()
+		return listing.AsOf(), nil
+	}
+	changes, err := edge.store.Watch(ctx, followed.kind, revision, min(watchWait, followed.wait()))
+	edge.counters.storeCalls.Add(1)
+	if err != nil {
+		return 0, err
+	}
+	followed.back()
+	if changes.Unreadable() > 0 {
+		edge.log.Warn().Str("kind", followed.kind).Int("objects", changes.Unreadable()).Msg("objects of the store can't be read")
+	}
+	for _, change := range changes.All() {
+		followed.set(change)
+	}
+	followed.end()
+	return max(revision, changes.AsOf()), nil
+}
+
+// followConfiguration puts each new configuration in force.
+func (edge *Edge) followConfiguration(ctx context.Context) {
+	offer := func(object store.Object) {
+		if object.Name() != store.ConfigurationName {
+			return
+		}
+		offered, err := store.DecodeConfiguration(object)
+		if err != nil {
+			edge.log.Error().Err(err).Int64("revision", object.Revision()).Msg("configuration refused")
+			return
+		}
+		if edge.directory.Offer(offered) {
+			edge.log.Info().Int64("version", offered.Version()).Int("routes", offered.Size()).Msg("configuration in force")
+		}
+	}
+	edge.follow(ctx, followed{
+		kind: store.KindConfiguration,
+		list: func(listing store.Listing) {
+			for _, object := range listing.Objects() {
+				offer(object)
+			}
+		},
+		set: func(change store.Change) {
+			if !change.Deleted() {
+				offer(change.Object())
+			}
+		},
+		end:  func() { note(&edge.contact.configuration, edge.clock.Now()) },
+		wait: func() clock.Millis { return watchWait },
+		away: func(error) {},
+		back: func() {},
+	})
+}
+
+// lapseGrace is how long entries that lapsed in an outage are kept after it: the
+// platform promises them back within about two seconds, and a leaving server
+// must get nothing two seconds after this node could know.
+const lapseGrace = 1800 * clock.Millisecond
+
+// followServers keeps the fleet up to date.
+func (edge *Edge) followServers(ctx context.Context) {
+	registry := backend.NewRegistry(lapseGrace)
+	set := func(object store.Object) (backend.Entry, bool) {
+		entry, err := store.DecodeServer(object)
+		if err != nil {
+			edge.log.Warn().Err(err).Str("backendServer", object.Name()).Msg("entry ignored")
+			return entry, false
+		}
+		return entry, true
+	}
+	edge.follow(ctx, followed{
+		kind: store.KindServers,
+		list: func(listing store.Listing) {
+			var entries []backend.Entry
+			for _, object := range listing.Objects() {
+				if entry, ok := set(object); ok {
+					entries = append(entries, entry)
+				}
+			}
+			registry.Replace(entries, listing.AsOf(), edge.clock.Now())
+		},
+		set: func(change store.Change) {
+			object := change.Object()
+			entry, ok := backend.Entry{}, false
+			if !change.Deleted() {
+				entry, ok = set(object)
+			}
+			if ok {
+				registry.Set(entry, edge.clock.Now())
+			} else {
+				registry.Remove(object.Name(), object.Revision(), edge.clock.Now())
+			}
+		},
+		end: func() { edge.publishServers(registry) },
+		wait: func() clock.Millis {
+			if end, ok := registry.GraceEnd(); ok {
+				return max(clock.Millisecond, end-edge.clock.Now())
+			}
+			return watchWait
+		},
+		away: func(error) { registry.Away() },
+		back: func() { registry.Back(edge.clock.Now()) },
+	})
+}
+
+// publishServers puts the registry's servers in force and logs what changed.
+func (edge *Edge) publishServers(registry *backend.Registry) {
+	now := edge.clock.Now()
+	note(&edge.contact.servers, now)
+	before := edge.fleet.Current()
+	for _, id := range edge.fleet.Update(registry.List(now)) {
+		edge.log.Info().Str("backendServer", id).Msg("backend server leaves")
+	}
+	after := edge.fleet.Current()
+	for _, server := range after.Servers() {
+		if known := before.Server(server.ID()); known == nil || known.Key() != server.Key() {
+			server.Circuit().Start(now)
+			edge.log.Info().Str("backendServer", server.ID()).Str("pool", server.Pool()).Str("dataCentre", server.DataCentre()).
+				Bool("reclaimable", server.Reclaimable()).Msg("backend server listed")
+		}
+	}
+	for _, server := range before.Servers() {
+		if after.Server(server.ID()) == nil {
+			edge.log.Info().Str("backendServer", server.ID()).Msg("backend server gone from the list")
+		}
+	}
+}
+
+// sweepInterval is the time between two looks at idle connections.
+const sweepInterval = 2 * clock.Second
+
+// sweep closes connections that are no longer of use.
+func (edge *Edge) sweep(ctx context.Context) {
+	for edge.clock.Wait(ctx, sweepInterval) == nil {
+		live := map[string]bool{}
+		for _, server := range edge.fleet.Current().Servers() {
+			live[server.Key()] = !server.Leaving()
+		}
+		edge.links.Sweep(func(key string) bool { return live[key] })
+	}
+}
--- /dev/null
+++ b/internal/edge/limits.go
@@ -0,0 +1,66 @@
+package edge
+
+import (
+	"sync"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/caller"
+	"sapphirehead/internal/clock"
+)
+
+// budgets holds the retry window of each pool.
+type budgets struct {
+	byPool sync.Map // Name to *backend.RetryWindow.
+}
+
+func newBudgets() *budgets { return &budgets{} }
+
+func (budgets *budgets) of(pool string) *backend.RetryWindow {
+	if window, ok := budgets.byPool.Load(pool); ok {
+		return window.(*backend.RetryWindow)
+	}
+	window, _ := budgets.byPool.LoadOrStore(pool, backend.NewRetryWindow())
+	return window.(*backend.RetryWindow)
+}
+
+// retryMargin is the part of the budget that a node uses; the rest is for
+// windows that nodes and their judge cut differently.
+const retryMargin = 0.8
+
+// request counts a request for the pool.
+func (edge *Edge) countRequest(pool string) {
+	edge.budgets.of(pool).Request(edge.settings.Load().Bounds().RetryWindow(), edge.clock.Now())
+}
+
+// takeRetry takes a repeat at the pool out of its budget.
+func (edge *Edge) takeRetry(pool string) bool {
+	bounds := edge.settings.Load().Bounds()
+	slack := bounds.RetrySlack() * retryMargin / float64(edge.nodes())
+	ok := edge.budgets.of(pool).Take(bounds.RetryWindow(), edge.clock.Now(), bounds.RetryShare()*retryMargin, slack)
+	if !ok {
+		edge.counters.retriesRefused.Add(1)
+	}
+	return ok
+}
+
+// meters holds the meter of each client account.
+type meters struct {
+	byAccount sync.Map // Name to *caller.Meter.
+}
+
+func newMeters() *meters { return &meters{} }
+
+func (meters *meters) of(account *caller.Account, now clock.Millis) *caller.Meter {
+	if meter, ok := meters.byAccount.Load(account.Name()); ok {
+		return meter.(*caller.Meter)
+	}
+	meter, _ := meters.byAccount.LoadOrStore(account.Name(), caller.NewMeter(account.Allotment(), now))
+	return meter.(*caller.Meter)
+}
+
+// meter counts a request of the account, or returns a *request.NotRunError.
+func (edge *Edge) meter(account *caller.Account, tokens int) error {
+	now := edge.clock.Now()
+	allotment := account.Allotment()
+	return edge.meters.of(account, now).Admit(allotment, allotment.Cost(tokens), edge.refillShare(), now)
+}
--- /dev/null
+++ b/internal/edge/report.go
@@ -0,0 +1,48 @@
+package edge
+
+import (
+	"net/http"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/placement"
+	"sapphirehead/internal/request"
+	"sapphirehead/platform/runners"
+)
+
+// urgency returns the request's urgency at an engine.
+func (visit *visit) urgency() int {
+	if visit.account != nil {
+		return visit.account.RankOn(visit.route)
+	}
+	return visit.route.Rank()
+}
+
+// logChoice logs where an attempt goes and what decided.
+func (visit *visit) logChoice(choice placement.Choice) {
+	visit.edge.log.Debug().Str("requestId", visit.call.ID()).Str("backendServer", choice.Server().ID()).
+		Float64("costMillis", choice.Cost()).Int("reads", choice.Reads()).Bool("home", choice.Home()).
+		Int("choices", choice.Choices()).Msg("attempt")
+}
+
+// logStep logs what follows from an attempt, unless it is a plain answer.
+func (visit *visit) logStep(forward *request.Forward, outcome request.Outcome, step request.Step) {
+	visit.edge.counters.outcomes.Add(outcome.String(), 1)
+	if outcome == request.OutcomeAnswered {
+		return
+	}
+	visit.edge.log.Info().Str("requestId", visit.call.ID()).Str("pool", visit.pool).Str("outcome", outcome.String()).
+		Str("step", step.String()).Int("sends", forward.Sends()).Bool("mayHaveRun", forward.MayHaveRun()).
+		Int64("leftMillis", int64(forward.Deadline()-visit.edge.clock.Now())).Msg("attempt ended")
+}
+
+// noteLoad takes in the load that a server reports with an answer.
+func (edge *Edge) noteLoad(server *backend.Server, header http.Header) {
+	if load, _, ok := runners.Load(header, edge.clock.Now()); ok {
+		server.Report(load)
+	}
+}
+
+// countRun counts for the usage report that the request began to run.
+func (visit *visit) countRun() {
+	visit.ran = true
+}
--- /dev/null
+++ b/internal/edge/stop.go
@@ -0,0 +1,74 @@
+package edge
+
+import (
+	"context"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/settings"
+)
+
+const (
+	// stopLook is the time between two looks at what is still in progress.
+	stopLook = 50 * clock.Millisecond
+	// stopMargin is kept of the grace for the end of the process.
+	stopMargin = 700 * clock.Millisecond
+	// balancerTime is how long the balancer may send new connections after
+	// readiness went off: two questions a second apart, and one more.
+	balancerTime = 3 * clock.Second
+	// settingsInterval is the time between two looks at the settings file.
+	settingsInterval = 1 * clock.Second
+)
+
+// stop ends the service of callers without cutting an answer. Readiness goes
+// off, requests are still served, on connections that end with their answer,
+// and the process ends once nothing is open or the grace is over.
+func (edge *Edge) stop(kill context.Context, callers *callerServer) {
+	edge.stopping.Store(true)
+	begun := edge.clock.Now()
+	end := begun + edge.settings.Load().Bounds().Grace() - stopMargin
+	edge.log.Info().Int64("inFlight", edge.inFlight.Load()).Int64("graceMillis", int64(end-begun)).Msg("stopping")
+	for edge.clock.Wait(kill, stopLook) == nil {
+		now := edge.clock.Now()
+		quiet := callers.open.Load() == 0 && edge.inFlight.Load() == 0
+		if now >= end || (quiet && now >= begun+balancerTime) {
+			break
+		}
+	}
+	if left := edge.inFlight.Load(); left > 0 {
+		edge.log.Warn().Int64("inFlight", left).Msg("grace is over, requests in progress are cut")
+	}
+}
+
+// followSettings puts new settings in force when told to, or when the file
+// changes.
+func (edge *Edge) followSettings(ctx context.Context, reload <-chan struct{}, load func() (*settings.Edge, error)) {
+	for {
+		wake := make(chan struct{})
+		stop := edge.clock.AfterFunc(settingsInterval, func() { close(wake) })
+		told := false
+		select {
+		case <-ctx.Done():
+			stop()
+			return
+		case <-reload:
+			stop()
+			told = true
+		case <-wake:
+		}
+		edge.reload(load, told)
+	}
+}
+
+func (edge *Edge) reload(load func() (*settings.Edge, error), told bool) {
+	loaded, err := load()
+	if err != nil {
+		edge.log.Error().Err(err).Msg("settings refused, the old ones stay")
+		return
+	}
+	if known := edge.settings.Load(); *known != *loaded {
+		edge.settings.Store(loaded)
+		edge.log.Info().Str("platform", loaded.Platform().Address()).Msg("settings in force")
+	} else if told {
+		edge.log.Info().Msg("settings read, nothing changed")
+	}
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,192 @@
+// Package placement chooses the backend server for an attempt.
+//
+// For model engines it weighs the wait for prefill against the tokens that a
+// server would have to read again. Each session has a home, which all nodes
+// work out alike by rendezvous hashing, so that its prompt parts are cached
+// there without any talk between nodes. A request leaves the home when the
+// queue there costs more than reading the session's parts elsewhere:
+//
+//	session of 3,780 tokens, 38 tokens a ms: home is left at 100 ms more of queue
+//
+// For application services it takes the server with the least work.
+package placement
+
+import (
+	"math"
+	"slices"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/pool"
+	"sapphirehead/internal/rendezvous"
+	"sapphirehead/internal/runner"
+)
+
+const (
+	// prefillTokens is how many prompt tokens an engine reads in a millisecond,
+	// as the sheets of both deployments give it.
+	prefillTokens = 38.1
+	// crowdMillis is what one more request in an engine's batch costs the others:
+	// 0.02 ms a step over some 70 steps.
+	crowdMillis = 1.5
+	// queueMillis is what a request that waits for a place costs, where nothing
+	// better is known: the time that a place is held by one request over a batch
+	// of 64.
+	queueMillis = 30.0
+	// workMillis is the mean work of a request at an application service, as the
+	// sheets of both deployments give it.
+	workMillis = 60.0
+	// remoteMillis is the way to another data centre and back.
+	remoteMillis = 3.0
+	// loadFresh is the age up to which a reported load counts in full.
+	loadFresh = 300 * clock.Millisecond
+	// rampMillis is the handicap of a server that has just begun.
+	rampMillis = 40.0
+)
+
+// Choice is the server for one attempt, with the inputs that decided.
+type Choice struct {
+	server  *backend.Server
+	cost    float64
+	reads   int
+	home    bool
+	choices int
+}
+
+// Server returns the chosen server.
+func (choice Choice) Server() *backend.Server { return choice.server }
+
+// Cost returns the estimate for the server in milliseconds.
+func (choice Choice) Cost() float64 { return choice.cost }
+
+// Reads returns the prompt tokens that the server is expected to read.
+func (choice Choice) Reads() int { return choice.reads }
+
+// Home reports whether the server is the home of the prompt's session.
+func (choice Choice) Home() bool { return choice.home }
+
+// Choices returns the number of servers that could have been chosen.
+func (choice Choice) Choices() int { return choice.choices }
+
+// Placement chooses servers of the fleet for a node. It may be used from any
+// goroutine.
+type Placement struct {
+	clock      *clock.Clock
+	fleet      *backend.Fleet
+	dataCentre string
+	random     func() float64
+}
+
+// New returns a placement for a node in the data centre. Random returns a
+// number from 0 to 1.
+func New(clock *clock.Clock, fleet *backend.Fleet, dataCentre string, random func() float64) *Placement {
+	return &Placement{clock: clock, fleet: fleet, dataCentre: dataCentre, random: random}
+}
+
+// Choose returns the server for a request with the prompt, leaving out those
+// whose keys are excluded. A server whose circuit is open is taken only if
+// there is no other.
+func (placement *Placement) Choose(row pool.Pool, prompt runner.Prompt, exclude []string) (Choice, bool) {
+	servers := placement.fleet.Current().Pool(row.Name())
+	now := placement.clock.Now()
+	home := homeOf(servers, prompt)
+	var best, spare Choice
+	choices := 0
+	for _, server := range servers {
+		if server.Leaving() || slices.Contains(exclude, server.Key()) {
+			continue
+		}
+		choice := placement.weigh(server, row, prompt, server == home, now)
+		if !server.Circuit().Allows(now) {
+			spare = cheaper(spare, choice)
+			continue
+		}
+		choices++
+		best = cheaper(best, choice)
+	}
+	if best.server == nil {
+		best = spare
+	}
+	best.choices = choices
+	return best, best.server != nil
+}
+
+func cheaper(known, other Choice) Choice {
+	if known.server == nil || other.cost < known.cost {
+		return other
+	}
+	return known
+}
+
+// homeOf returns the home of the prompt's session, or nil if it has none.
+func homeOf(servers []*backend.Server, prompt runner.Prompt) *backend.Server {
+	session, ok := prompt.Session()
+	if !ok {
+		return nil
+	}
+	var home *backend.Server
+	var highest uint64
+	for _, server := range servers {
+		if server.Leaving() {
+			continue
+		}
+		if score := rendezvous.Score(session, server.Key()); home == nil || score > highest {
+			home, highest = server, score
+		}
+	}
+	return home
+}
+
+func (placement *Placement) weigh(server *backend.Server, row pool.Pool, prompt runner.Prompt, home bool, now clock.Millis) Choice {
+	choice := Choice{server: server, home: home}
+	running, waiting := runningAt(server, now)
+	slots := server.Slots()
+	if slots == 0 {
+		slots = row.Slots()
+	}
+	over := math.Max(0, waiting+running-float64(slots)+1)
+	if row.Kind() == pool.KindRunner {
+		choice.reads = reads(prompt, home)
+		choice.cost = (float64(choice.reads)+float64(server.Work().Pending()))/prefillTokens + crowdMillis*running + queueMillis*over
+	} else {
+		choice.cost = workMillis*(running/float64(max(slots, 1))+over) + placement.random()
+	}
+	if server.DataCentre() != placement.dataCentre {
+		choice.cost += remoteMillis
+	}
+	choice.cost += rampMillis * (1 - server.Circuit().Ramp(now))
+	return choice
+}
+
+// reads returns the tokens that a server would have to read: all but the parts
+// that other prompts share at the home, and elsewhere all but the first part,
+// which few prompts don't share.
+func reads(prompt runner.Prompt, home bool) int {
+	parts := prompt.Parts()
+	shared := 0
+	switch {
+	case home:
+		for _, part := range parts[:max(len(parts)-1, 0)] {
+			shared += part.Tokens()
+		}
+	case len(parts) > 1:
+		shared = parts[0].Tokens()
+	}
+	return prompt.Tokens() - shared
+}
+
+// runningAt returns the requests in progress and waiting at the server: what it
+// reported, unless this node and its fellows know of more.
+func runningAt(server *backend.Server, now clock.Millis) (running, waiting float64) {
+	known := float64(server.InFlight() + server.Elsewhere())
+	load := server.Load()
+	if load == nil {
+		return known, 0
+	}
+	weight := 1.0
+	if age := now - load.At(); age > loadFresh {
+		weight = float64(loadFresh) / float64(age)
+	}
+	running = math.Max(known, weight*float64(load.Running())+float64(server.InFlight()-load.Own()))
+	return running, weight * float64(load.Queued())
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -88,6 +88,8 @@
 	ignoresFence  bool
 	refusesRepeat bool
 	revision      int64
+	engine        Engine
+	rental        Rental
 }
 
 // DefaultSlots is the number of requests that one backend server works on at
@@ -197,6 +199,28 @@
 	return pool
 }
 
+// Engine returns what is known of the pool's model engines; its zero value says
+// that the pool has none.
+func (pool Pool) Engine() Engine { return pool.engine }
+
+// Rental returns the terms on which backend servers are rented; its zero value
+// says that the pool's size is not the system's to change.
+func (pool Pool) Rental() Rental { return pool.rental }
+
+// WithEngine returns a copy of kind runner whose servers are such engines.
+func (pool Pool) WithEngine(engine Engine) Pool {
+	pool.kind = KindRunner
+	pool.engine = engine
+	pool.slots = engine.slots
+	return pool
+}
+
+// WithRental returns a copy whose servers are rented on the terms.
+func (pool Pool) WithRental(rental Rental) Pool {
+	pool.rental = rental
+	return pool
+}
+
 // WithRevision returns a copy that was last changed at the given version.
 func (pool Pool) WithRevision(revision int64) Pool {
 	pool.revision = revision
--- /dev/null
+++ b/internal/pool/rental.go
@@ -0,0 +1,48 @@
+package pool
+
+import (
+	"maps"
+	"slices"
+
+	"sapphirehead/internal/clock"
+)
+
+// Rental is the terms on which the backend servers of a pool are rented. The
+// bounds hold for each data centre, over reclaimable servers and the others
+// together.
+type Rental struct {
+	least            int
+	most             int
+	startup          clock.Millis
+	reclaimablePrice float64
+	prices           map[string]float64
+}
+
+// NewRental returns terms: bounds for each data centre, the time from order to
+// service, the price of a reclaimable server as a share of another's (0 if
+// there are none), and the relative price by data centre.
+func NewRental(least, most int, startup clock.Millis, reclaimablePrice float64, prices map[string]float64) Rental {
+	return Rental{least: least, most: most, startup: startup, reclaimablePrice: reclaimablePrice, prices: maps.Clone(prices)}
+}
+
+// Least returns the least number of servers in a data centre.
+func (rental Rental) Least() int { return rental.least }
+
+// Most returns the greatest number of servers in a data centre.
+func (rental Rental) Most() int { return rental.most }
+
+// Startup returns the time from an order until the server takes requests.
+func (rental Rental) Startup() clock.Millis { return rental.startup }
+
+// ReclaimablePrice returns the price of a reclaimable server as a share of
+// another's, or 0 if none can be had.
+func (rental Rental) ReclaimablePrice() float64 { return rental.reclaimablePrice }
+
+// Price returns the relative price of a server in the data centre.
+func (rental Rental) Price(dataCentre string) float64 { return rental.prices[dataCentre] }
+
+// DataCentres returns the data centres that have a price, in order of name.
+func (rental Rental) DataCentres() []string { return slices.Sorted(maps.Keys(rental.prices)) }
+
+// Ordered reports whether the size of the pool is the system's to change.
+func (rental Rental) Ordered() bool { return rental.most > 0 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -50,3 +50,19 @@
 	}()
 	return stop, kill
 }
+
+// Reloads returns a channel that tells of signals to read the settings again.
+// Several signals in a row may tell once.
+func Reloads() <-chan struct{} {
+	signals, reloads := make(chan os.Signal, 1), make(chan struct{}, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		for range signals {
+			select {
+			case reloads <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	return reloads
+}
--- /dev/null
+++ b/internal/request/forward.go
@@ -0,0 +1,183 @@
+package request
+
+import (
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/route"
+)
+
+// Outcome is how one attempt at a backend server ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// OutcomeUnsent: no byte of the request left.
+	OutcomeUnsent Outcome = iota + 1
+	// OutcomeRefused: the server says that it did not run the request.
+	OutcomeRefused
+	// OutcomeMisdirected: another server has the address and did not run it.
+	OutcomeMisdirected
+	// OutcomeLost: the request was sent and there is no usable answer. It may
+	// have run.
+	OutcomeLost
+	// OutcomeFailed: the server ran the request and answered with a failure.
+	OutcomeFailed
+	// OutcomeAnswered: there is an answer for the caller.
+	OutcomeAnswered
+	// OutcomeCut: the answer broke off after a part of it went to the caller.
+	OutcomeCut
+	// OutcomeNoServer: there was no server to send the request to.
+	OutcomeNoServer
+)
+
+// String returns the name of the outcome as logs write it.
+func (outcome Outcome) String() string {
+	switch outcome {
+	case OutcomeUnsent:
+		return "unsent"
+	case OutcomeRefused:
+		return "refused"
+	case OutcomeMisdirected:
+		return "misdirected"
+	case OutcomeLost:
+		return "lost"
+	case OutcomeFailed:
+		return "failed"
+	case OutcomeAnswered:
+		return "answered"
+	case OutcomeCut:
+		return "cut"
+	case OutcomeNoServer:
+		return "noServer"
+	default:
+		return "unknown"
+	}
+}
+
+// Step is what follows from the outcome of an attempt.
+type Step int
+
+// The steps.
+const (
+	// StepAgain: send the request to another server, if there is a budget.
+	StepAgain Step = iota + 1
+	// StepDeliver: pass on the answer in hand.
+	StepDeliver
+	// StepRefuse: tell the caller that the request did not run and never will.
+	StepRefuse
+	// StepUnknown: tell the caller that nobody knows whether the request ran.
+	StepUnknown
+	// StepTimeout: as StepUnknown, because the time is up.
+	StepTimeout
+	// StepBreak: end the answer without its end mark.
+	StepBreak
+)
+
+// String returns the name of the step as logs write it.
+func (step Step) String() string {
+	switch step {
+	case StepAgain:
+		return "again"
+	case StepDeliver:
+		return "deliver"
+	case StepRefuse:
+		return "refuse"
+	case StepUnknown:
+		return "unknown"
+	case StepTimeout:
+		return "timeout"
+	case StepBreak:
+		return "break"
+	default:
+		return "none"
+	}
+}
+
+// maxSends bounds how often a request is sent when servers do not run it. Each
+// send is one more arrival that the pool's retry budget has to pay.
+const maxSends = 4
+
+// leastTime is the time that must be left for another attempt to be of use.
+const leastTime = 40 * clock.Millisecond
+
+// Forward decides, for one request that is passed on to backend servers, what
+// follows from the outcome of each attempt. It keeps two promises: a request
+// that may run only once is never sent again after it may have run, and a
+// refusal is only given if it did not run.
+//
+//	idempotent, 2 attempts:  lost -> again -> answered -> deliver
+//	non-idempotent:          refused -> again -> lost -> unknown
+//	non-idempotent:          unsent, unsent, unsent, unsent -> refuse
+//
+// A Forward belongs to one goroutine.
+type Forward struct {
+	on       route.Route
+	deadline clock.Millis
+	sends    int
+	runs     int
+	begun    bool
+}
+
+// NewForward returns the decisions for a request on the route that must be
+// answered by the deadline.
+func NewForward(on route.Route, deadline clock.Millis) *Forward {
+	return &Forward{on: on, deadline: deadline}
+}
+
+// Deadline returns when the request must have its final answer.
+func (forward *Forward) Deadline() clock.Millis { return forward.deadline }
+
+// Sends returns how often the request was sent, whether it ran or not.
+func (forward *Forward) Sends() int { return forward.sends }
+
+// MayHaveRun reports whether an attempt ran or may have run.
+func (forward *Forward) MayHaveRun() bool { return forward.runs > 0 }
+
+// Begun reports whether a part of an answer went to the caller.
+func (forward *Forward) Begun() bool { return forward.begun }
+
+// Begin records that a part of an answer goes to the caller. From then on
+// nothing but the rest of that answer may follow.
+func (forward *Forward) Begin() { forward.begun = true }
+
+// Send records that the request is sent to a server.
+func (forward *Forward) Send() { forward.sends++ }
+
+// After returns what follows from the outcome of the latest attempt. The
+// budget is asked only if another attempt is possible.
+func (forward *Forward) After(outcome Outcome, now clock.Millis, takeBudget func() bool) Step {
+	switch outcome {
+	case OutcomeAnswered:
+		return StepDeliver
+	case OutcomeFailed, OutcomeLost, OutcomeCut:
+		forward.runs++
+	default:
+	}
+	if forward.mayRepeat(outcome) && forward.deadline-now >= leastTime && takeBudget() {
+		return StepAgain
+	}
+	switch {
+	case forward.begun:
+		return StepBreak
+	case outcome == OutcomeFailed:
+		return StepDeliver
+	case !forward.MayHaveRun():
+		return StepRefuse
+	case now >= forward.deadline:
+		return StepTimeout
+	default:
+		return StepUnknown
+	}
+}
+
+func (forward *Forward) mayRepeat(outcome Outcome) bool {
+	switch {
+	case outcome == OutcomeNoServer, forward.sends >= maxSends:
+		return false
+	case forward.begun && !forward.on.Resumable():
+		return false
+	case forward.MayHaveRun() && !forward.on.Repeatable():
+		return false
+	default:
+		return forward.runs < forward.on.MaxAttempts()
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -8,7 +8,11 @@
 //		WithModel("desk-small").WithWorth(5)
 package route
 
-import "sapphirehead/internal/clock"
+import (
+	"reflect"
+
+	"sapphirehead/internal/clock"
+)
 
 // Kind tells which protocol a route speaks.
 type Kind int
@@ -74,8 +78,29 @@
 	maxInFlight   int
 	ratePerSecond float64
 	revision      int64
+	host          string
+	shares        []Share
+	resumable     bool
+	public        bool
+	maxAttempts   int
+	rank          int
 }
 
+// Share is one pool of a route that is split over several.
+type Share struct {
+	pool   string
+	weight int
+}
+
+// NewShare returns a share of the weight, relative to the others of its route.
+func NewShare(pool string, weight int) Share { return Share{pool: pool, weight: weight} }
+
+// Pool returns the name of the pool.
+func (share Share) Pool() string { return share.pool }
+
+// Weight returns the weight, relative to the other shares of the route.
+func (share Share) Weight() int { return share.weight }
+
 // New returns a route with default worth and targets.
 func New(name string, kind Kind, pool string) Route {
 	return Route{
@@ -86,6 +111,7 @@
 		firstToken:    DefaultFirstToken,
 		betweenTokens: DefaultBetweenTokens,
 		deadline:      DefaultDeadline,
+		maxAttempts:   1,
 	}
 }
 
@@ -128,6 +154,11 @@
 // the route each second over all entry hosts, or 0 for any number.
 func (route Route) RatePerSecond() float64 { return route.ratePerSecond }
 
+// Equal reports whether both rows say the same, leaving the revision aside.
+func (route Route) Equal(other Route) bool {
+	return reflect.DeepEqual(route.WithRevision(0), other.WithRevision(0))
+}
+
 // Revision returns the version of the tables that last changed the row.
 func (route Route) Revision() int64 { return route.revision }
 
@@ -175,3 +206,86 @@
 	route.revision = revision
 	return route
 }
+
+// Host returns the host name by which callers select the route, or empty for
+// any.
+func (route Route) Host() string { return route.host }
+
+// Shares returns the pools of a route that is split, or nil if Pool serves it
+// alone. Callers must not change the slice.
+func (route Route) Shares() []Share { return route.shares }
+
+// PoolAt returns the pool for a request whose draw is at least 0 and below 1.
+// Shares follow their weights; a route with weights of 0 alone has no pool.
+func (route Route) PoolAt(draw float64) string {
+	if len(route.shares) == 0 {
+		return route.pool
+	}
+	total := 0
+	for _, share := range route.shares {
+		total += share.weight
+	}
+	place := draw * float64(total)
+	for _, share := range route.shares {
+		if place < float64(share.weight) {
+			return share.pool
+		}
+		place -= float64(share.weight)
+	}
+	return ""
+}
+
+// Streaming reports whether answers are streams of events.
+func (route Route) Streaming() bool { return route.kind == KindChat }
+
+// Resumable reports whether a stream may go on at another backend server from
+// its last event.
+func (route Route) Resumable() bool { return route.resumable }
+
+// Repeatable reports whether a request may run more than once.
+func (route Route) Repeatable() bool { return route.resumable || !route.nonIdempotent }
+
+// Public reports whether requests need no key.
+func (route Route) Public() bool { return route.public }
+
+// MaxAttempts returns at how many backend servers one request may run.
+func (route Route) MaxAttempts() int { return route.maxAttempts }
+
+// Rank returns the urgency of requests; 0 is the most urgent.
+func (route Route) Rank() int { return route.rank }
+
+// WithHost returns a copy that is selected by the host name too.
+func (route Route) WithHost(host string) Route {
+	route.host = host
+	return route
+}
+
+// WithShares returns a copy that is split over pools.
+func (route Route) WithShares(shares []Share) Route {
+	route.shares = shares
+	return route
+}
+
+// WithResumable returns a copy whose streams may be resumed or not.
+func (route Route) WithResumable(resumable bool) Route {
+	route.resumable = resumable
+	return route
+}
+
+// WithPublic returns a copy whose requests need no key, or do.
+func (route Route) WithPublic(public bool) Route {
+	route.public = public
+	return route
+}
+
+// WithMaxAttempts returns a copy with the bound on attempts, 1 at least.
+func (route Route) WithMaxAttempts(attempts int) Route {
+	route.maxAttempts = max(attempts, 1)
+	return route
+}
+
+// WithRank returns a copy with the urgency; 0 is the most urgent.
+func (route Route) WithRank(rank int) Route {
+	route.rank = rank
+	return route
+}
--- /dev/null
+++ b/internal/settings/edge.go
@@ -0,0 +1,227 @@
+package settings
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/clock"
+)
+
+type edgeCallerForm struct {
+	Listen      string `toml:"listen" required:"true" format:"address" help:"address on which callers are served"`
+	ReadyListen string `toml:"readyListen" required:"true" format:"address" help:"address on which the balancer asks for readiness"`
+}
+
+type edgeNodeForm struct {
+	Listen string `toml:"listen" required:"true" format:"address" help:"address (UDP) on which fellow nodes are heard"`
+}
+
+type edgeMetricsForm struct {
+	Listen string `toml:"listen" required:"true" format:"address" help:"address on which metrics are served"`
+}
+
+type edgePlatformForm struct {
+	Address       string `toml:"address" required:"true" format:"address" help:"address of the platform's store"`
+	TimeoutMillis int64  `toml:"timeoutMillis" default:"600" min:"1" max:"60000" help:"time that one call may take, a watch's wait aside"`
+	ObjectBytes   int64  `toml:"objectBytes" default:"1048576" min:"1024" max:"1073741824" help:"size of the largest object"`
+}
+
+type edgeLimitsForm struct {
+	MemoryMegabytes float64 `toml:"memoryMegabytes" default:"256" min:"32" max:"1048576" help:"memory at which the process is killed"`
+	Descriptors     int64   `toml:"descriptors" default:"4096" min:"256" max:"1048576" help:"file descriptors that the process may have"`
+	CPUShare        float64 `toml:"cpuShare" default:"1" min:"0.01" max:"256" help:"processor time a second that the process may use"`
+}
+
+type boundsForm struct {
+	ContactMillis      int64   `toml:"contactMillis" default:"3000" min:"100" max:"600000" help:"time after which a node without trouble counts as in touch"`
+	DrainMillis        int64   `toml:"drainMillis" default:"2000" min:"100" max:"600000" help:"time within which a leaving backend server gets no more requests"`
+	GraceSeconds       float64 `toml:"graceSeconds" default:"8" min:"0.5" max:"3600" help:"time between the signal to stop and the kill"`
+	ApplyMillis        int64   `toml:"applyMillis" default:"2000" min:"100" max:"600000" help:"time within which a configuration is in force"`
+	RetryShare         float64 `toml:"retryShare" default:"0.2" min:"0" max:"10" help:"repeats allowed for each request of a pool, over all nodes"`
+	RetryWindowSeconds float64 `toml:"retryWindowSeconds" default:"10" min:"0.1" max:"3600" help:"window over which repeats are counted"`
+	RetrySlack         float64 `toml:"retrySlack" default:"20" min:"0" max:"1000000" help:"repeats allowed in each window besides, over all nodes"`
+	LeaseMillis        int64   `toml:"leaseMillis" default:"3000" min:"500" max:"600000" help:"time within which a duty must not go from one node to another and back"`
+	UsageWindowSeconds float64 `toml:"usageWindowSeconds" default:"5" min:"0.1" max:"86400" help:"window of one usage report"`
+	UsageLateSeconds   float64 `toml:"usageLateSeconds" default:"10" min:"0.1" max:"86400" help:"time after a window's end at which its report is due"`
+}
+
+type edgeForm struct {
+	Host       string           `toml:"host" required:"true" example:"edge-1" help:"name of this host, unique"`
+	DataCentre string           `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
+	Caller     edgeCallerForm   `toml:"caller"`
+	Node       edgeNodeForm     `toml:"node"`
+	Metrics    edgeMetricsForm  `toml:"metrics"`
+	Platform   edgePlatformForm `toml:"platform"`
+	Cloud      *serverForm      `toml:"cloud"`
+	Limits     edgeLimitsForm   `toml:"limits"`
+	Bounds     boundsForm       `toml:"bounds"`
+	Log        logForm          `toml:"log"`
+}
+
+// Bounds are the times and shares that the operators of a deployment promise
+// their users.
+type Bounds struct {
+	contact     clock.Millis
+	drain       clock.Millis
+	grace       clock.Millis
+	apply       clock.Millis
+	retryShare  float64
+	retryWindow clock.Millis
+	retrySlack  float64
+	lease       clock.Millis
+	usageWindow clock.Millis
+	usageLate   clock.Millis
+}
+
+// Contact returns the time after which a node without trouble is in touch.
+func (bounds Bounds) Contact() clock.Millis { return bounds.contact }
+
+// Drain returns the time within which a leaving server gets no more requests.
+func (bounds Bounds) Drain() clock.Millis { return bounds.drain }
+
+// Grace returns the time between the signal to stop and the kill.
+func (bounds Bounds) Grace() clock.Millis { return bounds.grace }
+
+// Apply returns the time within which a configuration is in force.
+func (bounds Bounds) Apply() clock.Millis { return bounds.apply }
+
+// RetryShare returns the repeats allowed for each request of a pool.
+func (bounds Bounds) RetryShare() float64 { return bounds.retryShare }
+
+// RetryWindow returns the window over which repeats are counted.
+func (bounds Bounds) RetryWindow() clock.Millis { return bounds.retryWindow }
+
+// RetrySlack returns the repeats allowed in each window besides.
+func (bounds Bounds) RetrySlack() float64 { return bounds.retrySlack }
+
+// Lease returns the time within which a duty must not change hands twice.
+func (bounds Bounds) Lease() clock.Millis { return bounds.lease }
+
+// UsageWindow returns the window of one usage report.
+func (bounds Bounds) UsageWindow() clock.Millis { return bounds.usageWindow }
+
+// UsageLate returns the time after a window's end at which its report is due.
+func (bounds Bounds) UsageLate() clock.Millis { return bounds.usageLate }
+
+// Edge is the settings of sapphire-edge.
+type Edge struct {
+	host          string
+	dataCentre    string
+	callerListen  string
+	readyListen   string
+	nodeListen    string
+	metricsListen string
+	platform      Server
+	cloud         Server
+	objectBytes   int
+	memoryBytes   int64
+	descriptors   int
+	cpuShare      float64
+	bounds        Bounds
+	logLevel      string
+}
+
+// Host returns the name of this host.
+func (edge *Edge) Host() string { return edge.host }
+
+// DataCentre returns the data centre of this host.
+func (edge *Edge) DataCentre() string { return edge.dataCentre }
+
+// CallerListen returns the address on which callers are served.
+func (edge *Edge) CallerListen() string { return edge.callerListen }
+
+// ReadyListen returns the address on which the balancer asks for readiness.
+func (edge *Edge) ReadyListen() string { return edge.readyListen }
+
+// NodeListen returns the address on which fellow nodes are heard.
+func (edge *Edge) NodeListen() string { return edge.nodeListen }
+
+// MetricsListen returns the address on which metrics are served.
+func (edge *Edge) MetricsListen() string { return edge.metricsListen }
+
+// Platform returns the address of the platform's store.
+func (edge *Edge) Platform() Server { return edge.platform }
+
+// Cloud returns the address of the cloud API, without address if there is none.
+func (edge *Edge) Cloud() Server { return edge.cloud }
+
+// ObjectBytes returns the size of the largest object of the store.
+func (edge *Edge) ObjectBytes() int { return edge.objectBytes }
+
+// MemoryBytes returns the memory at which the process is killed.
+func (edge *Edge) MemoryBytes() int64 { return edge.memoryBytes }
+
+// Descriptors returns how many file descriptors the process may have.
+func (edge *Edge) Descriptors() int { return edge.descriptors }
+
+// CPUShare returns the seconds of processor time a second that the process may
+// use.
+func (edge *Edge) CPUShare() float64 { return edge.cpuShare }
+
+// Bounds returns what the operators promise their users.
+func (edge *Edge) Bounds() Bounds { return edge.bounds }
+
+// LogLevel returns the least level of a log line.
+func (edge *Edge) LogLevel() string { return edge.logLevel }
+
+// LoadEdge reads and checks the file. Errors: *Error.
+func LoadEdge(file string) (*Edge, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	return ParseEdge(file, data)
+}
+
+// ParseEdge checks settings that were read from the named file.
+func ParseEdge(file string, data []byte) (*Edge, error) {
+	var form edgeForm
+	document := decode(file, data, &form)
+	if err := document.err(); err != nil {
+		return nil, err
+	}
+	return form.edge(), nil
+}
+
+func (form *edgeForm) edge() *Edge {
+	const megabyte = 1 << 20
+	edge := &Edge{
+		host:          form.Host,
+		dataCentre:    form.DataCentre,
+		callerListen:  form.Caller.Listen,
+		readyListen:   form.Caller.ReadyListen,
+		nodeListen:    form.Node.Listen,
+		metricsListen: form.Metrics.Listen,
+		platform:      Server{address: form.Platform.Address, timeout: clock.Millis(form.Platform.TimeoutMillis)},
+		objectBytes:   int(form.Platform.ObjectBytes),
+		memoryBytes:   int64(form.Limits.MemoryMegabytes * megabyte),
+		descriptors:   int(form.Limits.Descriptors),
+		cpuShare:      form.Limits.CPUShare,
+		bounds:        form.Bounds.bounds(),
+		logLevel:      form.Log.Level,
+	}
+	if form.Cloud != nil {
+		edge.cloud = form.Cloud.server()
+	}
+	return edge
+}
+
+func (form *boundsForm) bounds() Bounds {
+	return Bounds{
+		contact:     clock.Millis(form.ContactMillis),
+		drain:       clock.Millis(form.DrainMillis),
+		grace:       fromSeconds(form.GraceSeconds),
+		apply:       clock.Millis(form.ApplyMillis),
+		retryShare:  form.RetryShare,
+		retryWindow: fromSeconds(form.RetryWindowSeconds),
+		retrySlack:  form.RetrySlack,
+		lease:       clock.Millis(form.LeaseMillis),
+		usageWindow: fromSeconds(form.UsageWindowSeconds),
+		usageLate:   fromSeconds(form.UsageLateSeconds),
+	}
+}
+
+func fromSeconds(seconds float64) clock.Millis {
+	return clock.Millis(seconds * float64(clock.Second))
+}
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -33,6 +33,9 @@
 // EntryReference returns every key of sapphire-entry's settings.
 func EntryReference() []Key { return referenceOf("", reflect.TypeFor[entryForm]()) }
 
+// EdgeReference returns every key of sapphire-edge's settings.
+func EdgeReference() []Key { return referenceOf("", reflect.TypeFor[edgeForm]()) }
+
 // StewardReference returns every key of sapphire-steward's settings.
 func StewardReference() []Key { return referenceOf("", reflect.TypeFor[stewardForm]()) }
 
--- a/internal/table/difference.go
+++ b/internal/table/difference.go
@@ -6,7 +6,7 @@
 	edit := NewEdit(id)
 	for _, row := range wanted.Routes() {
 		stored, ok := tables.Route(row.Name())
-		if !ok || stored.WithRevision(0) != row.WithRevision(0) {
+		if !ok || !stored.Equal(row) {
 			edit.SetRoute(row, stored.Revision())
 		}
 	}
