Share limits between nodes by bulletins, report usage and order servers under a lease

Change: nodes tell each other sums in datagrams; true time is the median of their clocks; the lease's holder commits a window's usage before it sends it and orders reclaimable servers, others where those can't be had.

--- /dev/null
+++ b/internal/cloud/ordering.go
@@ -0,0 +1,73 @@
+package cloud
+
+import "sapphirehead/internal/clock"
+
+const (
+	// refusedWait is how long a place is left alone after the cloud had nothing.
+	refusedWait = 1500 * clock.Millisecond
+	// unansweredWait is how long to wait before an order without an answer is sent
+	// again.
+	unansweredWait = 2 * clock.Second
+	// lateOrder is how long an order without an answer may still be carried out.
+	// When it is over, the order then in force is sent once more.
+	lateOrder = 13 * clock.Second
+)
+
+// Ordering remembers what was ordered at each place, and says when an order is
+// to be sent. An order names the whole number of servers, so sending it again
+// does no harm; one that was lost may be carried out after newer ones, which is
+// repaired by sending the newest again. An Ordering belongs to one goroutine.
+type Ordering struct {
+	orders map[Place]*order
+}
+
+type order struct {
+	count  int
+	known  bool
+	after  clock.Millis
+	repeat clock.Millis
+}
+
+// NewOrdering returns an ordering that knows of no orders.
+func NewOrdering() *Ordering { return &Ordering{orders: map[Place]*order{}} }
+
+func (ordering *Ordering) of(place Place) *order {
+	if ordering.orders[place] == nil {
+		ordering.orders[place] = &order{}
+	}
+	return ordering.orders[place]
+}
+
+// Due reports whether the count is to be ordered at the place now.
+func (ordering *Ordering) Due(place Place, count int, now clock.Millis) bool {
+	order := ordering.of(place)
+	if now < order.after {
+		return false
+	}
+	return !order.known || order.count != count || (order.repeat != 0 && now >= order.repeat)
+}
+
+// Done records that the cloud took the order.
+func (ordering *Ordering) Done(place Place, count int, now clock.Millis) {
+	order := ordering.of(place)
+	order.count, order.known, order.after = count, true, 0
+	if now >= order.repeat {
+		order.repeat = 0
+	}
+}
+
+// Refused records that the cloud has no such servers there.
+func (ordering *Ordering) Refused(place Place, now clock.Millis) {
+	order := ordering.of(place)
+	order.known, order.after = false, now+refusedWait
+}
+
+// Unanswered records that nobody knows whether the cloud took the order.
+func (ordering *Ordering) Unanswered(place Place, now clock.Millis) {
+	order := ordering.of(place)
+	order.known, order.after, order.repeat = false, now+unansweredWait, now+lateOrder
+}
+
+// Lost records that servers went that had been ordered, so that the same number
+// must be ordered again.
+func (ordering *Ordering) Lost(place Place) { ordering.of(place).known = false }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -49,6 +49,7 @@
 	hosts    map[string][]route.Route
 	routes   int
 	accounts *caller.Accounts
+	byName   map[string]*caller.Account
 	pools    map[string]pool.Pool
 	limits   Limits
 }
@@ -57,7 +58,10 @@
 func New(version int64, routes []route.Route, pools []pool.Pool, accounts *caller.Accounts, limits Limits) *Directory {
 	directory := &Directory{
 		version: version, hosts: map[string][]route.Route{}, routes: len(routes),
-		accounts: accounts, pools: map[string]pool.Pool{}, limits: limits,
+		accounts: accounts, byName: map[string]*caller.Account{}, pools: map[string]pool.Pool{}, limits: limits,
+	}
+	for _, account := range directory.Accounts() {
+		directory.byName[account.Name()] = account
 	}
 	for _, row := range routes {
 		host := strings.ToLower(row.Host())
@@ -102,6 +106,12 @@
 	return directory.accounts.ByKey(key)
 }
 
+// AccountNamed returns the client account with the name.
+func (directory *Directory) AccountNamed(name string) (*caller.Account, bool) {
+	account, ok := directory.byName[name]
+	return account, ok
+}
+
 // Accounts returns every client account in order of name.
 func (directory *Directory) Accounts() []*caller.Account {
 	if directory.accounts == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,6 +45,8 @@
 	counters  *counters
 	budgets   *budgets
 	meters    *meters
+	fellows   *fellows
+	duties    *duties
 	listeners listeners
 }
 
@@ -70,9 +72,14 @@
 	edge.store = store.New(edge.transport, clock,
 		func() string { return edge.settings.Load().Platform().Address() },
 		func() millis { return edge.settings.Load().Platform().Timeout() })
+	edge.duties = newDuties(edge, loaded)
 	if err := edge.listen(loaded); err != nil {
 		return nil, err
 	}
+	var err error
+	if edge.fellows, err = newFellows(loaded.Host(), loaded.NodeListen(), clock.Wall()); err != nil {
+		return nil, err
+	}
 	return edge, nil
 }
 
@@ -119,6 +126,7 @@
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
 		edge.followConfiguration, edge.followServers, edge.sweep,
+		edge.findFellows, edge.tellFellows, edge.knowFellows, edge.receiveFellows, edge.keepDuties,
 		func(ctx context.Context) { edge.followSettings(ctx, reload, load) },
 	} {
 		group.Go(func() error {
@@ -138,6 +146,7 @@
 	case <-kill.Done():
 	}
 	endLoops()
+	edge.fellows.cast.Close()
 	callers.server.Close()
 	ready.Close()
 	metrics.Close()
--- a/internal/edge/fellows.go
+++ b/internal/edge/fellows.go
@@ -1,11 +1,276 @@
 package edge
 
-// assumedNodes is the number of nodes of a deployment until fellow nodes are
-// known.
-const assumedNodes = 8
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node"
+	"sapphirehead/internal/node/nodecast"
+	"sapphirehead/internal/platform"
+	"sapphirehead/internal/usage"
+	"sapphirehead/platform/store"
+)
+
+const (
+	// kindNodes is the kind of the objects by which nodes find each other.
+	kindNodes = "sapphire-nodes"
+	// bulletinLeast is the time between two bulletins, and bulletinPerNode what
+	// each node adds to it, so that the datagrams that a node gets in a second
+	// stay bounded.
+	bulletinLeast   = 200 * clock.Millisecond
+	bulletinPerNode = 15 * clock.Millisecond
+	// nodesInterval is the time between two readings of the list of nodes.
+	nodesInterval = 4 * clock.Second
+)
+
+// nodeForm is the object by which a node is found.
+type nodeForm struct {
+	Address string `json:"address"`
+}
+
+// demand is what callers asked of one pool since the start.
+type demand struct {
+	requests atomic.Int64
+	tokens   atomic.Int64
+}
+
+// fellows is what a node exchanges with its fellows.
+type fellows struct {
+	cast        *nodecast.Cast
+	known       *node.Fellows
+	incarnation int64
+	sequence    int64
+	demands     sync.Map // Pool to *demand.
+	runs        *usage.Counter
+	found       chan found
+	heard       chan node.Bulletin
+}
+
+type found struct {
+	host    string
+	address string
+}
+
+// foundQueue and heardQueue bound what waits for the goroutine that knows the
+// fellow nodes. What does not fit is told again soon.
+const (
+	foundQueue = 64
+	heardQueue = 256
+)
+
+func newFellows(host, listen string, wall clock.Millis) (*fellows, error) {
+	cast, err := nodecast.New(listen)
+	if err != nil {
+		return nil, err
+	}
+	return &fellows{
+		cast: cast, known: node.NewFellows(host), incarnation: int64(wall), runs: usage.NewCounter(),
+		found: make(chan found, foundQueue), heard: make(chan node.Bulletin, heardQueue),
+	}, nil
+}
+
+func (fellows *fellows) demandFor(pool string) *demand {
+	if known, ok := fellows.demands.Load(pool); ok {
+		return known.(*demand)
+	}
+	known, _ := fellows.demands.LoadOrStore(pool, &demand{})
+	return known.(*demand)
+}
 
 // nodes returns how many nodes share limits.
-func (edge *Edge) nodes() int { return assumedNodes }
+func (edge *Edge) nodes() int {
+	return max(1, edge.fellows.known.View().Nodes(edge.clock.Now()))
+}
+
+// refillShare returns the part of an account's rate that this node may use: all
+// if it hears every fellow node, as what they use is then taken off.
+func (edge *Edge) refillShare() float64 {
+	now := edge.clock.Now()
+	view := edge.fellows.known.View()
+	return float64(view.Heard(now)) / float64(view.Nodes(now))
+}
+
+// trueTime returns the time of day on which the nodes agree.
+func (edge *Edge) trueTime() clock.Millis {
+	return edge.fellows.known.View().TrueTime(edge.clock.Now(), edge.clock.Wall())
+}
+
+// tellFellows sends bulletins until the context ends.
+func (edge *Edge) tellFellows(ctx context.Context) {
+	failing := false
+	for {
+		now := edge.clock.Now()
+		addresses := edge.fellows.known.View().Addresses(now)
+		err := edge.fellows.cast.Send(edge.bulletin(), addresses)
+		if failed := err != nil; failed != failing {
+			failing = failed
+			edge.log.Warn().Err(err).Bool("failing", failing).Msg("bulletins to fellow nodes")
+		}
+		wait := max(bulletinLeast, bulletinPerNode*clock.Millis(len(addresses)))
+		if edge.clock.Wait(ctx, wait) != nil {
+			return
+		}
+	}
+}
+
+func (edge *Edge) bulletin() node.Bulletin {
+	fellows := edge.fellows
+	fellows.sequence++
+	var accounts, pools []node.Use
+	edge.meters.each(func(account string, used int64) { accounts = append(accounts, node.NewUse(account, 0, used)) })
+	fellows.demands.Range(func(pool, known any) bool {
+		asked := known.(*demand)
+		pools = append(pools, node.NewUse(pool.(string), asked.requests.Load(), asked.tokens.Load()))
+		return true
+	})
+	var servers []node.ServerWork
+	for _, server := range edge.fleet.Current().Servers() {
+		if attempts, tokens := server.InFlight(), server.Work().Own(); attempts != 0 || tokens != 0 {
+			servers = append(servers, node.NewServerWork(hashOf(server), int(attempts), int(tokens)))
+		}
+	}
+	var windows []node.WindowRuns
+	current := usage.WindowAt(edge.trueTime(), edge.settings.Load().Bounds().UsageWindow())
+	fellows.runs.Each(current, func(window int64, account string, runs int64) {
+		windows = append(windows, node.NewWindowRuns(window, account, runs))
+	})
+	host := edge.settings.Load().Host()
+	return node.NewBulletin(host, fellows.cast.Address(), fellows.incarnation, fellows.sequence, edge.clock.Wall(), edge.stopping.Load()).
+		WithUse(accounts, servers, pools, windows)
+}
+
+func hashOf(server *backend.Server) uint64 { return xxhash.Sum64String(server.Key()) }
+
+// receiveFellows reads bulletins from the socket until it is closed.
+func (edge *Edge) receiveFellows(context.Context) {
+	buffer := nodecast.NewBuffer()
+	for {
+		bulletin, err := edge.fellows.cast.Receive(buffer)
+		var garbled *nodecast.GarbledError
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case errors.As(err, &garbled):
+			edge.log.Warn().Err(err).Msg("datagram ignored")
+			continue
+		case err != nil:
+			edge.log.Error().Err(err).Msg("fellow nodes can't be heard")
+			return
+		}
+		select {
+		case edge.fellows.heard <- bulletin:
+		default:
+			edge.counters.bulletinsDropped.Add(1)
+		}
+	}
+}
+
+// knowFellows takes in what is heard and found of fellow nodes.
+func (edge *Edge) knowFellows(ctx context.Context) {
+	fellows := edge.fellows
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case found := <-fellows.found:
+			fellows.known.Expect(found.host, found.address, edge.clock.Now())
+		case bulletin := <-fellows.heard:
+			now := edge.clock.Now()
+			edge.takeUse(fellows.known.Hear(bulletin, now), now)
+			edge.takeWork(now)
+		}
+	}
+}
+
+// takeUse counts what client accounts used at a fellow node.
+func (edge *Edge) takeUse(used []node.Use, now clock.Millis) {
+	directory := edge.directory.Current()
+	if directory == nil {
+		return
+	}
+	for _, use := range used {
+		if account, ok := directory.AccountNamed(use.Name()); ok {
+			edge.meters.of(account, now).Elsewhere(account.Allotment(), use.Tokens(), edge.refillShare(), now)
+		}
+	}
+}
+
+// takeWork notes at each backend server what fellow nodes have there.
+func (edge *Edge) takeWork(now clock.Millis) {
+	work := edge.fellows.known.View().WorkAt(now)
+	for _, server := range edge.fleet.Current().Servers() {
+		at := work[hashOf(server)]
+		server.SetElsewhere(int64(at.Attempts()))
+		server.Work().SetElsewhere(int64(at.Tokens()))
+	}
+}
+
+// findFellows keeps this node's object in the store and reads those of others.
+func (edge *Edge) findFellows(ctx context.Context) {
+	written := false
+	for {
+		if !written {
+			written = edge.writeNode(ctx)
+		}
+		listing, err := edge.store.List(ctx, kindNodes, store.FreshnessSecondsOld)
+		edge.counters.storeCalls.Add(1)
+		if err != nil {
+			edge.log.Debug().Err(err).Msg("list of nodes can't be read")
+		}
+		listed := false
+		for _, object := range listing.Objects() {
+			var form nodeForm
+			if err := json.Unmarshal(object.Spec(), &form); err != nil {
+				edge.log.Warn().Err(err).Str("node", object.Name()).Msg("object of a node can't be read")
+				continue
+			}
+			if object.Name() == edge.settings.Load().Host() {
+				listed = form.Address == edge.fellows.cast.Address()
+				continue
+			}
+			select {
+			case edge.fellows.found <- found{host: object.Name(), address: form.Address}:
+			default:
+			}
+		}
+		wait := nodesInterval
+		if err != nil || !listed || len(listing.Objects()) == 1 {
+			wait = nodesInterval / 4
+		}
+		if edge.clock.Wait(ctx, wait) != nil {
+			return
+		}
+	}
+}
 
-// refillShare returns the part of an account's rate that this node may use.
-func (edge *Edge) refillShare() float64 { return 1 }
+// writeNode writes the object by which this node is found, and reports whether
+// that is done.
+func (edge *Edge) writeNode(ctx context.Context) bool {
+	spec, err := json.Marshal(nodeForm{Address: edge.fellows.cast.Address()})
+	if err != nil {
+		edge.log.Error().Err(err).Msg("object of this node can't be encoded")
+		return true
+	}
+	host := edge.settings.Load().Host()
+	edge.counters.storeCalls.Add(1)
+	_, err = edge.store.Put(ctx, kindNodes, host, spec, platform.VersionNone)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		var known store.Object
+		if known, err = edge.store.Get(ctx, kindNodes, host); err == nil && string(known.Spec()) != string(spec) {
+			_, err = edge.store.Put(ctx, kindNodes, host, spec, known.Revision())
+		}
+	}
+	if err != nil {
+		edge.log.Warn().Err(err).Msg("object of this node can't be written")
+	}
+	return err == nil
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -111,6 +111,7 @@
 	try.tried = append(try.tried, server.Key())
 	visit.attempts++
 	visit.logChoice(choice)
+	visit.countDemand(choice)
 	end := server.Begin()
 	read := server.Work().Queue(choice.Reads())
 	defer end()
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -58,6 +58,14 @@
 	return meter.(*caller.Meter)
 }
 
+// each visits the tokens that each account used here.
+func (meters *meters) each(visit func(account string, used int64)) {
+	meters.byAccount.Range(func(account, meter any) bool {
+		visit(account.(string), meter.(*caller.Meter).Used())
+		return true
+	})
+}
+
 // meter counts a request of the account, or returns a *request.NotRunError.
 func (edge *Edge) meter(account *caller.Account, tokens int) error {
 	now := edge.clock.Now()
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -15,18 +15,21 @@
 
 // counters are the node's own counts since its start.
 type counters struct {
-	values         *expvar.Map
-	connections    *expvar.Int
-	storeCalls     *expvar.Int
-	retriesRefused *expvar.Int
-	answers        *expvar.Map
-	outcomes       *expvar.Map
+	values           *expvar.Map
+	connections      *expvar.Int
+	storeCalls       *expvar.Int
+	retriesRefused   *expvar.Int
+	bulletinsDropped *expvar.Int
+	cloudCalls       *expvar.Int
+	answers          *expvar.Map
+	outcomes         *expvar.Map
 }
 
 func newCounters() *counters {
 	counters := &counters{values: new(expvar.Map).Init(), answers: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init()}
 	for name, value := range map[string]**expvar.Int{
 		"connectionsOpened": &counters.connections, "storeCalls": &counters.storeCalls, "retriesRefused": &counters.retriesRefused,
+		"bulletinsDropped": &counters.bulletinsDropped, "cloudCalls": &counters.cloudCalls,
 	} {
 		*value = new(expvar.Int)
 		counters.values.Set(name, *value)
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -6,6 +6,7 @@
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/placement"
 	"sapphirehead/internal/request"
+	"sapphirehead/internal/usage"
 	"sapphirehead/platform/runners"
 )
 
@@ -44,5 +45,18 @@
 
 // countRun counts for the usage report that the request began to run.
 func (visit *visit) countRun() {
+	if visit.ran || visit.account == nil {
+		return
+	}
 	visit.ran = true
+	edge := visit.edge
+	window := usage.WindowAt(edge.trueTime(), edge.settings.Load().Bounds().UsageWindow())
+	edge.fellows.runs.Count(window, visit.account.Name())
+}
+
+// countDemand counts what an attempt asks of its pool.
+func (visit *visit) countDemand(choice placement.Choice) {
+	demand := visit.edge.fellows.demandFor(visit.pool)
+	demand.requests.Add(1)
+	demand.tokens.Add(int64(choice.Reads()))
 }
--- /dev/null
+++ b/internal/node/bulletin.go
@@ -0,0 +1,125 @@
+package node
+
+import "sapphirehead/internal/clock"
+
+// Use is an amount by name: of a client account, or of a pool.
+type Use struct {
+	name     string
+	requests int64
+	tokens   int64
+}
+
+// NewUse returns what was used under the name.
+func NewUse(name string, requests, tokens int64) Use {
+	return Use{name: name, requests: requests, tokens: tokens}
+}
+
+// Name returns the name of the account or pool.
+func (use Use) Name() string { return use.name }
+
+// Requests returns the number of requests.
+func (use Use) Requests() int64 { return use.requests }
+
+// Tokens returns the number of tokens.
+func (use Use) Tokens() int64 { return use.tokens }
+
+// ServerWork is what a node has in progress at a backend server.
+type ServerWork struct {
+	server   uint64
+	attempts int
+	tokens   int
+}
+
+// NewServerWork returns the attempts and the prompt tokens that wait at the
+// server, which is named by a hash of its key.
+func NewServerWork(server uint64, attempts, tokens int) ServerWork {
+	return ServerWork{server: server, attempts: attempts, tokens: tokens}
+}
+
+// Server returns the hash of the server's key.
+func (work ServerWork) Server() uint64 { return work.server }
+
+// Attempts returns the number of attempts in progress.
+func (work ServerWork) Attempts() int { return work.attempts }
+
+// Tokens returns the prompt tokens that wait to be read.
+func (work ServerWork) Tokens() int { return work.tokens }
+
+// WindowRuns is how many requests of an account began to run in a window of
+// true time.
+type WindowRuns struct {
+	window  int64
+	account string
+	runs    int64
+}
+
+// NewWindowRuns returns the runs of the account in the window.
+func NewWindowRuns(window int64, account string, runs int64) WindowRuns {
+	return WindowRuns{window: window, account: account, runs: runs}
+}
+
+// Window returns the number of the window.
+func (runs WindowRuns) Window() int64 { return runs.window }
+
+// Account returns the name of the client account.
+func (runs WindowRuns) Account() string { return runs.account }
+
+// Runs returns the number of requests.
+func (runs WindowRuns) Runs() int64 { return runs.runs }
+
+// Bulletin is what a node tells its fellows about itself. Sums count from the
+// start of the process.
+type Bulletin struct {
+	host        string
+	address     string
+	incarnation int64
+	sequence    int64
+	wall        clock.Millis
+	stopping    bool
+	accounts    []Use
+	servers     []ServerWork
+	pools       []Use
+	windows     []WindowRuns
+}
+
+// NewBulletin returns a bulletin of the process on the host, which hears its
+// fellows at the address and has the time of day.
+func NewBulletin(host, address string, incarnation, sequence int64, wall clock.Millis, stopping bool) Bulletin {
+	return Bulletin{host: host, address: address, incarnation: incarnation, sequence: sequence, wall: wall, stopping: stopping}
+}
+
+// WithUse returns a copy with the node's use.
+func (bulletin Bulletin) WithUse(accounts []Use, servers []ServerWork, pools []Use, windows []WindowRuns) Bulletin {
+	bulletin.accounts, bulletin.servers, bulletin.pools, bulletin.windows = accounts, servers, pools, windows
+	return bulletin
+}
+
+// Host returns the name of the sender's host.
+func (bulletin Bulletin) Host() string { return bulletin.host }
+
+// Address returns where the sender hears its fellows.
+func (bulletin Bulletin) Address() string { return bulletin.address }
+
+// Incarnation tells the starts of the sender's process apart.
+func (bulletin Bulletin) Incarnation() int64 { return bulletin.incarnation }
+
+// Sequence returns the number of the bulletin.
+func (bulletin Bulletin) Sequence() int64 { return bulletin.sequence }
+
+// Wall returns the sender's time of day.
+func (bulletin Bulletin) Wall() clock.Millis { return bulletin.wall }
+
+// Stopping reports whether the sender is about to end.
+func (bulletin Bulletin) Stopping() bool { return bulletin.stopping }
+
+// Accounts returns the tokens that client accounts used.
+func (bulletin Bulletin) Accounts() []Use { return bulletin.accounts }
+
+// Servers returns the work in progress at backend servers.
+func (bulletin Bulletin) Servers() []ServerWork { return bulletin.servers }
+
+// Pools returns the demand for pools.
+func (bulletin Bulletin) Pools() []Use { return bulletin.pools }
+
+// Windows returns the runs of the latest windows.
+func (bulletin Bulletin) Windows() []WindowRuns { return bulletin.windows }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,9 +23,6 @@
 )
 
 const (
-	// prefillTokens is how many prompt tokens an engine reads in a millisecond,
-	// as the sheets of both deployments give it.
-	prefillTokens = 38.1
 	// crowdMillis is what one more request in an engine's batch costs the others:
 	// 0.02 ms a step over some 70 steps.
 	crowdMillis = 1.5
@@ -147,7 +144,7 @@
 	over := math.Max(0, waiting+running-float64(slots)+1)
 	if row.Kind() == pool.KindRunner {
 		choice.reads = reads(prompt, home)
-		choice.cost = (float64(choice.reads)+float64(server.Work().Pending()))/prefillTokens + crowdMillis*running + queueMillis*over
+		choice.cost = (float64(choice.reads)+float64(server.Work().Pending()))/pool.PrefillTokens + crowdMillis*running + queueMillis*over
 	} else {
 		choice.cost = workMillis*(running/float64(max(slots, 1))+over) + placement.random()
 	}
--- /dev/null
+++ b/internal/usage/usage.go
@@ -0,0 +1,92 @@
+// Package usage counts what client accounts are charged for: the requests that
+// began to run in each window of true time. Every node counts its own; the
+// holder of the duty adds them up and reports each window once.
+//
+// A report must never differ from an earlier one of the same window. So a
+// holder commits a window's counts to the platform before it sends them, and
+// its successor sends what is committed:
+//
+//	A commits window 7 {garage: 412}, sends, gets no answer, dies
+//	B reads window 7 {garage: 412}, sends the same, goes on with window 8
+package usage
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"sapphirehead/internal/clock"
+)
+
+// settleTime is how long after a window's end its counts are added up: the
+// bulletins of all nodes have come by then.
+const settleTime = 1200 * clock.Millisecond
+
+// keptWindows is the number of windows of which a node keeps and tells counts.
+const keptWindows = 4
+
+// WindowAt returns the number of the window that the time lies in.
+func WindowAt(trueTime, length clock.Millis) int64 { return int64(trueTime / length) }
+
+// NextDue returns the first window after the last reported one that can be
+// reported at the time, and false if there is none. Windows whose report would
+// come too late are left out.
+func NextDue(last int64, trueTime, length, late clock.Millis) (int64, bool) {
+	newest := WindowAt(trueTime-settleTime, length) - 1
+	oldest := WindowAt(trueTime-late, length)
+	next := max(last+1, oldest)
+	return next, next <= newest
+}
+
+type key struct {
+	window  int64
+	account string
+}
+
+// Counter counts the runs of one node. It may be used from any goroutine.
+type Counter struct {
+	runs sync.Map // key to *atomic.Int64.
+}
+
+// NewCounter returns a counter of no runs.
+func NewCounter() *Counter { return &Counter{} }
+
+// Count counts a request of the account that began to run in the window.
+func (counter *Counter) Count(window int64, account string) {
+	place := key{window: window, account: account}
+	runs, ok := counter.runs.Load(place)
+	if !ok {
+		runs, _ = counter.runs.LoadOrStore(place, &atomic.Int64{})
+	}
+	runs.(*atomic.Int64).Add(1)
+}
+
+// Each calls visit for each window and account that is kept, and drops what is
+// older than the current window by more than that.
+func (counter *Counter) Each(current int64, visit func(window int64, account string, runs int64)) {
+	counter.runs.Range(func(place, runs any) bool {
+		at := place.(key)
+		if at.window <= current-keptWindows {
+			counter.runs.Delete(place)
+			return true
+		}
+		visit(at.window, at.account, runs.(*atomic.Int64).Load())
+		return true
+	})
+}
+
+// Record is the latest window whose counts were committed.
+type Record struct {
+	window int64
+	counts map[string]int64
+}
+
+// NewRecord returns the record of a window.
+func NewRecord(window int64, counts map[string]int64) Record {
+	return Record{window: window, counts: counts}
+}
+
+// Window returns the number of the window.
+func (record Record) Window() int64 { return record.window }
+
+// Counts returns the runs by account. Callers must not change the map.
+func (record Record) Counts() map[string]int64 { return record.counts }
