--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -23,6 +23,14 @@
 	return Allotment{perSecond: perSecond, burst: burst, plain: plain, tokens: tokens}
 }
 
+// WithLeeway returns a copy that is larger by the share and whose burst is larger
+// by so many tokens besides. It is what the operators let an account overshoot.
+func (allotment Allotment) WithLeeway(share, tokens float64) Allotment {
+	allotment.perSecond *= 1 + share
+	allotment.burst = allotment.burst*(1+share) + tokens
+	return allotment
+}
+
 // PerSecond returns the rate in tokens a second, or 0 for no limit.
 func (allotment Allotment) PerSecond() float64 { return allotment.perSecond }
 
@@ -91,17 +99,21 @@
 	}
 }
 
-// Elsewhere takes in tokens that fellow nodes admitted.
+// Refund gives back the tokens of an admitted request that did not run.
+func (meter *Meter) Refund(allotment Allotment, tokens int, share float64, now clock.Millis) {
+	meter.used.Add(-int64(tokens))
+	meter.Elsewhere(allotment, -int64(tokens), share, now)
+}
+
+// Elsewhere takes in tokens that fellow nodes admitted, or, if negative, that
+// they gave back.
 func (meter *Meter) Elsewhere(allotment Allotment, tokens int64, share float64, now clock.Millis) {
-	if tokens <= 0 {
-		return
-	}
 	for {
 		known := meter.state.Load()
 		level := known.refilled(allotment, share, now) - float64(tokens)
 		// A debt is kept for one burst at most, or a peer's false report would
 		// lock the account out.
-		level = max(level, -allotment.burst)
+		level = min(max(level, -allotment.burst), allotment.burst)
 		if meter.state.CompareAndSwap(known, &meterState{level: level, at: now}) {
 			return
 		}
--- a/internal/cloud/ordering.go
+++ b/internal/cloud/ordering.go
@@ -8,6 +8,8 @@
 	// unansweredWait is how long to wait before an order without an answer is sent
 	// again.
 	unansweredWait = 2 * clock.Second
+	// scarceTime is how long after a refusal reclaimable servers count as scarce.
+	scarceTime = 4 * clock.Second
 	// lateOrder is how long an order without an answer may still be carried out.
 	// When it is over, the order then in force is sent once more.
 	lateOrder = 13 * clock.Second
@@ -26,6 +28,8 @@
 	known  bool
 	after  clock.Millis
 	repeat clock.Millis
+	// refusedAt is when the cloud last had nothing there.
+	refusedAt clock.Millis
 }
 
 // NewOrdering returns an ordering that knows of no orders.
@@ -56,10 +60,20 @@
 	}
 }
 
+// Scarce reports whether reclaimable servers were refused lately.
+func (ordering *Ordering) Scarce(now clock.Millis) bool {
+	for place, order := range ordering.orders {
+		if place.reclaimable && order.refusedAt != 0 && now-order.refusedAt < scarceTime {
+			return true
+		}
+	}
+	return false
+}
+
 // Refused records that the cloud has no such servers there.
 func (ordering *Ordering) Refused(place Place, now clock.Millis) {
 	order := ordering.of(place)
-	order.known, order.after = false, now+refusedWait
+	order.known, order.after, order.refusedAt = false, now+refusedWait, now
 }
 
 // Unanswered records that nobody knows whether the cloud took the order.
--- a/internal/cloud/sizing.go
+++ b/internal/cloud/sizing.go
@@ -9,14 +9,16 @@
 )
 
 const (
-	// sizingUse is the share of the engines' time that is to be used by the
-	// engines that are left when a data centre's reclaimable ones are gone.
-	sizingUse = 0.62
+	// comfortUse is the share of the engines' time that demand may use while all
+	// of them serve, and survivalUse what it may use of those that are left when
+	// one data centre's reclaimable servers are gone.
+	comfortUse  = 0.5
+	survivalUse = 0.8
 	// firstShare is the share of the servers found at the start that is needed,
 	// until the demand is known.
 	firstShare = 0.45
 	// demandMemory is how long the highest demand seen holds its servers.
-	demandMemory = 12 * clock.Second
+	demandMemory = 60 * clock.Second
 	// demandSettled is how long demand must have been seen before it replaces the
 	// guess from the start.
 	demandSettled = 10 * clock.Second
@@ -48,11 +50,12 @@
 //
 //	demand of 4 servers, 3 data centres -> 2 reclaimable in each
 //
-// Other servers only fill what is missing while reclaimable ones can't be had.
+// Other servers only fill what is missing while reclaimable ones can't be had,
+// and what would be missing if one more data centre's went.
 // A Sizing belongs to one goroutine.
 type Sizing struct {
 	clock    *clock.Clock
-	found    int
+	guess    float64
 	peaks    []peak
 	seenFrom clock.Millis
 }
@@ -65,12 +68,22 @@
 // NewSizing returns a sizing without observations.
 func NewSizing(clock *clock.Clock) *Sizing { return &Sizing{clock: clock} }
 
-// Observe takes in the demand, in servers that are busy all the time, and the
-// number of servers that serve.
-func (sizing *Sizing) Observe(work float64, serving int) {
+// Observe takes in the demand, in servers that are busy all the time, and how
+// many serve. Servers that may be taken back were ordered by a predecessor, who
+// knew the demand.
+func (sizing *Sizing) Observe(work float64, serving map[Place]int) {
 	now := sizing.clock.Now()
-	if sizing.found == 0 {
-		sizing.found = serving
+	total, sized := 0, false
+	for place, count := range serving {
+		total += count
+		sized = sized || place.reclaimable
+	}
+	if sizing.guess == 0 && total > 0 {
+		sizing.guess = float64(total) * firstShare
+		if sized {
+			sizing.guess = float64(total)
+		}
+		sizing.guess *= comfortUse
 	}
 	if work > 0 && sizing.seenFrom == 0 {
 		sizing.seenFrom = now
@@ -81,36 +94,42 @@
 	sizing.peaks = append(sizing.peaks, peak{at: now, work: work})
 }
 
-// Need returns the servers that must be left when a data centre's reclaimable
-// ones are gone.
-func (sizing *Sizing) Need() int {
+// Work returns the demand that is planned for, in servers that are busy all the
+// time.
+func (sizing *Sizing) Work() float64 {
 	highest := 0.0
 	for _, peak := range sizing.peaks {
 		highest = max(highest, peak.work)
 	}
-	need := int(math.Ceil(highest / sizingUse))
 	if sizing.seenFrom == 0 || sizing.clock.Now()-sizing.seenFrom < demandSettled {
-		need = max(need, int(math.Ceil(float64(sizing.found)*firstShare)))
+		highest = max(highest, sizing.guess)
 	}
-	return max(need, 1)
+	return highest
 }
 
 // Wanted returns the number of servers at each place on the terms, given how
-// many serve there now.
-func (sizing *Sizing) Wanted(rental pool.Rental, serving map[Place]int) map[Place]int {
-	need := sizing.Need()
+// many serve there now. Scarce says that reclaimable servers can't be had: what
+// goes then is not replaced, so the others alone must survive.
+func (sizing *Sizing) Wanted(rental pool.Rental, serving map[Place]int, scarce bool) map[Place]int {
+	comfort := max(1, int(math.Ceil(sizing.Work()/comfortUse)))
+	survival := max(1, int(math.Ceil(sizing.Work()/survivalUse)))
 	wanted := map[Place]int{}
 	centres := rental.DataCentres()
-	reclaimable := 0
+	reclaimable, largest := 0, 0
 	if rental.ReclaimablePrice() > 0 {
-		each := perCentre(need, len(centres), rental)
+		each := perCentre(comfort, len(centres), rental)
 		for _, centre := range centres {
 			place := NewPlace(centre, true)
 			wanted[place] = each
 			reclaimable += min(each, serving[place])
+			largest = max(largest, min(each, serving[place]))
 		}
 	}
-	sizing.fill(wanted, rental, need-reclaimable)
+	safe := reclaimable - largest
+	if scarce {
+		safe = 0
+	}
+	sizing.fill(wanted, rental, max(comfort-reclaimable, survival-safe))
 	return wanted
 }
 
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -84,6 +84,7 @@
 	status    int
 	reason    string
 	first     clock.Millis
+	cost      int
 	ran       bool
 }
 
@@ -164,10 +165,18 @@
 		if visit.account, ok = visit.directory.Account(visit.call.Key()); !ok {
 			return visit.deny(fresh, http.StatusUnauthorized, "noKey", "the key is not known")
 		}
-		if err := visit.edge.meter(visit.account, visit.call.Tokens()); err != nil {
+	}
+	if !visit.edge.closing.Load().Admits(row, now) {
+		visit.refuse("this node is stopping", retrySoon)
+		return false
+	}
+	if visit.account != nil {
+		cost, err := visit.edge.meter(visit.account, visit.call.Tokens())
+		if err != nil {
 			visit.overLimit(err)
 			return false
 		}
+		visit.cost = cost
 	}
 	callers.Strip(visit.request.Header)
 	return true
@@ -195,6 +204,9 @@
 
 // refuse answers that the request did not run and never will.
 func (visit *visit) refuse(reason string, retryAfter clock.Millis) {
+	if visit.cost > 0 {
+		visit.edge.refund(visit.account, visit.cost)
+	}
 	visit.answer(http.StatusServiceUnavailable, "notRun", reason, retryAfter)
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/backend/backendlink"
+	"sapphirehead/internal/caller"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/directory"
 	"sapphirehead/internal/placement"
@@ -41,6 +42,7 @@
 	transport *http.Transport
 	contact   contact
 	stopping  atomic.Bool
+	closing   atomic.Pointer[caller.Closing]
 	inFlight  atomic.Int64
 	counters  *counters
 	budgets   *budgets
--- a/internal/edge/fellows.go
+++ b/internal/edge/fellows.go
@@ -198,7 +198,8 @@
 	}
 	for _, use := range used {
 		if account, ok := directory.AccountNamed(use.Name()); ok {
-			edge.meters.of(account, now).Elsewhere(account.Allotment(), use.Tokens(), edge.refillShare(), now)
+			allotment := edge.allotment(account)
+			edge.meters.of(account, allotment, now).Elsewhere(allotment, use.Tokens(), edge.refillShare(), now)
 		}
 	}
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -24,6 +24,9 @@
 	// heldBytes is the size up to which an answer is read whole before any of it
 	// goes to the caller, so that a broken one can be replaced.
 	heldBytes = 256 << 10
+	// retryNoServer is what a caller is told to wait while a pool has no server:
+	// half of the time in which ordered ones start.
+	retryNoServer = 2 * clock.Second
 	// writeTimeout is how long a caller may leave a part of an answer unread.
 	writeTimeout = 10 * clock.Second
 )
@@ -65,7 +68,11 @@
 		case request.StepDeliver:
 			try.deliver()
 		case request.StepRefuse:
-			visit.refuse("no backend server ran the request: "+outcome.String(), retrySoon)
+			wait := retrySoon
+			if outcome == request.OutcomeNoServer {
+				wait = retryNoServer
+			}
+			visit.refuse("no backend server ran the request: "+outcome.String(), wait)
 		case request.StepUnknown:
 			visit.answer(http.StatusBadGateway, "outcomeUnknown", "the backend server's answer is lost", 0)
 		case request.StepTimeout:
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -50,11 +50,11 @@
 
 func newMeters() *meters { return &meters{} }
 
-func (meters *meters) of(account *caller.Account, now clock.Millis) *caller.Meter {
+func (meters *meters) of(account *caller.Account, allotment caller.Allotment, now clock.Millis) *caller.Meter {
 	if meter, ok := meters.byAccount.Load(account.Name()); ok {
 		return meter.(*caller.Meter)
 	}
-	meter, _ := meters.byAccount.LoadOrStore(account.Name(), caller.NewMeter(account.Allotment(), now))
+	meter, _ := meters.byAccount.LoadOrStore(account.Name(), caller.NewMeter(allotment, now))
 	return meter.(*caller.Meter)
 }
 
@@ -66,9 +66,32 @@
 	})
 }
 
-// meter counts a request of the account, or returns a *request.NotRunError.
-func (edge *Edge) meter(account *caller.Account, tokens int) error {
+const (
+	// leewayShare and leewaySlack are the parts of the operators' leeway that nodes
+	// use on purpose. The rest is for what several nodes admit at the same time
+	// before they hear of each other.
+	leewayShare = 0.5
+	leewaySlack = 0.3
+)
+
+// allotment returns what the account may use, with the leeway.
+func (edge *Edge) allotment(account *caller.Account) caller.Allotment {
+	bounds := edge.settings.Load().Bounds()
+	return account.Allotment().WithLeeway(bounds.QuotaOvershoot()*leewayShare, bounds.QuotaSlack()*leewaySlack)
+}
+
+// meter counts a request of the account and returns its cost, or returns a
+// *request.NotRunError.
+func (edge *Edge) meter(account *caller.Account, tokens int) (cost int, err error) {
+	now := edge.clock.Now()
+	allotment := edge.allotment(account)
+	cost = allotment.Cost(tokens)
+	return cost, edge.meters.of(account, allotment, now).Admit(allotment, cost, edge.refillShare(), now)
+}
+
+// refund gives the cost of a request back that did not run.
+func (edge *Edge) refund(account *caller.Account, cost int) {
 	now := edge.clock.Now()
-	allotment := account.Allotment()
-	return edge.meters.of(account, now).Admit(allotment, allotment.Cost(tokens), edge.refillShare(), now)
+	allotment := edge.allotment(account)
+	edge.meters.of(account, allotment, now).Refund(allotment, cost, edge.refillShare(), now)
 }
--- a/internal/edge/sizing.go
+++ b/internal/edge/sizing.go
@@ -25,8 +25,15 @@
 	tokens   int64
 	work     float64
 	at       clock.Millis
+	most     int
+	grew     clock.Millis
+	begun    bool
 }
 
+// listSettled is how long no server was added to the list before the first order
+// is made: the servers of a new deployment appear one after the other.
+const listSettled = 1500 * clock.Millisecond
+
 func newSizingDuty() *sizingDuty { return &sizingDuty{pools: map[string]*poolSizing{}} }
 
 func (duty *sizingDuty) forget() { duty.pools = map[string]*poolSizing{} }
@@ -63,17 +70,22 @@
 			total++
 		}
 	}
-	if total == 0 && len(known.serving) == 0 {
+	now := edge.clock.Now()
+	if total > known.most {
+		known.most, known.grew = total, now
+	}
+	if total == 0 || (!known.begun && now-known.grew < listSettled) {
 		return
 	}
-	known.sizing.Observe(edge.workOf(known, row), total)
+	known.begun = true
+	known.sizing.Observe(edge.workOf(known, row), serving)
 	for place, before := range known.serving {
 		if serving[place] < before {
 			known.ordering.Lost(place)
 		}
 	}
 	known.serving = serving
-	for place, count := range known.sizing.Wanted(row.Rental(), serving) {
+	for place, count := range known.sizing.Wanted(row.Rental(), serving, known.ordering.Scarce(now)) {
 		if now := edge.clock.Now(); known.ordering.Due(place, count, now) && edge.covered(holding) {
 			edge.order(ctx, holding, row, known, place, count)
 		}
@@ -115,6 +127,6 @@
 		known.ordering.Unanswered(place, now)
 	}
 	edge.log.Info().Err(err).Str("pool", row.Name()).Str("dataCentre", place.DataCentre()).Bool("reclaimable", place.Reclaimable()).
-		Int("count", count).Int("serving", known.serving[place]).Int("need", known.sizing.Need()).
+		Int("count", count).Int("serving", known.serving[place]).Float64("plannedWork", known.sizing.Work()).
 		Float64("work", known.work).Int64("fence", holding.Fence()).Msg("order")
 }
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"sapphirehead/internal/caller"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/settings"
 )
@@ -23,9 +24,10 @@
 // off, requests are still served, on connections that end with their answer,
 // and the process ends once nothing is open or the grace is over.
 func (edge *Edge) stop(kill context.Context, callers *callerServer) {
-	edge.stopping.Store(true)
 	begun := edge.clock.Now()
 	end := begun + edge.settings.Load().Bounds().Grace() - stopMargin
+	edge.closing.Store(caller.NewClosing(begun, end))
+	edge.stopping.Store(true)
 	edge.log.Info().Int64("inFlight", edge.inFlight.Load()).Int64("graceMillis", int64(end-begun)).Msg("stopping")
 	for edge.clock.Wait(kill, stopLook) == nil {
 		now := edge.clock.Now()
--- a/internal/node/fellows.go
+++ b/internal/node/fellows.go
@@ -92,7 +92,7 @@
 	}
 	var used []Use
 	for _, use := range after.accounts {
-		if tokens := use.tokens - sums[use.name]; tokens > 0 {
+		if tokens := use.tokens - sums[use.name]; tokens != 0 {
 			used = append(used, NewUse(use.name, 0, tokens))
 		}
 	}
--- a/internal/node/nodecast/nodecast.go
+++ b/internal/node/nodecast/nodecast.go
@@ -40,7 +40,9 @@
 func (cast *Cast) Address() string { return cast.conn.LocalAddr().String() }
 
 // Close ends the socket.
-func (cast *Cast) Close() error { return errors.Wrap(cast.conn.Close(), "close the socket for fellow nodes") }
+func (cast *Cast) Close() error {
+	return errors.Wrap(cast.conn.Close(), "close the socket for fellow nodes")
+}
 
 // Send sends the bulletin to each address and returns the first error.
 func (cast *Cast) Send(bulletin node.Bulletin, addresses []string) error {
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -41,6 +41,8 @@
 	RetryShare         float64 `toml:"retryShare" default:"0.2" min:"0" max:"10" help:"repeats allowed for each request of a pool, over all nodes"`
 	RetryWindowSeconds float64 `toml:"retryWindowSeconds" default:"10" min:"0.1" max:"3600" help:"window over which repeats are counted"`
 	RetrySlack         float64 `toml:"retrySlack" default:"20" min:"0" max:"1000000" help:"repeats allowed in each window besides, over all nodes"`
+	QuotaOvershoot     float64 `toml:"quotaOvershoot" default:"0.1" min:"0" max:"10" help:"share by which a client account may pass its allotment"`
+	QuotaSlack         float64 `toml:"quotaSlack" default:"0" min:"0" max:"1000000000" help:"amount by which a client account may pass it besides"`
 	LeaseMillis        int64   `toml:"leaseMillis" default:"3000" min:"500" max:"600000" help:"time within which a duty must not go from one node to another and back"`
 	UsageWindowSeconds float64 `toml:"usageWindowSeconds" default:"5" min:"0.1" max:"86400" help:"window of one usage report"`
 	UsageLateSeconds   float64 `toml:"usageLateSeconds" default:"10" min:"0.1" max:"86400" help:"time after a window's end at which its report is due"`
@@ -69,6 +71,8 @@
 	retryShare  float64
 	retryWindow clock.Millis
 	retrySlack  float64
+	overshoot   float64
+	quotaSlack  float64
 	lease       clock.Millis
 	usageWindow clock.Millis
 	usageLate   clock.Millis
@@ -95,6 +99,12 @@
 // RetrySlack returns the repeats allowed in each window besides.
 func (bounds Bounds) RetrySlack() float64 { return bounds.retrySlack }
 
+// QuotaOvershoot returns the share by which an account may pass its allotment.
+func (bounds Bounds) QuotaOvershoot() float64 { return bounds.overshoot }
+
+// QuotaSlack returns the amount by which an account may pass it besides.
+func (bounds Bounds) QuotaSlack() float64 { return bounds.quotaSlack }
+
 // Lease returns the time within which a duty must not change hands twice.
 func (bounds Bounds) Lease() clock.Millis { return bounds.lease }
 
@@ -216,6 +226,8 @@
 		retryShare:  form.RetryShare,
 		retryWindow: fromSeconds(form.RetryWindowSeconds),
 		retrySlack:  form.RetrySlack,
+		overshoot:   form.QuotaOvershoot,
+		quotaSlack:  form.QuotaSlack,
 		lease:       clock.Millis(form.LeaseMillis),
 		usageWindow: fromSeconds(form.UsageWindowSeconds),
 		usageLate:   fromSeconds(form.UsageLateSeconds),
