--- a/internal/cloud/sizing.go
+++ b/internal/cloud/sizing.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// comfortUse is the share of the engines' time that demand may use while all
-	// of them serve, and survivalUse what it may use of those that are left when
-	// one data centre's reclaimable servers are gone.
-	comfortUse  = 0.5
+	// spotUse is the share of the engines' time that demand may use when one data
+	// centre's reclaimable servers are gone, as long as reclaimable ones, which
+	// are cheap, can be had.
+	spotUse = 0.45
+	// fillUse is the share that it may use while others fill in for reclaimable
+	// ones, and survivalUse the share when one more data centre's are gone.
+	fillUse     = 0.6
 	survivalUse = 0.8
 	// firstShare is the share of the servers found at the start that is needed,
 	// until the demand is known.
@@ -83,7 +86,7 @@
 		if sized {
 			sizing.guess = float64(total)
 		}
-		sizing.guess *= comfortUse
+		sizing.guess *= fillUse
 	}
 	if work > 0 && sizing.seenFrom == 0 {
 		sizing.seenFrom = now
@@ -111,13 +114,13 @@
 // many serve there now. Scarce says that reclaimable servers can't be had: what
 // goes then is not replaced, so the others alone must survive.
 func (sizing *Sizing) Wanted(rental pool.Rental, serving map[Place]int, scarce bool) map[Place]int {
-	comfort := max(1, int(math.Ceil(sizing.Work()/comfortUse)))
-	survival := max(1, int(math.Ceil(sizing.Work()/survivalUse)))
+	work := sizing.Work()
+	cheap, filled, survival := serversFor(work, spotUse), serversFor(work, fillUse), serversFor(work, survivalUse)
 	wanted := map[Place]int{}
 	centres := rental.DataCentres()
 	reclaimable, largest := 0, 0
 	if rental.ReclaimablePrice() > 0 {
-		each := perCentre(comfort, len(centres), rental)
+		each := perCentre(cheap, len(centres), rental)
 		for _, centre := range centres {
 			place := NewPlace(centre, true)
 			wanted[place] = each
@@ -129,10 +132,12 @@
 	if scarce {
 		safe = 0
 	}
-	sizing.fill(wanted, rental, max(comfort-reclaimable, survival-safe))
+	sizing.fill(wanted, rental, serving, max(filled-reclaimable, survival-safe))
 	return wanted
 }
 
+func serversFor(work, use float64) int { return max(1, int(math.Ceil(work/use))) }
+
 // perCentre returns the reclaimable servers in each of the data centres.
 func perCentre(need, centres int, rental pool.Rental) int {
 	others := max(centres-1, 1)
@@ -141,7 +146,7 @@
 
 // fill spreads missing servers that are not reclaimable over the data centres,
 // the cheapest first.
-func (sizing *Sizing) fill(wanted map[Place]int, rental pool.Rental, missing int) {
+func (sizing *Sizing) fill(wanted map[Place]int, rental pool.Rental, serving map[Place]int, missing int) {
 	centres := rental.DataCentres()
 	slices.SortStableFunc(centres, func(a, b string) int {
 		switch {
@@ -160,7 +165,7 @@
 		placed := false
 		for _, centre := range centres {
 			place := NewPlace(centre, false)
-			if missing > 0 && wanted[place]+wanted[NewPlace(centre, true)] < rental.Most() {
+			if missing > 0 && wanted[place]+serving[NewPlace(centre, true)] < rental.Most() {
 				wanted[place]++
 				missing--
 				placed = true
