Tell parted histories with the same last edit apart; keep idle connections at a stop

Likewise 'continues' took a matching last edit as proof.

Change: histories are the same only with the same list of edits; of two at the same version the list decides which is higher, whoever merges; a merge that adds no edit gets one of its own.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -56,7 +56,6 @@
 	entry.log.Info().Int64("inFlight", entry.admission.InFlight()).Int64("graceMillis", int64(grace)).Msg("stopping: no longer ready")
 	entry.stopping.Store(true)
 	entry.fellows.PassOn()
-	callers.SetKeepAlivesEnabled(false)
 	entry.clock.Wait(kill, readyOff)
 	entry.admission.Close()
 	reserve := min(handOverTime, grace/2)
@@ -75,6 +74,18 @@
 	}
 }
 
+// closeWhileStopping lets connections end with their next answer while the node
+// stops. Closing idle connections at once would cut a request that is on its
+// way.
+func closeWhileStopping(isStopping func() bool, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, call *http.Request) {
+		if isStopping() {
+			writer.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(writer, call)
+	})
+}
+
 // stopTimes returns the times for the balancer and for requests in progress.
 // Without notice of a reclaim they are as set; otherwise a quarter of the
 // notice is left over for the end of the process.
--- /dev/null
+++ b/internal/entry/drain_test.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestIdleConnectionAtStop checks that a connection that is idle when the node
+// begins to stop still gets an answer to the request that is on its way.
+func TestIdleConnectionAtStop(t *testing.T) {
+	var stopping atomic.Bool
+	served := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusNoContent) })
+	server := httptest.NewServer(closeWhileStopping(stopping.Load, served))
+	defer server.Close()
+	connection, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	expectAnswer := func(t *testing.T, closes bool) {
+		t.Helper()
+		_, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+		require.NoError(t, err)
+		answer, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		defer answer.Body.Close()
+		require.Equal(t, http.StatusNoContent, answer.StatusCode)
+		require.Equal(t, closes, answer.Close)
+	}
+	t.Run("kept before the stop", func(t *testing.T) { expectAnswer(t, false) })
+	stopping.Store(true)
+	t.Run("served and closed after it", func(t *testing.T) { expectAnswer(t, true) })
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -170,7 +170,7 @@
 	loops, cancel := context.WithCancel(kill)
 	defer cancel()
 	group, loops := errgroup.WithContext(loops)
-	callers := &http.Server{Handler: entry.callerHandler(), ErrorLog: entry.handshakes("caller")}
+	callers := &http.Server{Handler: closeWhileStopping(entry.stopping.Load, entry.callerHandler()), ErrorLog: entry.handshakes("caller")}
 	operators := &http.Server{Handler: entry.operatorHandler(), ErrorLog: entry.handshakes("operator")}
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
--- a/internal/table/reconcile.go
+++ b/internal/table/reconcile.go
@@ -43,7 +43,9 @@
 // Relate returns how the stored tables relate to these, which are in force.
 func (tables *Tables) Relate(stored *Tables) Relation {
 	switch {
-	case stored.version == tables.version && stored.lastEdit() == tables.lastEdit():
+	case stored.version == tables.version && slices.Equal(stored.recentEdits, tables.recentEdits):
+		// The last edit alone tells too little: merges of different histories may
+		// end with the same one.
 		return RelationSame
 	case stored.version > tables.version && continues(stored, tables):
 		return RelationStoredNewer
@@ -68,13 +70,6 @@
 	}
 }
 
-func (tables *Tables) lastEdit() string {
-	if len(tables.recentEdits) == 0 {
-		return ""
-	}
-	return tables.recentEdits[len(tables.recentEdits)-1]
-}
-
 // editAt returns the id of the edit that committed the version, and false if
 // the recent ones no longer reach back to it.
 func (tables *Tables) editAt(version int64) (string, bool) {
@@ -88,7 +83,7 @@
 // continues reports whether the newer tables hold all that the older ones do.
 // Edits beyond the reach of the recent ones count as held.
 func continues(newer, older *Tables) bool {
-	if edit, ok := newer.editAt(older.version); !ok || edit == older.lastEdit() {
+	if _, ok := newer.editAt(older.version); !ok {
 		return true
 	}
 	return len(missingEdits(newer, older)) == 0
@@ -112,10 +107,16 @@
 // If the result would not be valid, the rows of the higher one stay whole.
 func merge(inForce, stored *Tables) *Tables {
 	higher, lower := inForce, stored
-	if stored.version > inForce.version || (stored.version == inForce.version && stored.lastEdit() > inForce.lastEdit()) {
+	if stored.version > inForce.version || (stored.version == inForce.version && slices.Compare(stored.recentEdits, inForce.recentEdits) > 0) {
 		higher, lower = stored, inForce
 	}
-	edits := append(higher.RecentEdits(), missingEdits(higher, lower)...)
+	missing := missingEdits(higher, lower)
+	if len(missing) == 0 {
+		// Both have the same edits in another order. The result needs a version
+		// above both, and the same one whoever merges.
+		missing = []string{mergeEdit(higher, lower)}
+	}
+	edits := append(higher.RecentEdits(), missing...)
 	version := higher.version + int64(len(edits)-len(higher.recentEdits))
 	numbers := &Tables{version: version, recentEdits: edits}
 	routes := mergeRows(higher, lower, higher.routes, lower.routes, route.Route.Revision, func(row route.Route) route.Route {
@@ -131,6 +132,11 @@
 	return merged
 }
 
+// mergeEdit names the merge of two histories that hold the same edits.
+func mergeEdit(higher, lower *Tables) string {
+	return "merge-" + strconv.FormatUint(higher.Fingerprint(), 36) + "-" + strconv.FormatUint(lower.Fingerprint(), 36)
+}
+
 // renumber returns the version at which these tables count the edit that the
 // other ones count at the given version.
 func (tables *Tables) renumber(other *Tables, version int64) int64 {
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -165,6 +165,22 @@
 	t.Run("same", func(t *testing.T) { expectReconciled(t, ahead, ahead, ahead, false) })
 	t.Run("stored newer", func(t *testing.T) { expectReconciled(t, base, ahead, ahead, false) })
 	t.Run("stored older", func(t *testing.T) { expectReconciled(t, ahead, base, ahead, true) })
+	t.Run("same version and last edit, but parted", func(t *testing.T) {
+		one, other := table.New(5, nil, nil, []string{"e1", "e5", "e2"}), table.New(5, nil, nil, []string{"e1", "e6", "e2"})
+		require.Equal(t, table.RelationParted, one.Relate(other))
+		merged, write := one.Reconcile(other)
+		require.True(t, write)
+		require.Subset(t, merged.RecentEdits(), []string{"e1", "e2", "e5", "e6"})
+		reversed, _ := other.Reconcile(one)
+		require.Equal(t, merged.Fingerprint(), reversed.Fingerprint())
+	})
+	t.Run("same edits in another order", func(t *testing.T) {
+		one, other := table.New(4, nil, nil, []string{"e1", "e2", "e3"}), table.New(4, nil, nil, []string{"e1", "e3", "e2"})
+		merged, _ := one.Reconcile(other)
+		require.Greater(t, merged.Version(), one.Version())
+		expectReconciled(t, one, merged, merged, false)
+		expectReconciled(t, other, merged, merged, false)
+	})
 	t.Run("store empty", func(t *testing.T) { expectReconciled(t, ahead, table.Empty(), ahead, true) })
 	t.Run("parted: both sides' edits stay", func(t *testing.T) {
 		stored := expectApplied(t, base, setRoute("f3", chatRoute("c", 9), 0), setRoute("f4", chatRoute("a", 7), 2))
