--- a/internal/backend/backendlink/connection.go
+++ b/internal/backend/backendlink/connection.go
@@ -43,12 +43,13 @@
 	readerBytes  = 4 << 10
 )
 
-// Dialer returns a dialer whose connections notice a silent peer.
-func Dialer() *net.Dialer {
+// Dialer returns a dialer whose connections notice a silent peer after so many
+// keep-alive probes, a second apart, without an answer.
+func Dialer(probes int) *net.Dialer {
 	return &net.Dialer{
 		Timeout: dialTimeout.Duration(),
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle.Duration(), Interval: keepAliveInterval.Duration(), Count: keepAliveCount,
+			Enable: true, Idle: keepAliveIdle.Duration(), Interval: keepAliveInterval.Duration(), Count: probes,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failed error
@@ -158,5 +159,5 @@
 
 // dial opens a connection with the context's and the dialer's time limits.
 func dial(ctx context.Context, address string) (net.Conn, error) {
-	return Dialer().DialContext(ctx, "tcp", address)
+	return Dialer(keepAliveCount).DialContext(ctx, "tcp", address)
 }
--- a/internal/backend/backendlink/exchange.go
+++ b/internal/backend/backendlink/exchange.go
@@ -86,6 +86,7 @@
 		reply.abandon()
 		return nil, err
 	}
+	//nolint:bodyclose // A connection is kept or closed as a whole; closing the body would read the rest of a stream.
 	response, err := connection.readHead(request.method)
 	if err != nil {
 		reply.abandon()
@@ -144,7 +145,7 @@
 // Read reads the body. It returns io.EOF only at the end of a whole body.
 func (reply *Reply) Read(into []byte) (int, error) {
 	count, err := reply.response.Body.Read(into)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		reply.complete = true
 	}
 	return count, err
@@ -207,11 +208,11 @@
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
-		case err == bufio.ErrBufferFull && len(event) <= maxEventBytes:
+		case errors.Is(err, bufio.ErrBufferFull) && len(event) <= maxEventBytes:
 			continue
-		case err == bufio.ErrBufferFull:
+		case errors.Is(err, bufio.ErrBufferFull):
 			return event, errors.New("an event is too long")
-		case err == io.EOF && len(event) > 0:
+		case errors.Is(err, io.EOF) && len(event) > 0:
 			return event, io.ErrUnexpectedEOF
 		case err != nil:
 			return event, err
--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -107,8 +107,10 @@
 	for {
 		known := meter.state.Load()
 		next := &meterState{level: known.refilled(allotment, share, now), at: now, asked: known.askedWith(cost, now)}
-		needed := min(cost+allotment.reserve(next.asked, nodes), allotment.burst)
-		admitted := next.level >= needed
+		// A large request needs no more in the bucket than a small one, or an account
+		// near its limit would never get a large one admitted. It leaves a debt.
+		needed := allotment.reserve(next.asked, nodes)
+		admitted := next.level > needed
 		if admitted {
 			next.level -= cost
 		}
@@ -119,7 +121,7 @@
 			meter.used.Add(int64(tokens))
 			return nil
 		}
-		wait := clock.Millis(math.Ceil((needed - next.level) / (allotment.perSecond * share) * float64(clock.Second)))
+		wait := clock.Millis(math.Ceil((needed - next.level + 1) / (allotment.perSecond * share) * float64(clock.Second)))
 		return request.NewOverLimitError("the client account is over its allotment", wait)
 	}
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,7 +8,6 @@
 package directory
 
 import (
-	"net"
 	"slices"
 	"strings"
 
@@ -82,11 +81,10 @@
 // Size returns the number of routes.
 func (directory *Directory) Size() int { return directory.routes }
 
-// Route returns the route of the host name with the longest prefix of the path.
+// Route returns the route of the host name, whose port is left aside, with the
+// longest prefix of the path.
 func (directory *Directory) Route(host, path string) (route.Route, bool) {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
+	host, _, _ = strings.Cut(host, ":")
 	for _, row := range directory.hosts[strings.ToLower(host)] {
 		if strings.HasPrefix(path, row.Path()) {
 			return row, true
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -31,9 +31,8 @@
 	maxHeaderBytes = 64 << 10
 	maxBodyBytes   = 4 << 20
 	// freshContact is the age of the latest word from the store up to which a
-	// node may say that a route or key does not exist. It is below the time after
-	// which a node counts as in touch (3 s).
-	freshContact = 2900 * clock.Millisecond
+	// node may say that a route or key does not exist: a watch and its timeout.
+	freshContact = watchWait + clock.Second
 	// retrySoon is what a caller is told to wait if another node, or this one a
 	// moment later, may well serve it.
 	retrySoon = 300 * clock.Millisecond
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -68,7 +68,7 @@
 	edge.links = backendlink.New(clock, func() { edge.counters.connections.Add(1) })
 	edge.placement = placement.New(clock, edge.fleet, loaded.DataCentre(), rand.Float64)
 	edge.transport = &http.Transport{
-		DialContext: backendlink.Dialer().DialContext, DisableCompression: true,
+		DialContext: backendlink.Dialer(storeProbes).DialContext, DisableCompression: true,
 		MaxIdleConnsPerHost: maxStoreConnections,
 	}
 	edge.store = store.New(edge.transport, clock,
@@ -88,6 +88,10 @@
 // millis names the type where a parameter hides the package.
 type millis = clock.Millis
 
+// storeProbes is how many probes the store's machine may leave unanswered: a
+// silent watch is found within 2 s, before its node counts as in touch again.
+const storeProbes = 1
+
 // maxStoreConnections is the number of idle connections to the store: two for
 // watches and a few for other calls.
 const maxStoreConnections = 4
@@ -148,7 +152,9 @@
 	case <-kill.Done():
 	}
 	endLoops()
-	edge.fellows.cast.Close()
+	if err := edge.fellows.cast.Close(); err != nil {
+		edge.log.Warn().Err(err).Msg("socket for fellow nodes")
+	}
 	callers.server.Close()
 	ready.Close()
 	metrics.Close()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -12,10 +12,16 @@
 
 const (
 	// watchWait is how long a watch waits at the store. A watch that hears nothing
-	// proves little, as its connection may have gone silent; together with a
-	// call's timeout this keeps a node's knowledge younger than the time after
-	// which it counts as in touch (3 s).
-	watchWait = 2 * clock.Second
+	// proves little, as its connection may have gone silent: probes of the
+	// connection find that sooner, and each watch is bounded besides.
+	watchWait = 6 * clock.Second
+	// gatherLeast and gatherPerNode are the wait after changes of the list of
+	// servers before it is watched on, so that changes that come close together
+	// cost one call. It grows with the nodes, as each of them makes that call, up
+	// to gatherMost, which leaves most of the shortest notice (2 s).
+	gatherLeast   = 150 * clock.Millisecond
+	gatherPerNode = 8 * clock.Millisecond
+	gatherMost    = 700 * clock.Millisecond
 	// retryLeast and retryMost are the waits between calls to a store that does
 	// not answer.
 	retryLeast = 50 * clock.Millisecond
@@ -29,8 +35,10 @@
 	set  func(store.Change)
 	end  func()
 	wait func() clock.Millis
-	away func(error)
-	back func()
+	// gather is the wait after changes; nil is none.
+	gather func() clock.Millis
+	away   func(error)
+	back   func()
 }
 
 // follow keeps up with a kind of objects until the context ends.
@@ -95,6 +103,9 @@
 		followed.set(change)
 	}
 	followed.end()
+	if followed.gather != nil && len(changes.All()) > 0 && edge.clock.Wait(ctx, followed.gather()) != nil {
+		return 0, ctx.Err()
+	}
 	return max(revision, changes.AsOf()), nil
 }
 
@@ -178,6 +189,9 @@
 			}
 			return watchWait
 		},
+		gather: func() clock.Millis {
+			return min(gatherLeast+gatherPerNode*clock.Millis(edge.nodes()), gatherMost)
+		},
 		away: func(error) { registry.Away() },
 		back: func() { registry.Back(edge.clock.Now()) },
 	})
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -286,7 +286,7 @@
 	defer visit.clearWriteDeadline()
 	for {
 		event, err := backendlink.ReadEvent(reader)
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			if !try.forward.Begun() {
 				try.begin(reply.Status(), reply.Header(), -1)
 			}
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -68,9 +68,9 @@
 
 const (
 	// leewayShare and leewaySlack are the parts of the operators' leeway that nodes
-	// use. The rest is for windows that nodes and their judge cut differently.
+	// use. The rest is for the debt that one large request leaves.
 	leewayShare = 0.9
-	leewaySlack = 0.9
+	leewaySlack = 0.6
 )
 
 // allotment returns what the account may use, with the leeway.
