--- a/internal/cloud/sizing.go
+++ b/internal/cloud/sizing.go
@@ -15,7 +15,7 @@
 	spotUse = 0.45
 	// fillUse is the share that it may use while others fill in for reclaimable
 	// ones, and survivalUse the share when one more data centre's are gone.
-	fillUse     = 0.6
+	fillUse     = 0.55
 	survivalUse = 0.8
 	// firstShare is the share of the servers found at the start that is needed,
 	// until the demand is known.
@@ -24,7 +24,7 @@
 	demandMemory = 60 * clock.Second
 	// demandSettled is how long demand must have been seen before it replaces the
 	// guess from the start.
-	demandSettled = 10 * clock.Second
+	demandSettled = 60 * clock.Second
 )
 
 // Place is where servers run and on which terms.
