Let every node follow the demand, so that a new holder of the duties keeps the fleet

Sums of a fellow node that came back from a cut also looked like a burst of its whole life (planned work 12.1 where 6 were asked).

Change: bulletins are turned into differences, a long silence left out; every node observes; what is found at the start counts as too many only for the first holder ever.

--- a/internal/cloud/sizing.go
+++ b/internal/cloud/sizing.go
@@ -71,23 +71,19 @@
 // NewSizing returns a sizing without observations.
 func NewSizing(clock *clock.Clock) *Sizing { return &Sizing{clock: clock} }
 
-// Observe takes in the demand, in servers that are busy all the time, and how
-// many serve. Servers that may be taken back were ordered by a predecessor, who
-// knew the demand.
-func (sizing *Sizing) Observe(work float64, serving map[Place]int) {
-	now := sizing.clock.Now()
-	total, sized := 0, false
-	for place, count := range serving {
-		total += count
-		sized = sized || place.reclaimable
-	}
-	if sizing.guess == 0 && total > 0 {
-		sizing.guess = float64(total) * firstShare
-		if sized {
-			sizing.guess = float64(total)
-		}
-		sizing.guess *= fillUse
+// Found tells how many servers serve when orders begin. In a new deployment,
+// where nobody ordered before, there are more than enough; otherwise a
+// predecessor knew the demand, and they are kept until it is known here.
+func (sizing *Sizing) Found(total int, fresh bool) {
+	sizing.guess = float64(total) * fillUse
+	if fresh {
+		sizing.guess *= firstShare
 	}
+}
+
+// Observe takes in the demand, in servers that are busy all the time.
+func (sizing *Sizing) Observe(work float64) {
+	now := sizing.clock.Now()
 	if work > 0 && sizing.seenFrom == 0 {
 		sizing.seenFrom = now
 	}
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"sapphirehead/internal/clock"
-	"sapphirehead/internal/node"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/settings"
@@ -80,6 +79,7 @@
 		if holds {
 			interval = standing.Renewal()
 		}
+		edge.observeDemand()
 		if now-looked >= interval {
 			looked = now
 			edge.keepLease(ctx, standing)
@@ -89,7 +89,7 @@
 			held = holds
 			edge.log.Info().Bool("held", held).Int64("fence", holding.Fence()).Msg("lease of the duties")
 			edge.duties.usage.forget()
-			edge.duties.sizing.forget()
+			edge.duties.sizing.forgetOrders()
 		}
 		if holds && holding.Fence() != edge.duties.refused {
 			edge.doDuties(ctx, holding)
@@ -259,17 +259,3 @@
 		edge.log.Warn().Err(err).Int64("window", duty.record.Window()).Msg("usage not reported yet")
 	}
 }
-
-// demandOf adds up what all nodes asked of the pool since their start.
-func demandOf(view *node.View, own *demand, pool string, now clock.Millis) (requests, tokens int64) {
-	requests, tokens = own.requests.Load(), own.tokens.Load()
-	for _, fellow := range view.Live(now) {
-		for _, use := range fellow.Pools() {
-			if use.Name() == pool {
-				requests += use.Requests()
-				tokens += use.Tokens()
-			}
-		}
-	}
-	return requests, tokens
-}
--- a/internal/edge/fellows.go
+++ b/internal/edge/fellows.go
@@ -36,10 +36,12 @@
 	Address string `json:"address"`
 }
 
-// demand is what callers asked of one pool since the start.
+// demand is what callers asked of one pool since the start, here and, as far as
+// they told, at fellow nodes.
 type demand struct {
-	requests atomic.Int64
-	tokens   atomic.Int64
+	requests  atomic.Int64
+	tokens    atomic.Int64
+	elsewhere atomic.Int64
 }
 
 // fellows is what a node exchanges with its fellows.
@@ -184,7 +186,11 @@
 			fellows.known.Expect(found.host, found.address, edge.clock.Now())
 		case bulletin := <-fellows.heard:
 			now := edge.clock.Now()
-			edge.takeUse(fellows.known.Hear(bulletin, now), now)
+			used, asked := fellows.known.Hear(bulletin, now)
+			edge.takeUse(used, now)
+			for _, use := range asked {
+				fellows.demandFor(use.Name()).elsewhere.Add(use.Tokens())
+			}
 			edge.takeWork(now)
 		}
 	}
--- a/internal/edge/sizing.go
+++ b/internal/edge/sizing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -12,7 +13,8 @@
 	"sapphirehead/platform/cloud"
 )
 
-// sizingDuty is what the holder knows of the pools whose servers it orders.
+// sizingDuty is what a node knows of the pools whose servers the holder orders.
+// Every node follows the demand, so that a new holder knows it.
 type sizingDuty struct {
 	pools map[string]*poolSizing
 }
@@ -30,13 +32,22 @@
 	begun    bool
 }
 
-// listSettled is how long no server was added to the list before the first order
-// is made: the servers of a new deployment appear one after the other.
-const listSettled = 1500 * clock.Millisecond
+const (
+	// listSettled is how long no server was added to the list before the first
+	// order is made: the servers of a new deployment appear one after the other.
+	listSettled = 1500 * clock.Millisecond
+	// workInterval is the time over which demand is averaged.
+	workInterval = 2 * clock.Second
+)
 
 func newSizingDuty() *sizingDuty { return &sizingDuty{pools: map[string]*poolSizing{}} }
 
-func (duty *sizingDuty) forget() { duty.pools = map[string]*poolSizing{} }
+// forgetOrders drops what was ordered under an earlier lease.
+func (duty *sizingDuty) forgetOrders() {
+	for _, known := range duty.pools {
+		known.ordering, known.begun = fleetcloud.NewOrdering(), false
+	}
+}
 
 func (duty *sizingDuty) of(clock *clock.Clock, row pool.Pool) *poolSizing {
 	if duty.pools[row.Name()] == nil {
@@ -47,29 +58,44 @@
 	return duty.pools[row.Name()]
 }
 
-// orderServers sends the orders that are due.
-func (edge *Edge) orderServers(ctx context.Context, holding platform.Holding) {
+// orderedPools returns the pools whose size is the system's to change.
+func (edge *Edge) orderedPools() []pool.Pool {
 	directory := edge.directory.Current()
 	if directory == nil {
-		return
+		return nil
 	}
-	for _, row := range directory.Pools() {
-		if row.Rental().Ordered() {
-			edge.orderPool(ctx, holding, row)
+	return slices.DeleteFunc(directory.Pools(), func(row pool.Pool) bool { return !row.Rental().Ordered() })
+}
+
+// observeDemand follows the demand of every pool.
+func (edge *Edge) observeDemand() {
+	now := edge.clock.Now()
+	for _, row := range edge.orderedPools() {
+		known := edge.duties.sizing.of(edge.clock, row)
+		demand := edge.fellows.demandFor(row.Name())
+		tokens := demand.tokens.Load() + demand.elsewhere.Load()
+		elapsed := now - known.at
+		if known.at != 0 && elapsed < workInterval {
+			continue
+		}
+		if known.at != 0 {
+			known.work = float64(tokens-known.tokens) / float64(elapsed) / pool.PrefillTokens
+			known.sizing.Observe(known.work)
 		}
+		known.tokens, known.at = tokens, now
+	}
+}
+
+// orderServers sends the orders that are due.
+func (edge *Edge) orderServers(ctx context.Context, holding platform.Holding) {
+	for _, row := range edge.orderedPools() {
+		edge.orderPool(ctx, holding, row)
 	}
 }
 
 func (edge *Edge) orderPool(ctx context.Context, holding platform.Holding, row pool.Pool) {
 	known := edge.duties.sizing.of(edge.clock, row)
-	serving := map[fleetcloud.Place]int{}
-	total := 0
-	for _, server := range edge.fleet.Current().Pool(row.Name()) {
-		if !server.Leaving() {
-			serving[fleetcloud.NewPlace(server.DataCentre(), server.Reclaimable())]++
-			total++
-		}
-	}
+	serving, total := edge.servingIn(row.Name())
 	now := edge.clock.Now()
 	if total > known.most {
 		known.most, known.grew = total, now
@@ -77,8 +103,10 @@
 	if total == 0 || (!known.begun && now-known.grew < listSettled) {
 		return
 	}
-	known.begun = true
-	known.sizing.Observe(edge.workOf(known, row), serving)
+	if !known.begun {
+		known.begun = true
+		known.sizing.Found(total, edge.duties.lease.First())
+	}
 	for place, before := range known.serving {
 		if serving[place] < before {
 			known.ordering.Lost(place)
@@ -86,31 +114,25 @@
 	}
 	known.serving = serving
 	for place, count := range known.sizing.Wanted(row.Rental(), serving, known.ordering.Scarce(now)) {
-		if now := edge.clock.Now(); known.ordering.Due(place, count, now) && edge.covered(holding) {
+		if known.ordering.Due(place, count, edge.clock.Now()) && edge.covered(holding) {
 			edge.order(ctx, holding, row, known, place, count)
 		}
 	}
 }
 
-// workOf returns how many engines the prompts that are to be read keep busy.
-func (edge *Edge) workOf(known *poolSizing, row pool.Pool) float64 {
-	now := edge.clock.Now()
-	_, tokens := demandOf(edge.fellows.known.View(), edge.fellows.demandFor(row.Name()), row.Name(), now)
-	elapsed := now - known.at
-	if known.at == 0 || elapsed < workInterval {
-		if known.at == 0 {
-			known.tokens, known.at = tokens, now
+// servingIn returns the servers of the pool that take requests, by place and in
+// all.
+func (edge *Edge) servingIn(pool string) (serving map[fleetcloud.Place]int, total int) {
+	serving = map[fleetcloud.Place]int{}
+	for _, server := range edge.fleet.Current().Pool(pool) {
+		if !server.Leaving() {
+			serving[fleetcloud.NewPlace(server.DataCentre(), server.Reclaimable())]++
+			total++
 		}
-		return known.work
 	}
-	known.work = max(0, float64(tokens-known.tokens)/float64(elapsed)/pool.PrefillTokens)
-	known.tokens, known.at = tokens, now
-	return known.work
+	return serving, total
 }
 
-// workInterval is the time over which demand is averaged.
-const workInterval = 2 * clock.Second
-
 func (edge *Edge) order(ctx context.Context, holding platform.Holding, row pool.Pool, known *poolSizing, place fleetcloud.Place, count int) {
 	edge.counters.cloudCalls.Add(1)
 	err := edge.duties.cloud.Order(ctx, edge.holder(holding), row.Name(), place.DataCentre(), count, place.Reclaimable())
--- a/internal/node/fellows.go
+++ b/internal/node/fellows.go
@@ -64,39 +64,47 @@
 }
 
 // Hear takes in a bulletin that came at the time, and returns what client
-// accounts used at the sender since the one before. The first bulletin of a
-// process that this node meets for the first time only sets the sums to count
-// from.
-func (fellows *Fellows) Hear(bulletin Bulletin, now clock.Millis) (used []Use) {
+// accounts used at the sender since the one before, and what was asked of pools
+// there. The first bulletin of a process that this node meets for the first time
+// only sets the sums to count from. What was asked during a longer silence is
+// left out, as it would look like a burst.
+func (fellows *Fellows) Hear(bulletin Bulletin, now clock.Millis) (used, asked []Use) {
 	known, ok := fellows.known[bulletin.host]
 	older := ok && (bulletin.incarnation < known.latest.incarnation ||
 		(bulletin.incarnation == known.latest.incarnation && bulletin.sequence <= known.latest.sequence))
 	if bulletin.host == fellows.host || older {
-		return nil
+		return nil, nil
 	}
 	if ok && known.latest.incarnation != 0 {
-		used = differences(known.latest, bulletin)
+		same := known.latest.incarnation == bulletin.incarnation
+		used = differences(known.latest.accounts, bulletin.accounts, same)
+		if now-known.at < fellowLive {
+			asked = differences(known.latest.pools, bulletin.pools, same)
+		}
 	}
 	fellows.known[bulletin.host] = fellow{latest: bulletin, at: now, offset: bulletin.wall - now}
 	fellows.hearWindows(bulletin)
 	fellows.publish()
-	return used
+	return used, asked
 }
 
-func differences(before, after Bulletin) []Use {
-	sums := map[string]int64{}
-	if before.incarnation == after.incarnation {
-		for _, use := range before.accounts {
-			sums[use.name] = use.tokens
+// differences returns what was added to the sums, which began anew if they are
+// not of the same process.
+func differences(before, after []Use, same bool) []Use {
+	sums := map[string]Use{}
+	if same {
+		for _, use := range before {
+			sums[use.name] = use
 		}
 	}
-	var used []Use
-	for _, use := range after.accounts {
-		if tokens := use.tokens - sums[use.name]; tokens != 0 {
-			used = append(used, NewUse(use.name, 0, tokens))
+	var added []Use
+	for _, use := range after {
+		sum := sums[use.name]
+		if requests, tokens := use.requests-sum.requests, use.tokens-sum.tokens; requests != 0 || tokens != 0 {
+			added = append(added, NewUse(use.name, requests, tokens))
 		}
 	}
-	return used
+	return added
 }
 
 func (fellows *Fellows) hearWindows(bulletin Bulletin) {
--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -103,6 +103,7 @@
 	observed    clock.Millis
 	unsettled   bool
 	serial      int64
+	first       atomic.Bool
 }
 
 // NewLease returns a view that has observed nothing yet. The function read
@@ -129,6 +130,10 @@
 	return *record, true
 }
 
+// First reports whether this process took the lease when nobody had held it
+// before.
+func (lease *Lease) First() bool { return lease.first.Load() }
+
 // Holding returns the current period of holding, and false if the lease is not
 // held at this moment.
 func (lease *Lease) Holding() (Holding, bool) {
@@ -161,8 +166,12 @@
 		return nil
 	}
 	record := lease.nextRecord()
+	fresh := lease.version == VersionNone
 	sentAt := lease.clock.Now()
 	version, err := lease.write(ctx, lease.name, record, lease.version)
+	if err == nil && !held {
+		lease.first.Store(fresh)
+	}
 	return lease.settle(record, version, sentAt, err)
 }
 
