--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -14,6 +14,7 @@
 	"sapphirehead/internal/caller"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/directory"
+	"sapphirehead/internal/placement"
 	"sapphirehead/internal/request"
 	"sapphirehead/internal/route"
 	"sapphirehead/platform/callers"
@@ -83,6 +84,7 @@
 	status    int
 	reason    string
 	first     clock.Millis
+	choice    placement.Choice
 	cost      int
 	ran       bool
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -69,8 +69,12 @@
 			try.deliver()
 		case request.StepRefuse:
 			wait := retrySoon
-			if outcome == request.OutcomeNoServer {
+			switch outcome {
+			case request.OutcomeNoServer:
 				wait = retryNoServer
+			case request.OutcomeTooLate:
+				wait = try.late
+			default:
 			}
 			visit.refuse("no backend server ran the request: "+outcome.String(), wait)
 		case request.StepUnknown:
@@ -101,6 +105,7 @@
 	answer    held
 	lastEvent string
 	delivered bool
+	late      clock.Millis
 }
 
 // attempt sends the request to one server.
@@ -114,6 +119,11 @@
 	if !ok {
 		return request.OutcomeNoServer
 	}
+	if late := choice.Late(visit.route, visit.urgency(), edge.clock.Now()-visit.arrived); late > 0 && try.forward.Sends() == 0 {
+		visit.logChoice(choice)
+		try.late = late
+		return request.OutcomeTooLate
+	}
 	server := choice.Server()
 	try.tried = append(try.tried, server.Key())
 	visit.attempts++
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -20,6 +20,7 @@
 
 // logChoice logs where an attempt goes and what decided.
 func (visit *visit) logChoice(choice placement.Choice) {
+	visit.choice = choice
 	visit.edge.log.Debug().Str("requestId", visit.call.ID()).Str("backendServer", choice.Server().ID()).
 		Float64("costMillis", choice.Cost()).Int("reads", choice.Reads()).Bool("home", choice.Home()).
 		Int("choices", choice.Choices()).Msg("attempt")
--- /dev/null
+++ b/internal/placement/patience.go
@@ -0,0 +1,34 @@
+package placement
+
+import (
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/route"
+)
+
+const (
+	// rankStep is the share of its target by which a request of the next rank may
+	// be expected to be late less than one that is more urgent, before it is
+	// refused; leastPatience bounds it.
+	patienceFirst = 1.2
+	rankStep      = 0.2
+	leastPatience = 0.6
+	// busyShare is the share of an engine's time that the tokens of running
+	// requests take from prefill when prompts wait.
+	busyShare = 0.15
+)
+
+// Late returns by how much the first event of a request on the route would miss
+// what its rank is granted, if it were sent as chosen after it has been here for
+// the time. A request that would be late by far is refused early, as it would
+// only make others late: 0 means that it goes on.
+//
+//	target 800 ms, rank 1: refused if the first event is expected after 800 ms
+//	target 800 ms, rank 2: refused if it is expected after 640 ms
+func (choice Choice) Late(on route.Route, rank int, here clock.Millis) clock.Millis {
+	if !choice.engine || on.FirstToken() == 0 {
+		return 0
+	}
+	granted := max(patienceFirst-rankStep*float64(rank), leastPatience) * float64(on.FirstToken())
+	expected := float64(here) + choice.wait/(1-busyShare)
+	return max(0, clock.Millis(expected-granted))
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,6 +48,8 @@
 	reads   int
 	home    bool
 	choices int
+	engine  bool
+	wait    float64
 }
 
 // Server returns the chosen server.
@@ -56,6 +58,10 @@
 // Cost returns the estimate for the server in milliseconds.
 func (choice Choice) Cost() float64 { return choice.cost }
 
+// Wait returns the expected time to the first event at an engine in milliseconds:
+// reading the prompts that wait there and this one's.
+func (choice Choice) Wait() float64 { return choice.wait }
+
 // Reads returns the prompt tokens that the server is expected to read.
 func (choice Choice) Reads() int { return choice.reads }
 
@@ -144,7 +150,9 @@
 	over := math.Max(0, waiting+running-float64(slots)+1)
 	if row.Kind() == pool.KindRunner {
 		choice.reads = reads(prompt, home)
-		choice.cost = (float64(choice.reads)+float64(server.Work().Pending()))/pool.PrefillTokens + crowdMillis*running + queueMillis*over
+		choice.engine = true
+		choice.wait = float64(int64(choice.reads)+server.Work().Pending())/pool.PrefillTokens + queueMillis*over
+		choice.cost = choice.wait + crowdMillis*running
 	} else {
 		choice.cost = workMillis*(running/float64(max(slots, 1))+over) + placement.random()
 	}
--- a/internal/request/forward.go
+++ b/internal/request/forward.go
@@ -27,6 +27,8 @@
 	OutcomeCut
 	// OutcomeNoServer: there was no server to send the request to.
 	OutcomeNoServer
+	// OutcomeTooLate: every server would answer too late, so none got it.
+	OutcomeTooLate
 )
 
 // String returns the name of the outcome as logs write it.
@@ -48,6 +50,8 @@
 		return "cut"
 	case OutcomeNoServer:
 		return "noServer"
+	case OutcomeTooLate:
+		return "tooLate"
 	default:
 		return "unknown"
 	}
@@ -171,7 +175,7 @@
 
 func (forward *Forward) mayRepeat(outcome Outcome) bool {
 	switch {
-	case outcome == OutcomeNoServer, forward.sends >= maxSends:
+	case outcome == OutcomeNoServer, outcome == OutcomeTooLate, forward.sends >= maxSends:
 		return false
 	case forward.begun && !forward.on.Resumable():
 		return false
