--- a/internal/edge/fellows.go
+++ b/internal/edge/fellows.go
@@ -25,8 +25,8 @@
 	// bulletinLeast is the time between two bulletins, and bulletinPerNode what
 	// each node adds to it, so that the datagrams that a node gets in a second
 	// stay bounded.
-	bulletinLeast   = 50 * clock.Millisecond
-	bulletinPerNode = 6 * clock.Millisecond
+	bulletinLeast   = 30 * clock.Millisecond
+	bulletinPerNode = 4 * clock.Millisecond
 	// nodesInterval is the time between two readings of the list of nodes.
 	nodesInterval = 4 * clock.Second
 )
--- a/internal/placement/patience.go
+++ b/internal/placement/patience.go
@@ -9,8 +9,8 @@
 	// rankStep is the share of its target by which a request of the next rank may
 	// be expected to be late less than one that is more urgent, before it is
 	// refused; leastPatience bounds it.
-	patienceFirst = 1.2
-	rankStep      = 0.2
+	patienceFirst = 0.85
+	rankStep      = 0.05
 	leastPatience = 0.6
 	// busyShare is the share of an engine's time that the tokens of running
 	// requests take from prefill when prompts wait.
