Test the edge program against stand-ins of the platform; know at once that the store is back

Cause: after an outage the first watch waited up to 6 s before the node counted the store as back, so lapsed entries were judged late (found by TestFollow/servers, which took 6.07 s). A lone node looked for the lease of the duties after 21 s only. An answer that ended during a stop did not end its connection (found by TestStop).

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -95,9 +95,6 @@
 	defer edge.inFlight.Add(-1)
 	visit := &visit{edge: edge, writer: writer, request: request, arrived: edge.clock.Now()}
 	defer visit.record()
-	if edge.stopping.Load() {
-		writer.Header().Set("Connection", "close")
-	}
 	if visit.decode() && visit.admit() {
 		visit.forward()
 	}
@@ -219,6 +216,7 @@
 // answer ends the request with an answer of this node's own.
 func (visit *visit) answer(status int, kind, reason string, retryAfter clock.Millis) {
 	visit.status, visit.reason = status, reason
+	visit.closeIfStopping()
 	header := visit.writer.Header()
 	header.Set("Content-Type", "application/json")
 	if visit.call.ID() != "" {
@@ -235,6 +233,14 @@
 	visit.writer.Write(body)
 }
 
+// closeIfStopping ends the caller's connection with this answer if the node
+// stops, so that its next request goes to another node.
+func (visit *visit) closeIfStopping() {
+	if visit.edge.stopping.Load() {
+		visit.writer.Header().Set("Connection", "close")
+	}
+}
+
 // accountName returns the name of the client account, or empty.
 func (visit *visit) accountName() string {
 	if visit.account == nil {
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -76,7 +76,7 @@
 		standing := edge.standing(duration, now)
 		_, holds := lease.Holding()
 		interval := standing.Look()
-		if holds {
+		if record, known := lease.Record(); holds || !known || record.Released() || record.Holder() == "" {
 			interval = standing.Renewal()
 		}
 		edge.observeDemand()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -47,7 +47,7 @@
 	revision, listed := int64(0), false
 	failing := false
 	for ctx.Err() == nil {
-		next, err := edge.followOnce(ctx, followed, revision, listed)
+		next, err := edge.followOnce(ctx, followed, revision, listed, failing)
 		var gone *store.HistoryGoneError
 		switch {
 		case ctx.Err() != nil:
@@ -77,8 +77,9 @@
 }
 
 // followOnce lists the kind, or watches it once, and returns the revision to go
-// on from.
-func (edge *Edge) followOnce(ctx context.Context, followed followed, revision int64, listed bool) (int64, error) {
+// on from. After a failure the watch does not wait, so that the node knows at
+// once that the store is back.
+func (edge *Edge) followOnce(ctx context.Context, followed followed, revision int64, listed, failing bool) (int64, error) {
 	if !listed {
 		listing, err := edge.store.List(ctx, followed.kind, store.FreshnessLatest)
 		if err != nil {
@@ -90,7 +91,11 @@
 		followed.end()
 		return listing.AsOf(), nil
 	}
-	changes, err := edge.store.Watch(ctx, followed.kind, revision, min(watchWait, followed.wait()))
+	wait := min(watchWait, followed.wait())
+	if failing {
+		wait = clock.Millisecond
+	}
+	changes, err := edge.store.Watch(ctx, followed.kind, revision, wait)
 	edge.counters.storeCalls.Add(1)
 	if err != nil {
 		return 0, err
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -271,6 +271,7 @@
 	for name, values := range header {
 		own[name] = values
 	}
+	visit.closeIfStopping()
 	if header.Get("Content-Type") == "" {
 		own["Content-Type"] = nil
 	}
--- /dev/null
+++ b/internal/standin/dutystandin/duty.go
@@ -0,0 +1,100 @@
+// Package dutystandin is a small stand-in for the users' platform's API for
+// duties, which checks fencing numbers and keeps what it accepted.
+package dutystandin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+// Call is one accepted call.
+type Call struct {
+	path   string
+	holder string
+	fence  int64
+	body   string
+}
+
+// Path returns the path of the call.
+func (call Call) Path() string { return call.path }
+
+// Holder returns the name of the node that made it.
+func (call Call) Holder() string { return call.holder }
+
+// Fence returns the fencing number.
+func (call Call) Fence() int64 { return call.fence }
+
+// Body returns the call's body.
+func (call Call) Body() string { return call.body }
+
+// Duty is the stand-in.
+type Duty struct {
+	mutex     sync.Mutex
+	highest   map[string]int64
+	reports   map[int64]string
+	conflicts int
+	accepted  chan Call
+	refusing  bool
+}
+
+// acceptedQueue is more calls than a test makes.
+const acceptedQueue = 1024
+
+// New returns an API that has seen no call.
+func New() *Duty {
+	return &Duty{highest: map[string]int64{}, reports: map[int64]string{}, accepted: make(chan Call, acceptedQueue)}
+}
+
+// Accepted tells of each accepted call.
+func (duty *Duty) Accepted() <-chan Call { return duty.accepted }
+
+// Refuse lets the API have no reclaimable servers, or have them again.
+func (duty *Duty) Refuse(refusing bool) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	duty.refusing = refusing
+}
+
+// Conflicts returns how many usage reports differed from an earlier one of the
+// same window.
+func (duty *Duty) Conflicts() int {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	return duty.conflicts
+}
+
+type callForm struct {
+	Window int64  `json:"windowId"`
+	Spot   bool   `json:"spot"`
+	Zone   string `json:"zone"`
+}
+
+// ServeHTTP answers one call.
+func (duty *Duty) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	fence, fenceErr := strconv.ParseInt(request.Header.Get("X-Fencing-Token"), 10, 64)
+	var form callForm
+	if err != nil || fenceErr != nil || json.Unmarshal(body, &form) != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	subject := request.URL.Path + form.Zone
+	if fence < duty.highest[subject] || (form.Spot && duty.refusing) {
+		writer.WriteHeader(http.StatusConflict)
+		return
+	}
+	duty.highest[subject] = fence
+	if request.URL.Path == "/usage" {
+		if known, ok := duty.reports[form.Window]; ok && known != string(body) {
+			duty.conflicts++
+		}
+		duty.reports[form.Window] = string(body)
+	}
+	duty.accepted <- Call{path: request.URL.Path, holder: request.Header.Get("X-Duty-Holder"), fence: fence, body: string(body)}
+	writer.WriteHeader(http.StatusOK)
+}
