--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 
 .PHONY: fuzznative
 fuzznative: ## feed bad input to every decoder, each for FUZZ_TIME
-	@set -e; for file in $$(grep -rl '^func Fuzz' --include='*_test.go' internal); do \
+	@set -e; for file in $$(grep -rl '^func Fuzz' --include='*_test.go' internal platform); do \
 		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\).*/\1/p' $$file); do \
 			echo "$$name in $$(dirname $$file)"; \
 			$(GO) test ./$$(dirname $$file) -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZ_TIME); \
--- a/cmd/sapphire-edge/main.go
+++ b/cmd/sapphire-edge/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 
 	"github.com/alecthomas/kong"
 
@@ -51,11 +52,15 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(loaded.MemoryBytes())))
-	log := logging.New(os.Stdout, loaded.LogLevel(), "sapphire-edge", loaded.Host(), loaded.DataCentre())
+	dropped := &atomic.Int64{}
+	log, ring := logging.NewBounded(os.Stdout, loaded.LogLevel(), "sapphire-edge", loaded.Host(), loaded.DataCentre(),
+		func(lines int) { dropped.Add(int64(lines)) })
+	defer ring.Close()
 	node, err := edge.New(loaded, clock.System(), log)
 	if err != nil {
 		return err
 	}
+	node.CountDroppedLines(dropped.Load)
 	program.PrintListening(node.Addresses())
 	stop, kill := program.Signals()
 	return node.Run(stop, kill, program.Reloads(), load)
--- /dev/null
+++ b/internal/backend/backendlink/exchange_test.go
@@ -0,0 +1,213 @@
+package backendlink_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/backend/backendlink"
+	"sapphirehead/internal/clock"
+)
+
+// script is a server that answers the requests of each connection with raw
+// bytes, one text a request, and closes the connection after the last.
+type script struct {
+	listener net.Listener
+	requests atomic.Int64
+	done     chan struct{}
+}
+
+func newScript(t *testing.T, connections ...[]string) *script {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	script := &script{listener: listener, done: make(chan struct{})}
+	go func() {
+		defer close(script.done)
+		for _, answers := range connections {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			script.serve(conn, answers)
+		}
+	}()
+	t.Cleanup(func() { listener.Close(); <-script.done })
+	return script
+}
+
+func (script *script) serve(conn net.Conn, answers []string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, answer := range answers {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if answer != earlyAnswer {
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
+		}
+		script.requests.Add(1)
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
+}
+
+func (script *script) server() *backend.Server {
+	return backend.NewServer("i-1", script.listener.Addr().String(), "lj-a", "", "app")
+}
+
+const (
+	wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	extraAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"
+	cutAnswer   = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"
+	cutChunks   = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+	earlyAnswer = "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno"
+	noise       = "nothing of the kind\r\n\r\n"
+)
+
+func newLinks(opened *int) *backendlink.Links {
+	return backendlink.New(clock.System(), func() { *opened++ })
+}
+
+func post(body string, once bool) backendlink.Request {
+	head := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + lengthOf(body) + "\r\n\r\n"
+	return backendlink.NewRequest(http.MethodPost, []byte(head), []byte(body), once)
+}
+
+func lengthOf(body string) string {
+	digits := ""
+	for count := len(body); count > 0 || digits == ""; count /= 10 {
+		digits = string(rune('0'+count%10)) + digits
+	}
+	return digits
+}
+
+func TestExchange(t *testing.T) {
+	// expectBodies sends one request for each wanted body. A wanted text of "lost"
+	// is an answer that did not come whole.
+	expectBodies := func(t *testing.T, script *script, connections int, wanted ...string) {
+		t.Helper()
+		opened := 0
+		links, server := newLinks(&opened), script.server()
+		for i, want := range wanted {
+			reply, err := links.Send(context.Background(), server, post("x", false))
+			var lost *backendlink.LostError
+			if errors.As(err, &lost) {
+				require.Equal(t, "lost", want, "request %d", i)
+				continue
+			}
+			require.NoError(t, err)
+			body, err := io.ReadAll(reply)
+			reply.Close()
+			if err != nil {
+				body = []byte("lost")
+			}
+			require.Equal(t, want, string(body), "request %d", i)
+		}
+		require.Equal(t, connections, opened)
+		links.Sweep(func(string) bool { return false })
+	}
+	t.Run("a connection is kept", func(t *testing.T) {
+		expectBodies(t, newScript(t, []string{wholeAnswer, wholeAnswer}), 1, "ok", "ok")
+	})
+	t.Run("bytes after an answer belong to no request", func(t *testing.T) {
+		expectBodies(t, newScript(t, []string{extraAnswer}, []string{wholeAnswer}), 2, "ok", "ok")
+	})
+	t.Run("a short body is not whole", func(t *testing.T) {
+		expectBodies(t, newScript(t, []string{cutAnswer}), 1, "lost")
+	})
+	t.Run("chunks without their end are not whole", func(t *testing.T) {
+		expectBodies(t, newScript(t, []string{cutChunks}), 1, "lost")
+	})
+	t.Run("noise", func(t *testing.T) { expectBodies(t, newScript(t, []string{noise}), 1, "lost") })
+	t.Run("no answer at all", func(t *testing.T) { expectBodies(t, newScript(t, []string{""}), 1, "lost") })
+}
+
+// TestNeverSentTwice checks that a request whose kept connection closes without
+// an answer is not sent again by itself.
+func TestNeverSentTwice(t *testing.T) {
+	script := newScript(t, []string{wholeAnswer, ""}, []string{wholeAnswer})
+	opened := 0
+	links, server := newLinks(&opened), script.server()
+	reply, err := links.Send(context.Background(), server, post("first", true))
+	require.NoError(t, err)
+	_, err = io.ReadAll(reply)
+	require.NoError(t, err)
+	reply.Close()
+	_, err = links.Send(context.Background(), server, post("second", true))
+	var lost *backendlink.LostError
+	require.ErrorAs(t, err, &lost)
+	require.True(t, lost.Reused())
+	require.Equal(t, int64(2), script.requests.Load())
+	require.Equal(t, 1, opened)
+}
+
+func TestUnsent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	opened := 0
+	_, err = newLinks(&opened).Send(context.Background(), backend.NewServer("i-1", address, "lj-a", "", "app"), post("x", true))
+	var unsent *backendlink.UnsentError
+	require.ErrorAs(t, err, &unsent)
+	require.Zero(t, opened)
+}
+
+// TestEarlyAnswer checks that the rest of a long body is not left to the next
+// request on the connection.
+func TestEarlyAnswer(t *testing.T) {
+	script := newScript(t, []string{earlyAnswer}, []string{wholeAnswer})
+	opened := 0
+	links, server := newLinks(&opened), script.server()
+	reply, err := links.Send(context.Background(), server, post(strings.Repeat("x", 8<<20), false))
+	var lost *backendlink.LostError
+	if !errors.As(err, &lost) {
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, reply.Status())
+		reply.Close()
+	}
+	reply, err = links.Send(context.Background(), server, post("x", false))
+	require.NoError(t, err)
+	body, err := io.ReadAll(reply)
+	require.NoError(t, err)
+	require.Equal(t, "ok", string(body))
+	reply.Close()
+	require.Equal(t, 2, opened)
+	links.Sweep(func(string) bool { return false })
+}
+
+func TestReadEvent(t *testing.T) {
+	expectEvents := func(t *testing.T, text string, whole bool, events ...string) {
+		t.Helper()
+		reader := bufio.NewReader(strings.NewReader(text))
+		for _, want := range events {
+			event, err := backendlink.ReadEvent(reader)
+			require.NoError(t, err)
+			require.Equal(t, want, string(event))
+		}
+		_, err := backendlink.ReadEvent(reader)
+		require.Equal(t, whole, errors.Is(err, io.EOF))
+	}
+	t.Run("two events", func(t *testing.T) { expectEvents(t, "id: 1\ndata: a\n\nid: 2\n\n", true, "id: 1\ndata: a\n\n", "id: 2\n\n") })
+	t.Run("carriage returns", func(t *testing.T) { expectEvents(t, "id: 1\r\n\r\n", true, "id: 1\r\n\r\n") })
+	t.Run("cut in an event", func(t *testing.T) { expectEvents(t, "id: 1\n\nid: 2\nda", false, "id: 1\n\n") })
+	t.Run("id", func(t *testing.T) {
+		id, ok := backendlink.EventID([]byte("x-weight-versions: 3\nid: 17\ndata: a\n\n"))
+		require.True(t, ok)
+		require.Equal(t, "17", id)
+	})
+}
--- a/internal/edge/fellows.go
+++ b/internal/edge/fellows.go
@@ -27,6 +27,8 @@
 	// stay bounded.
 	bulletinLeast   = 30 * clock.Millisecond
 	bulletinPerNode = 4 * clock.Millisecond
+	// bulletinIdle is how many times rarer a node without requests tells of itself.
+	bulletinIdle = 5
 	// nodesInterval is the time between two readings of the list of nodes.
 	nodesInterval = 4 * clock.Second
 )
@@ -117,6 +119,9 @@
 			edge.log.Warn().Err(err).Bool("failing", failing).Msg("bulletins to fellow nodes")
 		}
 		wait := max(bulletinLeast, bulletinPerNode*clock.Millis(len(addresses)))
+		if edge.inFlight.Load() == 0 {
+			wait *= bulletinIdle
+		}
 		if edge.clock.Wait(ctx, wait) != nil {
 			return
 		}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -228,7 +228,7 @@
 // sweepInterval is the time between two looks at idle connections.
 const sweepInterval = 2 * clock.Second
 
-// sweep closes connections that are no longer of use.
+// sweep closes connections that are no longer of use and counts latencies.
 func (edge *Edge) sweep(ctx context.Context) {
 	for edge.clock.Wait(ctx, sweepInterval) == nil {
 		live := map[string]bool{}
@@ -236,5 +236,6 @@
 			live[server.Key()] = !server.Leaving()
 		}
 		edge.links.Sweep(func(key string) bool { return live[key] })
+		edge.counters.latency.gather()
 	}
 }
--- /dev/null
+++ b/internal/edge/latency.go
@@ -0,0 +1,106 @@
+package edge
+
+import (
+	"expvar"
+	"sync"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sapphirehead/internal/clock"
+)
+
+const (
+	// longestMillis is the longest time that a histogram tells apart, and
+	// latencyDigits the precision of its values.
+	longestMillis = 120_000
+	latencyDigits = 2
+	// latencyQueue bounds the times that wait to be counted.
+	latencyQueue = 1024
+)
+
+// latencyPercents are the percentiles that are served.
+var latencyPercents = map[string]float64{"p50": 50, "p90": 90, "p99": 99}
+
+// latencies holds histograms of the time to the first event and to the end of
+// an answer, by route. Histograms need a lock, so requests only hand their times
+// over: no request waits for one.
+type latencies struct {
+	times chan latency
+	mutex sync.Mutex
+	whole map[string]*hdrhistogram.Histogram
+	first map[string]*hdrhistogram.Histogram
+	lost  *expvar.Int
+}
+
+type latency struct {
+	route string
+	first clock.Millis
+	whole clock.Millis
+}
+
+func newLatencies() *latencies {
+	return &latencies{
+		times: make(chan latency, latencyQueue), whole: map[string]*hdrhistogram.Histogram{},
+		first: map[string]*hdrhistogram.Histogram{}, lost: new(expvar.Int),
+	}
+}
+
+// observe hands the times of one answer over; first is 0 if there was no event.
+func (latencies *latencies) observe(route string, first, whole clock.Millis) {
+	select {
+	case latencies.times <- latency{route: route, first: first, whole: whole}:
+	default:
+		latencies.lost.Add(1)
+	}
+}
+
+func (latencies *latencies) publish(values *expvar.Map) {
+	values.Set("wholeAnswerMillis", expvar.Func(func() any { return latencies.percentiles(latencies.whole) }))
+	values.Set("firstEventMillis", expvar.Func(func() any { return latencies.percentiles(latencies.first) }))
+	values.Set("timesLost", latencies.lost)
+}
+
+// gather counts the times that wait.
+func (latencies *latencies) gather() {
+	latencies.mutex.Lock()
+	defer latencies.mutex.Unlock()
+	latencies.drain()
+}
+
+// percentiles counts the times that wait and returns percentiles by route.
+func (latencies *latencies) percentiles(of map[string]*hdrhistogram.Histogram) map[string]map[string]int64 {
+	latencies.mutex.Lock()
+	defer latencies.mutex.Unlock()
+	latencies.drain()
+	served := map[string]map[string]int64{}
+	for route, histogram := range of {
+		served[route] = map[string]int64{"count": histogram.TotalCount()}
+		for name, percent := range latencyPercents {
+			served[route][name] = histogram.ValueAtQuantile(percent)
+		}
+	}
+	return served
+}
+
+func (latencies *latencies) drain() {
+	for {
+		select {
+		case next := <-latencies.times:
+			latencies.count(latencies.whole, next.route, next.whole)
+			if next.first > 0 {
+				latencies.count(latencies.first, next.route, next.first)
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (latencies *latencies) count(into map[string]*hdrhistogram.Histogram, route string, taken clock.Millis) {
+	if into[route] == nil {
+		into[route] = hdrhistogram.New(1, longestMillis, latencyDigits)
+	}
+	if into[route].RecordValue(min(max(1, int64(taken)), longestMillis)) != nil {
+		latencies.lost.Add(1)
+	}
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"net/http"
+	"strconv"
 
 	"github.com/gorilla/mux"
 
@@ -23,10 +24,11 @@
 	cloudCalls       *expvar.Int
 	answers          *expvar.Map
 	outcomes         *expvar.Map
+	latency          *latencies
 }
 
 func newCounters() *counters {
-	counters := &counters{values: new(expvar.Map).Init(), answers: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init()}
+	counters := &counters{values: new(expvar.Map).Init(), answers: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), latency: newLatencies()}
 	for name, value := range map[string]**expvar.Int{
 		"connectionsOpened": &counters.connections, "storeCalls": &counters.storeCalls, "retriesRefused": &counters.retriesRefused,
 		"bulletinsDropped": &counters.bulletinsDropped, "cloudCalls": &counters.cloudCalls,
@@ -36,9 +38,15 @@
 	}
 	counters.values.Set("answers", counters.answers)
 	counters.values.Set("outcomes", counters.outcomes)
+	counters.latency.publish(counters.values)
 	return counters
 }
 
+// CountDroppedLines serves the number of log lines that were dropped.
+func (edge *Edge) CountDroppedLines(dropped func() int64) {
+	edge.counters.values.Set("logLinesDropped", expvar.Func(func() any { return dropped() }))
+}
+
 // metricsHandler serves the counters as JSON text.
 func (edge *Edge) metricsHandler() http.Handler {
 	router := mux.NewRouter()
@@ -69,7 +77,8 @@
 // record logs the end of a request.
 func (visit *visit) record() {
 	edge := visit.edge
-	edge.counters.answers.Add(http.StatusText(visit.status), 1)
+	edge.counters.answers.Add(strconv.Itoa(visit.status), 1)
+	edge.counters.latency.observe(visit.route.Name(), visit.first, edge.clock.Now()-visit.arrived)
 	event := edge.log.Info()
 	if visit.status >= http.StatusBadRequest {
 		event = edge.log.Warn()
