--- a/internal/placement/patience.go
+++ b/internal/placement/patience.go
@@ -2,6 +2,7 @@
 
 import (
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/pool"
 	"sapphirehead/internal/route"
 )
 
@@ -12,6 +13,10 @@
 	patienceFirst = 0.85
 	rankStep      = 0.05
 	leastPatience = 0.6
+	// leastQueue is the share of the target that prompts ahead must take before a
+	// request is refused. A prompt that is too long to be in time even alone still
+	// gets its answer.
+	leastQueue = 0.25
 	// busyShare is the share of an engine's time that the tokens of running
 	// requests take from prefill when prompts wait.
 	busyShare = 0.15
@@ -29,6 +34,9 @@
 		return 0
 	}
 	granted := max(patienceFirst-rankStep*float64(rank), leastPatience) * float64(on.FirstToken())
+	if queue := choice.wait - float64(choice.reads)/pool.PrefillTokens; queue < leastQueue*float64(on.FirstToken()) {
+		return 0
+	}
 	expected := float64(here) + choice.wait/(1-busyShare)
 	return max(0, clock.Millis(expected-granted))
 }
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,121 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/placement"
+	"sapphirehead/internal/pool"
+	"sapphirehead/internal/route"
+	"sapphirehead/internal/runner"
+)
+
+const engines = 4
+
+type room struct {
+	fleet     *backend.Fleet
+	placement *placement.Placement
+	row       pool.Pool
+	prompt    runner.Prompt
+}
+
+func newRoom() *room {
+	room := &room{
+		fleet:  backend.NewFleet(),
+		row:    pool.New("engines", pool.KindRunner).WithEngine(pool.NewEngine(64, 300_000)),
+		prompt: runner.NewPrompt([]runner.Part{runner.NewPart("head", 2500), runner.NewPart("session", 3800), runner.NewPart("tail", 900)}, 7200),
+	}
+	var list []backend.Listed
+	for i := range engines {
+		list = append(list, backend.NewListed(backend.NewServer(fmt.Sprint("e-", i), "10.0.0.1:80", "lj-a", "", "engines"), false))
+	}
+	room.fleet.Update(list)
+	room.placement = placement.New(clock.NewManual(1000).Clock(), room.fleet, "lj-a", func() float64 { return 0 })
+	return room
+}
+
+func (room *room) choose(t *testing.T, exclude ...string) placement.Choice {
+	t.Helper()
+	choice, ok := room.placement.Choose(room.row, room.prompt, exclude)
+	require.True(t, ok)
+	return choice
+}
+
+func TestChoose(t *testing.T) {
+	t.Run("a session goes to its home, where only the tail is read", func(t *testing.T) {
+		room := newRoom()
+		choice := room.choose(t)
+		require.True(t, choice.Home())
+		require.Equal(t, 900, choice.Reads())
+		require.Equal(t, engines, choice.Choices())
+	})
+	t.Run("a short queue at home is waited for", func(t *testing.T) {
+		room := newRoom()
+		room.choose(t).Server().Work().Queue(2000)
+		require.True(t, room.choose(t).Home())
+	})
+	t.Run("a long queue is not, and the session's part is read again", func(t *testing.T) {
+		room := newRoom()
+		room.choose(t).Server().Work().Queue(6000)
+		choice := room.choose(t)
+		require.False(t, choice.Home())
+		require.Equal(t, 4700, choice.Reads())
+	})
+	t.Run("queues of fellow nodes count", func(t *testing.T) {
+		room := newRoom()
+		room.choose(t).Server().Work().SetElsewhere(6000)
+		require.False(t, room.choose(t).Home())
+	})
+	t.Run("an excluded server is left out", func(t *testing.T) {
+		room := newRoom()
+		home := room.choose(t).Server().Key()
+		require.NotEqual(t, home, room.choose(t, home).Server().Key())
+	})
+	t.Run("a server with an open circuit is the last resort", func(t *testing.T) {
+		room := newRoom()
+		for _, server := range room.fleet.Current().Servers() {
+			if server.ID() != "e-2" {
+				server.Circuit().Trip(1000)
+			}
+		}
+		require.Equal(t, "e-2", room.choose(t).Server().ID())
+		room.fleet.Current().Server("e-2").Circuit().Trip(1000)
+		require.Zero(t, room.choose(t).Choices())
+	})
+	t.Run("a leaving server gets nothing", func(t *testing.T) {
+		room := newRoom()
+		for _, server := range room.fleet.Current().Servers() {
+			server.MarkLeaving()
+		}
+		_, ok := room.placement.Choose(room.row, room.prompt, nil)
+		require.False(t, ok)
+	})
+}
+
+func TestLate(t *testing.T) {
+	on := route.New("chat", route.KindChat, "engines").WithTargets(800, 300, 6000)
+	expectLate := func(t *testing.T, queued int, rank int, late bool) {
+		t.Helper()
+		room := newRoom()
+		for _, server := range room.fleet.Current().Servers() {
+			server.Work().Queue(queued)
+		}
+		require.Equal(t, late, room.choose(t).Late(on, rank, 0) > 0)
+	}
+	t.Run("no queue", func(t *testing.T) { expectLate(t, 0, 0, false) })
+	t.Run("a queue that leaves time", func(t *testing.T) { expectLate(t, 15000, 0, false) })
+	t.Run("a queue that does not", func(t *testing.T) { expectLate(t, 24000, 0, true) })
+	t.Run("less urgent requests give way first", func(t *testing.T) {
+		expectLate(t, 20000, 0, false)
+		expectLate(t, 20000, 4, true)
+	})
+	t.Run("a prompt that is too long even alone is still answered", func(t *testing.T) {
+		room := newRoom()
+		room.prompt = runner.NewPrompt(nil, 60_000)
+		require.Zero(t, room.choose(t).Late(on, 0, 0))
+	})
+}
