--- a/internal/backend/backendlink/exchange_test.go
+++ b/internal/backend/backendlink/exchange_test.go
@@ -202,7 +202,9 @@
 		_, err := backendlink.ReadEvent(reader)
 		require.Equal(t, whole, errors.Is(err, io.EOF))
 	}
-	t.Run("two events", func(t *testing.T) { expectEvents(t, "id: 1\ndata: a\n\nid: 2\n\n", true, "id: 1\ndata: a\n\n", "id: 2\n\n") })
+	t.Run("two events", func(t *testing.T) {
+		expectEvents(t, "id: 1\ndata: a\n\nid: 2\n\n", true, "id: 1\ndata: a\n\n", "id: 2\n\n")
+	})
 	t.Run("carriage returns", func(t *testing.T) { expectEvents(t, "id: 1\r\n\r\n", true, "id: 1\r\n\r\n") })
 	t.Run("cut in an event", func(t *testing.T) { expectEvents(t, "id: 1\n\nid: 2\nda", false, "id: 1\n\n") })
 	t.Run("id", func(t *testing.T) {
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -34,6 +34,10 @@
 	// freshContact is the age of the latest word from the store up to which a
 	// node may say that a route or key does not exist: a watch and its timeout.
 	freshContact = watchWait + clock.Second
+	// connectionShare is the part of the process's descriptors that callers'
+	// connections may take, and bodyShare the part of its memory that bodies may.
+	connectionShare = 0.6
+	bodyShare       = 0.25
 	// retrySoon is what a caller is told to wait if another node, or this one a
 	// moment later, may well serve it.
 	retrySoon = 300 * clock.Millisecond
@@ -43,10 +47,11 @@
 type callerServer struct {
 	server *http.Server
 	open   atomic.Int64
+	most   int64
 }
 
 func (edge *Edge) newCallerServer() *callerServer {
-	callerServer := &callerServer{}
+	callerServer := &callerServer{most: int64(connectionShare * float64(edge.settings.Load().Descriptors()))}
 	callerServer.server = &http.Server{
 		Handler:           http.HandlerFunc(edge.serve),
 		ReadHeaderTimeout: headerTimeout.Duration(),
@@ -57,10 +62,14 @@
 	return callerServer
 }
 
-func (callerServer *callerServer) count(_ net.Conn, state http.ConnState) {
+// count follows the open connections. One too many is closed at once: its caller
+// goes to another node, while those that are served keep their descriptors.
+func (callerServer *callerServer) count(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		callerServer.open.Add(1)
+		if callerServer.open.Add(1) > callerServer.most {
+			conn.Close()
+		}
 	case http.StateClosed, http.StateHijacked:
 		callerServer.open.Add(-1)
 	default:
@@ -86,6 +95,7 @@
 	first     clock.Millis
 	choice    placement.Choice
 	cost      int
+	held      int64
 	ran       bool
 }
 
@@ -95,6 +105,7 @@
 	defer edge.inFlight.Add(-1)
 	visit := &visit{edge: edge, writer: writer, request: request, arrived: edge.clock.Now()}
 	defer visit.record()
+	defer func() { edge.bodyBytes.Add(-visit.held) }()
 	if visit.decode() && visit.admit() {
 		visit.forward()
 	}
@@ -123,6 +134,12 @@
 	if visit.request.ContentLength == 0 {
 		return true
 	}
+	announced := max(0, visit.request.ContentLength)
+	visit.held = announced
+	if visit.edge.bodyBytes.Add(announced) > int64(bodyShare*float64(visit.edge.settings.Load().MemoryBytes())) {
+		visit.refuse("no memory for the body", retrySoon)
+		return false
+	}
 	control := http.NewResponseController(visit.writer)
 	if err := control.SetReadDeadline(deadlineIn(bodyTimeout)); err != nil {
 		visit.edge.log.Error().Err(err).Msg("no deadline for a body")
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,6 +44,7 @@
 	stopping  atomic.Bool
 	closing   atomic.Pointer[caller.Closing]
 	inFlight  atomic.Int64
+	bodyBytes atomic.Int64
 	counters  *counters
 	budgets   *budgets
 	meters    *meters
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -148,14 +148,15 @@
 	})
 }
 
-// lapseGrace is how long entries that lapsed in an outage are kept after it: the
-// platform promises them back within about two seconds, and a leaving server
-// must get nothing two seconds after this node could know.
-const lapseGrace = 1800 * clock.Millisecond
+// lapseShare is the part of the drain bound for which entries that lapsed in an
+// outage are kept after it. The platform promises them back within about two
+// seconds, and one that is still missing must get nothing after the bound.
+const lapseShare = 0.9
 
 // followServers keeps the fleet up to date.
 func (edge *Edge) followServers(ctx context.Context) {
-	registry := backend.NewRegistry(lapseGrace)
+	bound := edge.settings.Load().Bounds().Drain()
+	registry := backend.NewRegistry(clock.Millis(lapseShare * float64(bound)))
 	set := func(object store.Object) (backend.Entry, bool) {
 		entry, err := store.DecodeServer(object)
 		if err != nil {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -98,7 +98,7 @@
 
 func TestLate(t *testing.T) {
 	on := route.New("chat", route.KindChat, "engines").WithTargets(800, 300, 6000)
-	expectLate := func(t *testing.T, queued int, rank int, late bool) {
+	expectLate := func(t *testing.T, queued, rank int, late bool) {
 		t.Helper()
 		room := newRoom()
 		for _, server := range room.fleet.Current().Servers() {
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -24,20 +24,16 @@
 type edgePlatformForm struct {
 	Address       string `toml:"address" required:"true" format:"address" help:"address of the platform's store"`
 	TimeoutMillis int64  `toml:"timeoutMillis" default:"600" min:"1" max:"60000" help:"time that one call may take, a watch's wait aside"`
-	ObjectBytes   int64  `toml:"objectBytes" default:"1048576" min:"1024" max:"1073741824" help:"size of the largest object"`
 }
 
 type edgeLimitsForm struct {
 	MemoryMegabytes float64 `toml:"memoryMegabytes" default:"256" min:"32" max:"1048576" help:"memory at which the process is killed"`
 	Descriptors     int64   `toml:"descriptors" default:"4096" min:"256" max:"1048576" help:"file descriptors that the process may have"`
-	CPUShare        float64 `toml:"cpuShare" default:"1" min:"0.01" max:"256" help:"processor time a second that the process may use"`
 }
 
 type boundsForm struct {
-	ContactMillis      int64   `toml:"contactMillis" default:"3000" min:"100" max:"600000" help:"time after which a node without trouble counts as in touch"`
 	DrainMillis        int64   `toml:"drainMillis" default:"2000" min:"100" max:"600000" help:"time within which a leaving backend server gets no more requests"`
 	GraceSeconds       float64 `toml:"graceSeconds" default:"8" min:"0.5" max:"3600" help:"time between the signal to stop and the kill"`
-	ApplyMillis        int64   `toml:"applyMillis" default:"2000" min:"100" max:"600000" help:"time within which a configuration is in force"`
 	RetryShare         float64 `toml:"retryShare" default:"0.2" min:"0" max:"10" help:"repeats allowed for each request of a pool, over all nodes"`
 	RetryWindowSeconds float64 `toml:"retryWindowSeconds" default:"10" min:"0.1" max:"3600" help:"window over which repeats are counted"`
 	RetrySlack         float64 `toml:"retrySlack" default:"20" min:"0" max:"1000000" help:"repeats allowed in each window besides, over all nodes"`
@@ -64,10 +60,8 @@
 // Bounds are the times and shares that the operators of a deployment promise
 // their users.
 type Bounds struct {
-	contact     clock.Millis
 	drain       clock.Millis
 	grace       clock.Millis
-	apply       clock.Millis
 	retryShare  float64
 	retryWindow clock.Millis
 	retrySlack  float64
@@ -78,18 +72,12 @@
 	usageLate   clock.Millis
 }
 
-// Contact returns the time after which a node without trouble is in touch.
-func (bounds Bounds) Contact() clock.Millis { return bounds.contact }
-
 // Drain returns the time within which a leaving server gets no more requests.
 func (bounds Bounds) Drain() clock.Millis { return bounds.drain }
 
 // Grace returns the time between the signal to stop and the kill.
 func (bounds Bounds) Grace() clock.Millis { return bounds.grace }
 
-// Apply returns the time within which a configuration is in force.
-func (bounds Bounds) Apply() clock.Millis { return bounds.apply }
-
 // RetryShare returns the repeats allowed for each request of a pool.
 func (bounds Bounds) RetryShare() float64 { return bounds.retryShare }
 
@@ -124,10 +112,8 @@
 	metricsListen string
 	platform      Server
 	cloud         Server
-	objectBytes   int
 	memoryBytes   int64
 	descriptors   int
-	cpuShare      float64
 	bounds        Bounds
 	logLevel      string
 }
@@ -156,19 +142,12 @@
 // Cloud returns the address of the cloud API, without address if there is none.
 func (edge *Edge) Cloud() Server { return edge.cloud }
 
-// ObjectBytes returns the size of the largest object of the store.
-func (edge *Edge) ObjectBytes() int { return edge.objectBytes }
-
 // MemoryBytes returns the memory at which the process is killed.
 func (edge *Edge) MemoryBytes() int64 { return edge.memoryBytes }
 
 // Descriptors returns how many file descriptors the process may have.
 func (edge *Edge) Descriptors() int { return edge.descriptors }
 
-// CPUShare returns the seconds of processor time a second that the process may
-// use.
-func (edge *Edge) CPUShare() float64 { return edge.cpuShare }
-
 // Bounds returns what the operators promise their users.
 func (edge *Edge) Bounds() Bounds { return edge.bounds }
 
@@ -204,10 +183,8 @@
 		nodeListen:    form.Node.Listen,
 		metricsListen: form.Metrics.Listen,
 		platform:      Server{address: form.Platform.Address, timeout: clock.Millis(form.Platform.TimeoutMillis)},
-		objectBytes:   int(form.Platform.ObjectBytes),
 		memoryBytes:   int64(form.Limits.MemoryMegabytes * megabyte),
 		descriptors:   int(form.Limits.Descriptors),
-		cpuShare:      form.Limits.CPUShare,
 		bounds:        form.Bounds.bounds(),
 		logLevel:      form.Log.Level,
 	}
@@ -219,10 +196,8 @@
 
 func (form *boundsForm) bounds() Bounds {
 	return Bounds{
-		contact:     clock.Millis(form.ContactMillis),
 		drain:       clock.Millis(form.DrainMillis),
 		grace:       fromSeconds(form.GraceSeconds),
-		apply:       clock.Millis(form.ApplyMillis),
 		retryShare:  form.RetryShare,
 		retryWindow: fromSeconds(form.RetryWindowSeconds),
 		retrySlack:  form.RetrySlack,
--- a/internal/settings/pages_test.go
+++ b/internal/settings/pages_test.go
@@ -47,6 +47,7 @@
 		require.True(t, want == string(data), "docs/OPERATORS.md must hold what %q prints: run this test with -update", program+" settings")
 	}
 	t.Run("entry host", func(t *testing.T) { expectReference(t, "sapphire-entry", settings.EntryReference()) })
+	t.Run("edge", func(t *testing.T) { expectReference(t, "sapphire-edge", settings.EdgeReference()) })
 	t.Run("steward", func(t *testing.T) { expectReference(t, "sapphire-steward", settings.StewardReference()) })
 }
 
--- a/internal/standin/storestandin/store.go
+++ b/internal/standin/storestandin/store.go
@@ -10,7 +10,8 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
+
+	"sapphirehead/internal/clock"
 )
 
 // Fault is how the store misbehaves.
@@ -195,8 +196,8 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer deadline.Stop()
+	fired := make(chan struct{})
+	defer clock.System().AfterFunc(clock.Millis(wait), func() { close(fired) })()
 	for expired := false; ; {
 		events, asOf, gone, changed := store.since(kind, since)
 		switch {
@@ -211,7 +212,7 @@
 		}
 		select {
 		case <-changed:
-		case <-deadline.C:
+		case <-fired:
 			expired = true
 		case <-call.Context().Done():
 			return
