Drop what nothing used: fields of calls, limits, objects and engines

Read through as a newcomer would: accessors without a caller, a delete call and form fields that were only decoded are gone; a caller of an empty pool is told to wait half of the pool's start time in place of a constant.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,36 +12,21 @@
 	"strings"
 
 	"sapphirehead/internal/caller"
-	"sapphirehead/internal/clock"
 	"sapphirehead/internal/pool"
 	"sapphirehead/internal/route"
 )
 
 // Limits bound what a caller may send.
 type Limits struct {
-	headerBytes   int
-	bodyBytes     int
-	headerTimeout clock.Millis
-	idleTimeout   clock.Millis
+	bodyBytes int
 }
 
 // NewLimits returns limits; 0 is no limit.
-func NewLimits(headerBytes, bodyBytes int, headerTimeout, idleTimeout clock.Millis) Limits {
-	return Limits{headerBytes: headerBytes, bodyBytes: bodyBytes, headerTimeout: headerTimeout, idleTimeout: idleTimeout}
-}
-
-// HeaderBytes returns the size of the largest head of a request.
-func (limits Limits) HeaderBytes() int { return limits.headerBytes }
+func NewLimits(bodyBytes int) Limits { return Limits{bodyBytes: bodyBytes} }
 
 // BodyBytes returns the size of the largest body.
 func (limits Limits) BodyBytes() int { return limits.bodyBytes }
 
-// HeaderTimeout returns how long a caller may take for a head.
-func (limits Limits) HeaderTimeout() clock.Millis { return limits.headerTimeout }
-
-// IdleTimeout returns how long a caller may keep a connection idle.
-func (limits Limits) IdleTimeout() clock.Millis { return limits.idleTimeout }
-
 // Directory is one version of the configuration.
 type Directory struct {
 	version  int64
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -209,7 +209,9 @@
 	note(&edge.contact.servers, now)
 	before := edge.fleet.Current()
 	for _, id := range edge.fleet.Update(registry.List(now)) {
-		edge.log.Info().Str("backendServer", id).Msg("backend server leaves")
+		server := edge.fleet.Current().Server(id)
+		edge.log.Info().Str("backendServer", id).Int64("endsAtMillis", int64(server.LeaveAt())).Int64("nowMillis", int64(now)).
+			Msg("backend server leaves")
 	}
 	after := edge.fleet.Current()
 	for _, server := range after.Servers() {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -24,9 +24,6 @@
 	// heldBytes is the size up to which an answer is read whole before any of it
 	// goes to the caller, so that a broken one can be replaced.
 	heldBytes = 256 << 10
-	// retryNoServer is what a caller is told to wait while a pool has no server:
-	// half of the time in which ordered ones start.
-	retryNoServer = 2 * clock.Second
 	// writeTimeout is how long a caller may leave a part of an answer unread.
 	writeTimeout = 10 * clock.Second
 )
@@ -71,7 +68,7 @@
 			wait := retrySoon
 			switch outcome {
 			case request.OutcomeNoServer:
-				wait = retryNoServer
+				wait = visit.untilServers()
 			case request.OutcomeTooLate:
 				wait = try.late
 			default:
@@ -89,6 +86,16 @@
 	}
 }
 
+// untilServers returns what a caller is told to wait while the pool has no
+// server: half of the time in which ordered ones start, as some are on their way.
+func (visit *visit) untilServers() clock.Millis {
+	row, ok := visit.directory.Pool(visit.pool)
+	if !ok {
+		return retrySoon
+	}
+	return max(retrySoon, row.Rental().Startup()/2)
+}
+
 // statusCallerLeft and statusBroken stand in the log for answers without a
 // status.
 const (
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -26,7 +26,7 @@
 func newRoom() *room {
 	room := &room{
 		fleet:  backend.NewFleet(),
-		row:    pool.New("engines", pool.KindRunner).WithEngine(pool.NewEngine(64, 300_000)),
+		row:    pool.New("engines", pool.KindRunner).WithEngine(pool.NewEngine(64)),
 		prompt: runner.NewPrompt([]runner.Part{runner.NewPart("head", 2500), runner.NewPart("session", 3800), runner.NewPart("tail", 900)}, 7200),
 	}
 	var list []backend.Listed
