Hand duties over sooner, and the planned demand with them

The lease of 4 s had to run out although its holder's own successor on the same host was back after half a second; then six orders to a slow cloud went out one after the other, between renewals; and a list that was still growing put the first order off.

Ruled out: the cloud's refusals, which ended before.

A process that is alone on its host succeeds its predecessor at once.

So the holder now stores the demand that it plans for, and a successor goes on from there.

--- a/internal/cloud/sizing.go
+++ b/internal/cloud/sizing.go
@@ -17,14 +17,15 @@
 	// ones, and survivalUse the share when one more data centre's are gone.
 	fillUse     = 0.55
 	survivalUse = 0.8
-	// firstShare is the share of the servers found at the start that is needed,
-	// until the demand is known.
-	firstShare = 0.45
+	// firstUse is the share of their time for which the servers found at the start
+	// are taken to be used, until the demand is known: caches are empty then, and
+	// prompts are read whole.
+	firstUse = 0.45
 	// demandMemory is how long the highest demand seen holds its servers.
 	demandMemory = 60 * clock.Second
 	// demandSettled is how long demand must have been seen before it replaces the
 	// guess from the start.
-	demandSettled = 60 * clock.Second
+	demandSettled = 10 * clock.Second
 )
 
 // Place is where servers run and on which terms.
@@ -71,14 +72,15 @@
 // NewSizing returns a sizing without observations.
 func NewSizing(clock *clock.Clock) *Sizing { return &Sizing{clock: clock} }
 
-// Found tells how many servers serve when orders begin. In a new deployment,
-// where nobody ordered before, there are more than enough; otherwise a
-// predecessor knew the demand, and they are kept until it is known here.
-func (sizing *Sizing) Found(total int, fresh bool) {
-	sizing.guess = float64(total) * fillUse
-	if fresh {
-		sizing.guess *= firstShare
-	}
+// Found tells how many servers serve in a new deployment, where nobody ordered
+// before: they are as many as operators held to be enough, at full price.
+func (sizing *Sizing) Found(total int) { sizing.guess = float64(total) * firstUse }
+
+// Recall takes in the demand that a predecessor planned for. It counts as seen
+// now, as the number of servers says nothing of demand: some may only be there to
+// fill in for others.
+func (sizing *Sizing) Recall(work float64) {
+	sizing.peaks = append(sizing.peaks, peak{at: sizing.clock.Now(), work: work})
 }
 
 // Observe takes in the demand, in servers that are busy all the time.
--- a/internal/edge/duties_test.go
+++ b/internal/edge/duties_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -190,3 +191,26 @@
 	require.LessOrEqual(t, most, sent)
 	require.Zero(t, world.duty.Conflicts())
 }
+
+// TestDemandIsHandedOver checks that a successor plans for the demand that its
+// predecessor stored, though it saw none itself.
+func TestDemandIsHandedOver(t *testing.T) {
+	t.Parallel()
+	world := newEmptyWorld(t)
+	world.store.Set("config", "main", strings.Replace(testConfiguration, `{"name":"engines",`,
+		`{"name":"engines","scaling":{"minCount":1,"maxCount":6,"startupS":4,"spotPrice":0.2,"zonePrices":{"lj-a":1,"lj-b":1}},`, 1))
+	world.store.Set("sapphire-demand", "latest", `{"work":{"engines":2.7}}`)
+	world.member = world.join("edge-1")
+	world.log.await("planned demand recalled", "2.7")
+	expectOrder(t, world.duty, `"desiredCount":6,"spot":true`)
+}
+
+// expectOrder waits for an accepted order with the text.
+func expectOrder(t *testing.T, duty *dutystandin.Duty, text string) {
+	t.Helper()
+	for call := range duty.Accepted() {
+		if call.Path() == "/scale" && strings.Contains(call.Body(), text) {
+			return
+		}
+	}
+}
--- a/internal/edge/sizing.go
+++ b/internal/edge/sizing.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"slices"
+	"sync"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"sapphirehead/internal/clock"
 	fleetcloud "sapphirehead/internal/cloud"
@@ -16,7 +18,9 @@
 // sizingDuty is what a node knows of the pools whose servers the holder orders.
 // Every node follows the demand, so that a new holder knows it.
 type sizingDuty struct {
-	pools map[string]*poolSizing
+	fence  int64
+	pools  map[string]*poolSizing
+	record demandRecord
 }
 
 // poolSizing follows the demand of one pool and the orders for it.
@@ -42,8 +46,9 @@
 
 func newSizingDuty() *sizingDuty { return &sizingDuty{pools: map[string]*poolSizing{}} }
 
-// forgetOrders drops what was ordered under an earlier lease.
-func (duty *sizingDuty) forgetOrders() {
+// forget drops what was ordered and read under an earlier lease.
+func (duty *sizingDuty) forget() {
+	duty.record = demandRecord{}
 	for _, known := range duty.pools {
 		known.ordering, known.begun = fleetcloud.NewOrdering(), false
 	}
@@ -67,6 +72,17 @@
 	return slices.DeleteFunc(directory.Pools(), func(row pool.Pool) bool { return !row.Rental().Ordered() })
 }
 
+// keepSizes follows the demand, and orders servers while the lease is held, until
+// the context ends.
+func (edge *Edge) keepSizes(ctx context.Context) {
+	for edge.clock.Wait(ctx, dutyRound) == nil {
+		edge.observeDemand()
+		if holding, holds := edge.dutyHolding(); holds {
+			edge.orderServers(ctx, holding)
+		}
+	}
+}
+
 // observeDemand follows the demand of every pool.
 func (edge *Edge) observeDemand() {
 	now := edge.clock.Now()
@@ -88,9 +104,17 @@
 
 // orderServers sends the orders that are due.
 func (edge *Edge) orderServers(ctx context.Context, holding platform.Holding) {
+	if duty := edge.duties.sizing; duty.fence != holding.Fence() {
+		duty.forget()
+		duty.fence = holding.Fence()
+	}
+	if !edge.recallDemand(ctx) {
+		return
+	}
 	for _, row := range edge.orderedPools() {
 		edge.orderPool(ctx, holding, row)
 	}
+	edge.commitDemand(ctx)
 }
 
 func (edge *Edge) orderPool(ctx context.Context, holding platform.Holding, row pool.Pool) {
@@ -100,12 +124,15 @@
 	if total > known.most {
 		known.most, known.grew = total, now
 	}
-	if total == 0 || (!known.begun && now-known.grew < listSettled) {
+	first := edge.duties.sizing.record.work == nil
+	if total == 0 || (!known.begun && first && now-known.grew < listSettled) {
 		return
 	}
 	if !known.begun {
 		known.begun = true
-		known.sizing.Found(total, edge.duties.lease.First())
+		if first {
+			known.sizing.Found(total)
+		}
 	}
 	for place, before := range known.serving {
 		if serving[place] < before {
@@ -113,11 +140,13 @@
 		}
 	}
 	known.serving = serving
+	due := map[fleetcloud.Place]int{}
 	for place, count := range known.sizing.Wanted(row.Rental(), serving, known.ordering.Scarce(now)) {
-		if known.ordering.Due(place, count, edge.clock.Now()) && edge.covered(holding) {
-			edge.order(ctx, holding, row, known, place, count)
+		if known.ordering.Due(place, count, now) {
+			due[place] = count
 		}
 	}
+	edge.order(ctx, holding, row, known, due)
 }
 
 // servingIn returns the servers of the pool that take requests, by place and in
@@ -133,9 +162,34 @@
 	return serving, total
 }
 
-func (edge *Edge) order(ctx context.Context, holding platform.Holding, row pool.Pool, known *poolSizing, place fleetcloud.Place, count int) {
-	edge.counters.cloudCalls.Add(1)
-	err := edge.duties.cloud.Order(ctx, edge.holder(holding), row.Name(), place.DataCentre(), count, place.Reclaimable())
+// order sends the orders for a pool at the same time, as the cloud may be slow,
+// and takes in what became of them.
+func (edge *Edge) order(ctx context.Context, holding platform.Holding, row pool.Pool, known *poolSizing, due map[fleetcloud.Place]int) {
+	var group errgroup.Group
+	var mutex sync.Mutex
+	results := map[fleetcloud.Place]error{}
+	for place, count := range due {
+		if !edge.covered(holding) {
+			break
+		}
+		group.Go(func() error {
+			edge.counters.cloudCalls.Add(1)
+			err := edge.duties.cloud.Order(ctx, edge.holder(holding), row.Name(), place.DataCentre(), count, place.Reclaimable())
+			mutex.Lock()
+			defer mutex.Unlock()
+			results[place] = err
+			return nil
+		})
+	}
+	// The orders' errors are in the results.
+	_ = group.Wait()
+	for place, err := range results {
+		edge.ordered(holding, row, known, place, due[place], err)
+	}
+}
+
+// ordered takes in what became of an order.
+func (edge *Edge) ordered(holding platform.Holding, row pool.Pool, known *poolSizing, place fleetcloud.Place, count int, err error) {
 	now := edge.clock.Now()
 	var refused *cloud.RefusedError
 	switch {
--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -103,7 +103,7 @@
 	observed    clock.Millis
 	unsettled   bool
 	serial      int64
-	first       atomic.Bool
+	succeeds    bool
 }
 
 // NewLease returns a view that has observed nothing yet. The function read
@@ -118,6 +118,14 @@
 	return &Lease{clock: clock, name: name, holder: holder, incarnation: incarnation, duration: duration, read: read, write: write}
 }
 
+// WithSuccession returns the lease of a process that is the only one on its host:
+// whatever held the lease there before has ended, so it need not be waited for.
+// It is called before the lease is in use.
+func (lease *Lease) WithSuccession() *Lease {
+	lease.succeeds = true
+	return lease
+}
+
 // Name returns the name of the lease object.
 func (lease *Lease) Name() string { return lease.name }
 
@@ -130,10 +138,6 @@
 	return *record, true
 }
 
-// First reports whether this process took the lease when nobody had held it
-// before.
-func (lease *Lease) First() bool { return lease.first.Load() }
-
 // Holding returns the current period of holding, and false if the lease is not
 // held at this moment.
 func (lease *Lease) Holding() (Holding, bool) {
@@ -166,12 +170,8 @@
 		return nil
 	}
 	record := lease.nextRecord()
-	fresh := lease.version == VersionNone
 	sentAt := lease.clock.Now()
 	version, err := lease.write(ctx, lease.name, record, lease.version)
-	if err == nil && !held {
-		lease.first.Store(fresh)
-	}
 	return lease.settle(record, version, sentAt, err)
 }
 
@@ -231,7 +231,7 @@
 	switch {
 	case lease.version == VersionNone || record.released:
 		return since >= holdBack
-	case record.incarnation == lease.incarnation:
+	case record.incarnation == lease.incarnation, lease.succeeds && record.holder == lease.holder:
 		return true
 	default:
 		return since >= max(record.duration, lease.duration)+holdBack
--- a/internal/platform/lease_test.go
+++ b/internal/platform/lease_test.go
@@ -134,6 +134,23 @@
 		scene.keep(scene.second)
 		scene.expectHolder(true, false)
 	})
+	run("a restarted process that is alone on its host succeeds its predecessor at once", func(scene *scene) {
+		scene.keep(scene.first)
+		before, _ := scene.first.Holding()
+		scene.second = scene.lease("entry-1", "c").WithSuccession()
+		scene.keep(scene.second)
+		scene.expectHolder(true, true)
+		after, _ := scene.second.Holding()
+		require.Greater(scene.t, after.Fence(), before.Fence())
+		scene.keep(scene.first)
+		scene.expectHolder(false, true)
+	})
+	run("a process that is alone on its host waits for the lease of another host", func(scene *scene) {
+		scene.keep(scene.first)
+		scene.second = scene.lease("entry-2", "c").WithSuccession()
+		scene.keep(scene.second)
+		scene.expectHolder(true, false)
+	})
 	run("a released lease is taken at once, or after the hold-back", func(scene *scene) {
 		scene.keep(scene.first)
 		require.NoError(scene.t, scene.first.Release(context.Background()))
