--- a/internal/edge/sizing.go
+++ b/internal/edge/sizing.go
@@ -37,8 +37,8 @@
 }
 
 const (
-	// listSettled is how long no server was added to the list before the first
-	// order is made: the servers of a new deployment appear one after the other.
+	// listSettled is how long no server was added to the list before it is taken to
+	// be whole: the servers of a new deployment appear one after the other.
 	listSettled = 1500 * clock.Millisecond
 	// workInterval is the time over which demand is averaged.
 	workInterval = 2 * clock.Second
@@ -124,16 +124,14 @@
 	if total > known.most {
 		known.most, known.grew = total, now
 	}
-	first := edge.duties.sizing.record.work == nil
-	if total == 0 || (!known.begun && first && now-known.grew < listSettled) {
+	if total == 0 {
 		return
 	}
-	if !known.begun {
-		known.begun = true
-		if first {
-			known.sizing.Found(total)
-		}
+	first := edge.duties.sizing.record.work == nil
+	if !known.begun && first {
+		known.sizing.Found(total)
 	}
+	known.begun = known.begun || !first || now-known.grew >= listSettled
 	for place, before := range known.serving {
 		if serving[place] < before {
 			known.ordering.Lost(place)
@@ -142,7 +140,8 @@
 	known.serving = serving
 	due := map[fleetcloud.Place]int{}
 	for place, count := range known.sizing.Wanted(row.Rental(), serving, known.ordering.Scarce(now)) {
-		if known.ordering.Due(place, count, now) {
+		// Until the list of a new deployment is whole, nothing that runs is let go.
+		if (known.begun || place.Reclaimable()) && known.ordering.Due(place, count, now) {
 			due[place] = count
 		}
 	}
