--- a/internal/cloud/sizing.go
+++ b/internal/cloud/sizing.go
@@ -76,10 +76,14 @@
 // before: they are as many as operators held to be enough, at full price.
 func (sizing *Sizing) Found(total int) { sizing.guess = float64(total) * firstUse }
 
-// Recall takes in the demand that a predecessor planned for. It counts as seen
-// now, as the number of servers says nothing of demand: some may only be there to
-// fill in for others.
-func (sizing *Sizing) Recall(work float64) {
+// Recall takes in the demand that a predecessor planned for, as the number of
+// servers says nothing of demand: some may only be there to fill in for others.
+// What the predecessor saw counts as seen now, what it guessed is still a guess.
+func (sizing *Sizing) Recall(work float64, guessed bool) {
+	if guessed {
+		sizing.guess = work
+		return
+	}
 	sizing.peaks = append(sizing.peaks, peak{at: sizing.clock.Now(), work: work})
 }
 
@@ -98,13 +102,23 @@
 // Work returns the demand that is planned for, in servers that are busy all the
 // time.
 func (sizing *Sizing) Work() float64 {
+	if sizing.Guesses() {
+		return sizing.guess
+	}
+	return sizing.highest()
+}
+
+// Guesses reports whether the planned demand is more than was seen.
+func (sizing *Sizing) Guesses() bool {
+	settled := sizing.seenFrom != 0 && sizing.clock.Now()-sizing.seenFrom >= demandSettled
+	return !settled && sizing.guess > sizing.highest()
+}
+
+func (sizing *Sizing) highest() float64 {
 	highest := 0.0
 	for _, peak := range sizing.peaks {
 		highest = max(highest, peak.work)
 	}
-	if sizing.seenFrom == 0 || sizing.clock.Now()-sizing.seenFrom < demandSettled {
-		highest = max(highest, sizing.guess)
-	}
 	return highest
 }
 
--- a/internal/cloud/sizing_test.go
+++ b/internal/cloud/sizing_test.go
@@ -85,13 +85,22 @@
 	})
 	t.Run("a new holder plans for what its predecessor knew", func(t *testing.T) {
 		sizing, manual := newSizing(0.5)
-		sizing.Recall(1.8)
+		sizing.Recall(1.8, false)
 		sizing.Observe(0.7)
 		require.InDelta(t, 1.8, sizing.Work(), 0.001)
 		manual.Advance(60 * clock.Second)
 		sizing.Observe(0.7)
 		require.InDelta(t, 0.7, sizing.Work(), 0.001)
 	})
+	t.Run("a predecessor's guess stays a guess", func(t *testing.T) {
+		sizing, manual := newSizing(0.5)
+		sizing.Recall(4, true)
+		require.InDelta(t, 4, sizing.Work(), 0.001)
+		require.True(t, sizing.Guesses())
+		manual.Advance(10 * clock.Second)
+		require.InDelta(t, 0.5, sizing.Work(), 0.001)
+		require.False(t, sizing.Guesses())
+	})
 }
 
 // TestSizingBounds checks that no data centre is ever given more servers than
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -20,17 +20,23 @@
 	demandInterval = 5 * clock.Second
 )
 
-// demandForm is the planned demand by pool, in servers that are busy all the time.
+// demandForm is the planned demand by pool.
 type demandForm struct {
-	Work map[string]float64 `json:"work"`
+	Pools map[string]plannedForm `json:"pools"`
+}
+
+// plannedForm is a pool's planned demand, in servers that are busy all the time.
+type plannedForm struct {
+	Work    float64 `json:"work"`
+	Guessed bool    `json:"guessed"`
 }
 
 // demandRecord is what the holder knows of the stored demand under a fencing
-// number. The work is nil if nobody stored any.
+// number. Pools are nil if nobody stored any.
 type demandRecord struct {
 	known    bool
 	revision int64
-	work     map[string]float64
+	pools    map[string]plannedForm
 	at       clock.Millis
 }
 
@@ -56,29 +62,30 @@
 		edge.log.Warn().Err(err).Msg("planned demand can't be read")
 		return false
 	}
-	duty.record = demandRecord{known: true, revision: object.Version(), work: form.Work, at: edge.clock.Now()}
+	duty.record = demandRecord{known: true, revision: object.Version(), pools: form.Pools, at: edge.clock.Now()}
 	for _, row := range edge.orderedPools() {
 		if known := duty.of(edge.clock, row); !known.begun {
-			known.sizing.Recall(form.Work[row.Name()])
+			planned := form.Pools[row.Name()]
+			known.sizing.Recall(planned.Work, planned.Guessed)
 		}
 	}
-	edge.log.Info().Interface("work", form.Work).Int64("revision", object.Version()).Msg("planned demand recalled")
+	edge.log.Info().Interface("pools", form.Pools).Int64("revision", object.Version()).Msg("planned demand recalled")
 	return true
 }
 
 // commitDemand stores the demand planned for, if it has changed.
 func (edge *Edge) commitDemand(ctx context.Context) {
 	duty, now := edge.duties.sizing, edge.clock.Now()
-	work := map[string]float64{}
+	pools := map[string]plannedForm{}
 	for pool, known := range duty.pools {
 		if known.begun {
-			work[pool] = known.sizing.Work()
+			pools[pool] = plannedForm{Work: known.sizing.Work(), Guessed: known.sizing.Guesses()}
 		}
 	}
-	if len(work) == 0 || maps.Equal(work, duty.record.work) || (duty.record.work != nil && now-duty.record.at < demandInterval) {
+	if len(pools) == 0 || maps.Equal(pools, duty.record.pools) || (duty.record.pools != nil && now-duty.record.at < demandInterval) {
 		return
 	}
-	body, err := json.Marshal(demandForm{Work: work})
+	body, err := json.Marshal(demandForm{Pools: pools})
 	if err != nil {
 		edge.log.Error().Err(err).Msg("planned demand can't be encoded")
 		return
@@ -91,5 +98,5 @@
 		edge.log.Warn().Err(err).Msg("planned demand can't be stored")
 		return
 	}
-	duty.record = demandRecord{known: true, revision: revision, work: work, at: now}
+	duty.record = demandRecord{known: true, revision: revision, pools: pools, at: now}
 }
--- a/internal/edge/duties_test.go
+++ b/internal/edge/duties_test.go
@@ -199,7 +199,7 @@
 	world := newEmptyWorld(t)
 	world.store.Set("config", "main", strings.Replace(testConfiguration, `{"name":"engines",`,
 		`{"name":"engines","scaling":{"minCount":1,"maxCount":6,"startupS":4,"spotPrice":0.2,"zonePrices":{"lj-a":1,"lj-b":1}},`, 1))
-	world.store.Set("sapphire-demand", "latest", `{"work":{"engines":2.7}}`)
+	world.store.Set("sapphire-demand", "latest", `{"pools":{"engines":{"work":2.7,"guessed":false}}}`)
 	world.member = world.join("edge-1")
 	world.log.await("planned demand recalled", "2.7")
 	expectOrder(t, world.duty, `"desiredCount":6,"spot":true`)
--- a/internal/edge/sizing.go
+++ b/internal/edge/sizing.go
@@ -127,9 +127,9 @@
 	if total == 0 {
 		return
 	}
-	first := edge.duties.sizing.record.work == nil
+	first := edge.duties.sizing.record.pools == nil
 	if !known.begun && first {
-		known.sizing.Found(total)
+		known.sizing.Found(total - reclaimable(serving))
 	}
 	known.begun = known.begun || !first || now-known.grew >= listSettled
 	for place, before := range known.serving {
@@ -161,6 +161,17 @@
 	return serving, total
 }
 
+// reclaimable returns how many of the serving servers are.
+func reclaimable(serving map[fleetcloud.Place]int) int {
+	count := 0
+	for place, servers := range serving {
+		if place.Reclaimable() {
+			count += servers
+		}
+	}
+	return count
+}
+
 // order sends the orders for a pool at the same time, as the cloud may be slow,
 // and takes in what became of them.
 func (edge *Edge) order(ctx context.Context, holding platform.Holding, row pool.Pool, known *poolSizing, due map[fleetcloud.Place]int) {
