Look at the store when another watch or a fellow node shows a change

Now a watch that lost its history ends the other one, bulletins name the sender's version, and a node that has had an older one for 300 ms looks at the store at once. Test: TestSilentWatches, whose muted watches ran into their timeout before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,6 +41,7 @@
 	store     *store.Client
 	transport *http.Transport
 	contact   contact
+	nudges    nudges
 	stopping  atomic.Bool
 	closing   atomic.Pointer[caller.Closing]
 	inFlight  atomic.Int64
--- a/internal/edge/fellows.go
+++ b/internal/edge/fellows.go
@@ -31,6 +31,9 @@
 	// newsMost its bound: client accounts are counted within 0.3 s everywhere.
 	newsPerNode = 1 * clock.Millisecond
 	newsMost    = 60 * clock.Millisecond
+	// newerWait is how long a fellow node may have a newer configuration before this
+	// one looks for it: a watch tells of a change within a few milliseconds.
+	newerWait = 300 * clock.Millisecond
 	// nodesInterval is the time between two readings of the list of nodes.
 	nodesInterval = 4 * clock.Second
 )
@@ -58,6 +61,10 @@
 	runs        *usage.Counter
 	found       chan found
 	heard       chan node.Bulletin
+	// newer is a later version of the configuration that fellow nodes have, and
+	// newerSince when this was heard first.
+	newer      int64
+	newerSince clock.Millis
 }
 
 type found struct {
@@ -153,7 +160,7 @@
 	})
 	host := edge.settings.Load().Host()
 	return node.NewBulletin(host, fellows.cast.Address(), fellows.incarnation, fellows.sequence, edge.clock.Wall(), edge.stopping.Load()).
-		WithUse(accounts, servers, pools, windows)
+		WithConfiguration(edge.configurationVersion()).WithUse(accounts, servers, pools, windows)
 }
 
 // receiveFellows reads bulletins from the socket until it is closed.
@@ -208,9 +215,35 @@
 	}
 }
 
+// configurationVersion returns the version in force, or 0.
+func (edge *Edge) configurationVersion() int64 {
+	if directory := edge.directory.Current(); directory != nil {
+		return directory.Version()
+	}
+	return 0
+}
+
+// compareConfiguration looks at the store once a fellow node has had a newer
+// configuration for longer than a watch takes to tell.
+func (edge *Edge) compareConfiguration(version int64, now clock.Millis) {
+	fellows := edge.fellows
+	switch {
+	case version <= edge.configurationVersion():
+		return
+	case version != fellows.newer:
+		fellows.newer, fellows.newerSince = version, now
+	case now-fellows.newerSince >= newerWait:
+		edge.log.Info().Int64("version", edge.configurationVersion()).Int64("newer", version).Msg("a fellow node has a newer configuration")
+		edge.nudges.configuration.Now()
+		fellows.newerSince = now
+	}
+}
+
 // hear takes in one bulletin and adds what client accounts used at its sender.
 func (edge *Edge) hear(bulletin node.Bulletin, used map[string]int64) {
-	added, asked := edge.fellows.known.Hear(bulletin, edge.clock.Now())
+	now := edge.clock.Now()
+	edge.compareConfiguration(bulletin.Configuration(), now)
+	added, asked := edge.fellows.known.Hear(bulletin, now)
 	for _, use := range added {
 		used[use.Name()] += use.Tokens()
 	}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -39,6 +39,9 @@
 	gather func() clock.Millis
 	away   func(error)
 	back   func()
+	// nudge ends a watch of this kind, and other that of the other kind.
+	nudge *nudge
+	other *nudge
 }
 
 // follow keeps up with a kind of objects until the context ends.
@@ -47,7 +50,7 @@
 	revision, listed := int64(0), false
 	failing := false
 	for ctx.Err() == nil {
-		next, err := edge.followOnce(ctx, followed, revision, listed, failing)
+		next, err := edge.followOnce(ctx, followed, revision, listed, failing || followed.nudge.taken())
 		var gone *store.HistoryGoneError
 		switch {
 		case ctx.Err() != nil:
@@ -61,6 +64,10 @@
 		case errors.As(err, &gone):
 			edge.log.Info().Str("kind", followed.kind).Int64("revision", revision).Msg("history of the watch is gone, listing anew")
 			listed = false
+			// The other watch lost its history too, and may not be told.
+			followed.other.Now()
+			continue
+		case followed.nudge.due.Load():
 			continue
 		}
 		if !failing {
@@ -77,9 +84,9 @@
 }
 
 // followOnce lists the kind, or watches it once, and returns the revision to go
-// on from. After a failure the watch does not wait, so that the node knows at
-// once that the store is back.
-func (edge *Edge) followOnce(ctx context.Context, followed followed, revision int64, listed, failing bool) (int64, error) {
+// on from. A quick watch does not wait: after a failure, the node knows at once
+// that the store is back, and after a nudge, what it missed.
+func (edge *Edge) followOnce(ctx context.Context, followed followed, revision int64, listed, quick bool) (int64, error) {
 	if !listed {
 		listing, err := edge.store.List(ctx, followed.kind, store.FreshnessLatest)
 		if err != nil {
@@ -92,10 +99,12 @@
 		return listing.AsOf(), nil
 	}
 	wait := min(watchWait, followed.wait())
-	if failing {
+	if quick {
 		wait = clock.Millisecond
 	}
-	changes, err := edge.store.Watch(ctx, followed.kind, revision, wait)
+	watching, end := followed.nudge.begin(ctx)
+	defer end()
+	changes, err := edge.store.Watch(watching, followed.kind, revision, wait)
 	edge.counters.storeCalls.Add(1)
 	if err != nil {
 		return 0, err
@@ -141,7 +150,8 @@
 				offer(change.Object())
 			}
 		},
-		end:  func() { note(&edge.contact.configuration, edge.clock.Now()) },
+		end:   func() { note(&edge.contact.configuration, edge.clock.Now()) },
+		nudge: &edge.nudges.configuration, other: &edge.nudges.servers,
 		wait: func() clock.Millis { return watchWait },
 		away: func(error) {},
 		back: func() {},
@@ -198,6 +208,7 @@
 		gather: func() clock.Millis {
 			return min(gatherLeast+gatherPerNode*clock.Millis(edge.nodes()), gatherMost)
 		},
+		nudge: &edge.nudges.servers, other: &edge.nudges.configuration,
 		away: func(error) { registry.Away() },
 		back: func() { registry.Back(edge.clock.Now()) },
 	})
--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -321,3 +321,30 @@
 	require.NoError(t, connection.Close())
 	require.Contains(t, world.log.await(`"message":"request"`, "leaves"), "the caller left")
 }
+
+// TestSilentWatches checks that a change is found though the watches say nothing.
+func TestSilentWatches(t *testing.T) {
+	newer := strings.Replace(testConfiguration, `"version":3`, `"version":8`, 1)
+	t.Run("a fellow node has a newer configuration", func(t *testing.T) {
+		t.Parallel()
+		world := newWorld(t)
+		fellow := world.join("edge-2")
+		world.door.Mute(true)
+		world.store.Set("config", "main", newer)
+		fellow.log.await("configuration in force", `"version":8`)
+		world.log.await("a fellow node has a newer configuration")
+		world.door.Mute(false)
+		world.log.await("configuration in force", `"version":8`)
+		require.False(t, world.log.has("platform's store lost"), "the watch ran into its timeout")
+	})
+	t.Run("the other watch learns that history is gone", func(t *testing.T) {
+		t.Parallel()
+		world := newWorld(t)
+		world.door.Mute(true, "config")
+		world.store.Set("config", "main", newer)
+		world.store.Compact()
+		world.log.await("history of the watch is gone", `"kind":"servers"`)
+		world.log.await("configuration in force", `"version":8`)
+		require.False(t, world.log.has("platform's store lost"), "the watch ran into its timeout")
+	})
+}
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -60,6 +60,18 @@
 	}
 }
 
+// has reports whether there is a line with the text.
+func (lines *lines) has(text string) bool {
+	lines.mutex.Lock()
+	defer lines.mutex.Unlock()
+	for _, line := range lines.all {
+		if strings.Contains(line, text) {
+			return true
+		}
+	}
+	return false
+}
+
 func containsAll(line string, texts []string) bool {
 	for _, text := range texts {
 		if !strings.Contains(line, text) {
--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -80,6 +80,8 @@
 	servers     []ServerWork
 	pools       []Use
 	windows     []WindowRuns
+	// configuration is the version in force at the sender, or 0.
+	configuration int64
 }
 
 // NewBulletin returns a bulletin of the process on the host, which hears its
@@ -88,6 +90,17 @@
 	return Bulletin{host: host, address: address, incarnation: incarnation, sequence: sequence, wall: wall, stopping: stopping}
 }
 
+// WithConfiguration returns a copy that tells which version of the configuration
+// is in force.
+func (bulletin Bulletin) WithConfiguration(version int64) Bulletin {
+	bulletin.configuration = version
+	return bulletin
+}
+
+// Configuration returns the version of the configuration in force at the sender,
+// or 0 if it has none.
+func (bulletin Bulletin) Configuration() int64 { return bulletin.configuration }
+
 // WithUse returns a copy with the node's use.
 func (bulletin Bulletin) WithUse(accounts []Use, servers []ServerWork, pools []Use, windows []WindowRuns) Bulletin {
 	bulletin.accounts, bulletin.servers, bulletin.pools, bulletin.windows = accounts, servers, pools, windows
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -23,6 +23,7 @@
 	message.SetSequence(bulletin.Sequence())
 	message.SetWallMillis(int64(bulletin.Wall()))
 	message.SetStopping(bulletin.Stopping())
+	message.SetConfiguration(bulletin.Configuration())
 	encodeAccounts(message, bulletin)
 	encodeServers(message, bulletin.Servers())
 	pools := make([]*nodepb.PoolUse, 0, len(bulletin.Pools()))
@@ -113,6 +114,7 @@
 	}
 	return node.NewBulletin(message.GetHost(), message.GetAddress(), message.GetIncarnation(), message.GetSequence(),
 		clock.Millis(message.GetWallMillis()), message.GetStopping()).
+		WithConfiguration(message.GetConfiguration()).
 		WithUse(accounts, decodeServers(message), pools, windows), nil
 }
 
--- a/internal/standin/storestandin/door.go
+++ b/internal/standin/storestandin/door.go
@@ -14,6 +14,7 @@
 type Door struct {
 	store *Store
 	fault Fault
+	muted map[string]bool
 }
 
 // Break lets the door misbehave from now on and cuts waiting watches.
@@ -24,6 +25,26 @@
 	door.store.wake()
 }
 
+// Mute lets watches that have begun before hear nothing more, of the kinds or, if
+// none is named, of all. They neither end nor break.
+func (door *Door) Mute(muted bool, kinds ...string) {
+	door.store.mutex.Lock()
+	defer door.store.mutex.Unlock()
+	if len(kinds) == 0 {
+		kinds = []string{"config", "servers"}
+	}
+	door.muted = map[string]bool{}
+	for _, kind := range kinds {
+		door.muted[kind] = muted
+	}
+}
+
+func (door *Door) isMuted(kind string) bool {
+	door.store.mutex.Lock()
+	defer door.store.mutex.Unlock()
+	return door.muted[kind]
+}
+
 func (door *Door) current() Fault {
 	door.store.mutex.Lock()
 	defer door.store.mutex.Unlock()
@@ -98,6 +119,10 @@
 		}
 		select {
 		case <-history.changed:
+			if door.isMuted(kind) {
+				<-call.Context().Done()
+				return
+			}
 		case <-fired:
 			expired = true
 		case <-call.Context().Done():
