Let three nodes read the servers' list at once and tell who leaves

Only three nodes do so now, and say in their bulletins which servers leave; the others wait up to half of the drain bound, and still go by their own reading too.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -105,7 +105,7 @@
 	held := false
 	for edge.clock.Wait(ctx, dutyRound) == nil && !edge.stopping.Load() {
 		now := edge.clock.Now()
-		standing := edge.standing(duration, now)
+		standing := edge.standingFor(dutyLease, now)
 		_, holds := lease.Holding()
 		interval := standing.Look()
 		if record, known := lease.Record(); holds || !known || record.Released() || record.Holder() == "" {
@@ -126,13 +126,14 @@
 	}
 }
 
-func (edge *Edge) standing(duration, now clock.Millis) platform.Standing {
+// standingFor returns this node's place among the live nodes for a task.
+func (edge *Edge) standingFor(task string, now clock.Millis) platform.Standing {
 	loaded := edge.settings.Load()
 	var others []platform.Candidate
 	for _, fellow := range edge.fellows.known.View().Live(now) {
 		others = append(others, platform.NewCandidate(fellow.Host(), ""))
 	}
-	return platform.NewStanding(dutyLease, "", platform.NewCandidate(loaded.Host(), ""), others, duration)
+	return platform.NewStanding(task, "", platform.NewCandidate(loaded.Host(), ""), others, leaseDuration(loaded))
 }
 
 // keepLease looks after the lease. A node that had it a short time ago leaves it
--- a/internal/edge/fellows.go
+++ b/internal/edge/fellows.go
@@ -160,7 +160,21 @@
 	})
 	host := edge.settings.Load().Host()
 	return node.NewBulletin(host, fellows.cast.Address(), fellows.incarnation, fellows.sequence, edge.clock.Wall(), edge.stopping.Load()).
-		WithConfiguration(edge.configurationVersion()).WithUse(accounts, servers, pools, windows)
+		WithConfiguration(edge.configurationVersion()).WithLeaving(edge.leavingServers()).WithUse(accounts, servers, pools, windows)
+}
+
+// leavingServers returns the hashes of servers that leave, if this node is a scout.
+func (edge *Edge) leavingServers() []uint64 {
+	if !edge.isScout() {
+		return nil
+	}
+	var leaving []uint64
+	for _, server := range edge.fleet.Current().Servers() {
+		if server.Leaving() {
+			leaving = append(leaving, server.Hash())
+		}
+	}
+	return leaving
 }
 
 // receiveFellows reads bulletins from the socket until it is closed.
@@ -267,10 +281,15 @@
 	}
 }
 
-// takeWork notes at each backend server what fellow nodes have there.
+// takeWork notes at each backend server what fellow nodes have there, and that it
+// leaves if one of them has read so.
 func (edge *Edge) takeWork(now clock.Millis) {
-	work := edge.fellows.known.View().WorkAt(now)
+	view := edge.fellows.known.View()
+	work, leaving := view.WorkAt(now), view.Leaving(now)
 	for _, server := range edge.fleet.Current().Servers() {
+		if leaving[server.Hash()] && server.MarkLeaving() {
+			edge.log.Info().Str("backendServer", server.ID()).Msg("backend server leaves, a fellow node says")
+		}
 		at := work[server.Hash()]
 		server.SetElsewhere(int64(at.Attempts()))
 		server.Work().SetElsewhere(int64(at.Tokens()))
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -15,13 +15,16 @@
 	// proves little, as its connection may have gone silent: probes of the
 	// connection find that sooner, and each watch is bounded besides.
 	watchWait = 6 * clock.Second
-	// gatherLeast and gatherPerNode are the wait after changes of the list of
-	// servers before it is watched on, so that changes that come close together
-	// cost one call. It grows with the nodes, as each of them makes that call, up
-	// to gatherMost, which leaves most of the shortest notice (2 s).
-	gatherLeast   = 150 * clock.Millisecond
-	gatherPerNode = 8 * clock.Millisecond
-	gatherMost    = 700 * clock.Millisecond
+	// gatherLeast is the wait after changes of the list of servers before it is
+	// watched on, so that changes that come close together cost one call.
+	gatherLeast = 150 * clock.Millisecond
+	// gatherPerNode is what each node adds to the wait, as each of them makes that
+	// call, up to gatherShare of the drain bound.
+	gatherPerNode = 25 * clock.Millisecond
+	gatherShare   = 0.5
+	// scouts is the number of nodes that wait for the least time only, and tell the
+	// others which servers leave: three, so that one is there when two have died.
+	scouts = 3
 	// retryLeast and retryMost are the waits between calls to a store that does
 	// not answer.
 	retryLeast = 50 * clock.Millisecond
@@ -205,15 +208,27 @@
 			}
 			return watchWait
 		},
-		gather: func() clock.Millis {
-			return min(gatherLeast+gatherPerNode*clock.Millis(edge.nodes()), gatherMost)
-		},
-		nudge: &edge.nudges.servers, other: &edge.nudges.configuration,
+		gather: edge.gatherWait,
+		nudge:  &edge.nudges.servers, other: &edge.nudges.configuration,
 		away: func(error) { registry.Away() },
 		back: func() { registry.Back(edge.clock.Now()) },
 	})
 }
 
+// gatherWait returns how long this node waits after changes of the list.
+func (edge *Edge) gatherWait() clock.Millis {
+	if edge.isScout() {
+		return gatherLeast
+	}
+	most := clock.Millis(gatherShare * float64(edge.settings.Load().Bounds().Drain()))
+	return max(gatherLeast, min(gatherPerNode*clock.Millis(edge.nodes()), most))
+}
+
+// isScout reports whether this node reads changes of the list for its fellows.
+func (edge *Edge) isScout() bool {
+	return edge.standingFor("scouts", edge.clock.Now()).Rank() < scouts
+}
+
 // publishServers puts the registry's servers in force and logs what changed.
 func (edge *Edge) publishServers(registry *backend.Registry) {
 	now := edge.clock.Now()
--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -348,3 +348,17 @@
 		require.False(t, world.log.has("platform's store lost"), "the watch ran into its timeout")
 	})
 }
+
+// TestLeavingIsTold checks that a node learns from a fellow which server leaves.
+func TestLeavingIsTold(t *testing.T) {
+	world := newWorld(t)
+	fellow := world.join("edge-2")
+	world.door.Mute(true)
+	world.list("app-0", "app", "127.0.0.1:1", "draining")
+	fellow.log.await("backend server leaves", "app-0")
+	world.log.await("backend server leaves, a fellow node says", "app-0")
+	for range 5 {
+		require.Equal(t, http.StatusOK, world.call(http.MethodPost, "/book/a").status)
+	}
+	require.Len(t, world.apps[1].Ran(), 5)
+}
--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -82,6 +82,7 @@
 	windows     []WindowRuns
 	// configuration is the version in force at the sender, or 0.
 	configuration int64
+	leaving       []uint64
 }
 
 // NewBulletin returns a bulletin of the process on the host, which hears its
@@ -101,6 +102,16 @@
 // or 0 if it has none.
 func (bulletin Bulletin) Configuration() int64 { return bulletin.configuration }
 
+// WithLeaving returns a copy that names backend servers that leave, by the hashes
+// of their keys.
+func (bulletin Bulletin) WithLeaving(servers []uint64) Bulletin {
+	bulletin.leaving = servers
+	return bulletin
+}
+
+// Leaving returns the hashes of the keys of backend servers that leave.
+func (bulletin Bulletin) Leaving() []uint64 { return bulletin.leaving }
+
 // WithUse returns a copy with the node's use.
 func (bulletin Bulletin) WithUse(accounts []Use, servers []ServerWork, pools []Use, windows []WindowRuns) Bulletin {
 	bulletin.accounts, bulletin.servers, bulletin.pools, bulletin.windows = accounts, servers, pools, windows
--- a/internal/node/fellows.go
+++ b/internal/node/fellows.go
@@ -206,6 +206,20 @@
 // where the rest of the view is of one moment.
 func (view *View) Runs(window int64) map[string]int64 { return view.tally.runs(window) }
 
+// Leaving returns the hashes of the keys of backend servers of which live fellow
+// nodes say that they leave.
+func (view *View) Leaving(now clock.Millis) map[uint64]bool {
+	leaving := map[uint64]bool{}
+	for _, known := range view.fellows {
+		if known.isLive(now) {
+			for _, server := range known.latest.leaving {
+				leaving[server] = true
+			}
+		}
+	}
+	return leaving
+}
+
 // WorkAt returns the attempts and the waiting prompt tokens of live fellow
 // nodes, by the hash of a server's key.
 func (view *View) WorkAt(now clock.Millis) map[uint64]ServerWork {
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -24,6 +24,7 @@
 	message.SetWallMillis(int64(bulletin.Wall()))
 	message.SetStopping(bulletin.Stopping())
 	message.SetConfiguration(bulletin.Configuration())
+	message.SetLeaving(bulletin.Leaving())
 	encodeAccounts(message, bulletin)
 	encodeServers(message, bulletin.Servers())
 	pools := make([]*nodepb.PoolUse, 0, len(bulletin.Pools()))
@@ -114,7 +115,7 @@
 	}
 	return node.NewBulletin(message.GetHost(), message.GetAddress(), message.GetIncarnation(), message.GetSequence(),
 		clock.Millis(message.GetWallMillis()), message.GetStopping()).
-		WithConfiguration(message.GetConfiguration()).
+		WithConfiguration(message.GetConfiguration()).WithLeaving(message.GetLeaving()).
 		WithUse(accounts, decodeServers(message), pools, windows), nil
 }
 
