--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -53,7 +53,8 @@
 	revision, listed := int64(0), false
 	failing := false
 	for ctx.Err() == nil {
-		next, err := edge.followOnce(ctx, followed, revision, listed, failing || followed.nudge.taken())
+		nudged := followed.nudge.taken()
+		next, err := edge.followOnce(ctx, followed, revision, listed, failing || nudged)
 		var gone *store.HistoryGoneError
 		switch {
 		case ctx.Err() != nil:
@@ -70,7 +71,8 @@
 			// The other watch lost its history too, and may not be told.
 			followed.other.Now()
 			continue
-		case followed.nudge.due.Load():
+		case !failing && !nudged && followed.nudge.due.Load():
+			// The nudge ended the watch. One more that fails is a failure.
 			continue
 		}
 		if !failing {
--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -362,3 +362,20 @@
 	}
 	require.Len(t, world.apps[1].Ran(), 5)
 }
+
+// TestNudgesOfALostStore checks that nudges don't make a node call a store that
+// refuses it more often.
+func TestNudgesOfALostStore(t *testing.T) {
+	world := newWorld(t)
+	fellow := world.join("edge-2")
+	world.door.Break(storestandin.FaultRate)
+	world.log.await("platform's store lost", `"kind":"config"`)
+	world.store.Set("config", "main", strings.Replace(testConfiguration, `"version":3`, `"version":8`, 1))
+	fellow.log.await("configuration in force", `"version":8`)
+	world.log.await("a fellow node has a newer configuration")
+	before := world.door.Refused()
+	world.log.awaitCount("a fellow node has a newer configuration", 4)
+	// Nudges are 0.3 s apart, and calls of two watches and the list of nodes wait at
+	// least 50 ms after a failure, twice as long each time.
+	require.Less(t, world.door.Refused()-before, 60)
+}
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -60,6 +60,24 @@
 	}
 }
 
+// awaitCount waits until there are so many lines with the text.
+func (lines *lines) awaitCount(text string, count int) {
+	for {
+		lines.mutex.Lock()
+		added, found := lines.added, 0
+		for _, line := range lines.all {
+			if strings.Contains(line, text) {
+				found++
+			}
+		}
+		lines.mutex.Unlock()
+		if found >= count {
+			return
+		}
+		<-added
+	}
+}
+
 // has reports whether there is a line with the text.
 func (lines *lines) has(text string) bool {
 	lines.mutex.Lock()
--- a/internal/standin/storestandin/door.go
+++ b/internal/standin/storestandin/door.go
@@ -15,6 +15,8 @@
 	store *Store
 	fault Fault
 	muted map[string]bool
+	// refused counts the calls that the fault refused.
+	refused int
 }
 
 // Break lets the door misbehave from now on and cuts waiting watches.
@@ -39,6 +41,19 @@
 	}
 }
 
+// Refused returns how many calls the fault refused.
+func (door *Door) Refused() int {
+	door.store.mutex.Lock()
+	defer door.store.mutex.Unlock()
+	return door.refused
+}
+
+func (door *Door) count() {
+	door.store.mutex.Lock()
+	defer door.store.mutex.Unlock()
+	door.refused++
+}
+
 func (door *Door) isMuted(kind string) bool {
 	door.store.mutex.Lock()
 	defer door.store.mutex.Unlock()
@@ -55,6 +70,7 @@
 func (door *Door) ServeHTTP(writer http.ResponseWriter, call *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(call.URL.Path, "/api/objects/"), "/")
 	if fault := door.current(); fault.breaksReads() {
+		door.count()
 		refuse(fault, writer, call)
 		return
 	}
