--- /dev/null
+++ b/internal/edge/explain_test.go
@@ -0,0 +1,121 @@
+package edge_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/incident"
+	"sapphirehead/internal/standin/enginestandin"
+)
+
+// TestExplain lets requests fail and finds the cause from id and log alone.
+func TestExplain(t *testing.T) {
+	world := newWorld(t)
+	expectCause := func(t *testing.T, cause incident.Cause, because string) {
+		t.Helper()
+		id := fmt.Sprint("r-", world.serials)
+		world.log.await(`"message":"request"`, `"requestId":"`+id+`"`)
+		explanation, err := incident.Explain(id, world.log.reader())
+		require.NoError(t, err)
+		require.Equal(t, cause, explanation.Cause(), "%s: %s", explanation.Cause(), explanation.Because())
+		require.Regexp(t, because, explanation.Because())
+		require.NotEmpty(t, explanation.Evidence())
+	}
+	t.Run("served", func(t *testing.T) {
+		world.call(http.MethodPost, "/book/a")
+		expectCause(t, incident.CauseNone, "passed on")
+	})
+	t.Run("refused by every server", func(t *testing.T) {
+		next(world.apps, enginestandin.MannerRefuse)
+		world.call(http.MethodPost, "/book/b")
+		expectCause(t, incident.CauseFull, "app-[01], did not run it: refused")
+		next(world.apps)
+	})
+	t.Run("a stream broke off", func(t *testing.T) {
+		next(world.chats, enginestandin.MannerBreakStream)
+		world.call(http.MethodPost, "/chat/b")
+		expectCause(t, incident.CauseServerBroke, "chat-[01]: unexpected EOF")
+		next(world.chats)
+	})
+	t.Run("an answer that is none", func(t *testing.T) {
+		next(world.apps, enginestandin.MannerGarbage)
+		world.call(http.MethodPost, "/book/c")
+		expectCause(t, incident.CauseServerBroke, "app-[01]: answer lost")
+		next(world.apps)
+	})
+	t.Run("time is up", func(t *testing.T) {
+		next(world.apps, enginestandin.MannerSilent)
+		world.call(http.MethodPost, "/book/d", func(request *http.Request) { request.Header.Set("X-Deadline-Ms", "300") })
+		expectCause(t, incident.CauseTimeUp, "while server app-[01] worked on it")
+		next(world.apps)
+	})
+	t.Run("a failure of the server's own", func(t *testing.T) {
+		next(world.apps, enginestandin.MannerFail)
+		world.call(http.MethodPost, "/book/e")
+		expectCause(t, incident.CauseServerFailed, "app-[01]")
+		next(world.apps)
+	})
+	t.Run("denied", func(t *testing.T) {
+		world.call(http.MethodGet, "/nothing/a")
+		expectCause(t, incident.CauseDenied, "no such route")
+	})
+	t.Run("over the allotment", func(t *testing.T) {
+		small := func(request *http.Request) { request.Header.Set("Authorization", "Token key-of-small") }
+		for range 3 {
+			world.call(http.MethodGet, "/look/a", small)
+		}
+		expectCause(t, incident.CauseOverLimit, "allotment")
+	})
+	t.Run("no server", func(t *testing.T) {
+		world.store.Remove("servers", "chat-0")
+		world.store.Remove("servers", "chat-1")
+		world.log.await("backend server gone", "chat-0")
+		world.log.await("backend server gone", "chat-1")
+		world.call(http.MethodPost, "/chat/c")
+		expectCause(t, incident.CauseNoServer, "no server")
+	})
+	t.Run("the answer of a server that died is lost", func(t *testing.T) {
+		next(world.apps, enginestandin.MannerCut)
+		world.call(http.MethodPost, "/book/f")
+		expectCause(t, incident.CauseServerBroke, "app-[01]: ")
+		next(world.apps)
+	})
+	t.Run("unknown", func(t *testing.T) {
+		_, err := incident.Explain("nobody", world.log.reader())
+		var missing *incident.NotFoundError
+		require.True(t, errors.As(err, &missing))
+		require.Equal(t, "nobody", missing.ID())
+	})
+}
+
+// TestMetricsPage compares the metrics that a node serves with those that the
+// page names.
+func TestMetricsPage(t *testing.T) {
+	world := newWorld(t)
+	require.Equal(t, http.StatusOK, world.call(http.MethodPost, "/book/a").status)
+	world.node.CountDroppedLines(func() int64 { return 0 })
+	answer, err := world.client.Get("http://" + world.node.Addresses()["metrics"] + "/metrics")
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	served := map[string]any{}
+	require.NoError(t, json.NewDecoder(answer.Body).Decode(&served))
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	require.NoError(t, err)
+	section := regexp.MustCompile(`(?s)### sapphire-edge\n.*?\n## `).Find(page)
+	require.NotNil(t, section)
+	var named, names []string
+	for _, match := range regexp.MustCompile("(?m)^\\| `([a-zA-Z]+)` \\|").FindAllSubmatch(section, -1) {
+		named = append(named, string(match[1]))
+	}
+	for name := range served {
+		names = append(names, name)
+	}
+	require.ElementsMatch(t, named, names)
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -330,7 +330,8 @@
 func (try *try) cut(err error) request.Outcome {
 	visit := try.visit
 	if !visit.left() {
-		visit.edge.log.Warn().Str("requestId", visit.call.ID()).Err(err).Str("lastEvent", try.lastEvent).Msg("stream broke off")
+		visit.edge.log.Warn().Str("requestId", visit.call.ID()).Str("backendServer", visit.choice.Server().ID()).Err(err).
+			Str("lastEvent", try.lastEvent).Msg("stream broke off")
 	}
 	if !try.forward.Begun() {
 		return request.OutcomeLost
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -32,7 +32,11 @@
 	if outcome == request.OutcomeAnswered {
 		return
 	}
-	visit.edge.log.Info().Str("requestId", visit.call.ID()).Str("pool", visit.pool).Str("outcome", outcome.String()).
+	server := ""
+	if forward.Sends() > 0 {
+		server = visit.choice.Server().ID()
+	}
+	visit.edge.log.Info().Str("requestId", visit.call.ID()).Str("pool", visit.pool).Str("backendServer", server).Str("outcome", outcome.String()).
 		Str("step", step.String()).Int("sends", forward.Sends()).Bool("mayHaveRun", forward.MayHaveRun()).
 		Int64("leftMillis", int64(forward.Deadline()-visit.edge.clock.Now())).Msg("attempt ended")
 }
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -78,6 +78,13 @@
 	}
 }
 
+// reader returns the whole log so far.
+func (lines *lines) reader() io.Reader {
+	lines.mutex.Lock()
+	defer lines.mutex.Unlock()
+	return strings.NewReader(strings.Join(lines.all, "\n"))
+}
+
 // has reports whether there is a line with the text.
 func (lines *lines) has(text string) bool {
 	lines.mutex.Lock()
--- /dev/null
+++ b/internal/incident/incident.go
@@ -0,0 +1,180 @@
+// Package incident explains the end of a request from the logs of the nodes.
+//
+// It goes the way that an engineer on call goes: from the line that ends the
+// request to the last attempt, and from there to what the node had read of the
+// backend server at that time.
+//
+//	request 22012ec6: 503, tooLate
+//	  the expected first event was 579 ms away, 16267 prompt tokens to read
+package incident
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// maxLineBytes bounds a line of a log.
+const maxLineBytes = 1 << 20
+
+// Status codes in the logs for answers without one.
+const (
+	statusCallerLeft = 499
+	statusBroken     = 599
+)
+
+// NotFoundError says that no line ends the request.
+type NotFoundError struct{ id string }
+
+// ID returns the id of the request.
+func (err *NotFoundError) ID() string { return err.id }
+
+func (err *NotFoundError) Error() string {
+	return fmt.Sprintf("no line ends the request %q: the logs miss its node or its time", err.id)
+}
+
+// Explanation is why a request ended as it did.
+type Explanation struct {
+	id       string
+	end      Line
+	cause    Cause
+	because  string
+	evidence []Line
+}
+
+// ID returns the id of the request.
+func (explanation Explanation) ID() string { return explanation.id }
+
+// Host returns the host of the node that answered.
+func (explanation Explanation) Host() string { return explanation.end.host }
+
+// Status returns the status of the answer.
+func (explanation Explanation) Status() int { return explanation.end.status }
+
+// Cause returns the cause.
+func (explanation Explanation) Cause() Cause { return explanation.cause }
+
+// Because returns the inputs that decided, in words.
+func (explanation Explanation) Because() string { return explanation.because }
+
+// Evidence returns the lines that tell so, in the order of the logs.
+func (explanation Explanation) Evidence() []Line { return explanation.evidence }
+
+// Explain reads logs and explains the end of the request. Errors:
+// *NotFoundError, and those of reading.
+func Explain(id string, logs ...io.Reader) (Explanation, error) {
+	var own, beliefs []Line
+	for _, log := range logs {
+		scanner := bufio.NewScanner(log)
+		scanner.Buffer(nil, maxLineBytes)
+		for scanner.Scan() {
+			line, ok := parseLine(scanner.Bytes())
+			switch {
+			case !ok:
+			case line.requestID == id:
+				own = append(own, line)
+			case line.requestID == "" && line.server != "":
+				beliefs = append(beliefs, line)
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return Explanation{}, errors.Wrap(err, "read a log")
+		}
+	}
+	for _, line := range own {
+		if line.message == "request" {
+			return explain(id, line, own, beliefs), nil
+		}
+	}
+	return Explanation{}, &NotFoundError{id: id}
+}
+
+func explain(id string, end Line, own, beliefs []Line) Explanation {
+	explanation := Explanation{id: id, end: end, evidence: own}
+	last := lastAttempt(own)
+	switch {
+	case end.status < http.StatusBadRequest:
+		explanation.cause = CauseNone
+		explanation.because = "the answer was passed on"
+	case end.status == statusCallerLeft:
+		explanation.cause, explanation.because = CauseCallerLeft, "the caller closed its connection"
+	case end.status == http.StatusTooManyRequests:
+		explanation.cause, explanation.because = CauseOverLimit, end.reason
+	case end.status == http.StatusServiceUnavailable:
+		explanation.refused(end, last)
+	case end.status < http.StatusInternalServerError:
+		explanation.cause, explanation.because = CauseDenied, end.reason
+	default:
+		explanation.broken(last, beliefs)
+	}
+	return explanation
+}
+
+// outcomeNoServer is the outcome of an attempt for which no server was left.
+const outcomeNoServer = "noServer"
+
+// lastAttempt returns the line that ends the last attempt, or an empty one. That
+// no server was left after others says nothing of its own.
+func lastAttempt(own []Line) Line {
+	var last Line
+	for _, line := range own {
+		if line.message == "attempt ended" && (line.outcome != outcomeNoServer || last.message == "") {
+			last = line
+		}
+	}
+	return last
+}
+
+// refused explains that the request did not run.
+func (explanation *Explanation) refused(end, last Line) {
+	switch last.outcome {
+	case "tooLate":
+		explanation.cause = CauseTooLate
+		explanation.because = fmt.Sprintf("the expected first event was %.0f ms away, with %d prompt tokens to read", end.expected, end.reads)
+	case outcomeNoServer:
+		explanation.cause, explanation.because = CauseNoServer, "no server of the pool took requests"
+	case "":
+		explanation.cause, explanation.because = CauseNodeUnready, end.reason
+	default:
+		explanation.cause = CauseFull
+		explanation.because = "the last server that was asked, " + last.server + ", did not run it: " + last.outcome
+	}
+}
+
+// broken explains an answer that broke off, is lost or failed.
+func (explanation *Explanation) broken(last Line, beliefs []Line) {
+	server, failure := last.server, ""
+	for _, line := range explanation.evidence {
+		if line.error != "" {
+			failure = line.error
+		}
+	}
+	var left []Line
+	for _, line := range beliefs {
+		if line.host == explanation.end.host && line.server == server && server != "" && saysGone(line) {
+			left = append(left, line)
+		}
+	}
+	switch {
+	case last.leftMillis <= 0 && last.message != "", strings.Contains(failure, "i/o timeout"):
+		explanation.cause = CauseTimeUp
+		explanation.because = "the time that the caller or the route gave was over while server " + server + " worked on it"
+	case len(left) > 0 && explanation.end.status == statusBroken:
+		explanation.cause = CauseServerLeft
+		explanation.because = fmt.Sprintf("server %s: %s at %s", server, left[0].message, left[0].time)
+		explanation.evidence = append(explanation.evidence, left...)
+	case failure == "":
+		explanation.cause, explanation.because = CauseServerFailed, "server "+server+" answered with a failure of its own"
+	default:
+		explanation.cause, explanation.because = CauseServerBroke, "server "+server+": "+failure
+	}
+}
+
+// saysGone reports whether the line says that a server leaves or has gone.
+func saysGone(line Line) bool {
+	return strings.HasPrefix(line.message, "backend server leaves") || strings.HasPrefix(line.message, "backend server gone")
+}
--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -162,6 +162,12 @@
 			return
 		}
 	}
+	engine.answer(writer, call, manner)
+}
+
+// answer answers a request that was run.
+func (engine *Engine) answer(writer http.ResponseWriter, call *http.Request, manner Manner) {
+	header := writer.Header()
 	header.Set("X-Response-Stamp", "stamp-"+engine.id)
 	switch manner {
 	case MannerFail:
