Tell fellow nodes the last counts of a node, and count failed runs

A planned stop lost what a node had counted since its last bulletin, and a backend server's own 500 counts as run. A refusing store is called less often by each node of a large deployment.

--- a/internal/edge/duties_test.go
+++ b/internal/edge/duties_test.go
@@ -214,3 +214,24 @@
 		}
 	}
 }
+
+// TestLastCountsAreTold checks that what a node counted just before it stops is
+// reported by the holder of the duties.
+func TestLastCountsAreTold(t *testing.T) {
+	t.Parallel()
+	world, fellow, ledger := newPair(t)
+	const booked = 40
+	for range booked {
+		require.Equal(t, http.StatusOK, world.callAt(fellow, http.MethodPost, "/book/a").status)
+	}
+	fellow.kill()
+	require.NoError(t, <-fellow.ended)
+	for reported := 0; reported < booked; {
+		call := <-world.duty.Accepted()
+		ledger.take(call)
+		if call.Path() == "/usage" {
+			reported += usageIn(t, call)["garage"]
+			require.LessOrEqual(t, reported, booked)
+		}
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -154,6 +154,7 @@
 	case <-kill.Done():
 	}
 	endLoops()
+	edge.sayLast()
 	if err := edge.fellows.cast.Close(); err != nil {
 		edge.log.Warn().Err(err).Msg("socket for fellow nodes")
 	}
--- a/internal/edge/fellows.go
+++ b/internal/edge/fellows.go
@@ -56,7 +56,7 @@
 	cast        *nodecast.Cast
 	known       *node.Fellows
 	incarnation int64
-	sequence    int64
+	sequence    atomic.Int64
 	demands     sync.Map // Pool to *demand.
 	runs        *usage.Counter
 	found       chan found
@@ -122,6 +122,7 @@
 	for {
 		now := edge.clock.Now()
 		addresses := edge.fellows.known.View().Addresses(now)
+		edge.fellows.sequence.Add(1)
 		err := edge.fellows.cast.Send(edge.bulletin(), addresses)
 		if failed := err != nil; failed != failing {
 			failing = failed
@@ -137,9 +138,20 @@
 	}
 }
 
+// sayLast tells fellow nodes what this node counted to its end, when no loop does
+// so any more. It is said twice, as a datagram may be lost.
+func (edge *Edge) sayLast() {
+	for range 2 {
+		edge.fellows.sequence.Add(1)
+		addresses := edge.fellows.known.View().Addresses(edge.clock.Now())
+		if err := edge.fellows.cast.Send(edge.bulletin(), addresses); err != nil {
+			edge.log.Warn().Err(err).Msg("last bulletin to fellow nodes")
+		}
+	}
+}
+
 func (edge *Edge) bulletin() node.Bulletin {
 	fellows := edge.fellows
-	fellows.sequence++
 	var accounts, pools []node.Use
 	edge.meters.each(func(account string, used int64) { accounts = append(accounts, node.NewUse(account, 0, used)) })
 	fellows.demands.Range(func(pool, known any) bool {
@@ -159,7 +171,7 @@
 		windows = append(windows, node.NewWindowRuns(window, account, runs))
 	})
 	host := edge.settings.Load().Host()
-	return node.NewBulletin(host, fellows.cast.Address(), fellows.incarnation, fellows.sequence, edge.clock.Wall(), edge.stopping.Load()).
+	return node.NewBulletin(host, fellows.cast.Address(), fellows.incarnation, fellows.sequence.Load(), edge.clock.Wall(), edge.stopping.Load()).
 		WithConfiguration(edge.configurationVersion()).WithLeaving(edge.leavingServers()).WithUse(accounts, servers, pools, windows)
 }
 
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -26,9 +26,10 @@
 	// others which servers leave: three, so that one is there when two have died.
 	scouts = 3
 	// retryLeast and retryMost are the waits between calls to a store that does
-	// not answer.
-	retryLeast = 50 * clock.Millisecond
-	retryMost  = 400 * clock.Millisecond
+	// not answer. Each node adds retryPerNode to the longest, as they all call.
+	retryLeast   = 50 * clock.Millisecond
+	retryMost    = 400 * clock.Millisecond
+	retryPerNode = 10 * clock.Millisecond
 )
 
 // followed is how one kind of objects is followed by a listing and watches.
@@ -84,7 +85,7 @@
 		if edge.clock.Wait(ctx, wait) != nil {
 			return
 		}
-		wait = min(2*wait, retryMost)
+		wait = min(2*wait, retryMost+retryPerNode*clock.Millis(edge.nodes()))
 	}
 }
 
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -229,6 +229,7 @@
 			return outcome
 		}
 		if reply.Status() >= http.StatusInternalServerError {
+			visit.countRun()
 			return request.OutcomeFailed
 		}
 		return request.OutcomeAnswered
