Give each session a second home in another data centre

Now it goes to one other server, in another data centre, that all nodes work out alike and that is taken to have half of them.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -39,6 +39,9 @@
 	remoteMillis = 3.0
 	// loadFresh is the age up to which a reported load counts in full.
 	loadFresh = 300 * clock.Millisecond
+	// secondKept is the share of a session's parts that its second home is expected
+	// to have: it has them if the first was too busy a short time ago.
+	secondKept = 0.5
 	// rampMillis is the handicap of a server that has just begun.
 	rampMillis = 40.0
 )
@@ -94,14 +97,14 @@
 func (placement *Placement) Choose(row pool.Pool, prompt runner.Prompt, exclude []string) (Choice, bool) {
 	servers := placement.fleet.Current().Pool(row.Name())
 	now := placement.clock.Now()
-	home := homeOf(servers, prompt)
+	home, second := homesOf(servers, prompt)
 	var best, spare Choice
 	choices := 0
 	for _, server := range servers {
 		if server.Leaving() || slices.Contains(exclude, server.Key()) {
 			continue
 		}
-		choice := placement.weigh(server, row, prompt, server == home, now)
+		choice := placement.weigh(server, row, prompt, kept(server, home, second), now)
 		if !server.Circuit().Allows(now) {
 			spare = cheaper(spare, choice)
 			continue
@@ -123,28 +126,53 @@
 	return known
 }
 
-// homeOf returns the home of the prompt's session, or nil if it has none.
-func homeOf(servers []*backend.Server, prompt runner.Prompt) *backend.Server {
+// homesOf returns the two homes of the prompt's session, or nil if it has none.
+// The second is in another data centre, so that one is left when all reclaimable
+// servers of a data centre go.
+func homesOf(servers []*backend.Server, prompt runner.Prompt) (first, second *backend.Server) {
 	session, ok := prompt.Session()
 	if !ok {
-		return nil
+		return nil, nil
 	}
-	var home *backend.Server
-	var highest uint64
 	hash := xxhash.Sum64String(session)
+	first = highest(servers, hash, "")
+	if first == nil {
+		return nil, nil
+	}
+	return first, highest(servers, hash, first.DataCentre())
+}
+
+// highest returns the server that stays with the highest weight for the key,
+// leaving out a data centre.
+func highest(servers []*backend.Server, key uint64, except string) *backend.Server {
+	var best *backend.Server
+	var weight uint64
 	for _, server := range servers {
-		if server.Leaving() {
+		if server.Leaving() || server.DataCentre() == except {
 			continue
 		}
-		if score := rendezvous.Pair(hash, server.Hash()); home == nil || score > highest {
-			home, highest = server, score
+		if score := rendezvous.Pair(key, server.Hash()); best == nil || score > weight {
+			best, weight = server, score
 		}
 	}
-	return home
+	return best
+}
+
+// kept returns how much of a session's own parts is expected in the server's
+// cache.
+func kept(server, home, second *backend.Server) float64 {
+	switch server {
+	case home:
+		return 1
+	case second:
+		return secondKept
+	default:
+		return 0
+	}
 }
 
-func (placement *Placement) weigh(server *backend.Server, row pool.Pool, prompt runner.Prompt, home bool, now clock.Millis) Choice {
-	choice := Choice{server: server, home: home}
+func (placement *Placement) weigh(server *backend.Server, row pool.Pool, prompt runner.Prompt, kept float64, now clock.Millis) Choice {
+	choice := Choice{server: server, home: kept == 1}
 	running, waiting := runningAt(server, now)
 	slots := server.Slots()
 	if slots == 0 {
@@ -152,7 +180,7 @@
 	}
 	over := math.Max(0, waiting+running-float64(slots)+1)
 	if row.Kind() == pool.KindRunner {
-		choice.reads = reads(prompt, home)
+		choice.reads = reads(prompt, kept)
 		choice.engine = true
 		choice.wait = float64(int64(choice.reads)+server.Work().Pending())/pool.PrefillTokens + queueMillis*over
 		choice.cost = choice.wait + crowdMillis*running
@@ -166,21 +194,19 @@
 	return choice
 }
 
-// reads returns the tokens that a server would have to read: all but the parts
-// that other prompts share at the home, and elsewhere all but the first part,
-// which few prompts don't share.
-func reads(prompt runner.Prompt, home bool) int {
+// reads returns the tokens that a server would have to read: all but the first
+// part, which most servers have, and the kept share of the parts after it that
+// requests of the session have in common.
+func reads(prompt runner.Prompt, kept float64) int {
 	parts := prompt.Parts()
-	shared := 0
-	switch {
-	case home:
-		for _, part := range parts[:max(len(parts)-1, 0)] {
-			shared += part.Tokens()
-		}
-	case len(parts) > 1:
-		shared = parts[0].Tokens()
+	if len(parts) < 2 {
+		return prompt.Tokens()
+	}
+	session := 0
+	for _, part := range parts[1 : len(parts)-1] {
+		session += part.Tokens()
 	}
-	return prompt.Tokens() - shared
+	return prompt.Tokens() - parts[0].Tokens() - int(kept*float64(session))
 }
 
 // runningAt returns the requests in progress and waiting at the server: what it
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -119,3 +119,50 @@
 		require.Zero(t, room.choose(t).Late(on, 0, 0))
 	})
 }
+
+// TestSecondHome checks that a session that its home is too busy for goes to one
+// other server in another data centre, and is expected to be kept there in part.
+func TestSecondHome(t *testing.T) {
+	newSpread := func() *room {
+		room := newRoom()
+		var list []backend.Listed
+		for i := range 3 * engines {
+			server := backend.NewServer(fmt.Sprint("e-", i), "10.0.0.1:80", fmt.Sprint("dc-", i%3), "", "engines")
+			list = append(list, backend.NewListed(server, false))
+		}
+		room.fleet.Update(list)
+		return room
+	}
+	t.Run("it is in another data centre and the same each time", func(t *testing.T) {
+		first, second := newSpread().chooseTwice(t)
+		require.True(t, first.Home())
+		require.False(t, second.Home())
+		require.NotEqual(t, first.Server().DataCentre(), second.Server().DataCentre())
+		_, again := newSpread().chooseTwice(t)
+		require.Equal(t, second.Server().ID(), again.Server().ID())
+	})
+	t.Run("half of the session's parts are expected there", func(t *testing.T) {
+		_, second := newSpread().chooseTwice(t)
+		require.Equal(t, 900+1900, second.Reads())
+	})
+	t.Run("it is the home once the data centre of the first has gone", func(t *testing.T) {
+		room := newSpread()
+		first, second := room.chooseTwice(t)
+		for _, server := range room.fleet.Current().Servers() {
+			if server.DataCentre() == first.Server().DataCentre() {
+				server.MarkLeaving()
+			}
+		}
+		choice := room.choose(t)
+		require.True(t, choice.Home())
+		require.Equal(t, second.Server().ID(), choice.Server().ID())
+	})
+}
+
+// chooseTwice returns the choice, and the one when that server is very busy.
+func (room *room) chooseTwice(t *testing.T) (first, second placement.Choice) {
+	t.Helper()
+	first = room.choose(t)
+	defer first.Server().Work().Queue(50_000)()
+	return first, room.choose(t)
+}
