Soak real edge processes in faults that overlap

internal/standin/soak draws faults of processes, links, store, cloud and engines by a seed, lets about three overlap, and checks what callers and backend servers see. make soak runs fifty seeds, make test one.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,15 @@
 chaos: build ## break real processes under a longer load (CHAOS_REQUESTS, CHAOS_SEED)
 	SAPPHIRE_BIN=$(CURDIR)/$(BIN) CHAOS_REQUESTS=$(CHAOS_REQUESTS) CHAOS_SEED=$(CHAOS_SEED) $(GO) test -race -count=1 -v -timeout 30m ./internal/standin/chaos
 
+SOAK_SEED := 3000
+SOAK_RUNS := 50
+SOAK_SECONDS := 8
+
+.PHONY: soak
+soak: build ## break real edge processes in SOAK_RUNS seeded orders from SOAK_SEED, SOAK_SECONDS each
+	SAPPHIRE_BIN=$(CURDIR)/$(BIN) SOAK_SEED=$(SOAK_SEED) SOAK_RUNS=$(SOAK_RUNS) SOAK_SECONDS=$(SOAK_SECONDS) \
+		$(GO) test -race -count=1 -v -timeout 60m ./internal/standin/soak
+
 .PHONY: mutants
 mutants: ## break the system on purpose and check that a named test notices
 	$(GO) run ./internal/mutant $(foreach package,$(RAPID_PACKAGES),--rapid=$(package)) --flags=-rapid.seed=$(RAPID_SEED),-rapid.nofailfile
--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -3,11 +3,14 @@
 package enginestandin
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
+
+	"sapphirehead/internal/clock"
 )
 
 // Manner is how the server answers a request.
@@ -79,6 +82,10 @@
 	streams bool
 	arrived chan struct{}
 	hold    chan struct{}
+	// draw returns the manner of a request for which none was set; nil is to serve.
+	draw func() Manner
+	// pace is the work for an answer, and for each event of a stream.
+	pace clock.Millis
 }
 
 // New returns a server with the id that answers with streams, or plainly.
@@ -93,6 +100,24 @@
 	engine.manners = manners
 }
 
+// Draw lets each request for which no manner was set be answered in the one that
+// the function returns; nil serves them. It is called for one request at a time.
+func (engine *Engine) Draw(draw func() Manner) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.draw = draw
+}
+
+// SetPace sets the work for an answer, and for each event of a stream. It is
+// called before the server is in use.
+func (engine *Engine) SetPace(pace clock.Millis) { engine.pace = pace }
+
+// work takes the time for an answer or an event, and reports whether the caller
+// is still there.
+func (engine *Engine) work(ctx context.Context) bool {
+	return engine.pace == 0 || clock.System().Wait(ctx, engine.pace) == nil
+}
+
 // Hold lets requests wait until the returned function is called.
 func (engine *Engine) Hold() (release func()) {
 	engine.mutex.Lock()
@@ -121,6 +146,9 @@
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	if len(engine.manners) == 0 {
+		if engine.draw != nil {
+			return engine.draw(), engine.hold
+		}
 		return MannerServe, engine.hold
 	}
 	manner := engine.manners[0]
@@ -168,6 +196,9 @@
 // answer answers a request that was run.
 func (engine *Engine) answer(writer http.ResponseWriter, call *http.Request, manner Manner) {
 	header := writer.Header()
+	if !engine.work(call.Context()) {
+		return
+	}
 	header.Set("X-Response-Stamp", "stamp-"+engine.id)
 	switch manner {
 	case MannerFail:
@@ -257,7 +288,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprintf(writer, "id: %d\ndata: piece %d\n\n", id, id)
-		if err := control.Flush(); err != nil {
+		if err := control.Flush(); err != nil || !engine.work(call.Context()) {
 			return
 		}
 	}
--- a/internal/standin/harness/harness.go
+++ b/internal/standin/harness/harness.go
@@ -41,7 +41,7 @@
 // PID returns the process's number in the operating system.
 func (process *Process) PID() int { return process.command.Process.Pid }
 
-// Log returns what the program wrote to standard error.
+// Log returns what the program wrote.
 func (process *Process) Log() string { return process.log.String() }
 
 // Signal sends a signal to the process.
@@ -77,6 +77,14 @@
 	return log.buffer.Write(data)
 }
 
+// line appends one line.
+func (log *logBuffer) line(data []byte) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	log.buffer.Write(data)
+	log.buffer.WriteByte('\n')
+}
+
 // String returns the log so far.
 func (log *logBuffer) String() string {
 	log.mutex.Lock()
@@ -121,7 +129,9 @@
 		for scanner.Scan() {
 			if addresses, ok := program.ParseListening(scanner.Bytes()); ok {
 				listening <- addresses
+				continue
 			}
+			process.log.line(scanner.Bytes())
 		}
 		process.err = process.command.Wait()
 		close(process.done)
--- /dev/null
+++ b/internal/standin/soak/callers.go
@@ -0,0 +1,183 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/standin/enginestandin"
+)
+
+// quiet drops what net/http says of connections that are broken on purpose.
+var quiet = log.New(io.Discard, "", 0)
+
+// kind is what a caller asks for.
+type kind int
+
+const (
+	kindBook kind = iota
+	kindLook
+	kindChat
+	kindResume
+)
+
+// mix is what callers ask for: half of it may run only once.
+var mix = []kind{kindBook, kindBook, kindBook, kindLook, kindChat, kindResume}
+
+func (kind kind) method() string {
+	if kind == kindLook {
+		return http.MethodGet
+	}
+	return http.MethodPost
+}
+
+func (kind kind) path() string {
+	switch kind {
+	case kindLook:
+		return "/look/a"
+	case kindChat:
+		return "/chat/a"
+	case kindResume:
+		return "/resume/a"
+	default:
+		return "/book/a"
+	}
+}
+
+// verdict is what a caller was told of its request.
+type verdict int
+
+const (
+	verdictUnknown verdict = iota
+	verdictServed
+	verdictNotRun
+)
+
+const (
+	// callTimeout is the caller's patience, over the longest route's.
+	callTimeout = 6 * clock.Second
+	// pause is the longest time between two requests of a caller.
+	pause = 40 * clock.Millisecond
+)
+
+// caller sends one request after the other and checks each answer.
+type caller struct {
+	system *system
+	number int
+	random *rand.Rand
+	client *http.Client
+	serial int
+}
+
+func newCaller(system *system, number int, random *rand.Rand) *caller {
+	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &caller{
+		system: system, number: number, random: random,
+		client: &http.Client{Transport: &http.Transport{}, CheckRedirect: refuseRedirect},
+	}
+}
+
+func (caller *caller) close() { caller.client.CloseIdleConnections() }
+
+// run sends requests until the context ends. A caller keeps to its node's open
+// connection, as the platform's clients do.
+func (caller *caller) run(ctx context.Context) {
+	defer caller.close()
+	for ctx.Err() == nil {
+		node := caller.system.nodes[caller.random.IntN(nodeCount)]
+		caller.call(ctx, node.address(), mix[caller.random.IntN(len(mix))])
+		if caller.system.clock.Wait(ctx, clock.Millis(caller.random.Int64N(int64(pause)))) != nil {
+			return
+		}
+	}
+}
+
+// call sends one request and reports whether it was served.
+func (caller *caller) call(ctx context.Context, address string, kind kind) bool {
+	caller.serial++
+	id := fmt.Sprintf("c%d-%d", caller.number, caller.serial)
+	ctx, cancel := caller.system.clock.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, kind.method(), "http://"+address+kind.path(), strings.NewReader("body of "+id))
+	if err != nil {
+		caller.system.tally.violate("request %s can't be made: %v", id, err)
+		return false
+	}
+	request.Host = "desk.example"
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", "3000")
+	request.Header.Set("Authorization", "Token key-of-garage")
+	// A caller does not send a booking again by itself.
+	request.GetBody = nil
+	got := caller.send(request, id, kind)
+	if kind == kindBook {
+		caller.system.booked.Store(id, got)
+	}
+	return got == verdictServed
+}
+
+func (caller *caller) send(request *http.Request, id string, kind kind) verdict {
+	tally := caller.system.tally
+	answer, err := caller.client.Do(request)
+	if err != nil {
+		tally.count("noAnswer")
+		return verdictUnknown
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if answer.Header.Get("X-Request-Id") != id {
+		tally.violate("request %s got an answer to %q", id, answer.Header.Get("X-Request-Id"))
+	}
+	switch {
+	case err != nil:
+		tally.count("brokenOff")
+		if kind == kindChat || kind == kindResume {
+			caller.checkStream(id, string(body), false)
+		}
+		return verdictUnknown
+	case answer.StatusCode == http.StatusOK:
+		tally.count("served")
+		caller.checkSuccess(id, kind, answer, string(body))
+		return verdictServed
+	case answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests:
+		tally.count("refused")
+		return verdictNotRun
+	case answer.StatusCode < http.StatusInternalServerError:
+		tally.violate("request %s was denied with %d: %s", id, answer.StatusCode, body)
+		return verdictUnknown
+	default:
+		tally.count("failed")
+		return verdictUnknown
+	}
+}
+
+func (caller *caller) checkSuccess(id string, kind kind, answer *http.Response, body string) {
+	if answer.Header.Get("X-Response-Stamp") == "" {
+		caller.system.tally.violate("success of request %s bears no server's stamp", id)
+	}
+	switch kind {
+	case kindChat, kindResume:
+		caller.checkStream(id, body, true)
+	default:
+		if body != "answer to "+id {
+			caller.system.tally.violate("request %s got the body %q", id, body)
+		}
+	}
+}
+
+// checkStream checks that the events came once each and in order, and that a
+// stream that ends as whole is whole.
+func (caller *caller) checkStream(id, body string, whole bool) {
+	var events strings.Builder
+	for event := range enginestandin.StreamEvents {
+		fmt.Fprintf(&events, "id: %d\ndata: piece %d\n\n", event, event)
+	}
+	if !strings.HasPrefix(events.String(), body) || (whole && body != events.String()) {
+		caller.system.tally.violate("stream %s is not in order or not whole (ended as whole: %t): %q", id, whole, body)
+	}
+}
--- /dev/null
+++ b/internal/standin/soak/soak_test.go
@@ -0,0 +1,67 @@
+package soak_test
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/standin/soak"
+)
+
+// defaultSeed is the seed of the short run in CI: one in which application
+// services answer badly for long.
+const defaultSeed = 3000
+
+// defaultSeconds is its length.
+const defaultSeconds = 8
+
+func number(t *testing.T, name string, otherwise uint64) uint64 {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	value, err := strconv.ParseUint(text, 10, 64)
+	require.NoError(t, err, name)
+	return value
+}
+
+// expectSound runs the seed and fails if a promise was broken, or if too little
+// ran for that to say anything.
+func expectSound(t *testing.T, seed, seconds uint64) {
+	t.Helper()
+	bin := os.Getenv("SAPPHIRE_BIN")
+	require.NotEmpty(t, bin, "SAPPHIRE_BIN must name the folder of the built programs: make test sets it")
+	tally, logs, err := soak.Run(bin, t.TempDir(), seed, clock.Millis(seconds)*clock.Second, func(line string) { t.Log(line) })
+	if err != nil || len(tally.Violations()) > 0 {
+		keepLogs(t, seed, logs)
+	}
+	require.NoError(t, err)
+	t.Logf("seed %d: %s", seed, tally)
+	require.Empty(t, tally.Violations())
+	require.Positive(t, tally.Count("served"))
+	require.Positive(t, tally.Count("duties"))
+}
+
+// keepLogs writes the processes' logs to SOAK_LOGS, or into the test's log.
+func keepLogs(t *testing.T, seed uint64, logs string) {
+	t.Helper()
+	folder := os.Getenv("SOAK_LOGS")
+	if folder == "" {
+		t.Log(logs)
+		return
+	}
+	require.NoError(t, os.WriteFile(folder+"/soak-"+strconv.FormatUint(seed, 10)+".log", []byte(logs), 0o600))
+}
+
+// TestSoak breaks real processes in an order given by SOAK_SEED for SOAK_SECONDS,
+// and once more for each of the SOAK_RUNS seeds that follow it.
+func TestSoak(t *testing.T) {
+	seed, seconds := number(t, "SOAK_SEED", defaultSeed), number(t, "SOAK_SECONDS", defaultSeconds)
+	for i := range number(t, "SOAK_RUNS", 1) {
+		t.Run(strconv.FormatUint(seed+i, 10), func(t *testing.T) { expectSound(t, seed+i, seconds) })
+	}
+}
--- /dev/null
+++ b/internal/standin/soak/system.go
@@ -0,0 +1,293 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/standin/dutystandin"
+	"sapphirehead/internal/standin/enginestandin"
+	"sapphirehead/internal/standin/harness"
+	"sapphirehead/internal/standin/relay"
+	"sapphirehead/internal/standin/storestandin"
+)
+
+const (
+	nodeCount   = 3
+	engineCount = 3
+	// enginePace is the work for an answer or an event.
+	enginePace = 8 * clock.Millisecond
+)
+
+const configuration = `{"version":%d,"routes":[
+	{"name":"chat","host":"desk.example","pathPrefix":"/chat/","kind":"streaming","timeoutMs":4000,"targetLatencyMs":2000,"service":"engines","maxAttempts":1},
+	{"name":"resume","host":"desk.example","pathPrefix":"/resume/","kind":"streaming","timeoutMs":4000,"targetLatencyMs":2000,"service":"engines","maxAttempts":2,"resumable":true},
+	{"name":"book","host":"desk.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":2000,"targetLatencyMs":300,"service":"app","maxAttempts":2},
+	{"name":"look","host":"desk.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":2000,"targetLatencyMs":300,"service":"app","maxAttempts":2}],
+	"services":[{"name":"engines","engine":{"batchSlots":16,"kvCapacity":100000}},{"name":"app"}],
+	"limits":{"maxBodyBytes":65536},
+	"tenants":[{"name":"garage","apiKeys":["key-of-garage"],"unit":"tokens","plainTokens":1,"ratePerS":100000,"burst":100000}]}`
+
+const nodeSettings = `
+host = %q
+dataCentre = "lj-a"
+[caller]
+listen = "127.0.0.1:0"
+readyListen = "127.0.0.1:0"
+[node]
+listen = "127.0.0.1:0"
+[metrics]
+listen = "127.0.0.1:0"
+[platform]
+address = %q
+[cloud]
+address = %q
+[bounds]
+graceSeconds = 4
+usageWindowSeconds = 1
+leaseMillis = 1500
+`
+
+// system is the processes and stand-ins of one run.
+type system struct {
+	clock   *clock.Clock
+	harness *harness.Harness
+	store   *storestandin.Store
+	duty    *dutystandin.Duty
+	tally   *Tally
+	nodes   []*host
+	engines []*engine
+	version atomic.Int64
+	servers []*http.Server
+	relays  []*relay.Relay
+	booked  sync.Map // Id of a booking to what its caller got, a verdict.
+	audit   sync.WaitGroup
+	ended   chan struct{}
+}
+
+// host is one edge process, which is started again after each end.
+type host struct {
+	name    string
+	file    string
+	door    *storestandin.Door
+	relay   *relay.Relay
+	mutex   sync.Mutex
+	process atomic.Pointer[harness.Process]
+	caller  atomic.Pointer[string]
+}
+
+func (host *host) address() string { return *host.caller.Load() }
+
+// engine is one backend server behind a relay. One that leaves is followed by
+// another on the same place.
+type engine struct {
+	pool    string
+	streams bool
+	mutex   sync.Mutex
+	place   string
+	id      string
+	standin *enginestandin.Engine
+	relay   *relay.Relay
+	starts  int
+	ran     []*enginestandin.Engine
+}
+
+func newSystem(bin, folder string) (*system, error) {
+	system := &system{
+		clock: clock.System(), store: storestandin.New(), duty: dutystandin.New(), tally: newTally(), ended: make(chan struct{}),
+	}
+	system.harness = harness.New(bin, folder, system.clock)
+	system.configure()
+	for i := range engineCount {
+		system.engines = append(system.engines,
+			&engine{pool: "engines", streams: true, place: fmt.Sprint("chat-", i)}, &engine{pool: "app", place: fmt.Sprint("app-", i)})
+	}
+	for _, engine := range system.engines {
+		if err := system.startEngine(engine); err != nil {
+			return nil, err
+		}
+	}
+	cloud, err := system.serve(system.duty)
+	if err != nil {
+		return nil, err
+	}
+	for i := range nodeCount {
+		node := &host{name: fmt.Sprint("edge-", i+1), door: system.store.Door()}
+		if node.relay, err = system.serveBehind(node.door); err != nil {
+			return nil, err
+		}
+		settings := fmt.Sprintf(nodeSettings, node.name, node.relay.Address(), cloud)
+		if node.file, err = system.harness.WriteFile(node.name+".toml", settings); err != nil {
+			return nil, err
+		}
+		system.nodes = append(system.nodes, node)
+	}
+	system.audit.Go(system.auditDuties)
+	return system, nil
+}
+
+// configure writes the next version of the configuration.
+func (system *system) configure() {
+	system.store.Set("config", "main", fmt.Sprintf(configuration, system.version.Add(1)))
+}
+
+// serve serves a stand-in on loopback and returns its address.
+func (system *system) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "listen for a stand-in")
+	}
+	server := &http.Server{Handler: handler, ErrorLog: quiet}
+	system.servers = append(system.servers, server)
+	// It ends when the system is closed.
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (system *system) serveBehind(handler http.Handler) (*relay.Relay, error) {
+	address, err := system.serve(handler)
+	if err != nil {
+		return nil, err
+	}
+	relay, err := relay.New(system.clock, address)
+	if err == nil {
+		system.relays = append(system.relays, relay)
+	}
+	return relay, err
+}
+
+// startEngine starts a backend server under a new id and lists it.
+func (system *system) startEngine(engine *engine) error {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.starts++
+	engine.id = fmt.Sprintf("%s.%d", engine.place, engine.starts)
+	engine.standin = enginestandin.New(engine.id, engine.streams)
+	engine.standin.SetPace(enginePace)
+	arrived := engine.standin.Arrived()
+	go func() {
+		for {
+			select {
+			case <-arrived:
+			case <-system.ended:
+				return
+			}
+		}
+	}()
+	engine.ran = append(engine.ran, engine.standin)
+	var err error
+	if engine.relay, err = system.serveBehind(engine.standin); err != nil {
+		return err
+	}
+	system.list(engine, "ready")
+	return nil
+}
+
+func (system *system) list(engine *engine, state string) {
+	system.store.Set("servers", engine.id, fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":"lj-a","version":"v1","batchSlots":6,"state":%q,"coldRemainingMs":0,"sequence":1}`,
+		engine.pool, engine.relay.Address(), state))
+}
+
+func (system *system) startNodes() error {
+	for _, node := range system.nodes {
+		if err := system.startNode(node); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startNode starts a node's process.
+func (system *system) startNode(node *host) error {
+	process, err := system.harness.Start(node.name, "sapphire-edge", "run", "--settings", node.file)
+	if err != nil {
+		return err
+	}
+	address := process.Address("caller")
+	node.process.Store(process)
+	node.caller.Store(&address)
+	return nil
+}
+
+// restart ends a node's process with the signal and starts it again.
+func (system *system) restart(node *host, signal syscall.Signal) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	process := node.process.Load()
+	if err := process.Signal(signal); err != nil {
+		system.tally.violate("%s ended by itself: %v", node.name, err)
+	}
+	// How a killed process ends is no news.
+	_ = process.Wait()
+	if err := system.startNode(node); err != nil {
+		system.tally.violate("%s does not start: %v", node.name, err)
+	}
+}
+
+// auditDuties checks that each fencing number belongs to one holder, and that no
+// window is reported twice with different counts.
+func (system *system) auditDuties() {
+	holders := map[int64]string{}
+	for {
+		select {
+		case <-system.ended:
+			if conflicts := system.duty.Conflicts(); conflicts > 0 {
+				system.tally.violate("%d windows were reported twice with different counts", conflicts)
+			}
+			return
+		case call := <-system.duty.Accepted():
+			system.tally.count("duties")
+			if known, ok := holders[call.Fence()]; ok && known != call.Holder() {
+				system.tally.violate("fencing number %d was used by %s and %s", call.Fence(), known, call.Holder())
+			}
+			holders[call.Fence()] = call.Holder()
+		}
+	}
+}
+
+// checkRuns checks what backend servers ran against what callers were told.
+func (system *system) checkRuns() {
+	close(system.ended)
+	system.audit.Wait()
+	runs := map[string]int{}
+	for _, engine := range system.engines {
+		for _, standin := range engine.ran {
+			for _, ran := range standin.Ran() {
+				runs[ran.ID()]++
+				if ran.Account() != "garage" || ran.Header().Get("Authorization") != "" {
+					system.tally.violate("request %s ran for account %q with key %q", ran.ID(), ran.Account(), ran.Header().Get("Authorization"))
+				}
+			}
+		}
+	}
+	system.booked.Range(func(id, got any) bool {
+		switch count := runs[id.(string)]; {
+		case count > 1:
+			system.tally.violate("booking %s ran %d times", id, count)
+		case count > 0 && got == verdictNotRun:
+			system.tally.violate("booking %s was refused as not run, and ran", id)
+		case count == 0 && got == verdictServed:
+			system.tally.violate("booking %s was answered with success, and did not run", id)
+		}
+		return true
+	})
+}
+
+func (system *system) logs() string { return system.harness.Logs() }
+
+func (system *system) close() {
+	system.harness.Close()
+	for _, server := range system.servers {
+		server.Close()
+	}
+	for _, relay := range system.relays {
+		relay.Close()
+	}
+}
