Don't hand out a burst again when all nodes start again

All processes were killed at 13 s, and each came back with a full bucket for the account that was over its allotment. A process that starts on a host that has had one begins with empty buckets, which fill from its start. In a large deployment, where bulletins are rarer, nodes also use less of the leeway.

Ruled out: lost bulletins and the reserve, which bound what nodes admit in 0.3 s.

--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -95,6 +95,15 @@
 	return meter
 }
 
+// NewMeterSince returns the meter of a process that began at the time and does not
+// know what was used before. Its bucket was empty then: where all nodes start
+// again together, each with a full bucket, an account gets its burst twice.
+func NewMeterSince(start clock.Millis) *Meter {
+	meter := &Meter{}
+	meter.state.Store(&meterState{at: start})
+	return meter
+}
+
 // Used returns the tokens admitted here since the start.
 func (meter *Meter) Used() int64 { return meter.used.Load() }
 
--- a/internal/caller/allotment_test.go
+++ b/internal/caller/allotment_test.go
@@ -63,6 +63,24 @@
 	})
 }
 
+// TestMeterOfNewProcess checks that a process that starts again does not hand out
+// the burst once more.
+func TestMeterOfNewProcess(t *testing.T) {
+	allotment := caller.NewAllotment(1000, 2000, 1, true)
+	expectAdmitted := func(t *testing.T, meter *caller.Meter, now clock.Millis, wanted int64) {
+		t.Helper()
+		for range 10_000 {
+			// What is refused is not counted.
+			_ = meter.Admit(allotment, 1, 1, 1, now)
+		}
+		require.Equal(t, wanted, meter.Used())
+	}
+	t.Run("full at the first start", func(t *testing.T) { expectAdmitted(t, caller.NewMeter(allotment, 0), 0, 2000) })
+	t.Run("empty at a later one", func(t *testing.T) { expectAdmitted(t, caller.NewMeterSince(0), 0, 0) })
+	t.Run("filled since then", func(t *testing.T) { expectAdmitted(t, caller.NewMeterSince(0), 500, 500) })
+	t.Run("up to the burst", func(t *testing.T) { expectAdmitted(t, caller.NewMeterSince(0), 9000, 2000) })
+}
+
 // TestMetersOfNodes checks the bound over all nodes while news is late: in any
 // window no more is admitted than rate, burst and leeway allow, apart from one
 // request for each node.
--- a/internal/edge/duties_test.go
+++ b/internal/edge/duties_test.go
@@ -235,3 +235,22 @@
 		}
 	}
 }
+
+// TestBurstOfNewProcess checks that a node that starts again on its host does not
+// hand out an account's burst once more.
+func TestBurstOfNewProcess(t *testing.T) {
+	t.Parallel()
+	world := newWorld(t)
+	small := func(request *http.Request) { request.Header.Set("Authorization", "Token key-of-small") }
+	for range 2 {
+		require.Equal(t, http.StatusOK, world.call(http.MethodGet, "/look/a", small).status)
+	}
+	require.Equal(t, http.StatusTooManyRequests, world.call(http.MethodGet, "/look/a", small).status)
+	world.kill()
+	require.NoError(t, <-world.ended)
+	again := world.join("edge-1")
+	again.log.await("object of this node written", `"first":false`)
+	// The rate of one token in a second may have admitted one request since.
+	world.callAt(again, http.MethodGet, "/look/a", small)
+	require.Equal(t, http.StatusTooManyRequests, world.callAt(again, http.MethodGet, "/look/a", small).status)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,7 +64,7 @@
 func New(loaded *settings.Edge, clock *clock.Clock, log zerolog.Logger) (*Edge, error) {
 	edge := &Edge{
 		clock: clock, log: log, directory: directory.NewInForce(), fleet: backend.NewFleet(), counters: newCounters(),
-		budgets: newBudgets(), meters: newMeters(),
+		budgets: newBudgets(), meters: newMeters(clock.Now()),
 	}
 	edge.settings.Store(loaded)
 	edge.links = backendlink.New(clock, func() { edge.counters.connections.Add(1) })
--- a/internal/edge/fellows.go
+++ b/internal/edge/fellows.go
@@ -116,6 +116,11 @@
 	return edge.fellows.known.View().TrueTime(edge.clock.Now(), edge.clock.Wall())
 }
 
+// bulletinInterval returns the time between two bulletins of one of so many nodes.
+func bulletinInterval(nodes int) clock.Millis {
+	return max(bulletinLeast, bulletinPerNode*clock.Millis(nodes))
+}
+
 // tellFellows sends bulletins until the context ends.
 func (edge *Edge) tellFellows(ctx context.Context) {
 	failing := false
@@ -128,7 +133,7 @@
 			failing = failed
 			edge.log.Warn().Err(err).Bool("failing", failing).Msg("bulletins to fellow nodes")
 		}
-		wait := max(bulletinLeast, bulletinPerNode*clock.Millis(len(addresses)))
+		wait := bulletinInterval(len(addresses) + 1)
 		if edge.inFlight.Load() == 0 {
 			wait *= bulletinIdle
 		}
@@ -357,6 +362,7 @@
 	host := edge.settings.Load().Host()
 	edge.counters.storeCalls.Add(1)
 	_, err = edge.store.Put(ctx, kindNodes, host, spec, platform.VersionNone)
+	first := err == nil
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
 		var known store.Object
@@ -366,6 +372,9 @@
 	}
 	if err != nil {
 		edge.log.Warn().Err(err).Msg("object of this node can't be written")
+		return false
 	}
-	return err == nil
+	edge.meters.first.Store(first)
+	edge.log.Info().Str("address", edge.fellows.cast.Address()).Bool("first", first).Msg("object of this node written")
+	return true
 }
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/caller"
@@ -46,15 +47,23 @@
 // meters holds the meter of each client account.
 type meters struct {
 	byAccount sync.Map // Name to *caller.Meter.
+	start     clock.Millis
+	// first says that no process ran on this host before, so that nothing can have
+	// been used here.
+	first atomic.Bool
 }
 
-func newMeters() *meters { return &meters{} }
+func newMeters(start clock.Millis) *meters { return &meters{start: start} }
 
 func (meters *meters) of(account *caller.Account, allotment caller.Allotment, now clock.Millis) *caller.Meter {
 	if meter, ok := meters.byAccount.Load(account.Name()); ok {
 		return meter.(*caller.Meter)
 	}
-	meter, _ := meters.byAccount.LoadOrStore(account.Name(), caller.NewMeter(allotment, now))
+	created := caller.NewMeterSince(meters.start)
+	if meters.first.Load() {
+		created = caller.NewMeter(allotment, now)
+	}
+	meter, _ := meters.byAccount.LoadOrStore(account.Name(), created)
 	return meter.(*caller.Meter)
 }
 
@@ -71,12 +80,17 @@
 	// use. The rest is for the debt that one large request leaves.
 	leewayShare = 0.9
 	leewaySlack = 0.6
+	// leewayLag is what the share loses for each second between two bulletins: what
+	// nodes admit meanwhile comes on top.
+	leewayLag = 1.5
 )
 
 // allotment returns what the account may use, with the leeway.
 func (edge *Edge) allotment(account *caller.Account) caller.Allotment {
 	bounds := edge.settings.Load().Bounds()
-	return account.Allotment().WithLeeway(bounds.QuotaOvershoot()*leewayShare, bounds.QuotaSlack()*leewaySlack)
+	lag := float64(bulletinInterval(edge.nodes())-bulletinLeast) / float64(clock.Second)
+	share := max(0, leewayShare-leewayLag*lag)
+	return account.Allotment().WithLeeway(bounds.QuotaOvershoot()*share, bounds.QuotaSlack()*leewaySlack)
 }
 
 // meter counts a request of the account and returns its cost, or returns a
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -170,6 +170,7 @@
 		member.log.await("backend server listed", id)
 	}
 	member.log.await("configuration in force", `"version":3`)
+	member.log.await("object of this node written")
 	return member
 }
 
