--- a/internal/cloud/sizing.go
+++ b/internal/cloud/sizing.go
@@ -136,8 +136,12 @@
 		for _, centre := range centres {
 			place := NewPlace(centre, true)
 			wanted[place] = each
-			reclaimable += min(each, serving[place])
-			largest = max(largest, min(each, serving[place]))
+			if scarce {
+				// What is let go now can't be had again when demand rises.
+				wanted[place] = max(each, serving[place])
+			}
+			reclaimable += min(wanted[place], serving[place])
+			largest = max(largest, min(wanted[place], serving[place]))
 		}
 	}
 	safe := reclaimable - largest
--- a/internal/cloud/sizing_test.go
+++ b/internal/cloud/sizing_test.go
@@ -57,6 +57,11 @@
 		sizing, _ := newSizing(1.8)
 		expectWanted(t, sizing, spread(2), true, 6, 3)
 	})
+	t.Run("no reclaimable server is let go while they are scarce", func(t *testing.T) {
+		sizing, _ := newSizing(1.8)
+		expectWanted(t, sizing, spread(4), true, 12, 3)
+		expectWanted(t, sizing, spread(4), false, 6, 0)
+	})
 	t.Run("the cheapest data centres come first", func(t *testing.T) {
 		sizing, _ := newSizing(1.1)
 		wanted := sizing.Wanted(testRental(), nil, false)
