After all nodes start again, let buckets hold the slack that is allowed

A node with a fellow that has run for 4 s longer begins with full buckets, and where all started together a bucket holds 0.8 of the operators' slack.

--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -96,11 +96,11 @@
 }
 
 // NewMeterSince returns the meter of a process that began at the time and does not
-// know what was used before. Its bucket was empty then: where all nodes start
+// know what was used before. Its bucket held the level then: where all nodes start
 // again together, each with a full bucket, an account gets its burst twice.
-func NewMeterSince(start clock.Millis) *Meter {
+func NewMeterSince(start clock.Millis, level float64) *Meter {
 	meter := &Meter{}
-	meter.state.Store(&meterState{at: start})
+	meter.state.Store(&meterState{level: level, at: start})
 	return meter
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,8 +64,9 @@
 func New(loaded *settings.Edge, clock *clock.Clock, log zerolog.Logger) (*Edge, error) {
 	edge := &Edge{
 		clock: clock, log: log, directory: directory.NewInForce(), fleet: backend.NewFleet(), counters: newCounters(),
-		budgets: newBudgets(), meters: newMeters(clock.Now()),
+		budgets: newBudgets(),
 	}
+	edge.meters = newMeters(clock.Now(), edge.hasSurvivor, edge.restartLevel)
 	edge.settings.Store(loaded)
 	edge.links = backendlink.New(clock, func() { edge.counters.connections.Add(1) })
 	edge.placement = placement.New(clock, edge.fleet, loaded.DataCentre(), rand.Float64)
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -51,22 +51,50 @@
 	// first says that no process ran on this host before, so that nothing can have
 	// been used here.
 	first atomic.Bool
+	// survived tells whether a fellow node has run for longer than this one: then
+	// not all started again together, and one full bucket more does little.
+	survived func() bool
+	// level returns what is in a bucket at the start otherwise.
+	level func() float64
 }
 
-func newMeters(start clock.Millis) *meters { return &meters{start: start} }
+func newMeters(start clock.Millis, survived func() bool, level func() float64) *meters {
+	return &meters{start: start, survived: survived, level: level}
+}
 
 func (meters *meters) of(account *caller.Account, allotment caller.Allotment, now clock.Millis) *caller.Meter {
 	if meter, ok := meters.byAccount.Load(account.Name()); ok {
 		return meter.(*caller.Meter)
 	}
-	created := caller.NewMeterSince(meters.start)
-	if meters.first.Load() {
+	created := caller.NewMeterSince(meters.start, meters.level())
+	if meters.first.Load() || meters.survived() {
 		created = caller.NewMeter(allotment, now)
 	}
 	meter, _ := meters.byAccount.LoadOrStore(account.Name(), created)
 	return meter.(*caller.Meter)
 }
 
+// survivorTime is by how much longer a fellow node must have run: processes that
+// are killed together start again within a second or two of each other.
+const survivorTime = 4 * clock.Second
+
+// restartSlack is the part of the operators' slack that an account may use again
+// after all nodes have started again. It is over the part that leewaySlack leaves,
+// as the bucket then is hardly ever full.
+const restartSlack = 0.8
+
+// restartLevel returns what is in a bucket when all nodes have started again.
+func (edge *Edge) restartLevel() float64 {
+	return edge.settings.Load().Bounds().QuotaSlack() * restartSlack
+}
+
+// hasSurvivor reports whether a fellow node did not start again when this one did.
+func (edge *Edge) hasSurvivor() bool {
+	now := edge.clock.Now()
+	told := clock.Millis(edge.fellows.known.View().MostBulletins(now)) * bulletinInterval(edge.nodes())
+	return told >= now-edge.meters.start+survivorTime
+}
+
 // each visits the tokens that each account used here.
 func (meters *meters) each(visit func(account string, used int64)) {
 	meters.byAccount.Range(func(account, meter any) bool {
--- a/internal/node/fellows.go
+++ b/internal/node/fellows.go
@@ -206,6 +206,18 @@
 // where the rest of the view is of one moment.
 func (view *View) Runs(window int64) map[string]int64 { return view.tally.runs(window) }
 
+// MostBulletins returns how many bulletins the live fellow node has sent that has
+// sent most since its start.
+func (view *View) MostBulletins(now clock.Millis) int64 {
+	most := int64(0)
+	for _, known := range view.fellows {
+		if known.isLive(now) {
+			most = max(most, known.latest.sequence)
+		}
+	}
+	return most
+}
+
 // Leaving returns the hashes of the keys of backend servers of which live fellow
 // nodes say that they leave.
 func (view *View) Leaving(now clock.Millis) map[uint64]bool {
