--- a/internal/standin/soak/callers.go
+++ b/internal/standin/soak/callers.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -13,9 +12,6 @@
 	"sapphirehead/internal/standin/enginestandin"
 )
 
-// quiet drops what net/http says of connections that are broken on purpose.
-var quiet = log.New(io.Discard, "", 0)
-
 // kind is what a caller asks for.
 type kind int
 
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "listen for a stand-in")
 	}
-	server := &http.Server{Handler: handler, ErrorLog: quiet}
+	server := &http.Server{Handler: handler}
 	system.servers = append(system.servers, server)
 	// It ends when the system is closed.
 	go func() { _ = server.Serve(listener) }()
