--- /dev/null
+++ b/internal/edge/bulletins.go
@@ -0,0 +1,97 @@
+package edge
+
+import (
+	"context"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node"
+	"sapphirehead/internal/usage"
+)
+
+const (
+	// bulletinLeast is the time between two bulletins, and bulletinPerNode what
+	// each node adds to it, so that the datagrams that a node gets in a second
+	// stay bounded.
+	bulletinLeast   = 30 * clock.Millisecond
+	bulletinPerNode = 4 * clock.Millisecond
+	// bulletinIdle is how many times rarer a node without requests tells of itself.
+	bulletinIdle = 5
+)
+
+// bulletinInterval returns the time between two bulletins of one of so many nodes.
+func bulletinInterval(nodes int) clock.Millis {
+	return max(bulletinLeast, bulletinPerNode*clock.Millis(nodes))
+}
+
+// tellFellows sends bulletins until the context ends.
+func (edge *Edge) tellFellows(ctx context.Context) {
+	failing := false
+	for {
+		now := edge.clock.Now()
+		addresses := edge.fellows.known.View().Addresses(now)
+		edge.fellows.sequence.Add(1)
+		err := edge.fellows.cast.Send(edge.bulletin(), addresses)
+		if failed := err != nil; failed != failing {
+			failing = failed
+			edge.log.Warn().Err(err).Bool("failing", failing).Msg("bulletins to fellow nodes")
+		}
+		wait := bulletinInterval(len(addresses) + 1)
+		if edge.inFlight.Load() == 0 {
+			wait *= bulletinIdle
+		}
+		if edge.clock.Wait(ctx, wait) != nil {
+			return
+		}
+	}
+}
+
+// sayLast tells fellow nodes what this node counted to its end, when no loop does
+// so any more. It is said twice, as a datagram may be lost.
+func (edge *Edge) sayLast() {
+	for range 2 {
+		edge.fellows.sequence.Add(1)
+		addresses := edge.fellows.known.View().Addresses(edge.clock.Now())
+		if err := edge.fellows.cast.Send(edge.bulletin(), addresses); err != nil {
+			edge.log.Warn().Err(err).Msg("last bulletin to fellow nodes")
+		}
+	}
+}
+
+func (edge *Edge) bulletin() node.Bulletin {
+	fellows := edge.fellows
+	var accounts, pools []node.Use
+	edge.meters.each(func(account string, used int64) { accounts = append(accounts, node.NewUse(account, 0, used)) })
+	fellows.demands.Range(func(pool, known any) bool {
+		asked := known.(*demand)
+		pools = append(pools, node.NewUse(pool.(string), asked.requests.Load(), asked.tokens.Load()))
+		return true
+	})
+	var servers []node.ServerWork
+	for _, server := range edge.fleet.Current().Servers() {
+		if attempts, tokens := server.InFlight(), server.Work().Own(); attempts != 0 || tokens != 0 {
+			servers = append(servers, node.NewServerWork(server.Hash(), int(attempts), int(tokens)))
+		}
+	}
+	var windows []node.WindowRuns
+	current := usage.WindowAt(edge.trueTime(), edge.settings.Load().Bounds().UsageWindow())
+	fellows.runs.Each(current, func(window int64, account string, runs int64) {
+		windows = append(windows, node.NewWindowRuns(window, account, runs))
+	})
+	host := edge.settings.Load().Host()
+	return node.NewBulletin(host, fellows.cast.Address(), fellows.incarnation, fellows.sequence.Load(), edge.clock.Wall(), edge.stopping.Load()).
+		WithConfiguration(edge.configurationVersion()).WithLeaving(edge.leavingServers()).WithUse(accounts, servers, pools, windows)
+}
+
+// leavingServers returns the hashes of servers that leave, if this node is a scout.
+func (edge *Edge) leavingServers() []uint64 {
+	if !edge.isScout() {
+		return nil
+	}
+	var leaving []uint64
+	for _, server := range edge.fleet.Current().Servers() {
+		if server.Leaving() {
+			leaving = append(leaving, server.Hash())
+		}
+	}
+	return leaving
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -5,7 +5,6 @@
 
 	"github.com/pkg/errors"
 
-	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/platform/store"
 )
@@ -15,16 +14,6 @@
 	// proves little, as its connection may have gone silent: probes of the
 	// connection find that sooner, and each watch is bounded besides.
 	watchWait = 6 * clock.Second
-	// gatherLeast is the wait after changes of the list of servers before it is
-	// watched on, so that changes that come close together cost one call.
-	gatherLeast = 150 * clock.Millisecond
-	// gatherPerNode is what each node adds to the wait, as each of them makes that
-	// call, up to gatherShare of the drain bound.
-	gatherPerNode = 25 * clock.Millisecond
-	gatherShare   = 0.5
-	// scouts is the number of nodes that wait for the least time only, and tell the
-	// others which servers leave: three, so that one is there when two have died.
-	scouts = 3
 	// retryLeast and retryMost are the waits between calls to a store that does
 	// not answer. Each node adds retryPerNode to the longest, as they all call.
 	retryLeast   = 50 * clock.Millisecond
@@ -163,111 +152,3 @@
 		back: func() {},
 	})
 }
-
-// lapseShare is the part of the drain bound for which entries that lapsed in an
-// outage are kept after it. The platform promises them back within about two
-// seconds, and one that is still missing must get nothing after the bound.
-const lapseShare = 0.9
-
-// followServers keeps the fleet up to date.
-func (edge *Edge) followServers(ctx context.Context) {
-	bound := edge.settings.Load().Bounds().Drain()
-	registry := backend.NewRegistry(clock.Millis(lapseShare * float64(bound)))
-	set := func(object store.Object) (backend.Entry, bool) {
-		entry, err := store.DecodeServer(object)
-		if err != nil {
-			edge.log.Warn().Err(err).Str("backendServer", object.Name()).Msg("entry ignored")
-			return entry, false
-		}
-		return entry, true
-	}
-	edge.follow(ctx, followed{
-		kind: store.KindServers,
-		list: func(listing store.Listing) {
-			var entries []backend.Entry
-			for _, object := range listing.Objects() {
-				if entry, ok := set(object); ok {
-					entries = append(entries, entry)
-				}
-			}
-			registry.Replace(entries, listing.AsOf(), edge.clock.Now())
-		},
-		set: func(change store.Change) {
-			object := change.Object()
-			entry, ok := backend.Entry{}, false
-			if !change.Deleted() {
-				entry, ok = set(object)
-			}
-			if ok {
-				registry.Set(entry, edge.clock.Now())
-			} else {
-				registry.Remove(object.Name(), object.Revision(), edge.clock.Now())
-			}
-		},
-		end: func() { edge.publishServers(registry) },
-		wait: func() clock.Millis {
-			if end, ok := registry.GraceEnd(); ok {
-				return max(clock.Millisecond, end-edge.clock.Now())
-			}
-			return watchWait
-		},
-		gather: edge.gatherWait,
-		nudge:  &edge.nudges.servers, other: &edge.nudges.configuration,
-		away: func(error) { registry.Away() },
-		back: func() { registry.Back(edge.clock.Now()) },
-	})
-}
-
-// gatherWait returns how long this node waits after changes of the list.
-func (edge *Edge) gatherWait() clock.Millis {
-	if edge.isScout() {
-		return gatherLeast
-	}
-	most := clock.Millis(gatherShare * float64(edge.settings.Load().Bounds().Drain()))
-	return max(gatherLeast, min(gatherPerNode*clock.Millis(edge.nodes()), most))
-}
-
-// isScout reports whether this node reads changes of the list for its fellows.
-func (edge *Edge) isScout() bool {
-	return edge.standingFor("scouts", edge.clock.Now()).Rank() < scouts
-}
-
-// publishServers puts the registry's servers in force and logs what changed.
-func (edge *Edge) publishServers(registry *backend.Registry) {
-	now := edge.clock.Now()
-	note(&edge.contact.servers, now)
-	before := edge.fleet.Current()
-	for _, id := range edge.fleet.Update(registry.List(now)) {
-		server := edge.fleet.Current().Server(id)
-		edge.log.Info().Str("backendServer", id).Int64("endsAtMillis", int64(server.LeaveAt())).Int64("nowMillis", int64(now)).
-			Msg("backend server leaves")
-	}
-	after := edge.fleet.Current()
-	for _, server := range after.Servers() {
-		if known := before.Server(server.ID()); known == nil || known.Key() != server.Key() {
-			server.Circuit().Start(now)
-			edge.log.Info().Str("backendServer", server.ID()).Str("pool", server.Pool()).Str("dataCentre", server.DataCentre()).
-				Bool("reclaimable", server.Reclaimable()).Msg("backend server listed")
-		}
-	}
-	for _, server := range before.Servers() {
-		if after.Server(server.ID()) == nil {
-			edge.log.Info().Str("backendServer", server.ID()).Msg("backend server gone from the list")
-		}
-	}
-}
-
-// sweepInterval is the time between two looks at idle connections.
-const sweepInterval = 2 * clock.Second
-
-// sweep closes connections that are no longer of use and counts latencies.
-func (edge *Edge) sweep(ctx context.Context) {
-	for edge.clock.Wait(ctx, sweepInterval) == nil {
-		live := map[string]bool{}
-		for _, server := range edge.fleet.Current().Servers() {
-			live[server.Key()] = !server.Leaving()
-		}
-		edge.links.Sweep(func(key string) bool { return live[key] })
-		edge.counters.latency.gather()
-	}
-}
