--- a/internal/edge/fixture_test.go
+++ b/internal/edge/fixture_test.go
@@ -29,14 +29,21 @@
 	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("net/http.(*conn).closeWriteAndWait"))
 }
 
+// waitLimit ends a wait that would never end. It is no bound on the speed of the
+// code: a slow machine takes a small part of it.
+const waitLimit = 2 * clock.Minute
+
 // testLog collects log lines, and lets tests wait for one instead of sleeping.
 type testLog struct {
+	t     *testing.T
 	mutex sync.Mutex
 	all   []string
 	added chan struct{}
 }
 
-func newTestLog() *testLog { return &testLog{added: make(chan struct{})} }
+func newTestLog(t *testing.T) *testLog {
+	return &testLog{t: t, added: make(chan struct{})}
+}
 
 // Write appends one line.
 func (testLog *testLog) Write(line []byte) (int, error) {
@@ -50,35 +57,78 @@
 
 // await waits for a line with all of the texts and returns it.
 func (testLog *testLog) await(texts ...string) string {
-	for {
-		testLog.mutex.Lock()
-		added := testLog.added
-		for _, line := range testLog.all {
+	testLog.t.Helper()
+	found := ""
+	testLog.awaitLines(fmt.Sprintf("a line with %q", texts), func(lines []string) bool {
+		for _, line := range lines {
 			if containsAll(line, texts) {
-				testLog.mutex.Unlock()
-				return line
+				found = line
+				return true
 			}
 		}
-		testLog.mutex.Unlock()
-		<-added
-	}
+		return false
+	})
+	return found
 }
 
 // awaitCount waits until there are at least count lines with the text.
 func (testLog *testLog) awaitCount(text string, count int) {
-	for {
-		testLog.mutex.Lock()
-		added, found := testLog.added, 0
-		for _, line := range testLog.all {
+	testLog.t.Helper()
+	testLog.awaitLines(fmt.Sprintf("%d lines with %q", count, text), func(lines []string) bool {
+		found := 0
+		for _, line := range lines {
 			if strings.Contains(line, text) {
 				found++
 			}
 		}
+		return found >= count
+	})
+}
+
+// awaitLines waits until the lines satisfy the condition. After waitLimit it fails
+// with the condition's name and the end of the log.
+func (testLog *testLog) awaitLines(name string, satisfied func(lines []string) bool) {
+	testLog.t.Helper()
+	ctx, cancel := clock.System().WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	for {
+		testLog.mutex.Lock()
+		added, done := testLog.added, satisfied(testLog.all)
 		testLog.mutex.Unlock()
-		if found >= count {
+		if done {
 			return
 		}
-		<-added
+		select {
+		case <-added:
+		case <-ctx.Done():
+			require.FailNow(testLog.t, "the log has not "+name, "%s", testLog.tail())
+		}
+	}
+}
+
+// tailLines is the number of lines of a log that a failed wait shows.
+const tailLines = 40
+
+// tail returns the last lines.
+func (testLog *testLog) tail() string {
+	testLog.mutex.Lock()
+	defer testLog.mutex.Unlock()
+	return strings.Join(testLog.all[max(0, len(testLog.all)-tailLines):], "\n")
+}
+
+// awaitValue returns the next value of the channel, or fails after waitLimit with the
+// name of what was expected and the end of the log.
+func awaitValue[T any](testNode *testNode, name string, values <-chan T) T {
+	t := testNode.log.t
+	t.Helper()
+	ctx, cancel := clock.System().WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	select {
+	case value := <-values:
+		return value
+	case <-ctx.Done():
+		require.FailNow(t, "there is no "+name, "%s", testNode.log.tail())
+		panic("unreachable")
 	}
 }
 
@@ -122,6 +172,11 @@
 	ended chan error
 }
 
+// awaitEnd waits until the node's process has ended and returns its error.
+func (testNode *testNode) awaitEnd() error {
+	return awaitValue(testNode, "end of "+testNode.host, testNode.ended)
+}
+
 // fixture is one node, or several, between stand-ins.
 type fixture struct {
 	*testNode
@@ -182,7 +237,7 @@
 // start starts a node that follows the store.
 func (fixture *fixture) start(host string, store *storestandin.Store) *testNode {
 	fixture.t.Helper()
-	testNode := &testNode{host: host, door: store.NewEndpoint(), log: newTestLog(), ended: make(chan error, 1)}
+	testNode := &testNode{host: host, door: store.NewEndpoint(), log: newTestLog(fixture.t), ended: make(chan error, 1)}
 	loaded := fixture.settings(testNode)
 	var err error
 	testNode.node, err = edge.New(loaded, clock.System(), zerolog.New(testNode.log))
@@ -196,7 +251,7 @@
 	}()
 	fixture.t.Cleanup(func() {
 		end()
-		require.NoError(fixture.t, <-testNode.ended)
+		require.NoError(fixture.t, testNode.awaitEnd())
 		cancel()
 	})
 	return testNode
@@ -247,6 +302,29 @@
 		`{"service":%q,"address":%q,"zone":"lj-a","version":"v1","batchSlots":6,"state":%q,"coldRemainingMs":0,"sequence":1}`, pool, address, state))
 }
 
+// nextCall returns the next accepted call of the leader tasks.
+func (fixture *fixture) nextCall() dutystandin.Call {
+	fixture.t.Helper()
+	return awaitValue(fixture.testNode, "accepted call of the leader tasks", fixture.duty.Accepted())
+}
+
+// awaitArrival waits until a request has arrived at one of the application servers.
+func (fixture *fixture) awaitArrival() {
+	fixture.t.Helper()
+	arrived := make(chan struct{}, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-fixture.apps[0].Arrived():
+		case <-fixture.apps[1].Arrived():
+		case <-ctx.Done():
+		}
+		arrived <- struct{}{}
+	}()
+	awaitValue(fixture.testNode, "request at an application server", arrived)
+}
+
 // response is what a caller received.
 type response struct {
 	status int
--- a/internal/edge/leadertasks_test.go
+++ b/internal/edge/leadertasks_test.go
@@ -20,7 +20,8 @@
 	t.Parallel()
 	fixture := newFixture(t)
 	sent, reported := 0, 0
-	for call := range fixture.duty.Accepted() {
+	for {
+		call := fixture.nextCall()
 		require.Equal(t, "edge-1", call.Holder())
 		require.Positive(t, call.Fence())
 		if call.Path() == "/usage" {
@@ -71,9 +72,10 @@
 }
 
 // awaitCallsOf checks accepted calls until the host has made count of them.
-func (checker *checker) awaitCallsOf(task *dutystandin.API, host string, count int) {
+func (checker *checker) awaitCallsOf(fixture *fixture, host string, count int) {
 	checker.t.Helper()
-	for call := range task.Accepted() {
+	for {
+		call := fixture.nextCall()
 		checker.check(call)
 		if call.Holder() == host {
 			if count--; count == 0 {
@@ -87,7 +89,7 @@
 func newPair(t *testing.T) (fixture *fixture, peer *testNode, checker *checker) {
 	t.Helper()
 	fixture, checker = newFixture(t), newChecker(t)
-	checker.awaitCallsOf(fixture.duty, "edge-1", 1)
+	checker.awaitCallsOf(fixture, "edge-1", 1)
 	return fixture, fixture.startReady("edge-2"), checker
 }
 
@@ -104,7 +106,7 @@
 		require.Equal(t, http.StatusOK, fixture.callAt(peer, http.MethodPost, "/book/a").status)
 		disrupt(fixture)
 		peer.log.await("lease on leader tasks changed", `"held":true`)
-		checker.awaitCallsOf(fixture.duty, "edge-2", 3)
+		checker.awaitCallsOf(fixture, "edge-2", 3)
 		require.Zero(t, fixture.duty.Conflicts())
 	}
 	t.Run("the holder dies", func(t *testing.T) {
@@ -130,7 +132,7 @@
 		fixture.log.await("cannot keep the lease on leader tasks")
 		fixture.door.SetFault(storestandin.FaultNone)
 		for range 3 {
-			checker.check(<-fixture.duty.Accepted())
+			checker.check(fixture.nextCall())
 		}
 		require.Zero(t, fixture.duty.Conflicts())
 	})
@@ -141,10 +143,10 @@
 		fixture.log.await("cannot commit the usage")
 		fixture.log.await("cannot keep the lease on leader tasks")
 		fixture.door.SetFault(storestandin.FaultNone)
-		checker.check(<-fixture.duty.Accepted())
+		checker.check(fixture.nextCall())
 		require.Positive(t, fixture.store.ApplyDelayed())
 		for range 3 {
-			checker.check(<-fixture.duty.Accepted())
+			checker.check(fixture.nextCall())
 		}
 		require.Zero(t, fixture.duty.Conflicts())
 	})
@@ -159,14 +161,14 @@
 		t.Helper()
 		t.Parallel()
 		fixture, checker := newFixture(t), newChecker(t)
-		checker.check(<-fixture.duty.Accepted())
+		checker.check(fixture.nextCall())
 		fixture.duty.SetFault(fault)
 		fixture.log.await("cannot report the usage yet")
 		fixture.duty.SetFault(dutystandin.FaultNone)
-		checker.check(<-fixture.duty.Accepted())
+		checker.check(fixture.nextCall())
 		fixture.duty.ApplyDelayed()
 		for range 3 {
-			checker.check(<-fixture.duty.Accepted())
+			checker.check(fixture.nextCall())
 		}
 		require.Zero(t, fixture.duty.Conflicts())
 	}
@@ -184,7 +186,8 @@
 	t.Parallel()
 	fixture, peer, checker := newPair(t)
 	sent, maxReported := 0, 0
-	for call := range fixture.duty.Accepted() {
+	for {
+		call := fixture.nextCall()
 		checker.check(call)
 		if call.Path() == "/usage" {
 			if maxReported = max(maxReported, usageIn(t, call)["garage"]); maxReported >= 2 {
@@ -210,13 +213,14 @@
 	fixture.store.Set("sapphire-demand", "latest", `{"pools":{"engines":{"work":2.7,"guessed":false}}}`)
 	fixture.testNode = fixture.startReady("edge-1")
 	fixture.log.await("loaded the planned demand", "2.7")
-	expectOrder(t, fixture.duty, `"desiredCount":6,"spot":true`)
+	expectOrder(fixture, `"desiredCount":6,"spot":true`)
 }
 
 // expectOrder waits for an accepted order with the text.
-func expectOrder(t *testing.T, task *dutystandin.API, text string) {
-	t.Helper()
-	for call := range task.Accepted() {
+func expectOrder(fixture *fixture, text string) {
+	fixture.t.Helper()
+	for {
+		call := fixture.nextCall()
 		if call.Path() == "/scale" && strings.Contains(call.Body(), text) {
 			return
 		}
@@ -234,9 +238,9 @@
 		require.Equal(t, http.StatusOK, fixture.callAt(peer, http.MethodPost, "/book/a").status)
 	}
 	peer.kill()
-	require.NoError(t, <-peer.ended)
+	require.NoError(t, peer.awaitEnd())
 	for reported := 0; reported < booked; {
-		call := <-fixture.duty.Accepted()
+		call := fixture.nextCall()
 		checker.check(call)
 		if call.Path() == "/usage" {
 			reported += usageIn(t, call)["garage"]
@@ -256,7 +260,7 @@
 	}
 	require.Equal(t, http.StatusTooManyRequests, fixture.call(http.MethodGet, "/look/a", small).status)
 	fixture.kill()
-	require.NoError(t, <-fixture.ended)
+	require.NoError(t, fixture.awaitEnd())
 	restarted := fixture.startReady("edge-1")
 	restarted.log.await("object of this node written", `"first":false`)
 	// The rate of one token in a second may have admitted one request since.
--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -292,10 +292,7 @@
 		require.NoError(t, err)
 	}
 	send("in-progress")
-	select {
-	case <-fixture.apps[0].Arrived():
-	case <-fixture.apps[1].Arrived():
-	}
+	fixture.awaitArrival()
 	fixture.stop()
 	fixture.log.await("stopping")
 	require.Equal(t, http.StatusServiceUnavailable, fixture.readiness())
@@ -320,10 +317,7 @@
 	require.NoError(t, err)
 	_, err = fmt.Fprint(connection, "GET /look/a HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: leaves\r\nAuthorization: Token key-of-garage\r\n\r\n")
 	require.NoError(t, err)
-	select {
-	case <-fixture.apps[0].Arrived():
-	case <-fixture.apps[1].Arrived():
-	}
+	fixture.awaitArrival()
 	require.NoError(t, connection.Close())
 	require.Contains(t, fixture.log.await(`"message":"request"`, "leaves"), "the caller left")
 }
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -171,13 +171,15 @@
 
 // cluster is a set of entry hosts in front of the same runners, in one process.
 type cluster struct {
-	t       *testing.T
-	clock   *clock.Clock
-	runners map[string]*testRunner
-	entries []*Entry
-	stops   []context.CancelFunc
-	kills   []context.CancelFunc
-	done    []chan struct{}
+	t     *testing.T
+	clock *clock.Clock
+	// platform is the address of the platform's stand-in.
+	platform string
+	runners  map[string]*testRunner
+	entries  []*Entry
+	stops    []context.CancelFunc
+	kills    []context.CancelFunc
+	done     []chan struct{}
 }
 
 const testSettings = `host = "entry-%d"
@@ -209,19 +211,14 @@
 	platform := httptest.NewServer(platformstandin.New(immediateClock(), 0).Router())
 	t.Cleanup(platform.Close)
 	t.Cleanup(func() { http.DefaultTransport.(*http.Transport).CloseIdleConnections() })
-	platformAddress := strings.TrimPrefix(platform.URL, "http://")
+	cluster.platform = strings.TrimPrefix(platform.URL, "http://")
 	for i := range runners {
 		runner := newTestRunner(t, fmt.Sprintf("runner-%d", i+1))
 		cluster.runners[runner.id] = runner
-		host := platformstandin.Host{ID: runner.id, Address: runner.address(), DataCentre: "lj-a", HostClass: "gpu-small", Pool: "runners", State: "live"}
-		require.NoError(t, platformstandin.Register(t.Context(), platformAddress, host))
+		cluster.register(runner.id, runner.address())
 	}
-	for i := range entries {
-		loaded, err := settings.ParseEntry("test", fmt.Appendf(nil, testSettings, i+1, platformAddress, testAccount, otherKey))
-		require.NoError(t, err)
-		entry, err := New(loaded, withoutFlushDelay(clock), zerolog.Nop())
-		require.NoError(t, err)
-		cluster.entries = append(cluster.entries, entry)
+	for range entries {
+		cluster.addEntry()
 	}
 	cluster.preload()
 	for _, entry := range cluster.entries {
@@ -230,6 +227,24 @@
 	return cluster
 }
 
+// register adds a runner to the platform's list.
+func (cluster *cluster) register(id, address string) {
+	cluster.t.Helper()
+	host := platformstandin.Host{ID: id, Address: address, DataCentre: "lj-a", HostClass: "gpu-small", Pool: "runners", State: "live"}
+	require.NoError(cluster.t, platformstandin.Register(cluster.t.Context(), cluster.platform, host))
+}
+
+// addEntry adds an entry host that does not run yet.
+func (cluster *cluster) addEntry() *Entry {
+	cluster.t.Helper()
+	loaded, err := settings.ParseEntry("test", fmt.Appendf(nil, testSettings, len(cluster.entries)+1, cluster.platform, testAccount, otherKey))
+	require.NoError(cluster.t, err)
+	entry, err := New(loaded, withoutFlushDelay(cluster.clock), zerolog.Nop())
+	require.NoError(cluster.t, err)
+	cluster.entries = append(cluster.entries, entry)
+	return entry
+}
+
 // preload sets runners, tables and peers before any loop runs.
 func (cluster *cluster) preload() {
 	var listed []backend.Listing
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,6 +81,10 @@
 	requestStop   context.CancelFunc
 	responses     *Responses
 	listeners     listeners
+	// hostsRequested is set once the list of hosts was requested for the first time,
+	// and surveyed once the listed runners were asked for their states.
+	hostsRequested atomic.Bool
+	surveyed       atomic.Bool
 }
 
 type listeners struct {
@@ -175,7 +179,7 @@
 	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
-	for _, loop := range []func(context.Context){entry.followTables, entry.updateServers, entry.watchNotices, entry.gossip.Run, entry.sendHints, entry.retryClaims, entry.updateAdmission, entry.pollCaches, entry.watchKeys} {
+	for _, loop := range []func(context.Context){entry.followTables, entry.updateServers, entry.surveyRunners, entry.watchNotices, entry.gossip.Run, entry.sendHints, entry.retryClaims, entry.updateAdmission, entry.pollCaches, entry.watchKeys} {
 		group.Go(func() error {
 			loop(loops)
 			return nil
@@ -207,7 +211,9 @@
 	return handler.Router()
 }
 
-func (entry *Entry) isReady() bool { return entry.connectivity.IsConnected() && !entry.stopping.Load() }
+func (entry *Entry) isReady() bool {
+	return entry.connectivity.IsConnected() && entry.surveyed.Load() && !entry.stopping.Load()
+}
 
 // newID returns a new request ID.
 func (entry *Entry) newID() string {
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -30,6 +30,7 @@
 		if err == nil {
 			entry.handleLeaving(withoutNotice(entry.fleet.Update(list)))
 		}
+		entry.hostsRequested.Store(true)
 		entry.applyEvidence(ctx)
 	}
 }
--- a/internal/standin/chaos/chaos.go
+++ b/internal/standin/chaos/chaos.go
@@ -97,14 +97,19 @@
 }
 
 // schedule spreads the faults evenly over the requests and returns their events in
-// order.
+// order. A fault overlaps the next one, unless one of them stops the platform's
+// stand-in and the other one calls it: then it ends just before the next one begins.
 func schedule(faults []fault, requests int) []event {
 	slot := requests / (len(faults) + 2)
 	var begins, ends, events []event
 	for i, fault := range faults {
 		begin := (i + 1) * slot
+		end := begin + int(faultDurationSlots*float64(slot))
+		if i+1 < len(faults) && fault.excludes(faults[i+1]) {
+			end = begin + slot - 1
+		}
 		begins = append(begins, event{at: begin, name: fault.name, run: fault.inject})
-		ends = append(ends, event{at: begin + int(faultDurationSlots*float64(slot)), name: "end of " + fault.name, run: fault.undo})
+		ends = append(ends, event{at: end, name: "end of " + fault.name, run: fault.undo})
 	}
 	for len(ends) > 0 {
 		if len(begins) > 0 && begins[0].at <= ends[0].at {
--- a/internal/standin/chaos/faults.go
+++ b/internal/standin/chaos/faults.go
@@ -22,6 +22,27 @@
 	name   string
 	inject func(ctx context.Context) error
 	undo   func(ctx context.Context) error
+	// platformUse is how the fault uses the platform's stand-in.
+	platformUse platformUse
+}
+
+// platformUse is how a fault uses the platform's stand-in.
+type platformUse int
+
+const (
+	// platformUnused: no call to the stand-in.
+	platformUnused platformUse = iota
+	// platformCalled: the fault's functions call the stand-in.
+	platformCalled
+	// platformStopped: the stand-in responds to no call until the fault is undone.
+	platformStopped
+)
+
+// excludes reports whether the faults must not overlap, since one calls the
+// platform's stand-in while the other has stopped it.
+func (fault fault) excludes(other fault) bool {
+	return fault.platformUse != platformUnused && other.platformUse != platformUnused &&
+		(fault.platformUse == platformStopped || other.platformUse == platformStopped)
 }
 
 // noticeMillis is the time from the notice of a reclaim until the hosts stop.
@@ -86,7 +107,7 @@
 		}
 		return platformstandin.Unregister(ctx, system.platform.Address("api"), killed)
 	}
-	return fault{name: "runner killed", inject: inject, undo: withRetry(system, undo)}
+	return fault{name: "runner killed", inject: inject, undo: withRetry(system, undo), platformUse: platformCalled}
 }
 
 // killEntry kills an entry host and restarts it.
@@ -159,7 +180,7 @@
 func (injector *injector) pausePlatform() fault {
 	inject := func(context.Context) error { return injector.system.platform.Signal(syscall.SIGSTOP) }
 	undo := func(context.Context) error { return injector.system.platform.Signal(syscall.SIGCONT) }
-	return fault{name: "platform paused", inject: inject, undo: undo}
+	return fault{name: "platform paused", inject: inject, undo: undo, platformUse: platformStopped}
 }
 
 func (injector *injector) breakPlatform(kind platformstandin.Fault, millis int64) fault {
@@ -168,7 +189,7 @@
 			return platformstandin.InjectFault(ctx, injector.system.platform.Address("api"), kind, millis)
 		})
 	}
-	return fault{name: "platform " + string(kind), inject: set(kind), undo: set(platformstandin.FaultNone)}
+	return fault{name: "platform " + string(kind), inject: set(kind), undo: set(platformstandin.FaultNone), platformUse: platformCalled}
 }
 
 // relayFault applies the function to the relays to services and to a random half of
--- a/internal/standin/dutystandin/duty.go
+++ b/internal/standin/dutystandin/duty.go
@@ -61,7 +61,8 @@
 	refusesSpot  bool
 }
 
-// acceptedQueueLength exceeds the number of calls that a test makes.
+// acceptedQueueLength is the number of accepted calls that a test may leave unread.
+// Further calls are refused, so that no call waits for a reader.
 const acceptedQueueLength = 1024
 
 // New returns an API that has received no calls.
@@ -142,9 +143,13 @@
 }
 
 // execute executes a call unless its fencing token is lower than one seen before for
-// the same path and zone, or its capacity is refused. It returns the response's
+// the same path and zone, its capacity is refused, or the queue of accepted calls is
+// full. It returns the response's
 // status. The caller holds the mutex.
 func (api *API) execute(call Call, form callForm) int {
+	if len(api.accepted) == cap(api.accepted) {
+		return http.StatusServiceUnavailable
+	}
 	subject := call.path + form.Zone
 	if call.fence < api.highestFence[subject] || (form.Spot && api.refusesSpot) {
 		return http.StatusConflict
--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -95,10 +95,13 @@
 	workTime clock.Millis
 }
 
+// arrivedQueueLength is the number of arrivals that a test may leave unread.
+const arrivedQueueLength = 64
+
 // New returns a server with the id. It responds with event streams, or with plain
 // text bodies.
 func New(id string, streams bool) *Engine {
-	return &Engine{id: id, streams: streams, arrived: make(chan struct{}, 64)}
+	return &Engine{id: id, streams: streams, arrived: make(chan struct{}, arrivedQueueLength)}
 }
 
 // SetBehaviours sets the behaviours of the next requests, in order. Requests after them use
@@ -144,9 +147,18 @@
 }
 
 // Arrived returns a channel that receives a value once each request's body is
-// read.
+// read. Values that nobody reads are dropped beyond arrivedQueueLength.
 func (engine *Engine) Arrived() <-chan struct{} { return engine.arrived }
 
+// signalArrival never blocks, so that a test which does not read Arrived gets all
+// its responses.
+func (engine *Engine) signalArrival() {
+	select {
+	case engine.arrived <- struct{}{}:
+	default:
+	}
+}
+
 // Executed returns the executed requests.
 func (engine *Engine) Executed() []ExecutedRequest {
 	engine.mutex.Lock()
@@ -180,7 +192,7 @@
 	if err != nil {
 		return
 	}
-	engine.arrived <- struct{}{}
+	engine.signalArrival()
 	if behaviour == BehaviourRefuseEarly {
 		return
 	}
