Bound the age of configuration and servers while all watches are silent

Cause: a watch waits up to 6 s at the store. A node that hears of a newer configuration from a peer reads at once, but when the connections of all nodes go silent together, no node has news to pass on. TestSilentWatches with two nodes whose watches are silent while configuration and list change: active after 6.66 s, bound 2 s (default).

Change: the watches of the three designated watchers wait 0.3 of the bound (configurationMillis, new in the settings, and drainMillis). A node that sees no live peer counts as designated: before, a lone node's rank was drawn from its name, so it could wait 6 s.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -15,6 +15,7 @@
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/directory"
 	"sapphirehead/internal/placement"
+	"sapphirehead/internal/platform"
 	"sapphirehead/internal/request"
 	"sapphirehead/internal/route"
 	"sapphirehead/platform/callers"
@@ -34,7 +35,7 @@
 	// maxConfigurationAge is the maximum age of the store's latest response with
 	// which a node may answer that a route or key does not exist: the longest
 	// watch, and a second for its response.
-	maxConfigurationAge = maxWatchWait + clock.Second
+	maxConfigurationAge = platform.MaxWatchWait + clock.Second
 	// connectionDescriptorShare is the share of the process's file descriptors for
 	// callers' connections, and bodyMemoryShare the share of its memory for
 	// request bodies.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -6,14 +6,11 @@
 	"github.com/pkg/errors"
 
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/platform"
 	"sapphirehead/platform/store"
 )
 
 const (
-	// maxWatchWait is the longest time that a watch waits at the store. It bounds
-	// the time until a silent connection is noticed if keep-alive probes, which
-	// are faster, do not detect it.
-	maxWatchWait = 6 * clock.Second
 	// minRetryWait and maxRetryWait bound the wait between calls to a store that
 	// does not respond. retryWaitPerNode for each node is added to maxRetryWait, as
 	// all nodes call the store.
@@ -96,7 +93,7 @@
 		handler.onSynced()
 		return listing.AsOf(), nil
 	}
-	wait := min(maxWatchWait, handler.watchWait())
+	wait := handler.watchWait()
 	if immediate {
 		wait = clock.Millisecond
 	}
@@ -150,8 +147,14 @@
 		},
 		onSynced: func() { setTime(&edge.storeResponses.configuration, edge.clock.Now()) },
 		wakeUp:   &edge.wakeUps.configuration, otherWakeUp: &edge.wakeUps.servers,
-		watchWait: func() clock.Millis { return maxWatchWait },
+		watchWait: func() clock.Millis { return edge.watchWait(edge.settings.Load().Bounds().Configuration()) },
 		onFailure: func(error) {},
 		onSuccess: func() {},
 	})
 }
+
+// watchWait returns the wait of one watch for changes that every node must know
+// within the bound.
+func (edge *Edge) watchWait(bound clock.Millis) clock.Millis {
+	return platform.WatchWait(bound, edge.isDesignatedWatcher())
+}
--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sapphirehead/internal/clock"
 	"sapphirehead/internal/standin/enginestandin"
 	"sapphirehead/internal/standin/storestandin"
 )
@@ -338,6 +339,23 @@
 		fixture.log.await("configuration active", `"version":8`)
 		require.False(t, fixture.log.contains("lost the platform store"), "the watch ran into its timeout")
 	})
+	t.Run("the watches of all nodes are silent", func(t *testing.T) {
+		t.Parallel()
+		fixture := newFixture(t)
+		peer := fixture.startReady("edge-2")
+		fixture.door.MuteWatches(true)
+		peer.door.MuteWatches(true)
+		fixture.store.Set("config", "main", newConfiguration)
+		fixture.listServer("app-0", "app", "127.0.0.1:1", "draining")
+		for _, testNode := range []*testNode{fixture.testNode, peer} {
+			testNode.log.await("configuration active", `"version":8`)
+			testNode.log.await("backend server leaves", "app-0")
+			// Half of the default bound of 2 s leaves the other half for the timeout that
+			// shows the silence and for the reads after it.
+			require.LessOrEqual(t, testNode.door.LongestWatch("config"), 1*clock.Second)
+			require.LessOrEqual(t, testNode.door.LongestWatch("servers"), 1*clock.Second)
+		}
+	})
 	t.Run("the other watch reports that history is gone", func(t *testing.T) {
 		t.Parallel()
 		fixture := newFixture(t)
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -66,10 +66,11 @@
 		},
 		onSynced: func() { edge.publishServers(registry) },
 		watchWait: func() clock.Millis {
+			wait := edge.watchWait(edge.settings.Load().Bounds().Drain())
 			if end, ok := registry.GraceEnd(); ok {
-				return max(clock.Millisecond, end-edge.clock.Now())
+				return max(clock.Millisecond, min(wait, end-edge.clock.Now()))
 			}
-			return maxWatchWait
+			return wait
 		},
 		batchDelay: edge.batchDelay,
 		wakeUp:     &edge.wakeUps.servers, otherWakeUp: &edge.wakeUps.configuration,
@@ -87,10 +88,12 @@
 	return max(minBatchDelay, min(batchDelayPerNode*clock.Millis(edge.nodes()), longest))
 }
 
-// isDesignatedWatcher reports whether this node watches the server list with
-// the shortest wait and reports leaving servers to its peers.
+// isDesignatedWatcher reports whether this node watches the store with the shortest
+// waits and reports leaving servers to its peers. A node without live peers relies on
+// its own watches.
 func (edge *Edge) isDesignatedWatcher() bool {
-	return edge.candidacyFor("scouts", edge.clock.Now()).Rank() < designatedWatchers
+	now := edge.clock.Now()
+	return edge.peers.states.View().LiveCount(now) == 1 || edge.candidacyFor("scouts", now).Rank() < designatedWatchers
 }
 
 // publishServers updates the fleet from the registry and logs the differences.
--- /dev/null
+++ b/internal/platform/watch_test.go
@@ -0,0 +1,28 @@
+package platform_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/platform"
+)
+
+// TestWatchWait checks that a change is known everywhere within the bound although
+// all watches have gone silent: a designated watcher notices after its wait and the
+// timeout of a call, watches again, and tells its peers, which wait a moment for their
+// own watches.
+func TestWatchWait(t *testing.T) {
+	const timeout, secondWatch, bulletin, peerWait, peerRead = 600, 50, 250, 300, 50
+	expectKnownWithin := func(t *testing.T, bound clock.Millis) {
+		t.Helper()
+		require.LessOrEqual(t, platform.WatchWait(bound, true)+timeout+secondWatch+bulletin+peerWait+peerRead, bound)
+	}
+	t.Run("bound of 2 s", func(t *testing.T) { expectKnownWithin(t, 2*clock.Second) })
+	t.Run("bound of 3 s", func(t *testing.T) { expectKnownWithin(t, 3*clock.Second) })
+	t.Run("bound of 4 s", func(t *testing.T) { expectKnownWithin(t, 4*clock.Second) })
+	t.Run("bound of 1 min", func(t *testing.T) { expectKnownWithin(t, 60*clock.Second) })
+	t.Run("never without a wait", func(t *testing.T) { require.Positive(t, platform.WatchWait(0, true)) })
+	t.Run("other nodes", func(t *testing.T) { require.Equal(t, platform.MaxWatchWait, platform.WatchWait(2*clock.Second, false)) })
+}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -32,16 +32,17 @@
 }
 
 type boundsForm struct {
-	DrainMillis        int64   `toml:"drainMillis" default:"2000" min:"100" max:"600000" help:"time within which a leaving backend server gets no more requests"`
-	GraceSeconds       float64 `toml:"graceSeconds" default:"8" min:"0.5" max:"3600" help:"time between the stop signal and the kill"`
-	RetryShare         float64 `toml:"retryShare" default:"0.2" min:"0" max:"10" help:"retries allowed for each request of a pool, over all nodes"`
-	RetryWindowSeconds float64 `toml:"retryWindowSeconds" default:"10" min:"0.1" max:"3600" help:"window over which retries are counted"`
-	RetrySlack         float64 `toml:"retrySlack" default:"20" min:"0" max:"1000000" help:"retries allowed in each window in addition to retryShare, over all nodes"`
-	QuotaOvershoot     float64 `toml:"quotaOvershoot" default:"0.1" min:"0" max:"10" help:"share by which a client account may exceed its allotment"`
-	QuotaSlack         float64 `toml:"quotaSlack" default:"0" min:"0" max:"1000000000" help:"amount by which a client account may exceed its allotment in addition to quotaOvershoot"`
-	LeaseMillis        int64   `toml:"leaseMillis" default:"3000" min:"500" max:"600000" help:"time within which the leader tasks must not move to another node and back"`
-	UsageWindowSeconds float64 `toml:"usageWindowSeconds" default:"5" min:"0.1" max:"86400" help:"window of one usage report"`
-	UsageLateSeconds   float64 `toml:"usageLateSeconds" default:"10" min:"0.1" max:"86400" help:"time after a window's end at which its report is due"`
+	DrainMillis         int64   `toml:"drainMillis" default:"2000" min:"100" max:"600000" help:"time within which a leaving backend server gets no more requests"`
+	ConfigurationMillis int64   `toml:"configurationMillis" default:"2000" min:"100" max:"600000" help:"time within which a new configuration is in force on every node"`
+	GraceSeconds        float64 `toml:"graceSeconds" default:"8" min:"0.5" max:"3600" help:"time between the stop signal and the kill"`
+	RetryShare          float64 `toml:"retryShare" default:"0.2" min:"0" max:"10" help:"retries allowed for each request of a pool, over all nodes"`
+	RetryWindowSeconds  float64 `toml:"retryWindowSeconds" default:"10" min:"0.1" max:"3600" help:"window over which retries are counted"`
+	RetrySlack          float64 `toml:"retrySlack" default:"20" min:"0" max:"1000000" help:"retries allowed in each window in addition to retryShare, over all nodes"`
+	QuotaOvershoot      float64 `toml:"quotaOvershoot" default:"0.1" min:"0" max:"10" help:"share by which a client account may exceed its allotment"`
+	QuotaSlack          float64 `toml:"quotaSlack" default:"0" min:"0" max:"1000000000" help:"amount by which a client account may exceed its allotment in addition to quotaOvershoot"`
+	LeaseMillis         int64   `toml:"leaseMillis" default:"3000" min:"500" max:"600000" help:"time within which the leader tasks must not move to another node and back"`
+	UsageWindowSeconds  float64 `toml:"usageWindowSeconds" default:"5" min:"0.1" max:"86400" help:"window of one usage report"`
+	UsageLateSeconds    float64 `toml:"usageLateSeconds" default:"10" min:"0.1" max:"86400" help:"time after a window's end at which its report is due"`
 }
 
 type edgeForm struct {
@@ -60,21 +61,26 @@
 // Bounds are the limits in time and amount that the operators of a deployment
 // guarantee to its users.
 type Bounds struct {
-	drain       clock.Millis
-	grace       clock.Millis
-	retryShare  float64
-	retryWindow clock.Millis
-	retrySlack  float64
-	overshoot   float64
-	quotaSlack  float64
-	lease       clock.Millis
-	usageWindow clock.Millis
-	usageLate   clock.Millis
+	drain         clock.Millis
+	configuration clock.Millis
+	grace         clock.Millis
+	retryShare    float64
+	retryWindow   clock.Millis
+	retrySlack    float64
+	overshoot     float64
+	quotaSlack    float64
+	lease         clock.Millis
+	usageWindow   clock.Millis
+	usageLate     clock.Millis
 }
 
 // Drain returns the time within which a leaving server gets no more requests.
 func (bounds Bounds) Drain() clock.Millis { return bounds.drain }
 
+// Configuration returns the time within which a new configuration is in force on
+// every node.
+func (bounds Bounds) Configuration() clock.Millis { return bounds.configuration }
+
 // Grace returns the time between the signal to stop and the kill.
 func (bounds Bounds) Grace() clock.Millis { return bounds.grace }
 
@@ -200,16 +206,17 @@
 
 func (form *boundsForm) bounds() Bounds {
 	return Bounds{
-		drain:       clock.Millis(form.DrainMillis),
-		grace:       fromSeconds(form.GraceSeconds),
-		retryShare:  form.RetryShare,
-		retryWindow: fromSeconds(form.RetryWindowSeconds),
-		retrySlack:  form.RetrySlack,
-		overshoot:   form.QuotaOvershoot,
-		quotaSlack:  form.QuotaSlack,
-		lease:       clock.Millis(form.LeaseMillis),
-		usageWindow: fromSeconds(form.UsageWindowSeconds),
-		usageLate:   fromSeconds(form.UsageLateSeconds),
+		drain:         clock.Millis(form.DrainMillis),
+		configuration: clock.Millis(form.ConfigurationMillis),
+		grace:         fromSeconds(form.GraceSeconds),
+		retryShare:    form.RetryShare,
+		retryWindow:   fromSeconds(form.RetryWindowSeconds),
+		retrySlack:    form.RetrySlack,
+		overshoot:     form.QuotaOvershoot,
+		quotaSlack:    form.QuotaSlack,
+		lease:         clock.Millis(form.LeaseMillis),
+		usageWindow:   fromSeconds(form.UsageWindowSeconds),
+		usageLate:     fromSeconds(form.UsageLateSeconds),
 	}
 }
 
--- a/internal/standin/storestandin/endpoint.go
+++ b/internal/standin/storestandin/endpoint.go
@@ -18,6 +18,8 @@
 	mutedKinds map[string]bool
 	// refused counts the calls that failed because of a read fault.
 	refused int
+	// longestWatch is the longest wait of a watch by kind.
+	longestWatch map[string]clock.Millis
 }
 
 // SetFault sets the endpoint's fault and wakes waiting watches. Their connections are
@@ -51,6 +53,22 @@
 	return endpoint.refused
 }
 
+// LongestWatch returns the longest wait that a watch of the kind asked for.
+func (endpoint *Endpoint) LongestWatch(kind string) clock.Millis {
+	endpoint.store.mutex.Lock()
+	defer endpoint.store.mutex.Unlock()
+	return endpoint.longestWatch[kind]
+}
+
+func (endpoint *Endpoint) recordWatch(kind string, wait clock.Millis) {
+	endpoint.store.mutex.Lock()
+	defer endpoint.store.mutex.Unlock()
+	if endpoint.longestWatch == nil {
+		endpoint.longestWatch = map[string]clock.Millis{}
+	}
+	endpoint.longestWatch[kind] = max(endpoint.longestWatch[kind], wait)
+}
+
 func (endpoint *Endpoint) countRefused() {
 	endpoint.store.mutex.Lock()
 	defer endpoint.store.mutex.Unlock()
@@ -121,6 +139,7 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	endpoint.recordWatch(kind, clock.Millis(wait))
 	timedOut := make(chan struct{})
 	defer clock.System().AfterFunc(clock.Millis(wait), func() { close(timedOut) })()
 	initialCuts := endpoint.store.snapshotSince(kind, since).watchCuts
