Bound what other sides send: events, bodies after a refusal, chunked bodies, stalled streams

Cause: several reads ended only when the sender ended them. - ReadEvent bounded an event only within one long line.

Change: bounds as listed in docs/DESIGN.md, endlessstandin to play such servers. Also: a body announced above the limit gets 413 before memory is taken for it.

Ruled out by the same tests: chunk sizes, extensions and trailers (net/http bounds them by the connection's buffer), heads and interim responses of backend servers.

--- a/internal/backend/backendlink/exchange.go
+++ b/internal/backend/backendlink/exchange.go
@@ -24,6 +24,13 @@
 // request: interim ones (1xx) and the final one.
 const maxResponseHeads = 4
 
+const (
+	// maxDiscardedBytes and discardTimeout bound the rest of a response that is read
+	// only to keep the connection. A new connection costs less than more of it.
+	maxDiscardedBytes = 4 << 10
+	discardTimeout    = 50 * clock.Millisecond
+)
+
 // Request is an encoded HTTP/1.1 request.
 type Request struct {
 	method        string
@@ -153,6 +160,19 @@
 	return count, err
 }
 
+// Discard reads the rest of a response whose body is not needed, so that Close can
+// keep the connection. It gives up on a body that is longer than maxDiscardedBytes or
+// takes longer than discardTimeout.
+func (response *Response) Discard() error {
+	stop := response.links.clock.AfterFunc(discardTimeout, response.connection.abort)
+	defer stop()
+	count, err := io.Copy(io.Discard, io.LimitReader(response, maxDiscardedBytes+1))
+	if err == nil && count > maxDiscardedBytes {
+		return errors.Errorf("the body has more than %d bytes", maxDiscardedBytes)
+	}
+	return err
+}
+
 // Close ends the exchange. The connection is kept if the response was read
 // completely, nothing was received after it, the whole request was sent, and
 // neither side closes or aborts the connection.
@@ -203,19 +223,30 @@
 	return maxIdle
 }
 
+// maxEventBytes bounds the size of an event, and of the comments before it.
+const maxEventBytes = 256 << 10
+
+// EventTooLongError reports that an event of a stream has no end within the bound.
+type EventTooLongError struct{ bytes int }
+
+// Bytes returns the number of bytes that were read.
+func (err *EventTooLongError) Bytes() int { return err.bytes }
+
+func (err *EventTooLongError) Error() string {
+	return "an event of a stream has no end after " + strconv.Itoa(err.bytes) + " bytes"
+}
+
 // ReadEvent returns the next complete event of a stream of server-sent events,
 // including its blank line. It returns io.EOF at the end of the stream, and
-// another error if the stream ends within an event.
+// another error if the stream ends within an event. Errors: *EventTooLongError.
 func ReadEvent(reader *bufio.Reader) ([]byte, error) {
 	var event []byte
-	for {
+	for len(event) <= maxEventBytes {
 		line, err := reader.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && len(event) <= maxEventBytes:
-			continue
 		case errors.Is(err, bufio.ErrBufferFull):
-			return event, errors.New("event exceeds 1 MiB")
+			continue
 		case errors.Is(err, io.EOF) && len(event) > 0:
 			return event, io.ErrUnexpectedEOF
 		case err != nil:
@@ -225,12 +256,9 @@
 			return event, nil
 		}
 	}
+	return event, &EventTooLongError{bytes: len(event)}
 }
 
-// maxEventBytes bounds the size of an event that has a line longer than the
-// reader's buffer.
-const maxEventBytes = 1 << 20
-
 func isBlank(line []byte) bool {
 	return len(line) == 1 || (len(line) == 2 && line[0] == '\r')
 }
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 
@@ -136,12 +137,14 @@
 }
 
 func (requestContext *requestContext) readBody(limit int) bool {
-	if requestContext.request.ContentLength == 0 {
+	switch length := requestContext.request.ContentLength; {
+	case length == 0:
 		return true
+	case length > int64(limit):
+		requestContext.writeProblem(http.StatusRequestEntityTooLarge, "tooLarge", "the body is too large", 0)
+		return false
 	}
-	announced := max(0, requestContext.request.ContentLength)
-	requestContext.bufferedBytes = announced
-	if requestContext.edge.bodyBytes.Add(announced) > int64(bodyMemoryShare*float64(requestContext.edge.settings.Load().MemoryBytes())) {
+	if !requestContext.reserve(max(0, requestContext.request.ContentLength)) {
 		requestContext.refuse("no memory for the body", shortRetryAfter)
 		return false
 	}
@@ -149,9 +152,13 @@
 	if err := control.SetReadDeadline(deadlineIn(bodyTimeout)); err != nil {
 		requestContext.edge.log.Error().Err(err).Msg("cannot set the read deadline of a request body")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(requestContext.writer, requestContext.request.Body, int64(limit)))
+	body, err := requestContext.readAll(http.MaxBytesReader(requestContext.writer, requestContext.request.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
+	var noMemory *bodyMemoryError
 	switch {
+	case errors.As(err, &noMemory):
+		requestContext.refuse(noMemory.Error(), shortRetryAfter)
+		return false
 	case errors.As(err, &tooLarge):
 		requestContext.writeProblem(http.StatusRequestEntityTooLarge, "tooLarge", "the body is too large", 0)
 		return false
@@ -166,6 +173,51 @@
 	return true
 }
 
+// reserve counts bytes of the body and reports whether the node has memory for them.
+func (requestContext *requestContext) reserve(bytes int64) bool {
+	requestContext.bufferedBytes += bytes
+	return requestContext.edge.bodyBytes.Add(bytes) <= int64(bodyMemoryShare*float64(requestContext.edge.settings.Load().MemoryBytes()))
+}
+
+// minBodyBuffer is the first size of the buffer for a body of unknown length.
+const minBodyBuffer = 4 << 10
+
+// readAll reads a body. The memory for one of unknown length is reserved as its buffer
+// grows. Errors: *bodyMemoryError, *http.MaxBytesError, and those of the connection.
+func (requestContext *requestContext) readAll(reader io.Reader) ([]byte, error) {
+	announced := requestContext.request.ContentLength
+	if announced >= 0 {
+		body := make([]byte, announced)
+		_, err := io.ReadFull(reader, body)
+		return body, err
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			grown := max(minBodyBuffer, 2*cap(body))
+			if !requestContext.reserve(int64(grown - cap(body))) {
+				return nil, &bodyMemoryError{bytes: len(body)}
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		count, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// bodyMemoryError reports that the node has no memory for the rest of a body.
+type bodyMemoryError struct{ bytes int }
+
+func (err *bodyMemoryError) Error() string {
+	return "no memory for the body after " + strconv.Itoa(err.bytes) + " bytes"
+}
+
 // admit matches route and client account and charges the request to the
 // allotment. It reports false after it has responded with an error.
 func (requestContext *requestContext) admit() bool {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -71,7 +71,7 @@
 	edge.placement = placement.New(clock, edge.fleet, loaded.DataCentre(), rand.Float64)
 	edge.transport = &http.Transport{
 		DialContext: backendlink.Dialer(storeProbes).DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: maxStoreConnections,
+		MaxIdleConnsPerHost: maxStoreConnections, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	edge.store = store.New(edge.transport, clock,
 		func() string { return edge.settings.Load().Platform().Address() },
--- /dev/null
+++ b/internal/edge/export_test.go
@@ -0,0 +1,16 @@
+package edge
+
+// BodyBytes returns the bytes of request bodies that the node holds.
+func (edge *Edge) BodyBytes() int64 { return edge.bodyBytes.Load() }
+
+// UsesAddress reports whether every server of the pool that takes requests has the
+// address.
+func (edge *Edge) UsesAddress(pool, address string) bool {
+	servers := edge.fleet.Current().Pool(pool)
+	for _, server := range servers {
+		if !server.Leaving() && server.Address() != address {
+			return false
+		}
+	}
+	return len(servers) > 0
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -45,6 +45,11 @@
 		wokenUp := handler.wakeUp.consume()
 		next, err := edge.followOnce(ctx, handler, revision, listed, failing || wokenUp)
 		var gone *store.HistoryGoneError
+		var tooLarge *store.TooLargeError
+		if errors.As(err, &tooLarge) {
+			// The same watch would return as much again; a listing comes in pages.
+			listed = false
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -214,7 +214,7 @@
 	requestContext := attempts.requestContext
 	switch verdict := runners.Classify(response.Status(), response.Header(), requestContext.call.ID()); verdict {
 	case runners.VerdictNotRun, runners.VerdictMisdirected:
-		if _, err := io.Copy(io.Discard, io.LimitReader(response, maxBufferedBytes)); err != nil {
+		if err := response.Discard(); err != nil {
 			requestContext.edge.log.Debug().Err(err).Str("requestId", requestContext.call.ID()).Msg("cannot read the rest of a refusal")
 		}
 		if verdict == runners.VerdictMisdirected {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -11,7 +11,8 @@
 
 // An attempt without progress for a multiple of the route's target, or for the
 // floor if that is longer, counts as silent. Comments that a runner sends while
-// a request waits in its queue count as progress.
+// a request waits in its queue count as progress, but not after its first token: a
+// stalled stream may still send a byte now and then.
 const (
 	silenceTargetFactor = 4
 	silenceFirstFloor   = 2 * clock.Second
@@ -60,17 +61,21 @@
 	}
 	defer stream.Close()
 	send(attemptEvent{opened: true, streamID: stream.ID()})
-	timeout := first
+	started := false
 	for {
 		event, err := stream.Next()
 		if err != nil {
 			fail(err)
 			return
 		}
-		if len(event.Tokens()) > 0 {
-			timeout = between
+		generated := len(event.Tokens()) > 0
+		started = started || generated
+		switch {
+		case generated:
+			watchdog.arm(between)
+		case !started:
+			watchdog.arm(first)
 		}
-		watchdog.arm(timeout)
 		if _, ended := event.Ended(); ended {
 			watchdog.arm(drainTimeout)
 			run.drain(stream, send)
--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -71,10 +71,13 @@
 	cached atomic.Pointer[cachedHosts]
 }
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
 // New returns a client of the platform at the host and port. The timeout limits
 // each call; a watch has watchWait in addition.
 func New(address string, clock *clock.Clock, timeout clock.Millis) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout.Duration()}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout.Duration(), MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
 		base: "http://" + address, clock: clock, timeout: timeout,
 		http:    &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
--- a/internal/runner/runnerhttp/client.go
+++ b/internal/runner/runnerhttp/client.go
@@ -37,6 +37,9 @@
 // doneData is the data of the last event of a stream.
 const doneData = "[DONE]"
 
+// maxFailureBytes bounds what is read of the body of a failure, for the log.
+const maxFailureBytes = 1 << 10
+
 // maxLineBytes bounds the length of one line of a stream, and of a response that is
 // read whole.
 const maxLineBytes = 1 << 20
@@ -142,7 +145,7 @@
 // belongs to another request or stream.
 func checkResponse(response *http.Response, requestID, streamID string) *runner.AttemptError {
 	if response.StatusCode != http.StatusOK {
-		body, _ := io.ReadAll(io.LimitReader(response.Body, maxLineBytes))
+		body, _ := io.ReadAll(io.LimitReader(response.Body, maxFailureBytes))
 		return runner.NewAttemptError(statusCause(response.StatusCode), errors.Errorf("status %s: %s", response.Status, body))
 	}
 	if responseRequestID := response.Header.Get(HeaderRequestID); responseRequestID != "" && responseRequestID != requestID {
--- a/internal/runner/runnerhttp/connections.go
+++ b/internal/runner/runnerhttp/connections.go
@@ -25,6 +25,9 @@
 	byAddress sync.Map
 }
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
 func newConnections(connectTimeout clock.Millis) *connections {
 	dialer := &net.Dialer{Timeout: connectTimeout.Duration()}
 	return &connections{dial: dialer.DialContext}
@@ -33,6 +36,7 @@
 func (connections *connections) newHTTPClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: connections.dial, MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout.Duration(),
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/internal/service/servicehttp/client.go
+++ b/internal/service/servicehttp/client.go
@@ -43,12 +43,15 @@
 	singleUse *http.Client
 }
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
 // New returns a client with the timeout for opening connections.
 func New(connectTimeout clock.Millis) *Client {
 	dialer := &net.Dialer{Timeout: connectTimeout.Duration()}
 	return &Client{
-		keepAlive: newClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64}),
-		singleUse: newClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}),
+		keepAlive: newClient(&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maxHeadBytes}),
+		singleUse: newClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}),
 	}
 }
 
--- /dev/null
+++ b/internal/standin/endlessstandin/endless.go
@@ -0,0 +1,139 @@
+// Package endlessstandin is a stand-in for a server in trouble: it responds to each
+// request with a prefix, followed by a pattern without end, until its caller closes
+// the connection.
+//
+//	prefix "HTTP/1.1 200 OK\r\n", pattern "X-A: b\r\n" -> a head without end
+package endlessstandin
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"sapphirehead/internal/clock"
+)
+
+// burstBytes is the least size of one write of a server without a pause.
+const burstBytes = 64 << 10
+
+// Server is the stand-in. It serves until Close.
+type Server struct {
+	listener net.Listener
+	prefix   func(request *http.Request) string
+	pattern  []byte
+	pause    clock.Millis
+	sent     atomic.Int64
+	abandons chan struct{}
+	done     sync.WaitGroup
+	mutex    sync.Mutex
+	open     map[net.Conn]bool
+	closed   bool
+}
+
+// abandonsQueueLength is the number of closed connections that may be left unread.
+const abandonsQueueLength = 1024
+
+// New returns a server on loopback. The prefix may depend on the request. With a
+// pause, the server sends one byte of the pattern after each pause; without one, it
+// sends as fast as its caller reads.
+func New(prefix func(request *http.Request) string, pattern string, pause clock.Millis) (*Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := &Server{
+		listener: listener, prefix: prefix, pattern: []byte(pattern), pause: pause,
+		abandons: make(chan struct{}, abandonsQueueLength), open: map[net.Conn]bool{},
+	}
+	server.done.Go(server.accept)
+	return server, nil
+}
+
+// Address returns the server's host and port.
+func (server *Server) Address() string { return server.listener.Addr().String() }
+
+// Sent returns the number of bytes of patterns that were sent to all callers.
+func (server *Server) Sent() int64 { return server.sent.Load() }
+
+// Abandoned returns a channel that receives a value for each connection that its
+// caller has closed after a response had begun.
+func (server *Server) Abandoned() <-chan struct{} { return server.abandons }
+
+// Close ends all connections.
+func (server *Server) Close() {
+	server.listener.Close()
+	server.mutex.Lock()
+	server.closed = true
+	for conn := range server.open {
+		conn.Close()
+	}
+	server.mutex.Unlock()
+	server.done.Wait()
+}
+
+func (server *Server) accept() {
+	for {
+		conn, err := server.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !server.track(conn) {
+			return
+		}
+		server.done.Go(func() {
+			defer server.untrack(conn)
+			server.serve(conn)
+		})
+	}
+}
+
+func (server *Server) track(conn net.Conn) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.closed {
+		conn.Close()
+		return false
+	}
+	server.open[conn] = true
+	return true
+}
+
+func (server *Server) untrack(conn net.Conn) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	delete(server.open, conn)
+	conn.Close()
+}
+
+func (server *Server) serve(conn net.Conn) {
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	defer func() {
+		select {
+		case server.abandons <- struct{}{}:
+		default:
+		}
+	}()
+	if _, err := conn.Write([]byte(server.prefix(request))); err != nil {
+		return
+	}
+	piece := bytes.Repeat(server.pattern, burstBytes/len(server.pattern)+1)
+	for sent := 0; ; sent++ {
+		if server.pause > 0 {
+			paused := make(chan struct{})
+			clock.System().AfterFunc(server.pause, func() { close(paused) })
+			<-paused
+			piece = server.pattern[sent%len(server.pattern) : sent%len(server.pattern)+1]
+		}
+		count, err := conn.Write(piece)
+		server.sent.Add(int64(count))
+		if err != nil {
+			return
+		}
+	}
+}
