Learn the speed of a pool's servers from requests

Cause: the prefill rate of the first two sites' engines, a time in a batch of 64 and a time of a service stood in the code as constants.

Change: placement.Speed, one for each pool, learned by each node from its own requests; placement, admission and the size of the fleet use it. The rate is a high quantile of the prompt tokens that no cache can hold over the time to the first event, where nothing was ahead.

--- a/internal/edge/autoscaling.go
+++ b/internal/edge/autoscaling.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		if state.observedAt != 0 {
-			state.work = float64(tokens-state.tokens) / float64(elapsed) / pool.PrefillTokensPerMillisecond
+			state.work = float64(tokens-state.tokens) / float64(elapsed) / edge.placement.Speed(poolConfig.Name()).PrefillRate()
 			state.autoscaler.Observe(state.work)
 		}
 		state.tokens, state.observedAt = tokens, now
@@ -218,5 +218,5 @@
 	}
 	edge.log.Info().Err(err).Str("pool", poolConfig.Name()).Str("dataCentre", place.DataCentre()).Bool("reclaimable", place.Reclaimable()).
 		Int("count", count).Int("serving", state.serving[place]).Float64("plannedWork", state.autoscaler.PlannedWork()).
-		Float64("work", state.work).Int64("fence", holding.Fence()).Msg("order")
+		Float64("work", state.work).Float64("prefillRate", edge.placement.Speed(poolConfig.Name()).PrefillRate()).Int64("fence", holding.Fence()).Msg("order")
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -112,6 +112,7 @@
 	buffered       bufferedResponse
 	lastEvent      string
 	delivered      bool
+	sentAt         clock.Millis
 	retryAfter     clock.Millis
 }
 
@@ -142,6 +143,7 @@
 	defer markRead()
 	server.Circuit().Begin(edge.clock.Now())
 	attempts.retrier.RecordSend()
+	attempts.sentAt = edge.clock.Now()
 	response, err := edge.links.Send(attempts.ctx, server, attempts.encode(choice))
 	if err != nil {
 		return attempts.handleSendError(server, err)
@@ -239,10 +241,19 @@
 			return attempts.stream(response, markRead)
 		}
 		requestContext.countRun()
-		return attempts.buffer(response)
+		outcome := attempts.buffer(response)
+		if outcome == request.OutcomeAnswered {
+			attempts.speed().ObserveResponse(requestContext.edge.clock.Now() - attempts.sentAt)
+		}
+		return outcome
 	}
 }
 
+// speed returns what this node has learned about the pool's servers.
+func (attempts *attempts) speed() *placement.Speed {
+	return attempts.requestContext.edge.placement.Speed(attempts.requestContext.pool)
+}
+
 // buffer reads the whole response, or begins to relay it if it is long.
 func (attempts *attempts) buffer(response *backendlink.Response) request.Outcome {
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
@@ -305,9 +316,11 @@
 	requestContext := attempts.requestContext
 	reader := bufio.NewReader(response)
 	defer requestContext.clearWriteDeadline()
-	for {
+	var firstEvent clock.Millis
+	for events := 0; ; events++ {
 		event, err := backendlink.ReadEvent(reader)
 		if errors.Is(err, io.EOF) {
+			attempts.speed().ObserveStream(firstEvent, requestContext.edge.clock.Now()-attempts.sentAt, events)
 			if !attempts.retrier.ResponseStarted() {
 				attempts.writeHead(response.Status(), response.Header(), -1)
 			}
@@ -318,6 +331,12 @@
 			return attempts.handleStreamError(err)
 		}
 		markRead()
+		if events == 0 {
+			firstEvent = requestContext.edge.clock.Now() - attempts.sentAt
+			if requestContext.choice.ShowsPrefill() && attempts.lastEvent == "" {
+				attempts.speed().ObserveFirstEvent(requestContext.choice.UncachedTokens(), firstEvent)
+			}
+		}
 		if !attempts.retrier.ResponseStarted() {
 			requestContext.countRun()
 			requestContext.recordFirstEvent()
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"sapphirehead/internal/clock"
-	"sapphirehead/internal/pool"
 	"sapphirehead/internal/route"
 )
 
@@ -17,9 +16,6 @@
 	// at which a request is refused. A prompt that is too long to meet the target
 	// even on an idle engine is still served.
 	minQueueShare = 0.25
-	// decodeShare is the share of an engine's time spent decoding for running
-	// requests while prompts wait for prefill.
-	decodeShare = 0.15
 )
 
 // Lateness returns the expected lateness, in milliseconds, of a request's first
@@ -34,7 +30,7 @@
 		return 0
 	}
 	admissionDeadline := max(admissionDeadlineShare-admissionDeadlineRankStep*float64(rank), minAdmissionDeadlineShare) * float64(routeConfig.FirstToken())
-	if queueMillis := choice.wait - float64(choice.uncachedTokens)/pool.PrefillTokensPerMillisecond; queueMillis < minQueueShare*float64(routeConfig.FirstToken()) {
+	if choice.queue < minQueueShare*float64(routeConfig.FirstToken()) {
 		return 0
 	}
 	expectedMillis := float64(elapsed) + choice.wait/(1-decodeShare)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -18,6 +18,7 @@
 import (
 	"math"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,16 +30,6 @@
 )
 
 const (
-	// batchContentionMillis is the delay that one more request in an engine's batch
-	// adds for the others: 0.02 ms per decode step, about 70 steps per response,
-	// rounded up.
-	batchContentionMillis = 1.5
-	// slotWaitMillis is the estimated wait for a slot per request ahead: the time
-	// that one request occupies a slot, divided by a batch of 64.
-	slotWaitMillis = 30.0
-	// serviceMillis is the mean processing time of a request at an application
-	// service, the same in both deployments.
-	serviceMillis = 60.0
 	// remoteRoundTripMillis is the round trip to another data centre.
 	remoteRoundTripMillis = 3.0
 	// freshLoadAge is the age up to which a reported load has full weight.
@@ -60,6 +51,8 @@
 	candidates     int
 	engine         bool
 	wait           float64
+	queue          float64
+	onlyLastPart   bool
 }
 
 // Server returns the chosen server.
@@ -72,6 +65,11 @@
 // the prefill of the queued prompts and of this one, and the wait for a slot.
 func (choice Choice) Wait() float64 { return choice.wait }
 
+// ShowsPrefill reports whether the time to the first event shows the speed of the
+// server: nothing was ahead of the request, as far as this node knew, and all tokens
+// expected to be prefilled belong to its last part, which no cache holds.
+func (choice Choice) ShowsPrefill() bool { return choice.queue == 0 && choice.onlyLastPart }
+
 // UncachedTokens returns the number of prompt tokens that the server is expected
 // to prefill.
 func (choice Choice) UncachedTokens() int { return choice.uncachedTokens }
@@ -91,6 +89,7 @@
 	fleet      *backend.Fleet
 	dataCentre string
 	random     func() float64
+	speeds     sync.Map // Pool to *Speed.
 }
 
 // New returns a placement for a node in the data centre. Random returns a number
@@ -100,12 +99,21 @@
 	return &Placement{clock: clock, fleet: fleet, dataCentre: dataCentre, random: random}
 }
 
+// Speed returns what this node has learned about the servers of the pool.
+func (placement *Placement) Speed(pool string) *Speed {
+	if speed, ok := placement.speeds.Load(pool); ok {
+		return speed.(*Speed)
+	}
+	speed, _ := placement.speeds.LoadOrStore(pool, NewSpeed())
+	return speed.(*Speed)
+}
+
 // Choose returns the cheapest server for a request with the prompt, and false if
 // there is none. It skips leaving servers and those whose keys are excluded. A
 // server whose circuit is open is chosen only if there is no other.
 func (placement *Placement) Choose(poolConfig pool.Pool, prompt runner.Prompt, exclude []string) (Choice, bool) {
 	servers := placement.fleet.Current().Pool(poolConfig.Name())
-	now := placement.clock.Now()
+	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
 	var best, fallback Choice
 	candidates := 0
@@ -113,7 +121,7 @@
 		if server.Leaving() || slices.Contains(exclude, server.Key()) {
 			continue
 		}
-		choice := placement.estimate(server, poolConfig, prompt, cachedShare(server, preferred, alternate), now)
+		choice := placement.estimate(server, poolConfig, speed, prompt, cachedShare(server, preferred, alternate), now)
 		if !server.Circuit().Allows(now) {
 			fallback = cheaper(fallback, choice)
 			continue
@@ -180,7 +188,7 @@
 	}
 }
 
-func (placement *Placement) estimate(server *backend.Server, poolConfig pool.Pool, prompt runner.Prompt, cachedSessionShare float64, now clock.Millis) Choice {
+func (placement *Placement) estimate(server *backend.Server, poolConfig pool.Pool, speed *Speed, prompt runner.Prompt, cachedSessionShare float64, now clock.Millis) Choice {
 	choice := Choice{server: server, preferred: cachedSessionShare == 1}
 	running, waiting := serverLoad(server, now)
 	slots := server.Slots()
@@ -191,10 +199,12 @@
 	if poolConfig.Kind() == pool.KindRunner {
 		choice.uncachedTokens = uncachedTokens(prompt, cachedSessionShare)
 		choice.engine = true
-		choice.wait = float64(int64(choice.uncachedTokens)+server.Work().Pending())/pool.PrefillTokensPerMillisecond + slotWaitMillis*requestsAhead
-		choice.cost = choice.wait + batchContentionMillis*running
+		choice.onlyLastPart = cachedSessionShare == 1 || len(prompt.Parts()) == 2
+		choice.queue = float64(max(0, server.Work().Pending()))/speed.PrefillRate() + speed.SlotWaitMillis(slots)*requestsAhead
+		choice.wait = choice.queue + float64(choice.uncachedTokens)/speed.PrefillRate()
+		choice.cost = choice.wait + speed.ContentionMillis()*running
 	} else {
-		choice.cost = serviceMillis*(running/float64(max(slots, 1))+requestsAhead) + placement.random()
+		choice.cost = speed.ResponseMillis()*(running/float64(max(slots, 1))+requestsAhead) + placement.random()
 	}
 	if server.DataCentre() != placement.dataCentre {
 		choice.cost += remoteRoundTripMillis
--- a/internal/pool/engine.go
+++ b/internal/pool/engine.go
@@ -1,9 +1,5 @@
 package pool
 
-// PrefillTokensPerMillisecond is the prefill rate of an engine, the same in both
-// deployments.
-const PrefillTokensPerMillisecond = 38.1
-
 // Engine describes the model engines of a pool, which batch requests and cache the
 // KV state of prompts.
 type Engine struct {
