Reserve for the usage that other nodes admit unseen by its real delay

An account whose demand rises to 6 times its allotment is admitted its demand of that time at all nodes.

Change: the delay follows the interval of bulletins; the reserve may take half of the burst, and is bounded by ten times the usage known of the peers, as at a node with few requests one large request looks like a burst. An account below its allotment gets all it asks for at 7, 68 and 295 nodes (same test).

--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -16,6 +16,8 @@
 	defaultCost int
 	tokens      bool
 	overshoot   float64
+	// delay is the time in seconds until peer nodes have received the usage of a node.
+	delay float64
 }
 
 // NewAllotment returns an allotment. A perSecond of 0 means no limit. If tokens
@@ -35,11 +37,27 @@
 	return allotment
 }
 
+// WithDelay returns a copy for nodes that receive each other's usage after the delay
+// at most.
+func (allotment Allotment) WithDelay(delay clock.Millis) Allotment {
+	allotment.delay = float64(delay) / float64(clock.Second)
+	return allotment
+}
+
 // reserve returns the tokens to keep in the bucket for requests that peer nodes
-// admit before they receive this node's usage: at most the overshoot. It assumes
-// that each peer has the same demand as this node.
-func (allotment Allotment) reserve(demand float64, nodes int) float64 {
-	return min(demand*float64(nodes-1)*propagationDelaySeconds, allotment.overshoot)
+// admit before they receive this node's usage. They are expected to have the same
+// demand as this node, own, but not more than maxGrowth times what they are known to
+// use, peers: at a node with few requests, one large request looks like a burst of the
+// account.
+//
+// The reserve is at most the overshoot and reservedBurstShare of the burst. An account
+// whose demand needs more is far over its allotment, and gets its rate all the same.
+func (allotment Allotment) reserve(own, peers float64, nodes int) float64 {
+	unseen := own * float64(nodes-1)
+	if peers > 0 {
+		unseen = min(unseen, maxGrowth*peers)
+	}
+	return min(unseen*allotment.delay, allotment.overshoot+reservedBurstShare*allotment.burst)
 }
 
 // PerSecond returns the rate in tokens per second, or 0 for no limit.
@@ -58,9 +76,12 @@
 }
 
 const (
-	// propagationDelaySeconds is the time until peer nodes have received the usage
-	// of a node.
-	propagationDelaySeconds = 0.3
+	// maxGrowth bounds the demand that is expected at peers, as a multiple of their
+	// known usage.
+	maxGrowth = 10.0
+	// reservedBurstShare is the largest share of the burst that is kept for requests
+	// which peers admit unseen.
+	reservedBurstShare = 0.5
 	// debtLimitSeconds bounds the debt that peer nodes' reports may cause: the
 	// burst and the tokens of this time at the allotment's rate.
 	debtLimitSeconds = 10.0
@@ -87,8 +108,9 @@
 	level     float64
 	updatedAt clock.Millis
 	// demand is the average tokens per second of requests at this node, admitted
-	// or not.
+	// or not, and peers that of the usage reported by peers.
 	demand float64
+	peers  float64
 }
 
 // NewMeter returns a meter whose bucket is full.
@@ -122,10 +144,10 @@
 	cost := float64(tokens)
 	for {
 		current := meter.state.Load()
-		next := &meterState{level: current.refilled(allotment, share, now), updatedAt: now, demand: current.demandWith(cost, now)}
+		next := &meterState{level: current.refilled(allotment, share, now), updatedAt: now, demand: average(current.demand, cost, current.updatedAt, now), peers: average(current.peers, 0, current.updatedAt, now)}
 		// A large request needs no higher level than a small one, or an account near
 		// its limit would never get a large one admitted. It leaves a debt.
-		needed := allotment.reserve(next.demand, nodes)
+		needed := allotment.reserve(next.demand, next.peers, nodes)
 		admitted := next.level > needed
 		if admitted {
 			next.level -= cost
@@ -156,7 +178,11 @@
 		// The debt is bounded, or a peer node's false report could lock the account
 		// out indefinitely.
 		level = min(max(level, -allotment.burst-debtLimitSeconds*allotment.perSecond), allotment.burst)
-		if meter.state.CompareAndSwap(current, &meterState{level: level, updatedAt: now, demand: current.demandWith(0, now)}) {
+		next := &meterState{
+			level: level, updatedAt: now, demand: average(current.demand, 0, current.updatedAt, now),
+			peers: average(current.peers, math.Max(0, float64(tokens)), current.updatedAt, now),
+		}
+		if meter.state.CompareAndSwap(current, next) {
 			return
 		}
 	}
@@ -167,9 +193,9 @@
 	return min(allotment.burst, state.level+elapsed*allotment.perSecond*share)
 }
 
-// demandWith returns the average demand in tokens per second, including one more
-// request.
-func (state *meterState) demandWith(tokens float64, now clock.Millis) float64 {
-	elapsed := float64(max(0, now-state.updatedAt)) / float64(clock.Second)
-	return state.demand*math.Exp(-elapsed/demandWindowSeconds) + tokens/demandWindowSeconds
+// average returns the average tokens per second of the time before updatedAt, with more
+// tokens now.
+func average(perSecond, tokens float64, updatedAt, now clock.Millis) float64 {
+	elapsed := float64(max(0, now-updatedAt)) / float64(clock.Second)
+	return perSecond*math.Exp(-elapsed/demandWindowSeconds) + tokens/demandWindowSeconds
 }
--- a/internal/caller/allotment_test.go
+++ b/internal/caller/allotment_test.go
@@ -138,6 +138,108 @@
 	})
 }
 
+// burstLoad is the demand of one account at many nodes, which rises at once to a
+// multiple of its allotment.
+type burstLoad struct {
+	nodes    int
+	delay    clock.Millis
+	perS     float64
+	cost     int
+	pressure float64
+	calm     float64
+}
+
+// play lets the nodes admit the load for some seconds, calm for the first second, and
+// returns the tokens admitted in each step.
+func (load burstLoad) play(allotment caller.Allotment, step, length clock.Millis) []int64 {
+	choose := rand.New(rand.NewPCG(7, 0))
+	meters := make([]*caller.Meter, load.nodes)
+	for i := range meters {
+		meters[i] = caller.NewMeter(allotment, 0)
+	}
+	type update struct {
+		at   clock.Millis
+		node int
+		used int64
+	}
+	var pending []update
+	var admitted []int64
+	demanded := 0.0
+	for now := clock.Millis(0); now < length; now += step {
+		for len(pending) > 0 && pending[0].at <= now {
+			for i := range meters {
+				if i != pending[0].node {
+					meters[i].AddPeerUsage(allotment, pending[0].used, 1, now)
+				}
+			}
+			pending = pending[1:]
+		}
+		pressure := load.pressure
+		if now < clock.Second {
+			pressure = load.calm
+		}
+		sum := int64(0)
+		for demanded += pressure * load.perS * float64(step) / 1000; demanded >= float64(load.cost); demanded -= float64(load.cost) {
+			node := choose.IntN(load.nodes)
+			if meters[node].Admit(allotment, load.cost, 1, load.nodes, now) == nil {
+				sum += int64(load.cost)
+				pending = append(pending, update{at: now + load.delay, node: node, used: int64(load.cost)})
+			}
+		}
+		admitted = append(admitted, sum)
+	}
+	return admitted
+}
+
+// TestBurstAtManyNodes checks the operators' bound when an account's demand rises at
+// once at many nodes, which know each other's usage late, and that an account below
+// its allotment gets all that it asks for.
+func TestBurstAtManyNodes(t *testing.T) {
+	const perS, burst, window, step = 700_000.0, 1_400_000.0, 8000, 20
+	const operatorsShare, operatorsSlack = 0.1, 140_000.0
+	play := func(load burstLoad) (highest int64, total int64) {
+		allotment := caller.NewAllotment(perS, burst, 1, true).WithOvershoot(operatorsShare/2, operatorsSlack*0.6).WithDelay(load.delay)
+		admitted := load.play(allotment, step, 3*window)
+		for start := range admitted {
+			sum := int64(0)
+			for _, tokens := range admitted[start:min(len(admitted), start+window/step)] {
+				sum += tokens
+			}
+			highest = max(highest, sum)
+			total += admitted[start]
+		}
+		return highest, total
+	}
+	expectBound := func(t *testing.T, load burstLoad) {
+		t.Helper()
+		highest, _ := play(load)
+		require.LessOrEqual(t, float64(highest), (perS*window/1000+burst)*(1+operatorsShare)+operatorsSlack)
+	}
+	expectServed := func(t *testing.T, load burstLoad) {
+		t.Helper()
+		_, total := play(load)
+		require.InEpsilon(t, load.calm*perS*3*window/1000, float64(total), 0.01)
+	}
+	t.Run("68 nodes, 6 times the allotment", func(t *testing.T) {
+		expectBound(t, burstLoad{nodes: 68, delay: 332, perS: perS, cost: 12_000, pressure: 6, calm: 0.5})
+	})
+	t.Run("68 nodes, 3 times the allotment", func(t *testing.T) {
+		expectBound(t, burstLoad{nodes: 68, delay: 332, perS: perS, cost: 2_400, pressure: 3, calm: 0.5})
+	})
+	t.Run("295 nodes, 6 times the allotment", func(t *testing.T) {
+		expectBound(t, burstLoad{nodes: 295, delay: 400, perS: perS, cost: 9_200, pressure: 6, calm: 0.5})
+	})
+	t.Run("below the allotment at 7 nodes", func(t *testing.T) {
+		expectServed(t, burstLoad{nodes: 7, delay: 90, perS: perS, cost: 9_200, pressure: 0.7, calm: 0.7})
+	})
+	t.Run("below the allotment at 68 nodes", func(t *testing.T) {
+		expectServed(t, burstLoad{nodes: 68, delay: 332, perS: perS, cost: 9_200, pressure: 0.7, calm: 0.7})
+	})
+	t.Run("below the allotment at 295 nodes", func(t *testing.T) {
+		expectServed(t, burstLoad{nodes: 295, delay: 400, perS: perS, cost: 9_200, pressure: 0.7, calm: 0.7})
+	})
+}
+
 func TestShutdownPolicy(t *testing.T) {
 	policy := caller.NewShutdownPolicy(1000, 8300)
 	stream := route.New("chat", route.KindChat, "runners").WithTargets(400, 300, 15000)
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -124,7 +124,8 @@
 	bounds := edge.settings.Load().Bounds()
 	delay := float64(bulletinInterval(edge.nodes())-minBulletinInterval) / float64(clock.Second)
 	share := max(0, overshootShare-overshootDelayLoss*delay)
-	return account.Allotment().WithOvershoot(bounds.QuotaOvershoot()*share, bounds.QuotaSlack()*overshootSlackShare)
+	return account.Allotment().WithOvershoot(bounds.QuotaOvershoot()*share, bounds.QuotaSlack()*overshootSlackShare).
+		WithDelay(bulletinInterval(edge.nodes()) + maxBatchWait)
 }
 
 // charge charges a request to the account and returns its cost in tokens, or a
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -39,10 +39,11 @@
 	// minPrefillShare is the least share of the time to the first event that counts as
 	// prefill.
 	minPrefillShare = 0.5
-	// sampleCount is the number of latest observations that the estimate rests on, and
-	// minSamples that from which it replaces the assumed rate.
-	sampleCount = 64
-	minSamples  = 8
+	// sampleCount is the number of latest observations that the estimate rests on.
+	// The assumed rate counts as priorSamples more, as a high quantile of few samples is
+	// their highest.
+	sampleCount  = 64
+	priorSamples = 16.0
 	// minPrefillRate and maxPrefillRate bound the estimate, in tokens per millisecond.
 	minPrefillRate = 1.0
 	maxPrefillRate = 2000.0
@@ -132,9 +133,9 @@
 		weight := math.Min(1, float64(tokens)/fullWeightTokens)
 		state.samples[state.observations%sampleCount] = sample{rate: rate, weight: weight * weight}
 		state.observations++
-		if state.observations >= minSamples {
-			state.prefillRate = math.Min(math.Max(state.quantile(), minPrefillRate), maxPrefillRate)
-		}
+		observed := math.Min(math.Max(state.quantile(), minPrefillRate), maxPrefillRate)
+		prior := priorSamples / (priorSamples + float64(state.observations))
+		state.prefillRate = prior*initialPrefillRate*(1-decodeShare) + (1-prior)*observed
 	})
 }
 
