Settle the list of a new deployment only after it was read again

At 295 nodes the holder itself waits 2 s between two reads of the list, and a list that isn't read doesn't grow. On the grown sites it waits 1.5 s.

Change: cloud.Settling, a decision of its own: no growth for 1.5 s, and a read of the list at least 1 s after the last growth. The holder reads the list as often as a designated watcher.

--- a/internal/edge/autoscaling.go
+++ b/internal/edge/autoscaling.go
@@ -33,19 +33,11 @@
 	tokens     int64
 	work       float64
 	observedAt clock.Millis
-	maxServers int
-	grewAt     clock.Millis
-	settled    bool
+	settling   *fleetcloud.Settling
 }
 
-const (
-	// listSettleTime is the time without an added server after which the list
-	// counts as complete: the servers of a new deployment appear one after the
-	// other.
-	listSettleTime = 1500 * clock.Millisecond
-	// demandWindow is the time over which demand is averaged.
-	demandWindow = 2 * clock.Second
-)
+// demandWindow is the time over which demand is averaged.
+const demandWindow = 2 * clock.Second
 
 func newAutoscaling() *autoscaling { return &autoscaling{pools: map[string]*poolAutoscaling{}} }
 
@@ -53,7 +45,7 @@
 func (autoscaling *autoscaling) reset() {
 	autoscaling.record = demandRecord{}
 	for _, state := range autoscaling.pools {
-		state.orderTracker, state.settled = fleetcloud.NewOrderTracker(), false
+		state.orderTracker, state.settling = fleetcloud.NewOrderTracker(), fleetcloud.NewSettling()
 	}
 }
 
@@ -61,6 +53,7 @@
 	if autoscaling.pools[poolConfig.Name()] == nil {
 		autoscaling.pools[poolConfig.Name()] = &poolAutoscaling{
 			autoscaler: fleetcloud.NewAutoscaler(clock), orderTracker: fleetcloud.NewOrderTracker(), serving: map[fleetcloud.Place]int{},
+			settling: fleetcloud.NewSettling(),
 		}
 	}
 	return autoscaling.pools[poolConfig.Name()]
@@ -124,17 +117,15 @@
 	state := edge.leaderTasks.autoscaling.forPool(edge.clock, poolConfig)
 	serving, total := edge.servingIn(poolConfig.Name())
 	now := edge.clock.Now()
-	if total > state.maxServers {
-		state.maxServers, state.grewAt = total, now
-	}
 	if total == 0 {
 		return
 	}
-	first := edge.leaderTasks.autoscaling.record.pools == nil
-	if !state.settled && first {
+	if edge.leaderTasks.autoscaling.record.pools != nil {
+		state.settling.Settle()
+	} else if !state.settling.Settled() {
 		state.autoscaler.SetInitialServers(total - countReclaimable(serving))
 	}
-	state.settled = state.settled || !first || now-state.grewAt >= listSettleTime
+	settled := state.settling.Observe(total, clock.Millis(edge.storeResponses.servers.Load()), now)
 	for place, before := range state.serving {
 		if serving[place] < before {
 			state.orderTracker.Lost(place)
@@ -145,7 +136,7 @@
 	for place, count := range state.autoscaler.DesiredServers(poolConfig.Rental(), serving, state.orderTracker.Scarce(now)) {
 		// On-demand servers are not scaled until the list of a new deployment is
 		// complete, as running servers that are not listed yet would be drained.
-		if (state.settled || place.Reclaimable()) && state.orderTracker.Due(place, count, now) {
+		if (settled || place.Reclaimable()) && state.orderTracker.Due(place, count, now) {
 			due[place] = count
 		}
 	}
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -64,7 +64,7 @@
 	}
 	task.record = demandRecord{loaded: true, revision: object.Version(), pools: form.Pools, storedAt: edge.clock.Now()}
 	for _, poolConfig := range edge.autoscaledPools() {
-		if state := task.forPool(edge.clock, poolConfig); !state.settled {
+		if state := task.forPool(edge.clock, poolConfig); !state.settling.Settled() {
 			planned := form.Pools[poolConfig.Name()]
 			state.autoscaler.Restore(planned.Work, planned.Estimated)
 		}
@@ -78,7 +78,7 @@
 	task, now := edge.leaderTasks.autoscaling, edge.clock.Now()
 	pools := map[string]plannedForm{}
 	for pool, state := range task.pools {
-		if state.settled {
+		if state.settling.Settled() {
 			pools[pool] = plannedForm{Work: state.autoscaler.PlannedWork(), Estimated: state.autoscaler.Estimated()}
 		}
 	}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -13,7 +13,7 @@
 	// watch, so that changes in quick succession cost one call.
 	minBatchDelay = 150 * clock.Millisecond
 	// batchDelayPerNode times the number of nodes is the wait of nodes that are no
-	// designated watchers, as each of them calls the store. It is at most
+	// designated watchers and don't hold the lease, as each of them calls the store. It is at most
 	// maxBatchDelayShare of the drain bound.
 	batchDelayPerNode  = 25 * clock.Millisecond
 	maxBatchDelayShare = 0.5
@@ -79,9 +79,10 @@
 	})
 }
 
-// batchDelay returns how long this node waits after changes to the server list.
+// batchDelay returns how long this node waits after changes to the server list. The
+// lease holder orders servers by the list.
 func (edge *Edge) batchDelay() clock.Millis {
-	if edge.isDesignatedWatcher() {
+	if _, holds := edge.leaderTasks.lease.Holding(); holds || edge.isDesignatedWatcher() {
 		return minBatchDelay
 	}
 	longest := clock.Millis(maxBatchDelayShare * float64(edge.settings.Load().Bounds().Drain()))
