Keep idle peers of a large deployment live, and tell urgent news at once

Cause: the interval of bulletins grows with the nodes and is five times as long for a node without requests: 5.9 s at 295 nodes, while a peer counts as live for 1.5 s. So an idle peer was silent always, and one lost bulletin made a busy one silent: nodes refilled allotments at a share, and ranked themselves for leases and as designated watchers among too few.

Bulletins carry the uptime: hasOlderPeer multiplied the sequence by the interval, which overestimates after the deployment has grown. With that, the other nodes may gather changes of the list for up to the drain bound (before: half of it), and read the list of nodes every 50 ms times their number.

--- a/internal/edge/bulletins.go
+++ b/internal/edge/bulletins.go
@@ -8,22 +8,6 @@
 	"sapphirehead/internal/usage"
 )
 
-const (
-	// minBulletinInterval is the minimum time between two bulletins of a node. In
-	// larger deployments the time is bulletinIntervalPerNode for each node, which
-	// bounds the datagrams that a node receives in a second.
-	minBulletinInterval     = 30 * clock.Millisecond
-	bulletinIntervalPerNode = 4 * clock.Millisecond
-	// idleIntervalFactor multiplies the interval of a node without requests.
-	idleIntervalFactor = 5
-)
-
-// bulletinInterval returns the time between two bulletins of a node in a
-// deployment with the number of nodes.
-func bulletinInterval(nodes int) clock.Millis {
-	return max(minBulletinInterval, bulletinIntervalPerNode*clock.Millis(nodes))
-}
-
 // sendBulletins sends bulletins until the context ends.
 func (edge *Edge) sendBulletins(ctx context.Context) {
 	failing := false
@@ -36,16 +20,49 @@
 			failing = failed
 			edge.log.Warn().Err(err).Bool("failing", failing).Msg("sending bulletins to peer nodes started or stopped failing")
 		}
-		wait := bulletinInterval(len(addresses) + 1)
-		if edge.inFlight.Load() == 0 {
-			wait *= idleIntervalFactor
-		}
-		if edge.clock.Wait(ctx, wait) != nil {
+		if edge.awaitBulletin(ctx, len(addresses)+1) != nil {
 			return
 		}
 	}
 }
 
+// awaitBulletin waits until the next bulletin is due. Urgent news end the wait. A node
+// that gets its first request leaves the longer interval of idle nodes, so that its
+// peers learn of the usage as soon as of that of others.
+func (edge *Edge) awaitBulletin(ctx context.Context, nodes int) error {
+	busy, idle := node.BulletinInterval(nodes, false), node.BulletinInterval(nodes, true)
+	urgent, err := edge.waitOrWake(ctx, busy, edge.peers.urgent)
+	if err != nil || urgent || edge.inFlight.Load() > 0 {
+		return err
+	}
+	_, err = edge.waitOrWake(ctx, idle-busy, edge.peers.urgent, edge.peers.busy)
+	return err
+}
+
+// waitOrWake waits for the delay, or until one of the channels receives a value, and
+// reports whether one did.
+func (edge *Edge) waitOrWake(ctx context.Context, delay clock.Millis, wake ...<-chan struct{}) (woken bool, err error) {
+	wait, cancel := edge.clock.WithTimeout(ctx, delay)
+	defer cancel()
+	first, second := wake[0], wake[len(wake)-1]
+	select {
+	case <-first:
+		return true, nil
+	case <-second:
+		return true, nil
+	case <-wait.Done():
+		return false, ctx.Err()
+	}
+}
+
+// signal sends to a channel of one value unless it is full.
+func signal(channel chan<- struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
 // sendFinalBulletins sends the final counts to peer nodes once sendBulletins
 // has ended. It sends them twice, as a datagram may be lost.
 func (edge *Edge) sendFinalBulletins() {
@@ -80,7 +97,7 @@
 	})
 	host := edge.settings.Load().Host()
 	return node.NewBulletin(host, peers.socket.Address(), peers.incarnation, peers.sequence.Load(), edge.clock.Wall(), edge.stopping.Load()).
-		WithConfiguration(edge.configurationVersion()).WithLeaving(edge.leavingServers()).WithUsage(accounts, servers, pools, windows)
+		WithUptime(edge.clock.Now()-edge.meters.start).WithConfiguration(edge.configurationVersion()).WithLeaving(edge.leavingServers()).WithUsage(accounts, servers, pools, windows)
 }
 
 // leavingServers returns the hashes of leaving servers if this node is a
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -106,7 +106,9 @@
 
 // serve handles one request. Every request is logged in one line.
 func (edge *Edge) serve(writer http.ResponseWriter, request *http.Request) {
-	edge.inFlight.Add(1)
+	if edge.inFlight.Add(1) == 1 {
+		signal(edge.peers.busy)
+	}
 	defer edge.inFlight.Add(-1)
 	requestContext := &requestContext{edge: edge, writer: writer, request: request, arrived: edge.clock.Now()}
 	defer requestContext.record()
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -7,6 +7,7 @@
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/caller"
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node"
 )
 
 // budgets holds the retry window of each pool.
@@ -92,11 +93,10 @@
 }
 
 // hasOlderPeer reports whether a peer has run for at least olderPeerMargin longer
-// than this node. The number of bulletins that it sent gives its minimum uptime.
+// than this node.
 func (edge *Edge) hasOlderPeer() bool {
 	now := edge.clock.Now()
-	minUptime := clock.Millis(edge.peers.states.View().MaxSequence(now)) * bulletinInterval(edge.nodes())
-	return minUptime >= now-edge.meters.start+olderPeerMargin
+	return edge.peers.states.View().MaxUptime(now) >= now-edge.meters.start+olderPeerMargin
 }
 
 // forEach calls handle with the tokens that each account used at this node.
@@ -122,10 +122,10 @@
 // allotment returns the account's allotment with the allowed overshoot.
 func (edge *Edge) allotment(account *caller.Account) caller.Allotment {
 	bounds := edge.settings.Load().Bounds()
-	delay := float64(bulletinInterval(edge.nodes())-minBulletinInterval) / float64(clock.Second)
+	delay := float64(node.ExtraInterval(edge.nodes())) / float64(clock.Second)
 	share := max(0, overshootShare-overshootDelayLoss*delay)
 	return account.Allotment().WithOvershoot(bounds.QuotaOvershoot()*share, bounds.QuotaSlack()*overshootSlackShare).
-		WithDelay(bulletinInterval(edge.nodes()) + maxBatchWait)
+		WithDelay(node.BulletinInterval(edge.nodes(), false) + maxBatchWait)
 }
 
 // charge charges a request to the account and returns its cost in tokens, or a
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -30,8 +30,10 @@
 	// configuration before this node reads the store. A working watch reports a
 	// change within a few milliseconds.
 	newerConfigurationWait = 300 * clock.Millisecond
-	// nodesInterval is the time between two reads of the list of nodes.
-	nodesInterval = 4 * clock.Second
+	// nodesInterval is the time between two reads of the list of nodes, and
+	// nodesIntervalPerNode the least such time for each node.
+	nodesInterval        = 4 * clock.Second
+	nodesIntervalPerNode = 50 * clock.Millisecond
 )
 
 // nodeForm is the body of the store object by which a node is discovered.
@@ -62,6 +64,10 @@
 	// last caused a read.
 	newerConfiguration int64
 	newerSince         clock.Millis
+	// urgent receives a value when peers must learn of something at once, and busy when
+	// a request arrives while none is in progress.
+	urgent chan struct{}
+	busy   chan struct{}
 }
 
 type discoveredPeer struct {
@@ -84,6 +90,7 @@
 	return &peers{
 		socket: socket, states: node.NewPeers(host), incarnation: int64(wall), runs: usage.NewCounter(),
 		discovered: make(chan discoveredPeer, discoveredQueue), received: make(chan node.Bulletin, bulletinQueue),
+		urgent: make(chan struct{}, 1), busy: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -262,7 +269,7 @@
 			default:
 			}
 		}
-		wait := nodesInterval
+		wait := max(nodesInterval, nodesIntervalPerNode*clock.Millis(edge.nodes()))
 		if err != nil || !listed || len(listing.Objects()) == 1 {
 			wait = nodesInterval / 4
 		}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -13,10 +13,9 @@
 	// watch, so that changes in quick succession cost one call.
 	minBatchDelay = 150 * clock.Millisecond
 	// batchDelayPerNode times the number of nodes is the wait of nodes that are no
-	// designated watchers and don't hold the lease, as each of them calls the store. It is at most
-	// maxBatchDelayShare of the drain bound.
-	batchDelayPerNode  = 25 * clock.Millisecond
-	maxBatchDelayShare = 0.5
+	// designated watchers and don't hold the lease, as each of them calls the store. It
+	// is at most the drain bound: designated watchers tell the others what leaves.
+	batchDelayPerNode = 25 * clock.Millisecond
 	// designatedWatchers is the number of nodes that use the shortest wait and
 	// report leaving servers to their peers. With three, one remains after two
 	// have died.
@@ -85,8 +84,7 @@
 	if _, holds := edge.leaderTasks.lease.Holding(); holds || edge.isDesignatedWatcher() {
 		return minBatchDelay
 	}
-	longest := clock.Millis(maxBatchDelayShare * float64(edge.settings.Load().Bounds().Drain()))
-	return max(minBatchDelay, min(batchDelayPerNode*clock.Millis(edge.nodes()), longest))
+	return max(minBatchDelay, min(batchDelayPerNode*clock.Millis(edge.nodes()), edge.settings.Load().Bounds().Drain()))
 }
 
 // isDesignatedWatcher reports whether this node watches the store with the shortest
@@ -102,7 +100,11 @@
 	now := edge.clock.Now()
 	setTime(&edge.storeResponses.servers, now)
 	before := edge.fleet.Current()
-	for _, id := range edge.fleet.Update(registry.List(now)) {
+	leaving := edge.fleet.Update(registry.List(now))
+	if len(leaving) > 0 && edge.isDesignatedWatcher() {
+		signal(edge.peers.urgent)
+	}
+	for _, id := range leaving {
 		server := edge.fleet.Current().Server(id)
 		edge.log.Info().Str("backendServer", id).Int64("endsAtMillis", int64(server.EndsAt())).Int64("nowMillis", int64(now)).
 			Msg("backend server leaves")
--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -84,6 +84,7 @@
 	// configuration is the version that is active at the sender, or 0.
 	configuration int64
 	leaving       []uint64
+	uptime        clock.Millis
 }
 
 // NewBulletin returns a bulletin of the process on the host, which receives
@@ -99,6 +100,16 @@
 	return bulletin
 }
 
+// WithUptime returns a copy with the time since the start of the sender's process.
+func (bulletin Bulletin) WithUptime(uptime clock.Millis) Bulletin {
+	bulletin.uptime = uptime
+	return bulletin
+}
+
+// Uptime returns the time since the start of the sender's process, by its monotonic
+// clock.
+func (bulletin Bulletin) Uptime() clock.Millis { return bulletin.uptime }
+
 // Configuration returns the version of the configuration that is active at the
 // sender, or 0 if it has none.
 func (bulletin Bulletin) Configuration() int64 { return bulletin.configuration }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,14 +8,9 @@
 	"sapphirehead/internal/clock"
 )
 
-const (
-	// liveAge is the age of a peer's latest bulletin up to which it counts as
-	// live: several bulletins may be lost.
-	liveAge = 1500 * clock.Millisecond
-	// expectedAge is how long a silent peer keeps its share of limits, as a node
-	// that is cut off from its peers still serves requests.
-	expectedAge = 20 * clock.Second
-)
+// expectedAge is how long a silent peer keeps its share of limits, as a node that is
+// cut off from its peers still serves requests.
+const expectedAge = 20 * clock.Second
 
 // peer is the state of one peer, from its bulletins.
 type peer struct {
@@ -49,9 +44,12 @@
 	if peers.byHost[host] != nil || host == peers.host {
 		return
 	}
-	peers.byHost[host] = newPeer(Bulletin{host: host, address: address}, now-liveAge)
+	peers.byHost[host] = newPeer(Bulletin{host: host, address: address}, now-peers.liveAge())
 }
 
+// liveAge returns the age up to which a peer counts as live.
+func (peers *Peers) liveAge() clock.Millis { return LiveAge(len(peers.byHost) + 1) }
+
 func newPeer(latest Bulletin, receivedAt clock.Millis) *peer {
 	peer := &peer{latest: latest, receivedAt: receivedAt}
 	peer.resetSums()
@@ -90,7 +88,7 @@
 	if !seenBefore {
 		return nil, nil
 	}
-	if silence >= liveAge {
+	if silence >= peers.liveAge() {
 		demanded = nil
 	}
 	return used, demanded
@@ -113,7 +111,7 @@
 // Publish makes the received state visible in views. Its cost grows with the
 // number of nodes, so bulletins that arrive together are published together.
 func (peers *Peers) Publish() {
-	view := &PeerView{peers: make([]peerState, 0, len(peers.byHost)), tally: peers.tally}
+	view := &PeerView{peers: make([]peerState, 0, len(peers.byHost)), tally: peers.tally, liveAge: peers.liveAge()}
 	for _, peer := range peers.byHost {
 		view.peers = append(view.peers, peerState{latest: peer.latest, receivedAt: peer.receivedAt, clockOffset: peer.clockOffset})
 	}
@@ -133,23 +131,24 @@
 
 // PeerView is the state of the peers at one time.
 type PeerView struct {
-	peers []peerState
-	tally *tally
+	peers   []peerState
+	tally   *tally
+	liveAge clock.Millis
 }
 
 // Live returns the latest bulletins of the live peers, in order of host.
 func (view *PeerView) Live(now clock.Millis) []Bulletin {
 	var live []Bulletin
 	for _, state := range view.peers {
-		if state.isLive(now) {
+		if view.isLive(state, now) {
 			live = append(live, state.latest)
 		}
 	}
 	return live
 }
 
-func (state peerState) isLive(now clock.Millis) bool {
-	return now-state.receivedAt < liveAge && !state.latest.stopping
+func (view *PeerView) isLive(state peerState, now clock.Millis) bool {
+	return now-state.receivedAt < view.liveAge && !state.latest.stopping
 }
 
 // Addresses returns the addresses to which bulletins are sent, including those
@@ -172,7 +171,7 @@
 
 // LiveCount returns the number of live nodes, this one included.
 func (view *PeerView) LiveCount(now clock.Millis) int {
-	return 1 + view.count(func(state peerState) bool { return state.isLive(now) })
+	return 1 + view.count(func(state peerState) bool { return view.isLive(state, now) })
 }
 
 func (view *PeerView) count(matches func(peerState) bool) int {
@@ -192,7 +191,7 @@
 func (view *PeerView) TrueTime(now, wall clock.Millis) clock.Millis {
 	offsets := []clock.Millis{wall - now}
 	for _, state := range view.peers {
-		if state.isLive(now) {
+		if view.isLive(state, now) {
 			offsets = append(offsets, state.clockOffset)
 		}
 	}
@@ -205,16 +204,16 @@
 // of the view it is always up to date.
 func (view *PeerView) Runs(window int64) map[string]int64 { return view.tally.runs(window) }
 
-// MaxSequence returns the highest sequence of a live peer's latest bulletin:
-// the number of bulletins that it has sent since its start.
-func (view *PeerView) MaxSequence(now clock.Millis) int64 {
-	highest := int64(0)
+// MaxUptime returns the longest time that a live peer's process had run when it sent
+// its latest bulletin.
+func (view *PeerView) MaxUptime(now clock.Millis) clock.Millis {
+	longest := clock.Millis(0)
 	for _, state := range view.peers {
-		if state.isLive(now) {
-			highest = max(highest, state.latest.sequence)
+		if view.isLive(state, now) {
+			longest = max(longest, state.latest.uptime)
 		}
 	}
-	return highest
+	return longest
 }
 
 // Leaving returns the hashes of the keys of backend servers that live peers
@@ -222,7 +221,7 @@
 func (view *PeerView) Leaving(now clock.Millis) map[uint64]bool {
 	leaving := map[uint64]bool{}
 	for _, state := range view.peers {
-		if state.isLive(now) {
+		if view.isLive(state, now) {
 			for _, server := range state.latest.leaving {
 				leaving[server] = true
 			}
@@ -236,7 +235,7 @@
 func (view *PeerView) ServerWork(now clock.Millis) map[uint64]ServerWork {
 	sums := map[uint64]ServerWork{}
 	for _, state := range view.peers {
-		if !state.isLive(now) {
+		if !view.isLive(state, now) {
 			continue
 		}
 		for _, work := range state.latest.servers {
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -137,3 +138,5 @@
 		require.InDelta(t, truth, int64(peers.View().TrueTime(now, selfWall)), 50)
 	})
 }
+
+func hostName(i int) string { return "peer-" + strconv.Itoa(i) }
