Keep marks of leaving servers over lists without them; smaller findings

Cause (found by reading, shown by tests that failed first): - A server that only a peer had reported as leaving got requests again when its entry vanished from the list for a moment and came back: the new entry was a new server. - Fleet.MarkLeaving marked an id where Update looks for a run of it. - RetryBudget.add dropped an addition that fits only in part.

Ruled out: a mark by a peer as first evidence; TestLeavingMachine showed that the entry host would not announce it.

--- a/internal/backend/budget.go
+++ b/internal/backend/budget.go
@@ -36,8 +36,11 @@
 func (budget *RetryBudget) Refund() { budget.add(unitsPerRetry) }
 
 func (budget *RetryBudget) add(units int64) {
-	if budget.units.Add(units) > maxRetries*unitsPerRetry {
-		budget.units.Add(-units)
+	for {
+		current := budget.units.Load()
+		if budget.units.CompareAndSwap(current, min(current+units, maxRetries*unitsPerRetry)) {
+			return
+		}
 	}
 }
 
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -13,14 +13,17 @@
 type Fleet struct {
 	current atomic.Pointer[Snapshot]
 	// leaving holds the number of updates since a leaving server was last listed, by
-	// its key, or by its id if MarkLeaving added it.
+	// its key, or by its id if it was marked before it was listed.
 	leaving map[string]int
-	speeds  *speeds
+	// marked is the same for servers that others than the list's reader have marked.
+	// Such a mark is no first evidence: whoever set it reports it by itself.
+	marked map[string]int
+	speeds *speeds
 }
 
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
-	fleet := &Fleet{leaving: map[string]int{}, speeds: newSpeeds()}
+	fleet := &Fleet{leaving: map[string]int{}, marked: map[string]int{}, speeds: newSpeeds()}
 	fleet.current.Store(newSnapshot(nil))
 	return fleet
 }
@@ -35,6 +38,7 @@
 	current := fleet.current.Load()
 	servers := make([]*Server, 0, len(list))
 	fleet.ageMarks()
+	fleet.keepMarks(current)
 	for _, listing := range list {
 		server := current.Server(listing.server.id)
 		if server == nil || server.address != listing.server.address || server.start != listing.server.start {
@@ -47,6 +51,8 @@
 		}
 		if listing.leaving || leaving {
 			fleet.leaving[server.Key()] = 0
+		}
+		if _, marked := fleet.marked[server.Key()]; listing.leaving || leaving || marked {
 			server.MarkLeaving()
 		}
 		if listing.endsAt != 0 {
@@ -58,27 +64,41 @@
 	return firstEvidence
 }
 
+// keepMarks keeps the marks that others than the list's reader have set on servers of
+// the snapshot, since a server that is listed again is a new one here.
+func (fleet *Fleet) keepMarks(snapshot *Snapshot) {
+	for _, server := range snapshot.byID {
+		if server.Leaving() {
+			fleet.marked[server.Key()] = 0
+		}
+	}
+}
+
 // ageMarks counts one more update for each mark and drops the expired ones.
 func (fleet *Fleet) ageMarks() {
-	for id, updates := range fleet.leaving {
-		if updates >= leavingRetention {
-			delete(fleet.leaving, id)
-			continue
+	for _, marks := range []map[string]int{fleet.leaving, fleet.marked} {
+		for key, updates := range marks {
+			if updates >= leavingRetention {
+				delete(marks, key)
+				continue
+			}
+			marks[key] = updates + 1
 		}
-		fleet.leaving[id] = updates + 1
 	}
 }
 
 // MarkLeaving marks a server as leaving, also before the list shows it. It
 // reports whether this was the first evidence.
 func (fleet *Fleet) MarkLeaving(id string) bool {
-	_, marked := fleet.leaving[id]
-	if !marked {
-		fleet.leaving[id] = 0
-	}
+	key := id
 	if server := fleet.current.Load().Server(id); server != nil {
+		key = server.Key()
 		server.MarkLeaving()
 	}
+	_, marked := fleet.leaving[key]
+	if !marked {
+		fleet.leaving[key] = 0
+	}
 	return !marked
 }
 
--- a/internal/backend/leaving_test.go
+++ b/internal/backend/leaving_test.go
@@ -54,6 +54,29 @@
 		require.Equal(t, []string{"a"}, fleet.Update(newListings(true, "a")))
 		require.Empty(t, fleet.Update(newListings(true, "a")))
 	})
+	t.Run("evidence from a peer outlasts lists without the server", func(t *testing.T) {
+		fleet := backend.NewFleet()
+		fleet.Update(newListings(false, "a"))
+		fleet.Current().Server("a").MarkLeaving()
+		fleet.Update(nil)
+		fleet.Update(newListings(false, "a"))
+		expectLeaving(t, fleet, "a", true)
+	})
+	t.Run("a mark belongs to one run of a server", func(t *testing.T) {
+		registry := backend.NewRegistry(0)
+		list := func(start clock.Millis, revision int64) []backend.Listing {
+			registry.Set(backend.NewEntry("a", "a:1", "lj-a", "runners", revision).WithStart(start), 0)
+			return registry.List(0)
+		}
+		fleet := backend.NewFleet()
+		fleet.Update(list(100, 1))
+		require.True(t, fleet.MarkLeaving("a"))
+		fleet.Update(nil)
+		fleet.Update(list(100, 1))
+		expectLeaving(t, fleet, "a", true)
+		fleet.Update(list(200, 2))
+		expectLeaving(t, fleet, "a", false)
+	})
 	t.Run("the mark of a server that is no longer listed expires", func(t *testing.T) {
 		fleet := backend.NewFleet()
 		fleet.MarkLeaving("a")
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -21,10 +21,12 @@
 	bodyBytes int
 }
 
-// NewLimits returns limits with the maximum size of a body in bytes; 0 is no limit.
+// NewLimits returns limits with the maximum size of a body in bytes. With 0 the
+// configuration sets none, and a node's own maximum applies.
 func NewLimits(bodyBytes int) Limits { return Limits{bodyBytes: bodyBytes} }
 
-// BodyBytes returns the maximum size of a body in bytes.
+// BodyBytes returns the maximum size of a body in bytes, or 0 if the configuration sets
+// none.
 func (limits Limits) BodyBytes() int { return limits.bodyBytes }
 
 // Directory is one version of the configuration.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -89,10 +89,10 @@
 func (edge *Edge) followOnce(ctx context.Context, handler watchHandler, revision int64, listed, immediate bool) (int64, error) {
 	if !listed {
 		listing, err := edge.store.List(ctx, handler.kind, store.FreshnessLatest)
+		edge.counters.storeCalls.Add(1)
 		if err != nil {
 			return 0, err
 		}
-		edge.counters.storeCalls.Add(1)
 		handler.onSuccess()
 		handler.onList(listing)
 		handler.onSynced()
@@ -158,6 +158,23 @@
 	})
 }
 
+const (
+	// configurationDelayPerNode times the number of nodes is the wait after a new
+	// configuration before the next watch, so that several in quick succession cost one
+	// call at most nodes. It is at most maxConfigurationDelayShare of the bound.
+	configurationDelayPerNode  = 2 * clock.Millisecond
+	maxConfigurationDelayShare = 0.2
+)
+
+// configurationDelay returns how long this node waits after a new configuration.
+func (edge *Edge) configurationDelay() clock.Millis {
+	if edge.isDesignatedWatcher() {
+		return 0
+	}
+	longest := clock.Millis(maxConfigurationDelayShare * float64(edge.settings.Load().Bounds().Configuration()))
+	return min(configurationDelayPerNode*clock.Millis(edge.nodes()), longest)
+}
+
 // watchWait returns the wait of one watch for changes that every node must know
 // within the bound.
 func (edge *Edge) watchWait(bound clock.Millis) clock.Millis {
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -5,6 +5,7 @@
 
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/platform"
 	"sapphirehead/platform/store"
 )
 
@@ -65,7 +66,7 @@
 		},
 		onSynced: func() { edge.publishServers(registry) },
 		watchWait: func() clock.Millis {
-			wait := edge.watchWait(edge.settings.Load().Bounds().Drain())
+			wait := platform.SharedWatchWait(edge.settings.Load().Bounds().Drain(), edge.isDesignatedWatcher(), edge.nodes())
 			if end, ok := registry.GraceEnd(); ok {
 				return max(clock.Millisecond, min(wait, end-edge.clock.Now()))
 			}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -8,16 +8,29 @@
 	// shows a silent connection, for the watch that replaces it, and for the peers,
 	// which learn of the change from a designated watcher.
 	designatedWatchShare = 0.3
-	// maxWatchWait is the longest wait of one watch. It bounds the age at a node that
-	// has lost both its watch and its peers.
-	maxWatchWait = 6 * clock.Second
+	// maxWatchWait is the wait of other nodes' watches. It bounds the age at a node that
+	// has lost both its watch and its peers. watchWaitPerNode for each node replaces it
+	// where that is longer, up to maxSharedWatchWait, for what need not be fresh.
+	maxWatchWait       = 6 * clock.Second
+	watchWaitPerNode   = 80 * clock.Millisecond
+	maxSharedWatchWait = 25 * clock.Second
 	// minWatchWait bounds the calls of a node.
 	minWatchWait = 50 * clock.Millisecond
 )
 
-// MaxWatchWait is the longest wait of any watch.
+// MaxWatchWait is the longest wait of a watch for the configuration.
 const MaxWatchWait = maxWatchWait
 
+// SharedWatchWait returns how long one watch may wait in a deployment of the number of
+// nodes, where each change reaches a node that misses it by its peers. All nodes
+// together call the store no more often than 75 nodes do.
+func SharedWatchWait(bound clock.Millis, designated bool, nodes int) clock.Millis {
+	if designated {
+		return WatchWait(bound, true)
+	}
+	return min(max(maxWatchWait, watchWaitPerNode*clock.Millis(nodes)), maxSharedWatchWait)
+}
+
 // WatchWait returns how long one watch may wait at the store for a change that must
 // be known on every node within the bound.
 //
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -24,5 +24,11 @@
 	t.Run("bound of 4 s", func(t *testing.T) { expectKnownWithin(t, 4*clock.Second) })
 	t.Run("bound of 1 min", func(t *testing.T) { expectKnownWithin(t, 60*clock.Second) })
 	t.Run("never without a wait", func(t *testing.T) { require.Positive(t, platform.WatchWait(0, true)) })
+	t.Run("other nodes of a large deployment", func(t *testing.T) {
+		require.Equal(t, platform.MaxWatchWait, platform.SharedWatchWait(2*clock.Second, false, 7))
+		require.Greater(t, platform.SharedWatchWait(4*clock.Second, false, 295), 20*clock.Second)
+		require.LessOrEqual(t, platform.SharedWatchWait(4*clock.Second, false, 1000), 30*clock.Second)
+		require.Equal(t, platform.WatchWait(4*clock.Second, true), platform.SharedWatchWait(4*clock.Second, true, 295))
+	})
 	t.Run("other nodes", func(t *testing.T) { require.Equal(t, platform.MaxWatchWait, platform.WatchWait(2*clock.Second, false)) })
 }
