Tell noise of demand from demand, and settle by servers that were not ordered

Change: the highest of three observations counts up to the noise of independent prompts, a square root above their median.

Cause of a later drain of the first servers (since the list is settled by reads): servers that were ordered counted as growth of the list. Now they don't.

The delay is at least 0.3 s again.

--- a/internal/cloud/autoscaler.go
+++ b/internal/cloud/autoscaler.go
@@ -24,6 +24,11 @@
 	initialUtilisation = 0.45
 	// peakRetention is how long a peak of demand keeps its servers.
 	peakRetention = 60 * clock.Second
+	// latestObservations is the number of observations that decide together. The
+	// highest of them is the demand, up to the noise of independent prompts above their
+	// median: requests that can't go to their preferred servers, as after a reclaim,
+	// prefill more for a moment, and servers ordered for that come too late to help.
+	latestObservations = 3
 	// observationPeriod is how long demand must have been observed before it replaces
 	// the initial estimate.
 	observationPeriod = 10 * clock.Second
@@ -63,6 +68,7 @@
 type Autoscaler struct {
 	clock           *clock.Clock
 	initialEstimate float64
+	latest          []float64
 	peaks           []peak
 	firstObserved   clock.Millis
 }
@@ -100,10 +106,17 @@
 	if work > 0 && autoscaler.firstObserved == 0 {
 		autoscaler.firstObserved = now
 	}
+	autoscaler.latest = append(autoscaler.latest, work)
+	if len(autoscaler.latest) > latestObservations {
+		autoscaler.latest = autoscaler.latest[1:]
+	}
+	sorted := slices.Sorted(slices.Values(autoscaler.latest))
+	median := sorted[len(sorted)/2]
+	demand := min(sorted[len(sorted)-1], median+math.Sqrt(median))
 	autoscaler.peaks = slices.DeleteFunc(autoscaler.peaks, func(old peak) bool {
-		return now-old.observedAt >= peakRetention || old.work <= work
+		return now-old.observedAt >= peakRetention || old.work <= demand
 	})
-	autoscaler.peaks = append(autoscaler.peaks, peak{observedAt: now, work: work})
+	autoscaler.peaks = append(autoscaler.peaks, peak{observedAt: now, work: demand})
 }
 
 // PlannedWork returns the demand to plan for, in servers that are busy all the
--- a/internal/cloud/autoscaler_test.go
+++ b/internal/cloud/autoscaler_test.go
@@ -71,6 +71,9 @@
 	})
 	t.Run("a peak keeps its servers for a minute", func(t *testing.T) {
 		autoscaler, manual := newAutoscaler(1.8)
+		for range 3 {
+			autoscaler.Observe(0.1)
+		}
 		manual.Advance(59 * clock.Second)
 		autoscaler.Observe(0.1)
 		require.InDelta(t, 1.8, autoscaler.PlannedWork(), 0.001)
@@ -78,6 +81,20 @@
 		autoscaler.Observe(0.1)
 		require.InDelta(t, 0.1, autoscaler.PlannedWork(), 0.001)
 	})
+	t.Run("one high observation counts as noise, two as demand", func(t *testing.T) {
+		autoscaler, manual := newAutoscaler(36)
+		for _, observed := range []struct{ work, planned float64 }{{36, 36}, {70, 42}, {36, 42}, {36, 42}, {60, 42}, {64, 64}} {
+			manual.Advance(2 * clock.Second)
+			autoscaler.Observe(observed.work)
+			require.InDelta(t, observed.planned, autoscaler.PlannedWork(), 0.001)
+		}
+	})
+	t.Run("few prompts vary a lot", func(t *testing.T) {
+		autoscaler, _ := newAutoscaler(1)
+		autoscaler.Observe(1)
+		autoscaler.Observe(2)
+		require.InDelta(t, 2, autoscaler.PlannedWork(), 0.001)
+	})
 	t.Run("a new deployment keeps its size until demand was observed for 10 seconds", func(t *testing.T) {
 		manual := clock.NewManual(1000)
 		autoscaler := cloud.NewAutoscaler(manual.Clock())
@@ -95,6 +112,7 @@
 		require.InDelta(t, 1.8, autoscaler.PlannedWork(), 0.001)
 		manual.Advance(60 * clock.Second)
 		autoscaler.Observe(0.7)
+		autoscaler.Observe(0.7)
 		require.InDelta(t, 0.7, autoscaler.PlannedWork(), 0.001)
 	})
 	t.Run("a predecessor's estimate stays an estimate", func(t *testing.T) {
--- a/internal/cloud/settling.go
+++ b/internal/cloud/settling.go
@@ -28,8 +28,9 @@
 // NewSettling returns a Settling without observations.
 func NewSettling() *Settling { return &Settling{} }
 
-// Observe records the number of listed servers, and when the list was read, and
-// reports whether it is complete. Once complete, it stays so.
+// Observe records the number of listed servers that this deployment has not ordered
+// itself, and when the list was read, and reports whether it is complete. Once complete,
+// it stays so.
 func (settling *Settling) Observe(listed int, readAt, now clock.Millis) bool {
 	if listed > settling.most {
 		settling.most, settling.grewAt = listed, now
--- a/internal/edge/autoscaling.go
+++ b/internal/edge/autoscaling.go
@@ -125,7 +125,7 @@
 	} else if !state.settling.Settled() {
 		state.autoscaler.SetInitialServers(total - countReclaimable(serving))
 	}
-	settled := state.settling.Observe(total, clock.Millis(edge.storeResponses.servers.Load()), now)
+	settled := state.settling.Observe(total-countReclaimable(serving), clock.Millis(edge.storeResponses.servers.Load()), now)
 	for place, before := range state.serving {
 		if serving[place] < before {
 			state.orderTracker.Lost(place)
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -117,6 +117,9 @@
 	// the bulletin interval exceeds its minimum. It makes up for the requests that
 	// nodes admit before they receive each other's usage.
 	overshootDelayLoss = 1.5
+	// minUsageDelay is the least time that is assumed until peers know a node's usage:
+	// bulletins are lost, and a node with little processor time applies them late.
+	minUsageDelay = 300 * clock.Millisecond
 )
 
 // allotment returns the account's allotment with the allowed overshoot.
@@ -125,7 +128,7 @@
 	delay := float64(node.ExtraInterval(edge.nodes())) / float64(clock.Second)
 	share := max(0, overshootShare-overshootDelayLoss*delay)
 	return account.Allotment().WithOvershoot(bounds.QuotaOvershoot()*share, bounds.QuotaSlack()*overshootSlackShare).
-		WithDelay(node.BulletinInterval(edge.nodes(), false) + maxBatchWait)
+		WithDelay(max(minUsageDelay, node.BulletinInterval(edge.nodes(), false)+maxBatchWait))
 }
 
 // charge charges a request to the account and returns its cost in tokens, or a
