Let peers confirm the configuration, and gather changes of the list at the start

A trial with each call logged: 6,500 in the first 4 s, mostly watches of the list of servers that 295 nodes make anew after each change while all servers register; then 49 a second for watches of the configuration, which end every 6 s.

Change: bulletins carry the age of the store's latest response about the configuration, so that a node may say that a route or key does not exist when a peer has read that no newer version exists (TestConfirmsConfiguration); the watches of nodes that are not designated wait 80 ms for each node. In its first 4 s a node gathers changes of the list for 1 s. Ruled out: not counting a lone node as designated at its start; TestSilentWatches caught it (6.7 s).

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -33,10 +33,10 @@
 	// unless the configuration sets a limit.
 	maxHeaderBytes = 64 << 10
 	maxBodyBytes   = 4 << 20
-	// maxConfigurationAge is the maximum age of the store's latest response with
-	// which a node may answer that a route or key does not exist: the longest
-	// watch, and a second for its response.
-	maxConfigurationAge = platform.MaxWatchWait + clock.Second
+	// maxConfigurationAge is the maximum age of the store's latest response, to this
+	// node or to a peer, with which a node may answer that a route or key does not
+	// exist: the longest watch of a small deployment, and a second for its response.
+	maxConfigurationAge = platform.MinOtherWatchWait + clock.Second
 	// connectionDescriptorShare is the share of the process's file descriptors for
 	// callers' connections, and bodyMemoryShare the share of its memory for
 	// request bodies.
@@ -229,15 +229,14 @@
 		return false
 	}
 	path, _, _ := strings.Cut(requestContext.target, "?")
-	fresh := ageOf(&requestContext.edge.storeResponses.configuration, now) <= maxConfigurationAge
 	matched, ok := requestContext.directory.Route(requestContext.request.Host, path)
 	if !ok {
-		return requestContext.deny(fresh, http.StatusNotFound, "noRoute", "no such route")
+		return requestContext.deny(now, http.StatusNotFound, "noRoute", "no such route")
 	}
 	requestContext.route = matched
 	if requestContext.directory.NeedsKey() && !matched.Public() {
 		if requestContext.account, ok = requestContext.directory.Account(requestContext.call.Key()); !ok {
-			return requestContext.deny(fresh, http.StatusUnauthorized, "noKey", "the key is not known")
+			return requestContext.deny(now, http.StatusUnauthorized, "noKey", "the key is not known")
 		}
 	}
 	if !requestContext.edge.shutdownPolicy.Load().Admits(matched, now) {
@@ -258,8 +257,8 @@
 
 // deny answers that a route or key does not exist. If a newer configuration may
 // define it, deny refuses the request as not run instead.
-func (requestContext *requestContext) deny(fresh bool, status int, kind, reason string) bool {
-	if !fresh {
+func (requestContext *requestContext) deny(now clock.Millis, status int, kind, reason string) bool {
+	if !requestContext.edge.isConfigurationFresh(requestContext.directory.Version(), now) {
 		requestContext.refuse(reason+" in an old configuration", shortRetryAfter)
 		return false
 	}
@@ -267,6 +266,13 @@
 	return false
 }
 
+// isConfigurationFresh reports whether the version was the newest one at the store a
+// short time ago, as this node or a peer has read.
+func (edge *Edge) isConfigurationFresh(version int64, now clock.Millis) bool {
+	return ageOf(&edge.storeResponses.configuration, now) <= maxConfigurationAge ||
+		edge.peers.states.View().ConfirmsConfiguration(version, maxConfigurationAge, now)
+}
+
 func (requestContext *requestContext) refuseOverLimit(err error) {
 	var notRun *request.NotRunError
 	if errors.As(err, &notRun) {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -152,7 +152,9 @@
 		},
 		onSynced: func() { setTime(&edge.storeResponses.configuration, edge.clock.Now()) },
 		wakeUp:   &edge.wakeUps.configuration, otherWakeUp: &edge.wakeUps.servers,
-		watchWait: func() clock.Millis { return edge.watchWait(edge.settings.Load().Bounds().Configuration()) },
+		watchWait: func() clock.Millis {
+			return platform.WatchWait(edge.settings.Load().Bounds().Configuration(), edge.isDesignatedWatcher(), edge.nodes())
+		},
 		onFailure: func(error) {},
 		onSuccess: func() {},
 	})
@@ -174,9 +176,3 @@
 	longest := clock.Millis(maxConfigurationDelayShare * float64(edge.settings.Load().Bounds().Configuration()))
 	return min(configurationDelayPerNode*clock.Millis(edge.nodes()), longest)
 }
-
-// watchWait returns the wait of one watch for changes that every node must know
-// within the bound.
-func (edge *Edge) watchWait(bound clock.Millis) clock.Millis {
-	return platform.WatchWait(bound, edge.isDesignatedWatcher())
-}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -17,6 +17,11 @@
 	// designated watchers and don't hold the lease, as each of them calls the store. It
 	// is at most the drain bound: designated watchers tell the others what leaves.
 	batchDelayPerNode = 25 * clock.Millisecond
+	// discoveryTime is the time after the start in which a node comes to know its peers,
+	// and startBatchDelay the wait meanwhile: when all nodes start together with their
+	// servers, the list changes all the time.
+	discoveryTime   = 4 * clock.Second
+	startBatchDelay = 1 * clock.Second
 	// designatedWatchers is the number of nodes that use the shortest wait and
 	// report leaving servers to their peers. With three, one remains after two
 	// have died.
@@ -66,7 +71,7 @@
 		},
 		onSynced: func() { edge.publishServers(registry) },
 		watchWait: func() clock.Millis {
-			wait := platform.SharedWatchWait(edge.settings.Load().Bounds().Drain(), edge.isDesignatedWatcher(), edge.nodes())
+			wait := platform.WatchWait(edge.settings.Load().Bounds().Drain(), edge.isDesignatedWatcher(), edge.nodes())
 			if end, ok := registry.GraceEnd(); ok {
 				return max(clock.Millisecond, min(wait, end-edge.clock.Now()))
 			}
@@ -82,7 +87,13 @@
 // batchDelay returns how long this node waits after changes to the server list. The
 // lease holder orders servers by the list.
 func (edge *Edge) batchDelay() clock.Millis {
-	if _, holds := edge.leaderTasks.lease.Holding(); holds || edge.isDesignatedWatcher() {
+	_, holds := edge.leaderTasks.lease.Holding()
+	switch {
+	case holds:
+		return minBatchDelay
+	case edge.clock.Now()-edge.meters.start < discoveryTime:
+		return startBatchDelay
+	case edge.isDesignatedWatcher():
 		return minBatchDelay
 	}
 	return max(minBatchDelay, min(batchDelayPerNode*clock.Millis(edge.nodes()), edge.settings.Load().Bounds().Drain()))
--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -85,6 +85,9 @@
 	configuration int64
 	leaving       []uint64
 	uptime        clock.Millis
+	// configurationAge is the time since the store's latest response to the sender
+	// about the configuration.
+	configurationAge clock.Millis
 }
 
 // NewBulletin returns a bulletin of the process on the host, which receives
@@ -93,13 +96,17 @@
 	return Bulletin{host: host, address: address, incarnation: incarnation, sequence: sequence, wall: wall, stopping: stopping}
 }
 
-// WithConfiguration returns a copy with the version of the active
-// configuration.
-func (bulletin Bulletin) WithConfiguration(version int64) Bulletin {
-	bulletin.configuration = version
+// WithConfiguration returns a copy with the version of the active configuration, and
+// the time since the store's latest response about it.
+func (bulletin Bulletin) WithConfiguration(version int64, age clock.Millis) Bulletin {
+	bulletin.configuration, bulletin.configurationAge = version, age
 	return bulletin
 }
 
+// ConfigurationAge returns the time since the store's latest response to the sender
+// about the configuration.
+func (bulletin Bulletin) ConfigurationAge() clock.Millis { return bulletin.configurationAge }
+
 // WithUptime returns a copy with the time since the start of the sender's process.
 func (bulletin Bulletin) WithUptime(uptime clock.Millis) Bulletin {
 	bulletin.uptime = uptime
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -26,6 +26,7 @@
 	message.SetConfiguration(bulletin.Configuration())
 	message.SetLeaving(bulletin.Leaving())
 	message.SetUptimeMillis(int64(bulletin.Uptime()))
+	message.SetConfigurationAgeMillis(int64(bulletin.ConfigurationAge()))
 	encodeAccounts(message, bulletin)
 	encodeServers(message, bulletin.Servers())
 	pools := make([]*nodepb.PoolUse, 0, len(bulletin.Pools()))
@@ -116,7 +117,7 @@
 	}
 	return node.NewBulletin(message.GetHost(), message.GetAddress(), message.GetIncarnation(), message.GetSequence(),
 		clock.Millis(message.GetWallMillis()), message.GetStopping()).
-		WithConfiguration(message.GetConfiguration()).WithLeaving(message.GetLeaving()).WithUptime(clock.Millis(message.GetUptimeMillis())).
+		WithConfiguration(message.GetConfiguration(), clock.Millis(message.GetConfigurationAgeMillis())).WithLeaving(message.GetLeaving()).WithUptime(clock.Millis(message.GetUptimeMillis())).
 		WithUsage(accounts, decodeServers(message), pools, windows), nil
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -216,6 +216,24 @@
 	return longest
 }
 
+// ConfirmsConfiguration reports whether live peers show that the version was the newest
+// one at the store not longer than maxAge ago: one has read that no newer one exists,
+// and none has a newer one.
+func (view *PeerView) ConfirmsConfiguration(version int64, maxAge, now clock.Millis) bool {
+	confirmed := false
+	for _, state := range view.peers {
+		if !view.isLive(state, now) {
+			continue
+		}
+		if state.latest.configuration > version {
+			return false
+		}
+		age := state.latest.configurationAge + now - state.receivedAt
+		confirmed = confirmed || (state.latest.configuration == version && age <= maxAge)
+	}
+	return confirmed
+}
+
 // Leaving returns the hashes of the keys of backend servers that live peers
 // report as leaving.
 func (view *PeerView) Leaving(now clock.Millis) map[uint64]bool {
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -139,4 +139,31 @@
 	})
 }
 
+// TestConfirmsConfiguration checks when peers show that a node's configuration is the
+// newest one.
+func TestConfirmsConfiguration(t *testing.T) {
+	expectConfirmed := func(t *testing.T, confirmed bool, now clock.Millis, peerVersions ...node.Bulletin) {
+		t.Helper()
+		peers := node.NewPeers("edge-1")
+		for _, bulletin := range peerVersions {
+			peers.Receive(bulletin, 0)
+		}
+		peers.Publish()
+		require.Equal(t, confirmed, peers.View().ConfirmsConfiguration(5, 7*clock.Second, now))
+	}
+	with := func(host string, version int64, age clock.Millis) node.Bulletin {
+		return newBulletin(host, 7, 1, 0, 0).WithConfiguration(version, age)
+	}
+	t.Run("no peers", func(t *testing.T) { expectConfirmed(t, false, 0) })
+	t.Run("a peer has just read it", func(t *testing.T) { expectConfirmed(t, true, 100, with("a", 5, 600)) })
+	t.Run("all peers lost the store", func(t *testing.T) {
+		expectConfirmed(t, false, 100, with("a", 5, 8000), with("b", 5, 7000))
+	})
+	t.Run("a peer has a newer one", func(t *testing.T) {
+		expectConfirmed(t, false, 100, with("a", 5, 600), with("b", 6, 600))
+	})
+	t.Run("the only fresh peer is behind", func(t *testing.T) { expectConfirmed(t, false, 100, with("a", 4, 600)) })
+	t.Run("the peer is silent", func(t *testing.T) { expectConfirmed(t, false, 5*clock.Second, with("a", 5, 0)) })
+}
+
 func hostName(i int) string { return "peer-" + strconv.Itoa(i) }
