--- a/internal/caller/allotment_test.go
+++ b/internal/caller/allotment_test.go
@@ -197,7 +197,7 @@
 func TestBurstAtManyNodes(t *testing.T) {
 	const perS, burst, window, step = 700_000.0, 1_400_000.0, 8000, 20
 	const operatorsShare, operatorsSlack = 0.1, 140_000.0
-	play := func(load burstLoad) (highest int64, total int64) {
+	play := func(load burstLoad) (highest, total int64) {
 		allotment := caller.NewAllotment(perS, burst, 1, true).WithOvershoot(operatorsShare/2, operatorsSlack*0.6).WithDelay(load.delay)
 		admitted := load.play(allotment, step, 3*window)
 		for start := range admitted {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -150,8 +150,9 @@
 				offer(change.Object())
 			}
 		},
-		onSynced: func() { setTime(&edge.storeResponses.configuration, edge.clock.Now()) },
-		wakeUp:   &edge.wakeUps.configuration, otherWakeUp: &edge.wakeUps.servers,
+		onSynced:   func() { setTime(&edge.storeResponses.configuration, edge.clock.Now()) },
+		batchDelay: edge.configurationDelay,
+		wakeUp:     &edge.wakeUps.configuration, otherWakeUp: &edge.wakeUps.servers,
 		watchWait: func() clock.Millis {
 			return platform.WatchWait(edge.settings.Load().Bounds().Configuration(), edge.isDesignatedWatcher(), edge.nodes())
 		},
