Start with a full bucket only where the deployment starts as a whole

TestInitialLevel failed for an added and for a restarted node. Change: a process begins with the slack of the settings unless it is the first on its host and no peer is older; it refills at the rate of the account from there.

--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -51,13 +51,14 @@
 type meters struct {
 	byAccount sync.Map // Name to *caller.Meter.
 	start     clock.Millis
-	// firstOnHost is set if no process ran on this host before, so that no tokens
-	// can have been used here.
+	// firstOnHost is set if no process ran on this host before.
 	firstOnHost atomic.Bool
-	// hasOlderPeer reports whether a peer has run for longer than this process. Then
-	// not all nodes restarted together, and one more full bucket does little harm.
+	// hasOlderPeer reports whether a peer has run for longer than this process. Then the
+	// account's burst may have been used there: with full buckets at the nodes that
+	// start, an account would get it again when many of them are added or restarted.
 	hasOlderPeer func() bool
-	// initialLevel returns the tokens in a bucket at the start if neither holds.
+	// initialLevel returns the tokens in a bucket at the start unless the process is
+	// the first on its host in a deployment that starts as a whole.
 	initialLevel func() float64
 }
 
@@ -70,7 +71,7 @@
 		return meter.(*caller.Meter)
 	}
 	created := caller.NewMeterSince(meters.start, meters.initialLevel())
-	if meters.firstOnHost.Load() || meters.hasOlderPeer() {
+	if meters.firstOnHost.Load() && !meters.hasOlderPeer() {
 		created = caller.NewMeter(allotment, now)
 	}
 	meter, _ := meters.byAccount.LoadOrStore(account.Name(), created)
