Read the change again: two channels in place of a list, a margin below the drain bound

A node that has just lost its peers gathers changes of the list for three quarters of the drain bound, so that a leaving server that no peer reports is known within it.

--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -144,7 +144,11 @@
 	cost := float64(tokens)
 	for {
 		current := meter.state.Load()
-		next := &meterState{level: current.refilled(allotment, share, now), updatedAt: now, demand: average(current.demand, cost, current.updatedAt, now), peers: average(current.peers, 0, current.updatedAt, now)}
+		next := &meterState{
+			level: current.refilled(allotment, share, now), updatedAt: now,
+			demand: average(current.demand, cost, current.updatedAt, now),
+			peers:  average(current.peers, 0, current.updatedAt, now),
+		}
 		// A large request needs no higher level than a small one, or an account near
 		// its limit would never get a large one admitted. It leaves a debt.
 		needed := allotment.reserve(next.demand, next.peers, nodes)
--- a/internal/edge/bulletins.go
+++ b/internal/edge/bulletins.go
@@ -26,12 +26,12 @@
 	}
 }
 
-// awaitBulletin waits until the next bulletin is due. Urgent news end the wait. A node
+// awaitBulletin waits until the next bulletin is due. Urgent news ends the wait. A node
 // that gets its first request leaves the longer interval of idle nodes, so that its
 // peers learn of the usage as soon as of that of others.
 func (edge *Edge) awaitBulletin(ctx context.Context, nodes int) error {
 	busy, idle := node.BulletinInterval(nodes, false), node.BulletinInterval(nodes, true)
-	urgent, err := edge.waitOrWake(ctx, busy, edge.peers.urgent)
+	urgent, err := edge.waitOrWake(ctx, busy, edge.peers.urgent, nil)
 	if err != nil || urgent || edge.inFlight.Load() > 0 {
 		return err
 	}
@@ -39,16 +39,15 @@
 	return err
 }
 
-// waitOrWake waits for the delay, or until one of the channels receives a value, and
-// reports whether one did.
-func (edge *Edge) waitOrWake(ctx context.Context, delay clock.Millis, wake ...<-chan struct{}) (woken bool, err error) {
+// waitOrWake waits for the delay, or until one of the channels, which may be nil,
+// receives a value, and reports whether one did.
+func (edge *Edge) waitOrWake(ctx context.Context, delay clock.Millis, urgent, busy <-chan struct{}) (woken bool, err error) {
 	wait, cancel := edge.clock.WithTimeout(ctx, delay)
 	defer cancel()
-	first, second := wake[0], wake[len(wake)-1]
 	select {
-	case <-first:
+	case <-urgent:
 		return true, nil
-	case <-second:
+	case <-busy:
 		return true, nil
 	case <-wait.Done():
 		return false, ctx.Err()
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -15,8 +15,10 @@
 	minBatchDelay = 150 * clock.Millisecond
 	// batchDelayPerNode times the number of nodes is the wait of nodes that are no
 	// designated watchers and don't hold the lease, as each of them calls the store. It
-	// is at most the drain bound: designated watchers tell the others what leaves.
-	batchDelayPerNode = 25 * clock.Millisecond
+	// is at most maxBatchDelayShare of the drain bound: designated watchers tell the
+	// others what leaves.
+	batchDelayPerNode  = 25 * clock.Millisecond
+	maxBatchDelayShare = 0.75
 	// discoveryTime is the time after the start in which a node comes to know its peers,
 	// and startBatchDelay the wait meanwhile: when all nodes start together with their
 	// servers, the list changes all the time.
@@ -96,7 +98,8 @@
 	case edge.isDesignatedWatcher():
 		return minBatchDelay
 	}
-	return max(minBatchDelay, min(batchDelayPerNode*clock.Millis(edge.nodes()), edge.settings.Load().Bounds().Drain()))
+	longest := clock.Millis(maxBatchDelayShare * float64(edge.settings.Load().Bounds().Drain()))
+	return max(minBatchDelay, min(batchDelayPerNode*clock.Millis(edge.nodes()), longest))
 }
 
 // isDesignatedWatcher reports whether this node watches the store with the shortest
