Refuse a late second copy of a service's answer

Cause: idempotent calls of services used kept connections without looking at the id that their answers echo. Change: an echo of another request is an answer lost; connections to services that echo no id carry one call. The stand-in echoes. TestConnectionClosedUnanswered echoes too, as it is about kept connections. Ruled out: the edge and model runners, which match the id already.

--- a/internal/service/servicehttp/client.go
+++ b/internal/service/servicehttp/client.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,10 @@
 type Client struct {
 	keepAlive *http.Client
 	singleUse *http.Client
+	// echoing holds the addresses of servers that echo the id of a request. Only their
+	// connections are used again: a late second copy of an answer would look like the
+	// answer to the next call.
+	echoing sync.Map
 }
 
 // maxHeadBytes bounds the head of a response.
@@ -71,7 +76,7 @@
 	if err != nil {
 		return service.Answer{}, request.CauseNotSent, err
 	}
-	response, err := client.transport(req).Do(httpRequest)
+	response, err := client.transport(server, req).Do(httpRequest)
 	if err != nil && !connected.Load() {
 		return service.Answer{}, request.CauseNotSent, err
 	}
@@ -79,6 +84,14 @@
 		return service.Answer{}, request.CauseCut, err
 	}
 	defer response.Body.Close()
+	switch echoed := response.Header.Get(HeaderRequestID); echoed {
+	case "":
+		client.echoing.Delete(server.Address())
+	case req.ID():
+		client.echoing.Store(server.Address(), true)
+	default:
+		return service.Answer{}, request.CauseCut, &OtherAnswerError{id: echoed}
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
 	if err != nil {
 		return service.Answer{}, request.CauseCut, err
@@ -95,13 +108,24 @@
 	return service.NewAnswer(response.StatusCode, response.Header.Get("Content-Type"), body), 0, nil
 }
 
-func (client *Client) transport(req *request.Request) *http.Client {
-	if req.Route().NonIdempotent() {
+// OtherAnswerError reports an answer to another request.
+type OtherAnswerError struct{ id string }
+
+// ID returns the id of the other request.
+func (err *OtherAnswerError) ID() string { return err.id }
+
+func (err *OtherAnswerError) Error() string { return "the answer belongs to request " + err.id }
+
+func (client *Client) transport(server *backend.Server, req *request.Request) *http.Client {
+	if _, echoes := client.echoing.Load(server.Address()); !echoes || req.Route().NonIdempotent() {
 		return client.singleUse
 	}
 	return client.keepAlive
 }
 
+// Close closes the idle connections.
+func (client *Client) Close() { client.keepAlive.CloseIdleConnections() }
+
 func newMessage(ctx context.Context, server *backend.Server, req *request.Request, call service.Call) (*http.Request, error) {
 	httpRequest, err := http.NewRequestWithContext(ctx, call.Method(), "http://"+server.Address()+call.Path(), bytes.NewReader(call.Body()))
 	if err != nil {
--- a/internal/service/servicehttp/client_test.go
+++ b/internal/service/servicehttp/client_test.go
@@ -113,10 +113,12 @@
 func expectRuns(t *testing.T, nonIdempotent bool, runs int64) {
 	t.Helper()
 	var ran atomic.Int64
-	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, httpRequest *http.Request) {
 		if ran.Add(1) == 2 {
 			panic(http.ErrAbortHandler)
 		}
+		// Only connections to services that echo the id are used again.
+		writer.Header().Set(servicehttp.HeaderRequestID, httpRequest.Header.Get(servicehttp.HeaderRequestID))
 		writer.WriteHeader(http.StatusCreated)
 	}))
 	defer server.Close()
--- a/internal/standin/servicestandin/service.go
+++ b/internal/standin/servicestandin/service.go
@@ -33,12 +33,24 @@
 // Router returns the HTTP routes of the stand-in.
 func (service *Service) Router() http.Handler {
 	router := mux.NewRouter()
+	router.Use(echoRequestID)
 	router.HandleFunc("/control/runs", service.serveRuns).Methods(http.MethodGet)
 	router.PathPrefix("/").Methods(http.MethodPost).HandlerFunc(service.serveAction)
 	router.PathPrefix("/").Methods(http.MethodGet).HandlerFunc(service.serveStatus)
 	return router
 }
 
+// echoRequestID sends the request's id back with each answer.
+func echoRequestID(next http.Handler) http.Handler {
+	const header = "X-Request-Id"
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if id := request.Header.Get(header); id != "" {
+			writer.Header().Set(header, id)
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
 type runsForm struct {
 	Runs  map[string]int `json:"runs"`
 	Total int            `json:"total"`
