Charge a repeated run to its account

What runs again counts again for the allotment. Change: an attempt that is repeated after one that may have run is charged. TestRepeatedRunIsCharged failed for a lost answer before.

--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -168,23 +168,38 @@
 	}
 }
 
+// Charge takes the tokens of a request that was admitted before and runs once more,
+// whatever the level is.
+func (meter *Meter) Charge(allotment Allotment, tokens int, share float64, now clock.Millis) {
+	if allotment.perSecond > 0 {
+		meter.take(allotment, float64(tokens), 0, share, now)
+	}
+	meter.used.Add(int64(tokens))
+}
+
 // Refund returns the tokens of an admitted request that did not run.
 func (meter *Meter) Refund(allotment Allotment, tokens int, share float64, now clock.Millis) {
 	meter.used.Add(-int64(tokens))
-	meter.AddPeerUsage(allotment, -int64(tokens), share, now)
+	meter.take(allotment, -float64(tokens), 0, share, now)
 }
 
 // AddPeerUsage applies tokens that peer nodes admitted or, if negative, refunded.
 func (meter *Meter) AddPeerUsage(allotment Allotment, tokens int64, share float64, now clock.Millis) {
+	meter.take(allotment, float64(tokens), math.Max(0, float64(tokens)), share, now)
+}
+
+// take lowers the level by the tokens, of which those of peers also count as their
+// usage.
+func (meter *Meter) take(allotment Allotment, tokens, ofPeers, share float64, now clock.Millis) {
 	for {
 		current := meter.state.Load()
-		level := current.refilled(allotment, share, now) - float64(tokens)
+		level := current.refilled(allotment, share, now) - tokens
 		// The debt is bounded, or a peer node's false report could lock the account
 		// out indefinitely.
 		level = min(max(level, -allotment.burst-debtLimitSeconds*allotment.perSecond), allotment.burst)
 		next := &meterState{
 			level: level, updatedAt: now, demand: average(current.demand, 0, current.updatedAt, now),
-			peers: average(current.peers, math.Max(0, float64(tokens)), current.updatedAt, now),
+			peers: average(current.peers, ofPeers, current.updatedAt, now),
 		}
 		if meter.state.CompareAndSwap(current, next) {
 			return
--- a/internal/caller/allotment_test.go
+++ b/internal/caller/allotment_test.go
@@ -50,6 +50,14 @@
 		require.Zero(t, meter.Used())
 		expectAdmitted(t, meter, 2000, 0, true)
 	})
+	t.Run("a request that runs once more is charged once more", func(t *testing.T) {
+		meter := caller.NewMeter(allotment, 0)
+		expectAdmitted(t, meter, 1500, 0, true)
+		meter.Charge(allotment, 1500, 1, 0)
+		require.Equal(t, int64(3000), meter.Used())
+		expectAdmitted(t, meter, 1, 1000, false)
+		expectAdmitted(t, meter, 1, 1001, true)
+	})
 	t.Run("no limit", func(t *testing.T) {
 		meter := caller.NewMeter(caller.NewAllotment(0, 0, 1, false), 0)
 		for range 100 {
--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -14,3 +14,14 @@
 	}
 	return len(servers) > 0
 }
+
+// UsedBy returns the tokens that the client account used at the node.
+func (edge *Edge) UsedBy(name string) int64 {
+	used := int64(0)
+	edge.meters.forEach(func(account string, tokens int64) {
+		if account == name {
+			used = tokens
+		}
+	})
+	return used
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -62,6 +62,9 @@
 		requestContext.logStep(retrier, outcome, step)
 		switch step {
 		case request.StepRetry:
+			if retrier.MayHaveRun() && requestContext.account != nil {
+				edge.chargeRepeat(requestContext.account, requestContext.cost)
+			}
 			continue
 		case request.StepDeliver:
 			attempts.deliver()
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -141,6 +141,14 @@
 	return cost, edge.meters.forAccount(account, allotment, now).Admit(allotment, cost, edge.refillShare(), edge.nodes(), now)
 }
 
+// chargeRepeat charges the cost of a request to the account once more, as an attempt that
+// is repeated may run again.
+func (edge *Edge) chargeRepeat(account *caller.Account, cost int) {
+	now := edge.clock.Now()
+	allotment := edge.allotment(account)
+	edge.meters.forAccount(account, allotment, now).Charge(allotment, cost, edge.refillShare(), now)
+}
+
 // refund returns the cost of a request that did not run to the account.
 func (edge *Edge) refund(account *caller.Account, cost int) {
 	now := edge.clock.Now()
--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -368,6 +368,31 @@
 	})
 }
 
+// TestRepeatedRunIsCharged checks that a request whose first run may have ended well is
+// charged for its second run, and one that was refused only once.
+func TestRepeatedRunIsCharged(t *testing.T) {
+	const cost = 10
+	expectCharged := func(t *testing.T, first enginestandin.Behaviour, charged int64) {
+		t.Helper()
+		fixture := newFixture(t)
+		behaviours := []enginestandin.Behaviour{first}
+		for _, app := range fixture.apps {
+			app.SetBehaviourFunc(func() enginestandin.Behaviour {
+				next := enginestandin.BehaviourServe
+				if len(behaviours) > 0 {
+					next, behaviours = behaviours[0], nil
+				}
+				return next
+			})
+		}
+		require.Equal(t, http.StatusOK, fixture.call(http.MethodGet, "/look/a").status)
+		require.Equal(t, charged, fixture.node.UsedBy("garage"))
+	}
+	t.Run("served at once", func(t *testing.T) { expectCharged(t, enginestandin.BehaviourServe, cost) })
+	t.Run("refused first", func(t *testing.T) { expectCharged(t, enginestandin.BehaviourRefuse, cost) })
+	t.Run("run, and its answer lost", func(t *testing.T) { expectCharged(t, enginestandin.BehaviourCut, 2*cost) })
+}
+
 // TestLeavingIsGossiped checks that a node whose watches are silent sends no
 // requests to a leaving server once a peer has reported it.
 func TestLeavingIsGossiped(t *testing.T) {
