--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -375,14 +376,13 @@
 	expectCharged := func(t *testing.T, first enginestandin.Behaviour, charged int64) {
 		t.Helper()
 		fixture := newFixture(t)
-		behaviours := []enginestandin.Behaviour{first}
+		var requests atomic.Int64
 		for _, app := range fixture.apps {
 			app.SetBehaviourFunc(func() enginestandin.Behaviour {
-				next := enginestandin.BehaviourServe
-				if len(behaviours) > 0 {
-					next, behaviours = behaviours[0], nil
+				if requests.Add(1) == 1 {
+					return first
 				}
-				return next
+				return enginestandin.BehaviourServe
 			})
 		}
 		require.Equal(t, http.StatusOK, fixture.call(http.MethodGet, "/look/a").status)
