--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -183,7 +183,7 @@
 		return outcome
 	}
 	requestContext.edge.log.Warn().Str("requestId", requestContext.call.ID()).Str("backendServer", server.ID()).Err(err).
-		Str("outcome", outcome.String()).Msg("attempt failed")
+		Strs("parts", requestContext.sharedParts()).Str("outcome", outcome.String()).Msg("attempt failed")
 	var lost *backendlink.ResponseLostError
 	if errors.As(err, &lost) && lost.Reused() && !isTimeUp(attempts.ctx) {
 		// The failure of a reused connection says little about the server.
@@ -356,7 +356,7 @@
 	requestContext := attempts.requestContext
 	if !requestContext.callerLeft() {
 		requestContext.edge.log.Warn().Str("requestId", requestContext.call.ID()).Str("backendServer", requestContext.choice.Server().ID()).Err(err).
-			Str("lastEvent", attempts.lastEvent).Msg("stream broke off")
+			Strs("parts", requestContext.sharedParts()).Str("lastEvent", attempts.lastEvent).Msg("stream broke off")
 	}
 	if !attempts.retrier.ResponseStarted() {
 		return request.OutcomeLost
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -42,6 +42,16 @@
 		Int64("leftMillis", int64(retrier.Deadline()-requestContext.edge.clock.Now())).Msg("attempt ended")
 }
 
+// sharedParts returns the ids of the prompt's parts that other prompts may have, too.
+func (requestContext *requestContext) sharedParts() []string {
+	shared := requestContext.call.Prompt().Shared()
+	ids := make([]string, 0, len(shared))
+	for _, part := range shared {
+		ids = append(ids, part.ID())
+	}
+	return ids
+}
+
 // recordLoad records the load that a server reports in the head of a response.
 func (edge *Edge) recordLoad(server *backend.Server, header http.Header) {
 	if load, _, ok := runners.DecodeLoad(header, edge.clock.Now()); ok {
--- a/internal/runner/prompt.go
+++ b/internal/runner/prompt.go
@@ -35,6 +35,10 @@
 // Parts returns the parts. Callers must not change the slice.
 func (prompt Prompt) Parts() []Part { return prompt.parts }
 
+// Shared returns the parts that other prompts may have, too: all but the last one.
+// Callers must not change the slice.
+func (prompt Prompt) Shared() []Part { return prompt.parts[:max(0, len(prompt.parts)-1)] }
+
 // Tokens returns the length of the whole prompt in tokens.
 func (prompt Prompt) Tokens() int { return prompt.tokens }
 
