--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 
 	"sapphirehead/internal/clock"
@@ -93,6 +94,10 @@
 	behaviourFunc func() Behaviour
 	// workTime is the time taken for a response and for each event of a stream.
 	workTime clock.Millis
+	// fatalPart is the id of a prompt part that crashes the server when it begins a
+	// response, and crash ends its process.
+	fatalPart string
+	crash     func()
 }
 
 // arrivedQueueLength is the number of arrivals that a test may leave unread.
@@ -125,6 +130,25 @@
 // must be called before the server is in use.
 func (engine *Engine) SetWorkTime(workTime clock.Millis) { engine.workTime = workTime }
 
+// SetFatalPart makes the server crash when it begins the response to a request whose
+// prompt has the part. Crash must end its connections and its listener.
+func (engine *Engine) SetFatalPart(part string, crash func()) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.fatalPart, engine.crash = part, crash
+}
+
+// crashOn crashes the server if the request has the fatal part.
+func (engine *Engine) crashOn(request *http.Request) {
+	engine.mutex.Lock()
+	part, crash := engine.fatalPart, engine.crash
+	engine.mutex.Unlock()
+	if part != "" && strings.Contains(request.Header.Get("X-Prompt-Prefix"), part+":") {
+		crash()
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // work waits for the work time. It reports false if the caller cancels the request
 // before that.
 func (engine *Engine) work(ctx context.Context) bool {
@@ -214,6 +238,7 @@
 			return
 		}
 	}
+	engine.crashOn(request)
 	engine.respond(writer, request, behaviour)
 }
 
