Quarantine chats that crash model runners at entry hosts, too

The same cause in the product's own interface, found by reading: a chat whose runner dies is run again at the next one, up to request.MaxAttempts, so one prompt crashed eight runners, and each caller's repeat eight more. Callers got an error after eight crashes; all other streams of those runners broke off.

The dispatcher asks the quarantine at admission and before each attempt; parts are the messages and the whole prompt, as a request is repeated with it. Entry hosts exchange the evidence with heartbeats (new field crash_evidence, shared with bulletins).

--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -1,12 +1,10 @@
 package edge
 
 import (
-	"strconv"
-
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/backend/backendlink"
 	"sapphirehead/internal/clock"
-	"sapphirehead/internal/quarantine"
+	"sapphirehead/internal/logging"
 	"sapphirehead/internal/request"
 )
 
@@ -52,20 +50,12 @@
 func (edge *Edge) reviewQuarantine() {
 	began, ended := edge.quarantine.Review(edge.clock.Now())
 	for _, block := range began {
-		edge.log.Warn().Strs("partHashes", partHashes(block)).Int64("firstCrashAgeMillis", int64(edge.clock.Now()-block.Since())).
+		edge.log.Warn().Strs(logging.FieldPartHashes, block.Names()).Int64("firstCrashAgeMillis", int64(edge.clock.Now()-block.Since())).
 			Msg("prompt parts quarantined: they crash backend servers")
 		signal(edge.peers.urgent)
 	}
 	for _, block := range ended {
-		edge.log.Info().Strs("partHashes", partHashes(block)).Msg("quarantine of prompt parts ended: a prompt with them was answered")
+		edge.log.Info().Strs(logging.FieldPartHashes, block.Names()).Msg("quarantine of prompt parts ended: a prompt with them was answered")
 		signal(edge.peers.urgent)
 	}
 }
-
-func partHashes(block quarantine.Block) []string {
-	var hashes []string
-	for _, hash := range block.Parts() {
-		hashes = append(hashes, strconv.FormatUint(hash, 16))
-	}
-	return hashes
-}
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -121,6 +121,9 @@
 	if req.Route().Kind() != route.KindChat {
 		return nil
 	}
+	if wait, quarantined := dispatcher.entry.isQuarantined(req); quarantined {
+		return request.NewNotRunError("the prompt crashes model runners", wait)
+	}
 	estimate, ok := dispatcher.placer.EstimateBest(req, runner.NewPromptChain(req.Prompt()))
 	if !ok {
 		return nil
@@ -138,6 +141,9 @@
 	if req.Route().Kind() != route.KindChat {
 		return dispatcher.services.Choose(req.Route().Pool(), exclude)
 	}
+	if _, quarantined := dispatcher.entry.isQuarantined(req); quarantined {
+		return nil, false
+	}
 	estimate, ok := dispatcher.placer.Place(req, runner.NewPromptChain(req.Prompt()), 0, exclude)
 	return estimate.Server(), ok
 }
@@ -168,6 +174,7 @@
 	accounts := entry.accounts.All()
 	for entry.clock.Wait(ctx, caller.GateTick) == nil {
 		entry.dispatcher.placer.Refresh()
+		entry.reviewQuarantine()
 		for _, poolLimits := range *entry.dispatcher.pools.Load() {
 			poolLimits.gate.Tick()
 		}
--- a/internal/entry/driver.go
+++ b/internal/entry/driver.go
@@ -27,7 +27,7 @@
 	cancel        func(ctx context.Context, server *backend.Server, streamID string) error
 	call          func(ctx context.Context, server *backend.Server, req *request.Request, call service.Call) (service.Answer, request.Cause, error)
 	serverLeaving func(server *backend.Server)
-	attemptEnded  func(req *request.Request, server *backend.Server, cause request.Cause)
+	attemptEnded  func(req *request.Request, server *backend.Server, cause request.Cause, tokens int)
 	closeIdle     func(server *backend.Server)
 	sourceChanged func(response *Response)
 }
@@ -35,7 +35,7 @@
 // NewDriver returns a driver that reaches the node through its functions.
 // serverLeaving is called for servers that announce that they are leaving,
 // attemptEnded after each attempt with the cause of its failure (0 if it
-// succeeded), closeIdle for servers whose connections went silent, and
+// succeeded) and the number of tokens that it received, closeIdle for servers whose connections went silent, and
 // sourceChanged when a response comes from another stream than before.
 func NewDriver(
 	clock *clock.Clock,
@@ -47,7 +47,7 @@
 	cancel func(ctx context.Context, server *backend.Server, streamID string) error,
 	call func(ctx context.Context, server *backend.Server, req *request.Request, call service.Call) (service.Answer, request.Cause, error),
 	serverLeaving func(server *backend.Server),
-	attemptEnded func(req *request.Request, server *backend.Server, cause request.Cause),
+	attemptEnded func(req *request.Request, server *backend.Server, cause request.Cause, tokens int),
 	closeIdle func(server *backend.Server),
 	sourceChanged func(response *Response),
 ) *Driver {
@@ -100,7 +100,7 @@
 	defer end()
 	flow.Sent(attempt.Number())
 	answer, cause, err := driver.call(ctx, server, flow.Request(), call)
-	driver.attemptEnded(flow.Request(), server, cause)
+	driver.attemptEnded(flow.Request(), server, cause, 0)
 	if err == nil {
 		return answer, flow.Answered(attempt.Number())
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,6 +32,7 @@
 	"sapphirehead/internal/operator"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/request"
 	"sapphirehead/internal/runner/runnerhttp"
 	"sapphirehead/internal/service"
@@ -63,6 +64,7 @@
 	tables        *TablesFollower
 	accounts      *caller.Accounts
 	admission     *caller.Admission
+	quarantine    *quarantine.Quarantine
 	dispatcher    *dispatcher
 	runners       *runnerhttp.Client
 	platform      *platformhttp.Client
@@ -109,6 +111,7 @@
 		reclaimed:     newReclaimed(),
 		accounts:      accountsOf(settings),
 		admission:     caller.NewAdmission(settings.MaxInFlight()),
+		quarantine:    quarantine.New(clock.Now()),
 		platform:      platformhttp.New(settings.Platform().Address(), clock, settings.Platform().Timeout()),
 	}
 	entry.store = entry.platform.Store()
@@ -222,8 +225,9 @@
 	return request.NewID(entry.tag(), random)
 }
 
-func (entry *Entry) countAttempt(req *request.Request, server *backend.Server, cause request.Cause) {
+func (entry *Entry) countAttempt(req *request.Request, server *backend.Server, cause request.Cause, tokens int) {
 	entry.dispatcher.recordAttempt(req, server, cause)
+	entry.recordEvidence(req, server, cause, tokens)
 	if cause == 0 {
 		server.Succeeded()
 		entry.counters.Add("attemptsSucceeded", 1)
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -8,8 +8,10 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/node"
+	"sapphirehead/internal/node/evidencecodec"
 	"sapphirehead/internal/node/nodelink"
 	"sapphirehead/internal/node/nodepb"
+	"sapphirehead/internal/quarantine"
 )
 
 const (
@@ -36,13 +38,15 @@
 	closeIdle     func()
 	leaving       func(server string, notice clock.Millis)
 	ahead         func()
+	quarantine    *quarantine.Quarantine
 	counters      *expvar.Map
 	pushRequested chan struct{}
 }
 
 // NewGossip returns the gossip of a node. call sends a call to a peer and
 // closeIdle closes unused links. leaving is called for each leaving backend
-// server, and ahead when a member may have newer active tables.
+// server, and ahead when a member may have newer active tables. The
+// quarantine holds the evidence of prompts that crash runners.
 func NewGossip(
 	clock *clock.Clock,
 	members *node.Members,
@@ -51,11 +55,13 @@
 	closeIdle func(),
 	leaving func(server string, notice clock.Millis),
 	ahead func(),
+	quarantine *quarantine.Quarantine,
 	counters *expvar.Map,
 ) *Gossip {
 	return &Gossip{
 		clock: clock, members: members, seeds: seeds, call: call, closeIdle: closeIdle, leaving: leaving, ahead: ahead,
-		counters: counters, pushRequested: make(chan struct{}, 1),
+		quarantine: quarantine,
+		counters:   counters, pushRequested: make(chan struct{}, 1),
 	}
 }
 
@@ -145,11 +151,11 @@
 // exchange sends a digest and applies the reply. A failed call is retried over
 // a new connection before the member counts as silent.
 func (gossip *Gossip) exchange(ctx context.Context, address string, digest node.Digest, push bool) bool {
-	call := nodepb.Call_builder{Heartbeat: nodelink.EncodeDigest(digest, push)}.Build()
+	call := nodepb.Call_builder{Heartbeat: gossip.encode(digest, push)}.Build()
 	for {
 		reply, err := gossip.call(ctx, address, call)
 		if err == nil {
-			digest := nodelink.DecodeDigest(reply.GetHeartbeat())
+			digest := gossip.decode(reply.GetHeartbeat())
 			gossip.apply(digest, false)
 			if !push {
 				gossip.fetchMissing(ctx, address, digest)
@@ -251,11 +257,34 @@
 
 // Heartbeat handles a heartbeat from a peer.
 func (gossip *Gossip) Heartbeat(heartbeat *nodepb.Heartbeat) *nodepb.Reply {
-	gossip.apply(nodelink.DecodeDigest(heartbeat), !heartbeat.GetPush())
+	gossip.apply(gossip.decode(heartbeat), !heartbeat.GetPush())
 	if heartbeat.GetPush() {
-		return digestReply(gossip.members.SelfDigest())
+		return gossip.reply(gossip.members.SelfDigest())
 	}
-	return digestReply(gossip.members.Digest())
+	return gossip.reply(gossip.members.Digest())
+}
+
+// encode returns the heartbeat for a digest, with this node's evidence of crashes.
+func (gossip *Gossip) encode(digest node.Digest, push bool) *nodepb.Heartbeat {
+	heartbeat := nodelink.EncodeDigest(digest, push)
+	heartbeat.SetCrashEvidence(evidencecodec.Encode(gossip.quarantine.Evidence(gossip.clock.Now())))
+	return heartbeat
+}
+
+// decode returns the digest of a heartbeat, and merges the evidence of crashes.
+func (gossip *Gossip) decode(heartbeat *nodepb.Heartbeat) node.Digest {
+	evidence, err := evidencecodec.Decode(heartbeat.GetCrashEvidence())
+	if err != nil {
+		gossip.counters.Add("evidenceMalformed", 1)
+		return nodelink.DecodeDigest(heartbeat)
+	}
+	gossip.quarantine.Merge(evidence, gossip.clock.Now())
+	return nodelink.DecodeDigest(heartbeat)
+}
+
+// reply returns the reply to a heartbeat.
+func (gossip *Gossip) reply(digest node.Digest) *nodepb.Reply {
+	return nodepb.Reply_builder{Heartbeat: gossip.encode(digest, false)}.Build()
 }
 
 // Members returns the reply to a query for all members.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -20,7 +20,7 @@
 	entry.tables = NewTablesFollower(entry.clock, entry.members, entry.connectivity, entry.active, entry.loadTables, entry.watchTables,
 		entry.commitTables, entry.links.Call, func() { entry.gossip.TriggerPush() }, entry.log, entry.counters)
 	entry.gossip = NewGossip(entry.clock, entry.members, seeds, entry.links.Call, entry.links.CloseIdle,
-		entry.addNotice, entry.tables.CheckAhead, entry.counters)
+		entry.addNotice, entry.tables.CheckAhead, entry.quarantine, entry.counters)
 }
 
 // self returns this node's own member record, without a sequence.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -42,6 +42,7 @@
 	sources    map[int]streamSource
 	cancels    map[int]context.CancelFunc
 	attempts   map[int]request.Attempt
+	received   map[int]int
 	group      sync.WaitGroup
 }
 
@@ -56,6 +57,7 @@
 		sources:  map[int]streamSource{},
 		cancels:  map[int]context.CancelFunc{},
 		attempts: map[int]request.Attempt{},
+		received: map[int]int{},
 	}
 	err := run.generate(ctx)
 	response.journal.Finish(err)
@@ -178,6 +180,7 @@
 	}
 	action := request.ReadAction()
 	if len(event.event.Tokens()) > 0 {
+		run.received[event.attempt] += len(event.event.Tokens())
 		_, action = run.flow.Chunk(event.attempt, event.event.Offset(), event.event.Tokens())
 	}
 	if total, ended := event.event.Ended(); ended && action.Kind() == request.ActionRead {
@@ -186,7 +189,7 @@
 	if action.Kind() == request.ActionFinish {
 		run.finishedBy = event.attempt
 		run.response.observeSpeed(server)
-		run.driver.attemptEnded(run.response.Request(), server, 0)
+		run.driver.attemptEnded(run.response.Request(), server, 0, run.received[event.attempt])
 	}
 	return action
 }
@@ -197,7 +200,7 @@
 	if errors.As(err, &broken) {
 		cause = broken.Cause()
 	}
-	run.driver.attemptEnded(run.response.Request(), attempt.Server(), cause)
+	run.driver.attemptEnded(run.response.Request(), attempt.Server(), cause, run.received[attempt.Number()])
 	if attempt.Server().Leaving() {
 		run.driver.serverLeaving(attempt.Server())
 	}
--- a/internal/faultmatrix/node.go
+++ b/internal/faultmatrix/node.go
@@ -19,6 +19,7 @@
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/pool"
+	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/rendezvous"
 	"sapphirehead/internal/request"
 	"sapphirehead/internal/route"
@@ -184,7 +185,7 @@
 		},
 		entryNode.call, func() { entryNode.gossip.TriggerPush() }, zerolog.Nop(), counters)
 	entryNode.gossip = entry.NewGossip(simulation.clock, entryNode.members, seeds, entryNode.call, func() {},
-		entryNode.recordLeaving, entryNode.tables.CheckAhead, counters)
+		entryNode.recordLeaving, entryNode.tables.CheckAhead, quarantine.New(simulation.clock.Now()), counters)
 }
 
 func (entryNode *entryNode) initClaims() {
@@ -232,7 +233,9 @@
 			return simulation.call(ctx, entryNode, server, from, call)
 		},
 		func(server *backend.Server) { entryNode.recordLeaving(server.ID(), 0) },
-		func(_ *request.Request, server *backend.Server, cause request.Cause) { entryNode.ended(server, cause) },
+		func(_ *request.Request, server *backend.Server, cause request.Cause, _ int) {
+			entryNode.ended(server, cause)
+		},
 		func(*backend.Server) {}, func(*entry.Response) {})
 	entryNode.responses = entry.NewResponses(simulation.clock, entryNode.driver.Run)
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -19,6 +19,7 @@
 	FieldDataCentre = "dataCentre"
 	FieldRequestID  = "requestId"
 	FieldServer     = "backendServer"
+	FieldPartHashes = "partHashes"
 )
 
 const (
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -9,8 +9,8 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/node"
+	"sapphirehead/internal/node/evidencecodec"
 	"sapphirehead/internal/node/nodepb"
-	"sapphirehead/internal/quarantine"
 )
 
 // Encode returns the bulletin's datagram. It contains each name once, and sums
@@ -30,7 +30,7 @@
 	message.SetConfigurationAgeMillis(int64(bulletin.ConfigurationAge()))
 	encodeAccounts(message, bulletin)
 	encodeServers(message, bulletin.Servers())
-	encodeEvidence(message, bulletin.Evidence())
+	message.SetCrashEvidence(evidencecodec.Encode(bulletin.Evidence()))
 	pools := make([]*nodepb.PoolUse, 0, len(bulletin.Pools()))
 	for _, usage := range bulletin.Pools() {
 		form := &nodepb.PoolUse{}
@@ -97,51 +97,6 @@
 	message.SetWaitingTokens(tokens)
 }
 
-func encodeEvidence(message *nodepb.Bulletin, evidence quarantine.Evidence) {
-	var crashes []*nodepb.Crash
-	for _, report := range evidence.Crashes() {
-		form := &nodepb.Crash{}
-		form.SetServer(report.Server())
-		form.SetAgeMillis(int64(report.Age()))
-		form.SetParts(report.Parts())
-		crashes = append(crashes, form)
-	}
-	message.SetCrashes(crashes)
-	var answered []uint64
-	var ages []int64
-	for _, report := range evidence.Answers() {
-		answered = append(answered, report.Hash())
-		ages = append(ages, int64(report.Age()))
-	}
-	message.SetAnswered(answered)
-	message.SetAnswerAgesMillis(ages)
-	var quarantines []*nodepb.Quarantine
-	for _, report := range evidence.Blocks() {
-		form := &nodepb.Quarantine{}
-		form.SetParts(report.Parts())
-		form.SetAgeMillis(int64(report.Age()))
-		form.SetDecidedAgeMillis(int64(report.DecidedAge()))
-		quarantines = append(quarantines, form)
-	}
-	message.SetQuarantines(quarantines)
-}
-
-func decodeEvidence(message *nodepb.Bulletin) quarantine.Evidence {
-	var crashes []quarantine.CrashReport
-	for _, form := range message.GetCrashes() {
-		crashes = append(crashes, quarantine.NewCrashReport(form.GetServer(), clock.Millis(form.GetAgeMillis()), form.GetParts()))
-	}
-	var answers []quarantine.AnswerReport
-	for i, hash := range message.GetAnswered() {
-		answers = append(answers, quarantine.NewAnswerReport(hash, clock.Millis(message.GetAnswerAgesMillis()[i])))
-	}
-	var blocks []quarantine.BlockReport
-	for _, form := range message.GetQuarantines() {
-		blocks = append(blocks, quarantine.NewBlockReport(form.GetParts(), clock.Millis(form.GetAgeMillis()), clock.Millis(form.GetDecidedAgeMillis())))
-	}
-	return quarantine.NewEvidence(crashes, answers, blocks)
-}
-
 // Decode reads a bulletin from a datagram.
 func Decode(data []byte) (node.Bulletin, error) {
 	message := &nodepb.Bulletin{}
@@ -157,6 +112,10 @@
 	if !hasMatchingLists(message) {
 		return node.Bulletin{}, errors.New("decode bulletin: lists that belong together differ in length")
 	}
+	evidence, err := evidencecodec.Decode(message.GetCrashEvidence())
+	if err != nil {
+		return node.Bulletin{}, err
+	}
 	accounts, windows := decodeAccounts(message)
 	pools := make([]node.Usage, 0, len(message.GetPools()))
 	for _, form := range message.GetPools() {
@@ -165,12 +124,12 @@
 	return node.NewBulletin(message.GetHost(), message.GetAddress(), message.GetIncarnation(), message.GetSequence(),
 		clock.Millis(message.GetWallMillis()), message.GetStopping()).
 		WithConfiguration(message.GetConfiguration(), clock.Millis(message.GetConfigurationAgeMillis())).WithLeaving(message.GetLeaving()).WithUptime(clock.Millis(message.GetUptimeMillis())).
-		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(decodeEvidence(message)), nil
+		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence), nil
 }
 
 func hasMatchingLists(message *nodepb.Bulletin) bool {
 	names, servers := len(message.GetAccounts()), len(message.GetServers())
-	return len(message.GetUsed()) == names && len(message.GetAnswerAgesMillis()) == len(message.GetAnswered()) && len(message.GetAttempts()) == servers && len(message.GetWaitingTokens()) == servers &&
+	return len(message.GetUsed()) == names && len(message.GetAttempts()) == servers && len(message.GetWaitingTokens()) == servers &&
 		!slices.ContainsFunc(message.GetWindows(), func(form *nodepb.WindowUse) bool { return len(form.GetRuns()) != names })
 }
 
--- a/internal/node/nodecast/nodecast_test.go
+++ b/internal/node/nodecast/nodecast_test.go
@@ -71,7 +71,7 @@
 		expectRefused(t, func(message *nodepb.Bulletin) { message.SetWaitingTokens([]int32{1, 2}) })
 	})
 	t.Run("answers", func(t *testing.T) {
-		expectRefused(t, func(message *nodepb.Bulletin) { message.SetAnswerAgesMillis(nil) })
+		expectRefused(t, func(message *nodepb.Bulletin) { message.GetCrashEvidence().SetAnswerAgesMillis(nil) })
 	})
 	t.Run("windows", func(t *testing.T) {
 		expectRefused(t, func(message *nodepb.Bulletin) { message.GetWindows()[0].SetRuns(nil) })
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -28,6 +28,11 @@
 	return Evidence{crashes: crashes, answers: answers, blocks: blocks}
 }
 
+// IsEmpty reports whether there is nothing to tell.
+func (evidence Evidence) IsEmpty() bool {
+	return len(evidence.crashes)+len(evidence.answers)+len(evidence.blocks) == 0
+}
+
 // Crashes returns the crashes that the sender saw.
 func (evidence Evidence) Crashes() []CrashReport { return evidence.crashes }
 
@@ -151,7 +156,7 @@
 // Merge adds the evidence of a peer that arrived at the time. Merging the same evidence
 // again changes nothing.
 func (quarantine *Quarantine) Merge(evidence Evidence, now clock.Millis) {
-	if len(evidence.crashes)+len(evidence.answers)+len(evidence.blocks) == 0 {
+	if evidence.IsEmpty() {
 		return
 	}
 	quarantine.update(func(current *state) *state {
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"sync/atomic"
 
 	"sapphirehead/internal/clock"
@@ -182,6 +183,15 @@
 // Parts returns the hashes of the parts' ids.
 func (block Block) Parts() []uint64 { return block.parts }
 
+// Names returns the hashes in hexadecimal, for logs.
+func (block Block) Names() []string {
+	names := make([]string, 0, len(block.parts))
+	for _, part := range block.parts {
+		names = append(names, strconv.FormatUint(part, 16))
+	}
+	return names
+}
+
 // Since returns the time of the first crash that the quarantine explains.
 func (block Block) Since() clock.Millis { return block.since }
 
--- a/internal/slopes/nodeslope/cluster.go
+++ b/internal/slopes/nodeslope/cluster.go
@@ -19,6 +19,7 @@
 	"sapphirehead/internal/node/nodelink"
 	"sapphirehead/internal/node/nodepb"
 	"sapphirehead/internal/platform/platformhttp"
+	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/table"
 )
 
@@ -172,7 +173,7 @@
 	created.tables = entry.NewTablesFollower(cluster.clock, created.members, created.connectivity, created.active, load, watch, commit,
 		created.port.call, func() { created.gossip.TriggerPush() }, zerolog.Nop(), counters)
 	created.gossip = entry.NewGossip(cluster.clock, created.members, cluster.seeds, created.port.call, created.port.closeIdle,
-		created.recordLeaving, created.tables.CheckAhead, counters)
+		created.recordLeaving, created.tables.CheckAhead, quarantine.New(cluster.clock.Now()), counters)
 	ctx, cancel := context.WithCancel(context.Background())
 	created.cancel = cancel
 	var group sync.WaitGroup
