--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -97,6 +97,8 @@
 	// fatalPart is the id of a prompt part that crashes the server when it begins a
 	// response, and crash ends its process.
 	fatalPart string
+	// namedLimit is the limit in requests per second that its responses name, or empty.
+	namedLimit string
 	crash     func()
 }
 
@@ -130,6 +132,23 @@
 // must be called before the server is in use.
 func (engine *Engine) SetWorkTime(workTime clock.Millis) { engine.workTime = workTime }
 
+// SetNamedLimit sets the limit in requests per second that all responses name; with an
+// empty text they name none.
+func (engine *Engine) SetNamedLimit(perSecond string) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.namedLimit = perSecond
+}
+
+// nameLimit adds the limit to the header of a response.
+func (engine *Engine) nameLimit(header http.Header) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if engine.namedLimit != "" {
+		header.Set("Server-Limit", engine.namedLimit)
+	}
+}
+
 // SetFatalPart makes the server crash when it begins the response to a request whose
 // prompt has the part. Crash must end its connections and its listener.
 func (engine *Engine) SetFatalPart(part string, crash func()) {
@@ -209,6 +228,7 @@
 	behaviour, hold := engine.nextBehaviour()
 	header := writer.Header()
 	header.Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+	engine.nameLimit(header)
 	if behaviour == BehaviourRefuseEarly {
 		engine.refuseEarly(writer)
 	}
