Share the limit that a server names between all nodes

Class of fault: what a server says about itself is ignored unless it is a refusal.

platform/runners decodes the limit, backend.RateLimit is the decision: a token bucket of the whole limit at each node, from which it takes its own requests and those that bulletins report of the others; the least urgent requests are refused first, at once, with the time until one is taken. In large deployments some nodes by rendezvous hashing use a server, so that unseen requests can't add up. A later answer without a limit ends it.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -32,6 +32,7 @@
 	cache      Cache
 	work       Work
 	circuit    Circuit
+	rateLimit  RateLimit
 	speed      atomic.Pointer[Speed]
 	// start distinguishes two runs of a server under the same id. It is empty if
 	// the platform assigns a new id to each run.
@@ -143,6 +144,9 @@
 // Circuit returns the server's circuit breaker.
 func (server *Server) Circuit() *Circuit { return &server.circuit }
 
+// RateLimit returns the limit on requests that the server has named.
+func (server *Server) RateLimit() *RateLimit { return &server.rateLimit }
+
 // Load returns the latest load report, or nil before the first.
 func (server *Server) Load() *Load { return server.load.Load() }
 
@@ -202,13 +206,15 @@
 type Snapshot struct {
 	byPool map[string][]*Server
 	byID   map[string]*Server
+	byHash map[uint64]*Server
 }
 
 func newSnapshot(servers []*Server) *Snapshot {
-	snapshot := &Snapshot{byPool: map[string][]*Server{}, byID: map[string]*Server{}}
+	snapshot := &Snapshot{byPool: map[string][]*Server{}, byID: map[string]*Server{}, byHash: map[uint64]*Server{}}
 	for _, server := range servers {
 		snapshot.byPool[server.pool] = append(snapshot.byPool[server.pool], server)
 		snapshot.byID[server.id] = server
+		snapshot.byHash[server.hash] = server
 	}
 	for _, list := range snapshot.byPool {
 		slices.SortFunc(list, func(a, b *Server) int {
@@ -242,6 +248,9 @@
 // Server returns the server with the id, or nil.
 func (snapshot *Snapshot) Server(id string) *Server { return snapshot.byID[id] }
 
+// ServerWithHash returns the server whose key has the hash, or nil.
+func (snapshot *Snapshot) ServerWithHash(hash uint64) *Server { return snapshot.byHash[hash] }
+
 // Servers returns every server in no particular order.
 func (snapshot *Snapshot) Servers() []*Server {
 	servers := make([]*Server, 0, len(snapshot.byID))
--- /dev/null
+++ b/internal/backend/ratelimit_test.go
@@ -0,0 +1,89 @@
+package backend
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/clock"
+)
+
+// expectTakes sends requests of the rank every 10 ms and checks how many are let through
+// in a second.
+func expectTakes(t *testing.T, rateLimit *RateLimit, rank int, from clock.Millis, expected int) {
+	t.Helper()
+	taken := 0
+	for at := from; at < from+clock.Second; at += 10 {
+		if rateLimit.Take(rank, at) {
+			taken++
+		}
+	}
+	require.InDelta(t, expected, taken, 1)
+}
+
+func newLimited(perSecond float64) *RateLimit {
+	rateLimit := &RateLimit{}
+	rateLimit.Observe(NewStatement(perSecond), 1000)
+	return rateLimit
+}
+
+func TestRateLimit(t *testing.T) {
+	t.Run("no limit", func(t *testing.T) { expectTakes(t, &RateLimit{}, 0, 1000, 100) })
+	t.Run("a limit", func(t *testing.T) { expectTakes(t, newLimited(8), 0, 1000, 8) })
+	t.Run("a later answer without a limit ends it", func(t *testing.T) {
+		rateLimit := newLimited(8)
+		require.True(t, rateLimit.Observe(NewUnlimited(), 1500))
+		expectTakes(t, rateLimit, 0, 2000, 100)
+	})
+	t.Run("an older report of a peer changes nothing", func(t *testing.T) {
+		rateLimit := newLimited(8)
+		require.False(t, rateLimit.Learn(NewUnlimited(), 900, 1500))
+		expectTakes(t, rateLimit, 0, 2000, 13)
+	})
+	t.Run("requests of peers", func(t *testing.T) {
+		rateLimit := newLimited(8)
+		rateLimit.AddPeers(5, 1000)
+		expectTakes(t, rateLimit, 0, 1000, 4)
+	})
+	t.Run("a node without the reports of half of its peers", func(t *testing.T) {
+		rateLimit := newLimited(8)
+		rateLimit.SetUsage(0.5, false)
+		expectTakes(t, rateLimit, 0, 1000, 4)
+	})
+	t.Run("a server that is left to other nodes", func(t *testing.T) {
+		rateLimit := newLimited(8)
+		rateLimit.SetUsage(1, true)
+		expectTakes(t, rateLimit, 0, 1000, 0)
+	})
+	t.Run("a limit of 0 leaves a request now and then", func(t *testing.T) {
+		rateLimit := newLimited(0)
+		require.True(t, rateLimit.Take(0, 1000))
+		require.False(t, rateLimit.Take(0, 2000))
+		require.Equal(t, 10*clock.Second, rateLimit.Wait(0, 1000))
+	})
+	t.Run("urgent requests are sent first", func(t *testing.T) {
+		rateLimit := newLimited(8)
+		urgent, other := 0, 0
+		for at := clock.Millis(1000); at < 11_000; at += 50 {
+			if rateLimit.Take(3, at) {
+				other++
+			}
+			if at%100 == 0 && rateLimit.Take(0, at) {
+				urgent++
+			}
+		}
+		require.InDelta(t, 80, urgent+other, 8)
+		require.Greater(t, urgent, 6*other)
+	})
+}
+
+func TestLimitedNodes(t *testing.T) {
+	expectNodes := func(t *testing.T, perSecond float64, nodes, servers, expected int) {
+		t.Helper()
+		require.Equal(t, expected, LimitedNodes(perSecond, nodes, servers))
+	}
+	t.Run("all of a few", func(t *testing.T) { expectNodes(t, 4, 7, 9, 7) })
+	t.Run("a low limit", func(t *testing.T) { expectNodes(t, 0.5, 7, 9, 3) })
+	t.Run("some of many", func(t *testing.T) { expectNodes(t, 3, 295, 240, 7) })
+	t.Run("few servers", func(t *testing.T) { expectNodes(t, 3, 295, 30, 20) })
+}
--- a/internal/edge/bulletins.go
+++ b/internal/edge/bulletins.go
@@ -98,7 +98,7 @@
 	host := edge.settings.Load().Host()
 	return node.NewBulletin(host, peers.socket.Address(), peers.incarnation, peers.sequence.Load(), edge.clock.Wall(), edge.stopping.Load()).
 		WithUptime(edge.clock.Now()-edge.meters.start).WithConfiguration(edge.configurationVersion(), ageOf(&edge.storeResponses.configuration, edge.clock.Now())).WithLeaving(edge.leavingServers()).WithUsage(accounts, servers, pools, windows).
-		WithEvidence(edge.quarantine.Evidence(edge.clock.Now()))
+		WithServerLimits(edge.serverLimits(edge.clock.Now())).WithEvidence(edge.quarantine.Evidence(edge.clock.Now()))
 }
 
 // leavingServers returns the hashes of leaving servers if this node is a
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -15,6 +15,7 @@
 	"sapphirehead/internal/backend/backendlink"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/placement"
+	"sapphirehead/internal/pool"
 	"sapphirehead/internal/request"
 	"sapphirehead/platform/callers"
 	"sapphirehead/platform/runners"
@@ -73,7 +74,7 @@
 			switch outcome {
 			case request.OutcomeNoServer:
 				wait = requestContext.serverStartWait()
-			case request.OutcomeTooLate, request.OutcomeQuarantined:
+			case request.OutcomeTooLate, request.OutcomeQuarantined, request.OutcomeLimited:
 				wait = attempts.retryAfter
 			default:
 			}
@@ -131,14 +132,9 @@
 	if attempts.checkQuarantine() {
 		return request.OutcomeQuarantined
 	}
-	choice, ok := edge.placement.Choose(poolConfig, requestContext.call.Prompt(), attempts.triedServers)
-	if !ok {
-		return request.OutcomeNoServer
-	}
-	if lateness := choice.Lateness(requestContext.route, requestContext.rank(), edge.clock.Now()-requestContext.arrived); lateness > 0 && attempts.retrier.Sends() == 0 {
-		requestContext.logChoice(choice)
-		attempts.retryAfter = lateness
-		return request.OutcomeTooLate
+	choice, outcome := attempts.choose(poolConfig)
+	if outcome != 0 {
+		return outcome
 	}
 	server := choice.Server()
 	attempts.triedServers = append(attempts.triedServers, server.Key())
@@ -158,13 +154,40 @@
 	}
 	defer response.Close()
 	edge.recordLoad(server, response.Header())
+	attempts.recordLimit(server, response)
 	attempts.beganAt = edge.clock.Now()
-	outcome := attempts.handleResponse(server, response, markRead)
+	outcome = attempts.handleResponse(server, response, markRead)
 	attempts.recordOutcome(server, outcome)
 	attempts.recordAnswer(server, outcome, attempts.beganAt)
 	return outcome
 }
 
+// choose returns the server for the attempt, or the outcome if there is none. It takes
+// the request from the limit that the server named.
+func (attempts *attempts) choose(poolConfig pool.Pool) (placement.Choice, request.Outcome) {
+	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
+	rank := requestContext.rank()
+	for {
+		choice, ok := edge.placement.Choose(poolConfig, requestContext.call.Prompt(), rank, attempts.triedServers)
+		switch {
+		case !ok && choice.LimitWait() > 0:
+			attempts.retryAfter = choice.LimitWait()
+			return choice, request.OutcomeLimited
+		case !ok:
+			return choice, request.OutcomeNoServer
+		}
+		if lateness := choice.Lateness(requestContext.route, rank, edge.clock.Now()-requestContext.arrived); lateness > 0 && attempts.retrier.Sends() == 0 {
+			requestContext.logChoice(choice)
+			attempts.retryAfter = lateness
+			return choice, request.OutcomeTooLate
+		}
+		if choice.Server().RateLimit().Take(rank, edge.clock.Now()) {
+			return choice, 0
+		}
+		// Another request has just taken the last of the server's limit.
+	}
+}
+
 func (attempts *attempts) encode(choice placement.Choice) backendlink.Request {
 	requestContext := attempts.requestContext
 	metadata := runners.NewMetadata(choice.Server(), requestContext.accountName(), attempts.retrier.Deadline()-requestContext.edge.clock.Now())
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -64,6 +64,8 @@
 	// last caused a read.
 	newerConfiguration int64
 	newerSince         clock.Millis
+	// limitsAssigned is when nodes were last assigned to servers with limits.
+	limitsAssigned clock.Millis
 	// urgent receives a value when peers must learn of something at once, and busy when
 	// a request arrives while none is in progress.
 	urgent chan struct{}
@@ -167,6 +169,7 @@
 		edge.applyPeerUsage(used, now)
 		edge.applyPeerWork(now)
 		edge.reviewQuarantine()
+		edge.assignLimits(now)
 		if edge.clock.Wait(ctx, min(batchWaitPerNode*clock.Millis(edge.nodes()), maxBatchWait)) != nil {
 			return
 		}
@@ -203,7 +206,8 @@
 	now := edge.clock.Now()
 	edge.compareConfiguration(bulletin.Configuration(), now)
 	edge.quarantine.Merge(bulletin.Evidence(), now)
-	added, demanded := edge.peers.states.Receive(bulletin, now)
+	added, demanded, sent := edge.peers.states.Receive(bulletin, now)
+	edge.applyServerLimits(bulletin.ServerLimits(), sent, now)
 	for _, amount := range added {
 		used[amount.Name()] += amount.Tokens()
 	}
--- /dev/null
+++ b/internal/edge/ratelimit.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/backend/backendlink"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/node"
+	"sapphirehead/platform/runners"
+)
+
+// assignInterval is the time between two assignments of nodes to servers with limits.
+const assignInterval = 500 * clock.Millisecond
+
+// recordLimit records the limit that the server names in the head of a response. Only
+// its own answer to this request shows that it names none.
+func (attempts *attempts) recordLimit(server *backend.Server, response *backendlink.Response) {
+	edge, id := attempts.requestContext.edge, attempts.requestContext.call.ID()
+	verdict := runners.Classify(response.Status(), response.Header(), id)
+	perSecond, named := runners.DecodeLimit(response.Header())
+	statement := backend.NewUnlimited()
+	switch {
+	case verdict == runners.VerdictMismatched:
+		return
+	case named:
+		statement = backend.NewStatement(perSecond)
+	case runners.NamesLimit(response.Header()):
+		edge.log.Warn().Str("requestId", id).Str("backendServer", server.ID()).Msg("ignored a limit of a backend server that is no number")
+		return
+	case verdict != runners.VerdictSuccess:
+		return
+	}
+	if server.RateLimit().Observe(statement, edge.clock.Now()) {
+		edge.logLimit(server, "backend server named another limit")
+	}
+}
+
+func (edge *Edge) logLimit(server *backend.Server, message string) {
+	edge.log.Info().Str("backendServer", server.ID()).Str("pool", server.Pool()).Float64("perSecond", server.RateLimit().PerSecond()).Msg(message)
+}
+
+// serverLimits returns what this node tells its peers about the limits of servers.
+func (edge *Edge) serverLimits(now clock.Millis) []node.ServerLimit {
+	var limits []node.ServerLimit
+	for _, server := range edge.fleet.Current().Servers() {
+		if statement, age, sent, ok := server.RateLimit().Report(now); ok {
+			limits = append(limits, node.NewServerLimit(server.Hash(), statement, age, sent))
+		}
+	}
+	return limits
+}
+
+// applyServerLimits applies the limits in a bulletin; added holds the requests that its
+// sender has sent to each server since the previous one.
+func (edge *Edge) applyServerLimits(limits []node.ServerLimit, added map[uint64]int64, now clock.Millis) {
+	servers := edge.fleet.Current()
+	for _, limit := range limits {
+		server := servers.ServerWithHash(limit.Server())
+		if server == nil {
+			continue
+		}
+		if server.RateLimit().Learn(limit.Statement(), now-limit.Age(), now) {
+			edge.logLimit(server, "backend server named another limit: reported by a peer node")
+		}
+		server.RateLimit().AddPeers(added[limit.Server()], now)
+	}
+}
+
+// assignLimits assigns nodes to the servers with limits: all nodes in a small
+// deployment, some by rendezvous hashing in a large one.
+func (edge *Edge) assignLimits(now clock.Millis) {
+	if now < edge.peers.limitsAssigned+assignInterval {
+		return
+	}
+	edge.peers.limitsAssigned = now
+	var hosts []string
+	for _, peer := range edge.peers.states.View().Live(now) {
+		hosts = append(hosts, peer.Host())
+	}
+	share := edge.refillShare()
+	fleet := edge.fleet.Current()
+	for _, server := range fleet.Servers() {
+		rateLimit := server.RateLimit()
+		if !rateLimit.IsLimited() {
+			continue
+		}
+		count := backend.LimitedNodes(rateLimit.PerSecond(), len(hosts)+1, len(fleet.Pool(server.Pool())))
+		rateLimit.SetUsage(share, !node.IsAmongFirst(edge.settings.Load().Host(), hosts, server.Hash(), count))
+	}
+}
--- a/internal/incident/cause.go
+++ b/internal/incident/cause.go
@@ -33,6 +33,8 @@
 	CauseServerFailed
 	// CauseQuarantined: a part of the request's prompt crashes backend servers.
 	CauseQuarantined
+	// CauseLimited: the pool's servers were at the limits that they named.
+	CauseLimited
 )
 
 // String returns the cause's name.
@@ -64,6 +66,8 @@
 		return "serverFailed"
 	case CauseQuarantined:
 		return "quarantined"
+	case CauseLimited:
+		return "limited"
 	default:
 		return fmt.Sprintf("Cause(%d)", int(cause))
 	}
--- a/internal/incident/incident.go
+++ b/internal/incident/incident.go
@@ -135,6 +135,8 @@
 	case "tooLate":
 		explanation.cause = CauseTooLate
 		explanation.reason = fmt.Sprintf("the expected first event was %.0f ms away, with %d prompt tokens to read", end.expected, end.reads)
+	case "limited":
+		explanation.cause, explanation.reason = CauseLimited, "the servers of the pool were at the limits that they named"
 	case "quarantined":
 		explanation.cause, explanation.reason = CauseQuarantined, "prompts with a part of this one crashed backend servers"
 	case outcomeNoServer:
--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -92,6 +92,7 @@
 	// about the configuration.
 	configurationAge clock.Millis
 	evidence         quarantine.Evidence
+	serverLimits     []ServerLimit
 }
 
 // NewBulletin returns a bulletin of the process on the host, which receives
@@ -145,6 +146,16 @@
 // Evidence returns what the sender knows of prompt parts that crash backend servers.
 func (bulletin Bulletin) Evidence() quarantine.Evidence { return bulletin.evidence }
 
+// WithServerLimits returns a copy with what the sender knows of the limits of backend
+// servers.
+func (bulletin Bulletin) WithServerLimits(limits []ServerLimit) Bulletin {
+	bulletin.serverLimits = limits
+	return bulletin
+}
+
+// ServerLimits returns what the sender knows of the limits of backend servers.
+func (bulletin Bulletin) ServerLimits() []ServerLimit { return bulletin.serverLimits }
+
 // WithUsage returns a copy with the node's usage and load.
 func (bulletin Bulletin) WithUsage(accounts []Usage, servers []ServerWork, pools []Usage, windows []WindowRuns) Bulletin {
 	bulletin.accounts, bulletin.servers, bulletin.pools, bulletin.windows = accounts, servers, pools, windows
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -1,12 +1,14 @@
 package nodecast
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/node/evidencecodec"
@@ -30,6 +32,7 @@
 	message.SetConfigurationAgeMillis(int64(bulletin.ConfigurationAge()))
 	encodeAccounts(message, bulletin)
 	encodeServers(message, bulletin.Servers())
+	encodeServerLimits(message, bulletin.ServerLimits())
 	message.SetCrashEvidence(evidencecodec.Encode(bulletin.Evidence()))
 	pools := make([]*nodepb.PoolUse, 0, len(bulletin.Pools()))
 	for _, usage := range bulletin.Pools() {
@@ -97,6 +100,37 @@
 	message.SetWaitingTokens(tokens)
 }
 
+func encodeServerLimits(message *nodepb.Bulletin, limits []node.ServerLimit) {
+	forms := make([]*nodepb.ServerLimit, 0, len(limits))
+	for _, limit := range limits {
+		form := &nodepb.ServerLimit{}
+		form.SetServer(limit.Server())
+		if perSecond, limited := limit.Statement().PerSecond(); limited {
+			form.SetLimited(true)
+			form.SetPerSecond(perSecond)
+		}
+		form.SetAgeMillis(int64(limit.Age()))
+		form.SetSent(limit.Sent())
+		forms = append(forms, form)
+	}
+	message.SetServerLimits(forms)
+}
+
+func decodeServerLimits(message *nodepb.Bulletin) ([]node.ServerLimit, error) {
+	var limits []node.ServerLimit
+	for _, form := range message.GetServerLimits() {
+		statement := backend.NewUnlimited()
+		if form.GetLimited() {
+			if perSecond := form.GetPerSecond(); math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+				return nil, errors.Errorf("decode bulletin: a server has the limit %v", perSecond)
+			}
+			statement = backend.NewStatement(form.GetPerSecond())
+		}
+		limits = append(limits, node.NewServerLimit(form.GetServer(), statement, clock.Millis(form.GetAgeMillis()), form.GetSent()))
+	}
+	return limits, nil
+}
+
 // Decode reads a bulletin from a datagram.
 func Decode(data []byte) (node.Bulletin, error) {
 	message := &nodepb.Bulletin{}
@@ -116,6 +150,10 @@
 	if err != nil {
 		return node.Bulletin{}, err
 	}
+	limits, err := decodeServerLimits(message)
+	if err != nil {
+		return node.Bulletin{}, err
+	}
 	accounts, windows := decodeAccounts(message)
 	pools := make([]node.Usage, 0, len(message.GetPools()))
 	for _, form := range message.GetPools() {
@@ -124,7 +162,7 @@
 	return node.NewBulletin(message.GetHost(), message.GetAddress(), message.GetIncarnation(), message.GetSequence(),
 		clock.Millis(message.GetWallMillis()), message.GetStopping()).
 		WithConfiguration(message.GetConfiguration(), clock.Millis(message.GetConfigurationAgeMillis())).WithLeaving(message.GetLeaving()).WithUptime(clock.Millis(message.GetUptimeMillis())).
-		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence), nil
+		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence).WithServerLimits(limits), nil
 }
 
 func hasMatchingLists(message *nodepb.Bulletin) bool {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -20,6 +20,7 @@
 	accounts    map[string]Usage
 	pools       map[string]Usage
 	runs        map[windowAccount]int64
+	sent        map[uint64]int64
 }
 
 // Peers is the state of a node's peers, from their bulletins. Receive, Add and
@@ -59,16 +60,18 @@
 // resetSums resets the sums to 0 for a new process of the peer.
 func (peer *peer) resetSums() {
 	peer.accounts, peer.pools, peer.runs = map[string]Usage{}, map[string]Usage{}, map[windowAccount]int64{}
+	peer.sent = map[uint64]int64{}
 }
 
 // Receive applies a bulletin that arrived at the time, and returns the usage of
-// client accounts at the sender since its previous bulletin, and the demand for
-// pools there. The first bulletin from a host only sets the sums to count from;
+// client accounts at the sender since its previous bulletin, the demand for pools
+// there, and the requests sent to servers with limits, by the hash of their keys. The
+// first bulletin from a host only sets the sums to count from;
 // a new process on a known host counts from 0. Demand during a longer silence
 // is left out, as it would look like a burst.
-func (peers *Peers) Receive(bulletin Bulletin, now clock.Millis) (used, demanded []Usage) {
+func (peers *Peers) Receive(bulletin Bulletin, now clock.Millis) (used, demanded []Usage, sent map[uint64]int64) {
 	if bulletin.host == peers.host {
-		return nil, nil
+		return nil, nil, nil
 	}
 	peer, ok := peers.byHost[bulletin.host]
 	if !ok {
@@ -76,7 +79,7 @@
 		peers.byHost[bulletin.host] = peer
 	}
 	if !bulletin.newerThan(peer.latest) {
-		return nil, nil
+		return nil, nil, nil
 	}
 	seenBefore, silence := peer.latest.incarnation != 0, now-peer.receivedAt
 	if bulletin.incarnation != peer.latest.incarnation {
@@ -85,13 +88,27 @@
 	used, demanded = additions(peer.accounts, bulletin.accounts), additions(peer.pools, bulletin.pools)
 	peer.latest, peer.receivedAt, peer.clockOffset = bulletin, now, bulletin.wall-now
 	peers.tally.add(peer.runs, bulletin.windows)
+	sent = peer.addSent(bulletin.serverLimits)
 	if !seenBefore {
-		return nil, nil
+		return nil, nil, nil
 	}
 	if silence >= peers.liveAge() {
 		demanded = nil
 	}
-	return used, demanded
+	return used, demanded, sent
+}
+
+// addSent returns the increase of the requests sent to servers with limits, and stores
+// the latest sums.
+func (peer *peer) addSent(limits []ServerLimit) map[uint64]int64 {
+	added := map[uint64]int64{}
+	for _, limit := range limits {
+		if increase := limit.sent - peer.sent[limit.server]; increase > 0 {
+			added[limit.server] = increase
+			peer.sent[limit.server] = limit.sent
+		}
+	}
+	return added
 }
 
 // additions returns the increase of the latest sums over the stored ones, and
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -37,7 +37,7 @@
 		t.Helper()
 		peers := node.NewPeers("edge-1")
 		for i, step := range steps {
-			used, demanded := peers.Receive(step.bulletin, step.at)
+			used, demanded, _ := peers.Receive(step.bulletin, step.at)
 			require.Equal(t, []int64{step.used, step.demanded}, []int64{sumTokens(used), sumTokens(demanded)}, "step %d", i)
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,6 +53,7 @@
 	wait           float64
 	queue          float64
 	onlyLastPart   bool
+	limitWait      clock.Millis
 }
 
 // Server returns the chosen server.
@@ -70,6 +71,10 @@
 // expected to be prefilled belong to its last part, which no cache holds.
 func (choice Choice) ShowsPrefill() bool { return choice.queue == 0 && choice.onlyLastPart }
 
+// LimitWait returns the time until a server takes another request, if some are left out
+// for the limit that they named, or 0.
+func (choice Choice) LimitWait() clock.Millis { return choice.limitWait }
+
 // UncachedTokens returns the number of prompt tokens that the server is expected
 // to prefill.
 func (choice Choice) UncachedTokens() int { return choice.uncachedTokens }
@@ -108,19 +113,26 @@
 	return speed.(*Speed)
 }
 
-// Choose returns the cheapest server for a request with the prompt, and false if
-// there is none. It skips leaving servers and those whose keys are excluded. A
-// server whose circuit is open is chosen only if there is no other.
-func (placement *Placement) Choose(poolConfig pool.Pool, prompt runner.Prompt, exclude []string) (Choice, bool) {
+// Choose returns the cheapest server for a request of the rank with the prompt, and
+// false if there is none. It skips leaving servers, those whose keys are excluded and
+// those at the limit that they named. A server whose circuit is open is chosen only if
+// there is no other.
+func (placement *Placement) Choose(poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string) (Choice, bool) {
 	servers := placement.fleet.Current().Pool(poolConfig.Name())
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
 	var best, fallback Choice
-	candidates := 0
+	candidates, limitWait := 0, clock.Millis(0)
 	for _, server := range servers {
 		if server.Leaving() || slices.Contains(exclude, server.Key()) {
 			continue
 		}
+		if wait := server.RateLimit().Wait(rank, now); wait > 0 {
+			if limitWait == 0 || wait < limitWait {
+				limitWait = wait
+			}
+			continue
+		}
 		choice := placement.estimate(server, poolConfig, speed, prompt, cachedShare(server, preferred, alternate), now)
 		if !server.Circuit().Allows(now) {
 			fallback = cheaper(fallback, choice)
@@ -132,7 +144,7 @@
 	if best.server == nil {
 		best = fallback
 	}
-	best.candidates = candidates
+	best.candidates, best.limitWait = candidates, limitWait
 	return best, best.server != nil
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -40,7 +40,7 @@
 
 func (fixture *fixture) choose(t *testing.T, exclude ...string) placement.Choice {
 	t.Helper()
-	choice, ok := fixture.placement.Choose(fixture.poolConfig, fixture.prompt, exclude)
+	choice, ok := fixture.placement.Choose(fixture.poolConfig, fixture.prompt, 0, exclude)
 	require.True(t, ok)
 	return choice
 }
@@ -91,7 +91,7 @@
 		for _, server := range fixture.fleet.Current().Servers() {
 			server.MarkLeaving()
 		}
-		_, ok := fixture.placement.Choose(fixture.poolConfig, fixture.prompt, nil)
+		_, ok := fixture.placement.Choose(fixture.poolConfig, fixture.prompt, 0, nil)
 		require.False(t, ok)
 	})
 }
--- a/internal/request/retrier.go
+++ b/internal/request/retrier.go
@@ -34,6 +34,9 @@
 	// OutcomeQuarantined: a part of the prompt crashes servers, so the request was not
 	// sent.
 	OutcomeQuarantined
+	// OutcomeLimited: the servers take no more requests for now, so the request was not
+	// sent.
+	OutcomeLimited
 )
 
 // String returns the name of the outcome in logs.
@@ -59,6 +62,8 @@
 		return "tooLate"
 	case OutcomeQuarantined:
 		return "quarantined"
+	case OutcomeLimited:
+		return "limited"
 	default:
 		return "unknown"
 	}
@@ -183,7 +188,7 @@
 
 func (retrier *Retrier) mayRetry(outcome Outcome) bool {
 	switch {
-	case outcome == OutcomeNoServer, outcome == OutcomeTooLate, outcome == OutcomeQuarantined, retrier.sends >= maxSends:
+	case outcome == OutcomeNoServer, outcome == OutcomeTooLate, outcome == OutcomeQuarantined, outcome == OutcomeLimited, retrier.sends >= maxSends:
 		return false
 	case retrier.responseStarted && !retrier.route.Resumable():
 		return false
--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -99,7 +99,7 @@
 	fatalPart string
 	// namedLimit is the limit in requests per second that its responses name, or empty.
 	namedLimit string
-	crash     func()
+	crash      func()
 }
 
 // arrivedQueueLength is the number of arrivals that a test may leave unread.
