Let the soak play fatal prompt parts and named limits

Two incidents in a sequence of their own, so that the seeds of the other faults keep their order: callers send a part that crashes runners, and servers name limits from 0 to 10 a second, beside all other faults. After the last fault every node must serve sound chats of each session, and a part that crashed five runners reaches at most three more from 3 s on.

--- a/internal/standin/soak/callers.go
+++ b/internal/standin/soak/callers.go
@@ -70,13 +70,18 @@
 	random *rand.Rand
 	client *http.Client
 	serial int
+	// session is the session of the caller's chats, and isFatal is set if they always
+	// have the fatal part.
+	session int
+	isFatal bool
 }
 
 func newCaller(system *system, number int, random *rand.Rand) *caller {
 	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &caller{
 		system: system, number: number, random: random,
-		client: &http.Client{Transport: &http.Transport{}, CheckRedirect: refuseRedirect},
+		session: number % sessions,
+		client:  &http.Client{Transport: &http.Transport{}, CheckRedirect: refuseRedirect},
 	}
 }
 
@@ -110,6 +115,10 @@
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", "3000")
 	request.Header.Set("Authorization", "Token key-of-garage")
+	if kind == kindChat || kind == kindResume {
+		request.Header.Set("X-Prompt-Prefix", caller.prompt(id))
+		request.Header.Set("X-Token-Counts", "50,10")
+	}
 	// Without GetBody the transport can't repeat a request by itself, as a booking may
 	// run only once.
 	request.GetBody = nil
@@ -120,6 +129,15 @@
 	return outcome == outcomeServed
 }
 
+// prompt returns the parts of a chat's prompt.
+func (caller *caller) prompt(id string) string {
+	fatal := ""
+	if caller.isFatal || (caller.system.fatal.Load() && caller.random.Float64() < fatalShare) {
+		fatal = fatalPart + ":10,"
+	}
+	return fmt.Sprintf("first:20,session-%d:10,%s%s:10", caller.session, fatal, id)
+}
+
 func (caller *caller) send(request *http.Request, id string, kind kind) outcome {
 	tally := caller.system.tally
 	response, err := caller.client.Do(request)
--- /dev/null
+++ b/internal/standin/soak/incidents.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+
+	"sapphirehead/internal/clock"
+)
+
+const (
+	// fatalPart is the id of a prompt part that crashes model runners, and fatalShare the
+	// share of chats that have it while it is in use.
+	fatalPart  = "fatal"
+	fatalShare = 0.3
+	// restartTime is the time from a runner's crash to the start of its successor.
+	restartTime = 500 * clock.Millisecond
+	// sessions is the number of sessions that chats belong to.
+	sessions = 3
+	// crashBudget, contactTime and lateArrivals are the users' bounds: later than
+	// contactTime after the crashBudget-th crash, at most lateArrivals requests with the
+	// part reach runners.
+	crashBudget  = 5
+	contactTime  = 3 * clock.Second
+	lateArrivals = 3
+	// incidentPause is the mean time between two incidents.
+	incidentPause = 1500 * clock.Millisecond
+)
+
+// limits are the limits that a backend server may name, in requests per second.
+var limits = []string{"0", "0.5", "2.0", "10.0"}
+
+// injectIncidents makes callers send the fatal part, and backend servers name limits,
+// until the context ends. It has a random source of its own, so that the seeds of the
+// other faults keep their order.
+func (run *run) injectIncidents(ctx context.Context, random *rand.Rand) {
+	for run.system.clock.Wait(ctx, clock.Millis(random.Int64N(2*int64(incidentPause)))) == nil {
+		incident := run.drawIncident(random)
+		run.reportLine(incident.name)
+		incident.inject()
+		// An end of the context undoes the incident early.
+		_ = run.system.clock.Wait(ctx, clock.Millis(random.Int64N(int64(maxFaultTime))))
+		incident.undo()
+	}
+}
+
+func (run *run) drawIncident(random *rand.Rand) fault {
+	if random.IntN(2) == 0 {
+		return fault{
+			name:   "callers send the fatal part",
+			inject: func() { run.system.fatal.Store(true) }, undo: func() { run.system.fatal.Store(false) },
+		}
+	}
+	engine, limit := run.system.engines[random.IntN(len(run.system.engines))], limits[random.IntN(len(limits))]
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	standin := engine.standin
+	return fault{
+		name:   fmt.Sprintf("%s names the limit %s", engine.id, limit),
+		inject: func() { standin.SetNamedLimit(limit) }, undo: func() { standin.SetNamedLimit("") },
+	}
+}
+
+// crashOnFatalPart makes the engine's current process crash on the fatal part: its
+// connections end, and a successor starts under a new id. The engine must be locked.
+func (system *system) crashOnFatalPart(engine *engine) {
+	id, relay := engine.id, engine.relay
+	var once sync.Once
+	engine.standin.SetFatalPart(fatalPart, func() {
+		once.Do(func() {
+			system.crashes.Add(1)
+			system.audit.Go(func() { system.replaceCrashed(engine, id, relay.Close) })
+		})
+	})
+}
+
+// replaceCrashed ends the connections of a crashed engine and starts its successor,
+// unless another one was started meanwhile.
+func (system *system) replaceCrashed(engine *engine, id string, end func()) {
+	end()
+	// The background context never ends, so the wait can't fail.
+	_ = system.clock.Wait(context.Background(), restartTime)
+	system.store.Remove("servers", id)
+	engine.mutex.Lock()
+	isCurrent := engine.id == id
+	engine.mutex.Unlock()
+	if !isCurrent {
+		return
+	}
+	if err := system.startEngine(engine); err != nil {
+		system.tally.addViolation("engine does not start after a crash: %v", err)
+	}
+}
+
+// checkIncidents checks after the last fault that all nodes serve sound chats of each
+// session, and that a known fatal part reaches no more than lateArrivals runners.
+func (run *run) checkIncidents() {
+	caller := newCaller(run.system, callerCount+1, run.random)
+	defer caller.close()
+	for _, node := range run.system.nodes {
+		for session := range sessions {
+			caller.session = session
+			for end := run.system.clock.Now() + recoveryTimeout; !caller.call(context.Background(), node.address(), kindChat); run.wait(100) {
+				if run.system.clock.Now() > end {
+					run.tally.addViolation("%s does not serve chats of session %d %d ms after the last fault", node.name, session, recoveryTimeout)
+					break
+				}
+			}
+		}
+	}
+	before := run.system.crashes.Load()
+	if before < crashBudget {
+		return
+	}
+	run.wait(contactTime)
+	caller.isFatal = true
+	for i := range 4 * lateArrivals {
+		caller.call(context.Background(), run.system.nodes[i%nodeCount].address(), kindChat)
+	}
+	if late := run.system.crashes.Load() - before; late > lateArrivals {
+		run.tally.addViolation("%d requests with the fatal part reached runners later than %d ms after %d crashes", late, contactTime, before)
+	}
+}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -27,6 +27,8 @@
 const (
 	// callerCount is the number of concurrent callers.
 	callerCount = 12
+	// incidentStream is the stream of the seed that incidents are drawn from.
+	incidentStream = 1 << 32
 	// meanFaultInterval is the mean time between the starts of two faults, and
 	// maxFaultTime the longest duration of one: about three overlap.
 	meanFaultInterval = 350 * clock.Millisecond
@@ -59,8 +61,13 @@
 		caller := newCaller(system, i, rand.New(rand.NewPCG(seed, uint64(i))))
 		group.Go(func() { caller.run(load) })
 	}
+	incidents, endIncidents := context.WithCancel(context.Background())
+	defer endIncidents()
+	group.Go(func() { run.injectIncidents(incidents, rand.New(rand.NewPCG(seed, incidentStream))) })
 	run.injectFaults(duration)
+	endIncidents()
 	run.checkRecovery()
+	run.checkIncidents()
 	endLoad()
 	group.Wait()
 	system.checkRuns()
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -68,7 +68,11 @@
 	relays   []*relay.Relay
 	bookings sync.Map // Id of a booking to its outcome.
 	audit    sync.WaitGroup
-	ended    chan struct{}
+	// fatal is set while callers send the fatal part; crashes counts the runners that it
+	// has crashed.
+	fatal   atomic.Bool
+	crashes atomic.Int64
+	ended   chan struct{}
 }
 
 // edgeNode is one edge node through the restarts of its process.
@@ -186,6 +190,9 @@
 	if engine.relay, err = system.serveBehind(engine.standin); err != nil {
 		return err
 	}
+	if engine.streams {
+		system.crashOnFatalPart(engine)
+	}
 	system.publishServer(engine, "ready")
 	return nil
 }
