--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -109,6 +109,7 @@
 		scene := newScene(t, 2)
 		for i := range 6 {
 			scene.crash(float64(i), "A")
+			scene.expectBlocked(false, "A")
 			scene.answer(float64(i)+0.5, i%2, "A")
 		}
 		scene.expectBlocked(false, "A")
