--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -108,9 +108,9 @@
 	t.Run("a part answered at another node between the crashes", func(t *testing.T) {
 		scene := newScene(t, 2)
 		for i := range 6 {
-			scene.crash(float64(i), "A")
+			scene.crash(float64(3*i), "A")
 			scene.expectBlocked(false, "A")
-			scene.answer(float64(i)+0.5, i%2, "A")
+			scene.answer(float64(3*i)+0.5, i%2, "A")
 		}
 		scene.expectBlocked(false, "A")
 	})
