Ask who may try only when a trial is due; group the constants of the rate limit

Reading the change again: each refusal ranked all nodes for a trial that wasn't due. No change of behaviour; TestQuarantine, TestRateLimit and the mutant pass.

--- a/internal/backend/ratelimit.go
+++ b/internal/backend/ratelimit.go
@@ -16,9 +16,12 @@
 	burstSeconds = 0.5
 	// ranksApart is the number of ranks that are told apart when requests are scarce.
 	ranksApart = 4
-	// reportTime is how long a node reports a limit to its peers after it last sent a
-	// request to the server or read its answer.
-	reportTime = 5 * clock.Second
+	// maxDebtSeconds bounds the debt that reports of peers may cause, as the time that
+	// it takes to make up for it.
+	maxDebtSeconds = 4.0
+	// limitReportTime is how long a node reports a limit to its peers after it last sent
+	// a request to the server or read its answer.
+	limitReportTime = 5 * clock.Second
 )
 
 // RateLimit is the limit on requests per second that a server has named in its answers,
@@ -193,15 +196,12 @@
 	}
 }
 
-// maxDebtSeconds bounds the debt: the time that it takes to make up for it.
-const maxDebtSeconds = 4.0
-
 // Report returns what this node tells its peers: the server's latest statement, its age,
 // and the requests that this node has sent under limits. It returns false if the node
 // has nothing recent to tell.
 func (rateLimit *RateLimit) Report(now clock.Millis) (statement Statement, age clock.Millis, sent int64, ok bool) {
 	state := rateLimit.state.Load()
-	if state == nil || state.usedAt == 0 || now-state.usedAt > reportTime {
+	if state == nil || state.usedAt == 0 || now-state.usedAt > limitReportTime {
 		return Statement{}, 0, 0, false
 	}
 	return Statement{perSecond: state.perSecond, limited: state.perSecond > 0}, now - state.statedAt, rateLimit.sent.Load(), true
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -79,7 +79,7 @@
 	}
 	parts := hashesOf(prompt)
 	for _, block := range blocks {
-		if block.matches(parts) && (!mayTry() || !block.takeTrial(now)) {
+		if block.matches(parts) && !block.takeTrial(now, mayTry) {
 			return block.nextTrial(now) - now, true
 		}
 	}
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -216,11 +216,11 @@
 	return due, next
 }
 
-// takeTrial reports whether a trial is due, and takes it.
-func (block Block) takeTrial(now clock.Millis) bool {
+// takeTrial reports whether a trial is due at this node, and takes it.
+func (block Block) takeTrial(now clock.Millis, mayTry func() bool) bool {
 	due, _ := block.schedule(now)
 	taken := block.trials.Load()
-	return taken < due && block.trials.CompareAndSwap(taken, due)
+	return taken < due && mayTry() && block.trials.CompareAndSwap(taken, due)
 }
 
 func (block Block) nextTrial(now clock.Millis) clock.Millis {
