Judge a part in use only once the evidence of peers can be known

Crashes now count against a part in use once they are two intervals of bulletins old, and its silence must be as long. The new case of TestQuarantine fails with a delay of 0, as before the change.

--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -5,6 +5,7 @@
 	"sapphirehead/internal/backend/backendlink"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/logging"
+	"sapphirehead/internal/node"
 	"sapphirehead/internal/request"
 )
 
@@ -46,9 +47,14 @@
 	}
 }
 
+// evidenceIntervals is the number of intervals between bulletins after which the evidence
+// of peers is known: one bulletin may be lost or late.
+const evidenceIntervals = 2
+
 // reviewQuarantine draws conclusions from the evidence of crashes and logs them.
 func (edge *Edge) reviewQuarantine() {
-	began, ended := edge.quarantine.Review(edge.clock.Now())
+	delay := evidenceIntervals*node.BulletinInterval(edge.nodes(), false) + maxBatchWait
+	began, ended := edge.quarantine.Review(delay, edge.clock.Now())
 	for _, block := range began {
 		edge.log.Warn().Strs(logging.FieldPartHashes, block.Names()).Int64("firstCrashAgeMillis", int64(edge.clock.Now()-block.Since())).
 			Msg("prompt parts quarantined: they crash backend servers")
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -69,9 +69,13 @@
 	}
 }
 
+// evidenceRounds is the number of gossip rounds after which the evidence of linked nodes
+// is known.
+const evidenceRounds = 2
+
 // reviewQuarantine draws conclusions from the evidence of crashes and logs them.
 func (entry *Entry) reviewQuarantine() {
-	began, ended := entry.quarantine.Review(entry.clock.Now())
+	began, ended := entry.quarantine.Review(evidenceRounds*roundInterval, entry.clock.Now())
 	for _, block := range began {
 		entry.log.Warn().Strs(logging.FieldPartHashes, block.Names()).Msg("prompt parts quarantined: they crash backend servers")
 	}
--- a/internal/quarantine/conclude.go
+++ b/internal/quarantine/conclude.go
@@ -13,7 +13,8 @@
 	unansweredStrikes = 3
 	// answeredStrikes is the same for a part that was answered before: it is used a lot
 	// and may be a bystander at several crashes. It must also have had no answer for
-	// answeredSilence.
+	// answeredSilence, or for the time after which the evidence of peers is known if
+	// that is longer, and crashes count only once they are as old.
 	answeredStrikes = 4
 	answeredSilence = 1 * clock.Second
 	// severalServers is the number of servers at whose crashes, however close, a part
@@ -37,30 +38,34 @@
 
 // conclude returns the next quarantine that follows from the crashes, which are in
 // order of time. Parts that were never answered are considered first; a crash that one
-// of them may explain doesn't count against the others. Uptime is the time since the
-// node started.
-func conclude(crashes []crash, last lastAnswer, uptime, now clock.Millis) (Block, bool) {
+// of them may explain doesn't count against the others.
+func conclude(crashes []crash, view view) (Block, bool) {
 	var unanswered, answered []suspect
-	for _, suspect := range findSuspects(crashes, last) {
+	for _, suspect := range findSuspects(crashes, view.last) {
 		if suspect.answered {
 			answered = append(answered, suspect)
 		} else {
 			unanswered = append(unanswered, suspect)
 		}
 	}
-	explained := explainedBy(unanswered)
+	excluded := explainedBy(unanswered)
+	for i, crash := range crashes {
+		if view.now-crash.at < view.delay {
+			excluded[i] = true
+		}
+	}
 	for i := range answered {
-		answered[i] = answered[i].without(explained, crashes)
+		answered[i] = answered[i].without(excluded, crashes)
 	}
 	for _, suspects := range [][]suspect{unanswered, answered} {
 		var worst suspect
 		for _, suspect := range suspects {
-			if suspect.isConclusive(last, uptime, now) && suspect.strikes > worst.strikes {
+			if suspect.isConclusive(view) && suspect.strikes > worst.strikes {
 				worst = suspect
 			}
 		}
 		if worst.strikes > 0 {
-			return newBlock(worst.inseparable(suspects), worst.since, now, now), true
+			return newBlock(worst.inseparable(suspects), worst.since, view.now, view.now), true
 		}
 	}
 	return Block{}, false
@@ -107,12 +112,12 @@
 	}
 }
 
-func (suspect suspect) isConclusive(last lastAnswer, uptime, now clock.Millis) bool {
+func (suspect suspect) isConclusive(view view) bool {
 	if !suspect.answered {
-		return suspect.strikes >= unansweredStrikes || (len(suspect.crashes) >= severalServers && uptime >= warmUp)
+		return suspect.strikes >= unansweredStrikes || (len(suspect.crashes) >= severalServers && view.uptime >= warmUp)
 	}
-	at, _ := last(suspect.part)
-	return suspect.strikes >= answeredStrikes && now-max(at, suspect.since) >= answeredSilence
+	at, _ := view.last(suspect.part)
+	return suspect.strikes >= answeredStrikes && view.now-max(at, suspect.since) >= max(answeredSilence, view.delay)
 }
 
 // explainedBy returns the crashes at which one of the suspects is present that have
@@ -129,8 +134,8 @@
 	return explained
 }
 
-func (suspect suspect) without(explained map[int]bool, crashes []crash) suspect {
-	suspect.crashes = slices.DeleteFunc(slices.Clone(suspect.crashes), func(index int) bool { return explained[index] })
+func (suspect suspect) without(excluded map[int]bool, crashes []crash) suspect {
+	suspect.crashes = slices.DeleteFunc(slices.Clone(suspect.crashes), func(index int) bool { return excluded[index] })
 	suspect.countStrikes(crashes)
 	return suspect
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -89,12 +89,12 @@
 // Size returns the number of quarantines.
 func (quarantine *Quarantine) Size() int { return len(quarantine.state.Load().blocks) }
 
-// Review draws conclusions from the evidence. It returns the quarantines that began and
-// those that ended.
-func (quarantine *Quarantine) Review(now clock.Millis) (began, ended []Block) {
+// Review draws conclusions from the evidence, that of peers being known after the delay.
+// It returns the quarantines that began and those that ended.
+func (quarantine *Quarantine) Review(delay, now clock.Millis) (began, ended []Block) {
 	quarantine.update(func(current *state) *state {
 		var next *state
-		next, began, ended = current.review(quarantine.lastAnswer, now-quarantine.answers.start, now)
+		next, began, ended = current.review(view{last: quarantine.lastAnswer, uptime: now - quarantine.answers.start, delay: delay, now: now})
 		return next
 	})
 	return began, ended
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -21,6 +21,9 @@
 	return runner.NewPrompt(all, 0)
 }
 
+// evidenceDelay is the time after which the evidence of peers is known.
+const evidenceDelay = 300 * clock.Millisecond
+
 func always() bool { return true }
 
 func never() bool { return false }
@@ -70,7 +73,7 @@
 		}
 	}
 	for _, node := range scene.nodes {
-		node.Review(scene.now)
+		node.Review(evidenceDelay, scene.now)
 	}
 }
 
@@ -150,6 +153,24 @@
 		scene.expectBlocked(true, "A D")
 		scene.expectBlocked(false, "A")
 	})
+	t.Run("a part in use whose answers at a peer are known late", func(t *testing.T) {
+		const delay = 2 * clock.Second
+		scene := newScene(t, 2)
+		scene.answer(1, 0, "A")
+		for i := range 5 {
+			scene.at(2 + 0.4*float64(i))
+			scene.nodes[0].Crashed(uint64(i), prompt("A"), scene.now)
+			scene.nodes[1].Answered(1000, prompt("A"), scene.now+100)
+			scene.nodes[0].Review(delay, scene.now)
+		}
+		scene.at(4.5)
+		scene.nodes[0].Review(delay, scene.now)
+		scene.expectBlocked(false, "A")
+		scene.exchange()
+		scene.at(9)
+		scene.exchange()
+		scene.expectBlocked(false, "A")
+	})
 	t.Run("the part in use that bystanders of all crashes have", func(t *testing.T) {
 		scene := newScene(t, 2)
 		scene.answer(1, 0, "A S")
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -94,24 +94,34 @@
 // lastAnswer returns when the latest answer for a part, or of a server, began.
 type lastAnswer func(hash uint64) (at clock.Millis, ok bool)
 
+// view is what a review sees besides the state.
+type view struct {
+	last lastAnswer
+	// uptime is the time since the start of the node, and delay the time until the
+	// evidence of peers is known.
+	uptime clock.Millis
+	delay  clock.Millis
+	now    clock.Millis
+}
+
 // review returns the state with the conclusions from the evidence, and the quarantines
 // that began and ended.
-func (current *state) review(last lastAnswer, uptime, now clock.Millis) (next *state, began, ended []Block) {
+func (current *state) review(view view) (next *state, began, ended []Block) {
 	if len(current.crashes) == 0 && len(current.blocks) == 0 {
 		return current, nil, nil
 	}
 	next = &state{peerAnswers: current.peerAnswers}
 	for _, crash := range current.crashes {
-		if now-crash.at > crashMemory {
+		if view.now-crash.at > crashMemory {
 			continue
 		}
-		if at, ok := last(crash.server); ok && at > crash.at+timeMargin && at < crash.at+crashSpan {
+		if at, ok := view.last(crash.server); ok && at > crash.at+timeMargin && at < crash.at+crashSpan {
 			crash.survived = true
 		}
 		next.crashes = append(next.crashes, crash)
 	}
 	for _, block := range current.blocks {
-		if remaining := block.remaining(last); len(remaining) > 0 {
+		if remaining := block.remaining(view.last); len(remaining) > 0 {
 			block.parts = remaining
 			next.blocks = append(next.blocks, block)
 		} else {
@@ -119,7 +129,7 @@
 		}
 	}
 	for {
-		block, found := conclude(next.unexplained(), last, uptime, now)
+		block, found := conclude(next.unexplained(), view)
 		if !found || !next.addBlock(block) {
 			break
 		}
