--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -64,6 +64,8 @@
 	nodes    []*edgeNode
 	engines  []*engine
 	version  atomic.Int64
+	// started guards servers and relays, as engines are replaced concurrently.
+	started  sync.Mutex
 	servers  []*http.Server
 	relays   []*relay.Relay
 	bookings sync.Map // Id of a booking to its outcome.
@@ -148,7 +150,9 @@
 		return "", errors.Wrap(err, "listen for a stand-in")
 	}
 	server := &http.Server{Handler: handler}
+	system.started.Lock()
 	system.servers = append(system.servers, server)
+	system.started.Unlock()
 	// The server is closed with the system.
 	go func() { _ = server.Serve(listener) }()
 	return listener.Addr().String(), nil
@@ -161,7 +165,9 @@
 	}
 	relay, err := relay.New(system.clock, address)
 	if err == nil {
+		system.started.Lock()
 		system.relays = append(system.relays, relay)
+		system.started.Unlock()
 	}
 	return relay, err
 }
