Bound the evidence of crashes in bulletins

Answers are reported only for parts at two open crashes or more, crashes that a quarantine explains only with its parts, and each list is bounded; received answers are merged with one copy.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -10,9 +10,16 @@
 	// reportTime is how long a node reports a crash to its peers. A large deployment
 	// sends a few bulletins in this time.
 	reportTime = 5 * clock.Second
-	// maxReports and maxReportedParts bound a node's evidence in a bulletin.
-	maxReports       = 16
-	maxReportedParts = 16
+	// These bound a node's evidence in a bulletin, which must fit into one packet: crashes
+	// that no quarantine explains, with their parts, those that one explains, answers,
+	// and quarantines.
+	maxOpenReports      = 8
+	maxReportedParts    = 6
+	maxExplainedReports = 24
+	maxReportedAnswers  = 32
+	maxReportedBlocks   = 16
+	// minReportedCrashes is the number of crashes from which answers for a part matter.
+	minReportedCrashes = 2
 )
 
 // Evidence is what a node tells its peers. Times are ages when it was sent, in
@@ -103,34 +110,72 @@
 // DecidedAge returns the time since the quarantine was decided.
 func (report BlockReport) DecidedAge() clock.Millis { return report.decidedAge }
 
-// Evidence returns what this node tells its peers now: the recent crashes that it saw,
-// the answers that it knows for suspects of recent crashes and for quarantined parts,
-// and all quarantines.
+// Evidence returns what this node tells its peers now: the quarantines, the recent
+// crashes that it saw, and the answers that matter for them. A crash that a quarantine
+// explains is reported with its parts only, or peers that have not seen the request
+// with them would count the crash against others.
 func (quarantine *Quarantine) Evidence(now clock.Millis) Evidence {
 	current := quarantine.state.Load()
+	if len(current.crashes) == 0 && len(current.blocks) == 0 {
+		return Evidence{}
+	}
 	var evidence Evidence
-	var concerned []uint64
+	for _, block := range current.blocks[max(0, len(current.blocks)-maxReportedBlocks):] {
+		evidence.blocks = append(evidence.blocks, NewBlockReport(block.parts, now-block.since, now-block.decided))
+	}
+	open, explained := 0, 0
 	for _, crash := range slices.Backward(current.crashes) {
-		if now-crash.at > reportTime || len(evidence.crashes) == maxReports {
+		if now-crash.at > reportTime {
 			break
 		}
-		concerned = append(append(concerned, crash.parts...), crash.server)
-		if len(crash.own) > 0 {
+		if len(crash.own) == 0 || crash.survived {
+			continue
+		}
+		if block, ok := current.explanation(crash.parts); ok {
+			if explained++; containsAll(crash.own, block.parts) && explained <= maxExplainedReports {
+				evidence.crashes = append(evidence.crashes, NewCrashReport(crash.server, now-crash.at, block.parts))
+			}
+		} else if open++; open <= maxOpenReports {
 			evidence.crashes = append(evidence.crashes, NewCrashReport(crash.server, now-crash.at, quarantine.mostSuspect(crash.own)))
 		}
 	}
-	for _, block := range current.blocks {
-		concerned = append(concerned, block.parts...)
-		evidence.blocks = append(evidence.blocks, NewBlockReport(block.parts, now-block.since, now-block.decided))
-	}
-	for _, hash := range sorted(concerned) {
-		if at, ok := quarantine.answers.last(hash); ok {
+	for _, hash := range current.disputed(now) {
+		if at, ok := quarantine.answers.last(hash); ok && len(evidence.answers) < maxReportedAnswers {
 			evidence.answers = append(evidence.answers, NewAnswerReport(hash, now-at))
 		}
 	}
 	return evidence
 }
 
+// disputed returns the hashes for which answers matter now: parts of quarantines, the
+// servers of recent crashes, and while there are such crashes the parts at several of
+// the open ones. A part at a single crash needs no answer.
+func (current *state) disputed(now clock.Millis) []uint64 {
+	open := current.unexplained()
+	var hashes []uint64
+	for _, block := range current.blocks {
+		hashes = append(hashes, block.parts...)
+	}
+	if len(open) == 0 || now-open[len(open)-1].at > reportTime {
+		return sorted(hashes)
+	}
+	counts := map[uint64]int{}
+	for _, crash := range open {
+		if now-crash.at <= crashSpan {
+			hashes = append(hashes, crash.server)
+		}
+		for _, part := range crash.parts {
+			counts[part]++
+		}
+	}
+	for part, count := range counts {
+		if count >= minReportedCrashes {
+			hashes = append(hashes, part)
+		}
+	}
+	return sorted(hashes)
+}
+
 // mostSuspect returns at most maxReportedParts parts, first those that were never
 // answered.
 func (quarantine *Quarantine) mostSuspect(parts []uint64) []uint64 {
@@ -167,10 +212,7 @@
 		for _, report := range evidence.blocks {
 			next = next.withBlockOf(report, quarantine.lastAnswer, now)
 		}
-		for _, report := range evidence.answers {
-			next = next.withPeerAnswer(report.hash, now-report.age)
-		}
-		return next
+		return next.withPeerAnswers(evidence.answers, now)
 	})
 }
 
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -71,18 +71,26 @@
 	return all[:min(len(all), maxParts)]
 }
 
-// withPeerAnswer returns the state with an answer at a peer. Answers for parts and
-// servers that matter to no crash and no quarantine are left out.
-func (current *state) withPeerAnswer(hash uint64, at clock.Millis) *state {
-	if known, ok := current.peerAnswers[hash]; (ok && known >= at) || !current.refersTo(hash) {
-		return current
+// withPeerAnswers returns the state with answers at a peer. Those for parts and servers
+// that matter to no crash and no quarantine are left out.
+func (current *state) withPeerAnswers(reports []AnswerReport, now clock.Millis) *state {
+	next, copied := *current, false
+	for _, report := range reports {
+		at := now - report.age
+		if known, ok := next.peerAnswers[report.hash]; (ok && known >= at) || !current.refersTo(report.hash) {
+			continue
+		}
+		if !copied {
+			next.peerAnswers, copied = maps.Clone(current.peerAnswers), true
+		}
+		if next.peerAnswers == nil {
+			next.peerAnswers = map[uint64]clock.Millis{}
+		}
+		next.peerAnswers[report.hash] = at
 	}
-	next := *current
-	next.peerAnswers = maps.Clone(current.peerAnswers)
-	if next.peerAnswers == nil {
-		next.peerAnswers = map[uint64]clock.Millis{}
+	if !copied {
+		return current
 	}
-	next.peerAnswers[hash] = at
 	return &next
 }
 
@@ -152,11 +160,20 @@
 	return true
 }
 
+// explanation returns a quarantine whose parts are all among the sorted ones.
+func (current *state) explanation(parts []uint64) (Block, bool) {
+	index := slices.IndexFunc(current.blocks, func(block Block) bool { return block.matches(parts) })
+	if index < 0 {
+		return Block{}, false
+	}
+	return current.blocks[index], true
+}
+
 // unexplained returns the crashes that no quarantine explains.
 func (current *state) unexplained() []crash {
 	var open []crash
 	for _, crash := range current.crashes {
-		if !crash.survived && !slices.ContainsFunc(current.blocks, func(block Block) bool { return block.matches(crash.parts) }) {
+		if _, explained := current.explanation(crash.parts); !explained && !crash.survived {
 			open = append(open, crash)
 		}
 	}
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -56,14 +56,14 @@
 
 // system is the set of processes and stand-ins of one run.
 type system struct {
-	clock    *clock.Clock
-	harness  *harness.Harness
-	store    *storestandin.Store
-	duty     *dutystandin.API
-	tally    *Tally
-	nodes    []*edgeNode
-	engines  []*engine
-	version  atomic.Int64
+	clock   *clock.Clock
+	harness *harness.Harness
+	store   *storestandin.Store
+	duty    *dutystandin.API
+	tally   *Tally
+	nodes   []*edgeNode
+	engines []*engine
+	version atomic.Int64
 	// started guards servers and relays, as engines are replaced concurrently.
 	started  sync.Mutex
 	servers  []*http.Server
