Start with empty buckets, and assign nodes as soon as a limit is known

Buckets are empty at first, nodes are assigned with the first statement, and the time of a bucket never goes back. TestManyNodesExceedLimit plays 7, 72 and 295 nodes without a network, each limit under 2 and 20 times its demand; it passes on the code before, too, so it doesn't show the cause.

--- a/internal/backend/ratelimit.go
+++ b/internal/backend/ratelimit.go
@@ -97,14 +97,16 @@
 	}
 	for {
 		current := rateLimit.state.Load()
-		next := &rateLimitState{perSecond: limit, statedAt: at, usedAt: usedAt, level: 1, updatedAt: now}
+		// The bucket is empty at first: nodes learn of a limit at the same time, and full
+		// buckets would let each of them send at once.
+		next := &rateLimitState{perSecond: limit, statedAt: at, usedAt: usedAt, updatedAt: now}
 		if current != nil {
 			if at < current.statedAt {
 				return false
 			}
 			next.usedAt = max(usedAt, current.usedAt)
 			if current.perSecond > 0 {
-				next.level = current.refilled(rateLimit.share(), now)
+				next.level, next.updatedAt = current.refilled(rateLimit.share(), now), max(now, current.updatedAt)
 			}
 			changed = current.perSecond != limit
 		} else {
@@ -171,7 +173,7 @@
 			return false
 		}
 		next := *current
-		next.level, next.updatedAt, next.usedAt = level-1, now, now
+		next.level, next.updatedAt, next.usedAt = level-1, max(now, current.updatedAt), now
 		if rateLimit.state.CompareAndSwap(current, &next) {
 			rateLimit.sent.Add(1)
 			return true
@@ -188,7 +190,7 @@
 			return
 		}
 		next := *current
-		next.level, next.updatedAt = current.refilled(rateLimit.share(), now)-float64(requests), now
+		next.level, next.updatedAt = current.refilled(rateLimit.share(), now)-float64(requests), max(now, current.updatedAt)
 		next.level = max(next.level, -current.capacity()-maxDebtSeconds*current.perSecond)
 		if rateLimit.state.CompareAndSwap(current, &next) {
 			return
--- /dev/null
+++ b/internal/backend/ratelimit_nodes_test.go
@@ -0,0 +1,133 @@
+package backend
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/clock"
+)
+
+// limitedServer is a server that names a limit to many nodes, which report to each other
+// at intervals. Requests come at random nodes.
+type limitedServer struct {
+	random    *rand.Rand
+	perSecond float64
+	nodes     []*RateLimit
+	reported  []int64
+	told      []clock.Millis
+	arrivals  []clock.Millis
+	responses []pendingResponse
+}
+
+// pendingResponse is a response that a node receives at the time.
+type pendingResponse struct {
+	node int
+	at   clock.Millis
+}
+
+const (
+	// statedAt is when the server begins to name its limit, toldTime the time after which
+	// a node that was told counts, and limitedTime the length of a run.
+	statedAt    = 1 * clock.Second
+	toldTime    = 500 * clock.Millisecond
+	limitedTime = 12 * clock.Second
+	// responseTime is the time until a node has the head of a response.
+	responseTime = 40 * clock.Millisecond
+)
+
+// play sends the requests per second to the server, and bulletins at the interval.
+func (server *limitedServer) play(demand float64, interval clock.Millis) {
+	nodes := len(server.nodes)
+	for now := statedAt; now < statedAt+limitedTime; now++ {
+		for len(server.responses) > 0 && server.responses[0].at == now {
+			server.receive(server.responses[0])
+			server.responses = server.responses[1:]
+		}
+		for i := range server.nodes {
+			if int64(now)%int64(interval) == int64(i)*int64(interval)/int64(nodes) {
+				server.report(i, now)
+			}
+		}
+		if server.random.Float64() >= demand/1000 {
+			continue
+		}
+		node := server.random.IntN(nodes)
+		if !server.nodes[node].Take(0, now) {
+			continue
+		}
+		if server.told[node] != 0 && now > server.told[node]+toldTime {
+			server.arrivals = append(server.arrivals, now)
+		}
+		server.responses = append(server.responses, pendingResponse{node: node, at: now + responseTime})
+	}
+}
+
+func (server *limitedServer) receive(response pendingResponse) {
+	if server.told[response.node] == 0 {
+		server.told[response.node] = response.at
+	}
+	server.nodes[response.node].Observe(NewStatement(server.perSecond), response.at)
+	server.assign(response.node)
+}
+
+// assign assigns a node to the server, or not.
+func (server *limitedServer) assign(node int) {
+	server.nodes[node].SetUsage(1, node >= LimitedNodes(server.perSecond, len(server.nodes), len(server.nodes)))
+}
+
+// report sends a node's bulletin to the others.
+func (server *limitedServer) report(node int, now clock.Millis) {
+	statement, age, sent, ok := server.nodes[node].Report(now)
+	if !ok {
+		return
+	}
+	added := sent - server.reported[node]
+	server.reported[node] = sent
+	for i, peer := range server.nodes {
+		if i != node {
+			peer.Learn(statement, now-age, now)
+			server.assign(i)
+			peer.AddPeers(added, now)
+		}
+	}
+}
+
+// TestManyNodesExceedLimit guards against nodes that learn of a limit together and each
+// send a request at once (incident LIMIT, 72 nodes).
+func TestManyNodesExceedLimit(t *testing.T) {
+	const window = 4 * clock.Second
+	expectWithin := func(t *testing.T, nodes int, perSecond, demand float64, interval clock.Millis) {
+		t.Helper()
+		for seed := range uint64(8) {
+			server := &limitedServer{
+				random: rand.New(rand.NewPCG(seed, 0)), perSecond: perSecond,
+				reported: make([]int64, nodes), told: make([]clock.Millis, nodes),
+			}
+			for range nodes {
+				server.nodes = append(server.nodes, &RateLimit{})
+			}
+			server.play(demand, interval)
+			first := 0
+			for i, at := range server.arrivals {
+				for server.arrivals[first] <= at-window {
+					first++
+				}
+				require.LessOrEqual(t, float64(i-first+1), 1.5*perSecond*4+5, "seed %d", seed)
+			}
+		}
+	}
+	for _, size := range []struct {
+		nodes    int
+		interval clock.Millis
+	}{{7, 30}, {72, 288}, {295, 1180}} {
+		for _, perSecond := range []float64{0.5, 3.6, 20} {
+			t.Run(fmt.Sprint(size.nodes, " nodes, ", perSecond, " a second"), func(t *testing.T) {
+				expectWithin(t, size.nodes, perSecond, 2*perSecond, size.interval)
+				expectWithin(t, size.nodes, perSecond, 20*perSecond, size.interval)
+			})
+		}
+	}
+}
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -30,6 +30,7 @@
 		return
 	}
 	if server.RateLimit().Observe(statement, edge.clock.Now()) {
+		edge.assignLimit(server, edge.liveHosts())
 		edge.logLimit(server, "backend server named another limit")
 	}
 }
@@ -59,6 +60,7 @@
 			continue
 		}
 		if server.RateLimit().Learn(limit.Statement(), now-limit.Age(), now) {
+			edge.assignLimit(server, edge.liveHosts())
 			edge.logLimit(server, "backend server named another limit: reported by a peer node")
 		}
 		server.RateLimit().AddPeers(added[limit.Server()], now)
@@ -72,18 +74,26 @@
 		return
 	}
 	edge.peers.limitsAssigned = now
+	hosts := edge.liveHosts()
+	for _, server := range edge.fleet.Current().Servers() {
+		if server.RateLimit().IsLimited() {
+			edge.assignLimit(server, hosts)
+		}
+	}
+}
+
+// liveHosts returns the hosts of the live peers.
+func (edge *Edge) liveHosts() []string {
 	var hosts []string
-	for _, peer := range edge.peers.states.View().Live(now) {
+	for _, peer := range edge.peers.states.View().Live(edge.clock.Now()) {
 		hosts = append(hosts, peer.Host())
 	}
-	share := edge.refillShare()
-	fleet := edge.fleet.Current()
-	for _, server := range fleet.Servers() {
-		rateLimit := server.RateLimit()
-		if !rateLimit.IsLimited() {
-			continue
-		}
-		count := backend.LimitedNodes(rateLimit.PerSecond(), len(hosts)+1, len(fleet.Pool(server.Pool())))
-		rateLimit.SetUsage(share, !node.IsAmongFirst(edge.settings.Load().Host(), hosts, server.Hash(), count))
-	}
+	return hosts
+}
+
+// assignLimit assigns this node and those on the other hosts to a server with a limit.
+func (edge *Edge) assignLimit(server *backend.Server, hosts []string) {
+	rateLimit, servers := server.RateLimit(), len(edge.fleet.Current().Pool(server.Pool()))
+	count := backend.LimitedNodes(rateLimit.PerSecond(), len(hosts)+1, servers)
+	rateLimit.SetUsage(edge.refillShare(), !node.IsAmongFirst(edge.settings.Load().Host(), hosts, server.Hash(), count))
 }
