Let nodes that lost contact for 20 s find each other again

Found by reading, for the trace of BUDGET at 295 nodes: a node sends bulletins to peers that it heard within 20 s. Once neither of two nodes has heard the other for that long, neither sends, and the list of nodes only added unknown hosts: they stayed apart until one restarted, each with too large a share of the retry budget's slack. Whether this happened in that trace isn't shown.

A listed peer that was silent for longer gets bulletins again for two idle intervals after each read of the list. TestLostPeersMeetAgain failed before (no address) and passes.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -12,10 +12,17 @@
 // cut off from its peers still serves requests.
 const expectedAge = 20 * clock.Second
 
+// listedIntervals is the number of intervals of idle nodes for which bulletins are sent
+// to a lost peer each time the list of nodes shows it.
+const listedIntervals = 2
+
 // peer is the state of one peer, from its bulletins.
 type peer struct {
-	latest      Bulletin
-	receivedAt  clock.Millis
+	latest     Bulletin
+	receivedAt clock.Millis
+	// listedAt is when the list of nodes last showed the peer while it was silent for
+	// longer than expectedAge.
+	listedAt    clock.Millis
 	clockOffset clock.Millis
 	accounts    map[string]Usage
 	pools       map[string]Usage
@@ -39,10 +46,17 @@
 	return peers
 }
 
-// Add adds a peer that receives bulletins at the address, from which no bulletin
-// has arrived yet.
+// Add adds a listed peer that receives bulletins at the address. A peer that was silent
+// for so long that no more bulletins are sent to it gets some again, or two nodes that
+// lost contact with each other would never regain it.
 func (peers *Peers) Add(host, address string, now clock.Millis) {
-	if peers.byHost[host] != nil || host == peers.host {
+	if host == peers.host {
+		return
+	}
+	if known := peers.byHost[host]; known != nil {
+		if now-known.receivedAt >= expectedAge {
+			known.latest.address, known.listedAt = address, now
+		}
 		return
 	}
 	peers.byHost[host] = newPeer(Bulletin{host: host, address: address}, now-peers.liveAge())
@@ -130,7 +144,7 @@
 func (peers *Peers) Publish() {
 	view := &PeerView{peers: make([]peerState, 0, len(peers.byHost)), tally: peers.tally, liveAge: peers.liveAge()}
 	for _, peer := range peers.byHost {
-		view.peers = append(view.peers, peerState{latest: peer.latest, receivedAt: peer.receivedAt, clockOffset: peer.clockOffset})
+		view.peers = append(view.peers, peerState{latest: peer.latest, receivedAt: peer.receivedAt, listedAt: peer.listedAt, clockOffset: peer.clockOffset})
 	}
 	slices.SortFunc(view.peers, func(a, b peerState) int { return strings.Compare(a.latest.host, b.latest.host) })
 	peers.view.Store(view)
@@ -143,6 +157,7 @@
 type peerState struct {
 	latest      Bulletin
 	receivedAt  clock.Millis
+	listedAt    clock.Millis
 	clockOffset clock.Millis
 }
 
@@ -169,11 +184,13 @@
 }
 
 // Addresses returns the addresses to which bulletins are sent, including those
-// of silent peers that may come back.
+// of silent peers that may come back, and for a short time those of lost peers that
+// are still listed.
 func (view *PeerView) Addresses(now clock.Millis) []string {
 	var addresses []string
+	callTime := listedIntervals * BulletinInterval(len(view.peers)+1, true)
 	for _, state := range view.peers {
-		if now-state.receivedAt < expectedAge {
+		if now-state.receivedAt < expectedAge || (state.listedAt != 0 && now-state.listedAt < callTime) {
 			addresses = append(addresses, state.latest.address)
 		}
 	}
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -26,6 +26,24 @@
 	return sum
 }
 
+// TestLostPeersMeetAgain guards against two nodes that stay apart for good once neither
+// has received a bulletin for so long that it sends none.
+func TestLostPeersMeetAgain(t *testing.T) {
+	const lost = 30 * clock.Second
+	peers := node.NewPeers("edge-1")
+	peers.Receive(newBulletin("edge-2", 7, 1, 0, 0), 0)
+	peers.Publish()
+	require.Empty(t, peers.View().Addresses(lost))
+	peers.Add("edge-2", "10.0.0.9:7600", lost)
+	peers.Publish()
+	require.Equal(t, []string{"10.0.0.9:7600"}, peers.View().Addresses(lost+1))
+	require.Empty(t, peers.View().Addresses(lost+5*clock.Second))
+	require.Equal(t, 1, peers.View().Nodes(lost+1))
+	peers.Receive(newBulletin("edge-2", 7, 2, 0, 0), lost+100)
+	peers.Publish()
+	require.Len(t, peers.View().Live(lost+101), 1)
+}
+
 func TestPeersReceive(t *testing.T) {
 	type step struct {
 		bulletin node.Bulletin
