Space a node's requests to a limited server by the time until peers know

Cause: nodes find the same tokens in their buckets. All that use a server took them in the 0.35 s and more until the reports of the others arrive, and again before these were known, and only then paid the debt. A node sends its next request only after two intervals of bulletins.

TestManyNodesExceedLimit plays servers that are wanted at all nodes that use them now; without the spacing it fails at 72 and 295 nodes (126 of 125 allowed at 20 a second), with it it passes.

--- a/internal/backend/ratelimit.go
+++ b/internal/backend/ratelimit.go
@@ -44,8 +44,10 @@
 	perSecond float64
 	// statedAt is when the server's latest answer began, at this node or a peer, and
 	// usedAt when this node last read an answer or sent a request.
-	statedAt  clock.Millis
-	usedAt    clock.Millis
+	statedAt clock.Millis
+	usedAt   clock.Millis
+	// takenAt is when this node last sent a request.
+	takenAt   clock.Millis
 	level     float64
 	updatedAt clock.Millis
 }
@@ -54,6 +56,7 @@
 type limitUsage struct {
 	share    float64
 	excluded bool
+	spacing  clock.Millis
 }
 
 // Statement is what a server says of its limit.
@@ -104,7 +107,7 @@
 			if at < current.statedAt {
 				return false
 			}
-			next.usedAt = max(usedAt, current.usedAt)
+			next.usedAt, next.takenAt = max(usedAt, current.usedAt), current.takenAt
 			if current.perSecond > 0 {
 				next.level, next.updatedAt = current.refilled(rateLimit.share(), now), max(now, current.updatedAt)
 			}
@@ -130,9 +133,10 @@
 }
 
 // SetUsage sets this node's part: the share of the limit at which it refills, which is 1
-// if it has the reports of all peers, and whether it leaves the server to other nodes.
-func (rateLimit *RateLimit) SetUsage(share float64, excluded bool) {
-	rateLimit.usage.Store(&limitUsage{share: share, excluded: excluded})
+// if it has the reports of all peers, whether it leaves the server to other nodes, and
+// the time between two of its requests, in which the others learn of the first one.
+func (rateLimit *RateLimit) SetUsage(share float64, excluded bool, spacing clock.Millis) {
+	rateLimit.usage.Store(&limitUsage{share: share, excluded: excluded, spacing: spacing})
 }
 
 func (rateLimit *RateLimit) share() float64 {
@@ -142,6 +146,15 @@
 	return 1
 }
 
+// spacingLeft returns the time until this node may send another request.
+func (rateLimit *RateLimit) spacingLeft(state *rateLimitState, now clock.Millis) clock.Millis {
+	usage := rateLimit.usage.Load()
+	if usage == nil || state.takenAt == 0 {
+		return 0
+	}
+	return max(0, state.takenAt+usage.spacing-now)
+}
+
 func (rateLimit *RateLimit) isExcluded() bool {
 	usage := rateLimit.usage.Load()
 	return usage != nil && usage.excluded
@@ -158,7 +171,8 @@
 	if rateLimit.isExcluded() {
 		missing = max(missing, 1)
 	}
-	return clock.Millis(math.Ceil(max(0, missing) / (state.perSecond * share) * float64(clock.Second)))
+	refill := clock.Millis(math.Ceil(max(0, missing) / (state.perSecond * share) * float64(clock.Second)))
+	return max(refill, rateLimit.spacingLeft(state, now))
 }
 
 // Take takes a request of the rank from the bucket, and reports whether it may be sent.
@@ -169,11 +183,11 @@
 			return true
 		}
 		level := current.refilled(rateLimit.share(), now)
-		if level < current.needed(rank) || rateLimit.isExcluded() {
+		if level < current.needed(rank) || rateLimit.isExcluded() || rateLimit.spacingLeft(current, now) > 0 {
 			return false
 		}
 		next := *current
-		next.level, next.updatedAt, next.usedAt = level-1, max(now, current.updatedAt), now
+		next.level, next.updatedAt, next.usedAt, next.takenAt = level-1, max(now, current.updatedAt), now, now
 		if rateLimit.state.CompareAndSwap(current, &next) {
 			rateLimit.sent.Add(1)
 			return true
--- a/internal/backend/ratelimit_nodes_test.go
+++ b/internal/backend/ratelimit_nodes_test.go
@@ -11,7 +11,8 @@
 )
 
 // limitedServer is a server that names a limit to many nodes, which report to each other
-// at intervals. Requests come at random nodes.
+// at intervals. Requests come at random nodes of those that use it, as placement sends
+// them wherever a server takes one.
 type limitedServer struct {
 	random    *rand.Rand
 	perSecond float64
@@ -20,6 +21,7 @@
 	told      []clock.Millis
 	arrivals  []clock.Millis
 	responses []pendingResponse
+	interval  clock.Millis
 }
 
 // pendingResponse is a response that a node receives at the time.
@@ -40,7 +42,8 @@
 
 // play sends the requests per second to the server, and bulletins at the interval.
 func (server *limitedServer) play(demand float64, interval clock.Millis) {
-	nodes := len(server.nodes)
+	server.interval = interval
+	nodes, users := len(server.nodes), LimitedNodes(server.perSecond, len(server.nodes), len(server.nodes))
 	for now := statedAt; now < statedAt+limitedTime; now++ {
 		for len(server.responses) > 0 && server.responses[0].at == now {
 			server.receive(server.responses[0])
@@ -54,7 +57,7 @@
 		if server.random.Float64() >= demand/1000 {
 			continue
 		}
-		node := server.random.IntN(nodes)
+		node := server.random.IntN(users)
 		if !server.nodes[node].Take(0, now) {
 			continue
 		}
@@ -75,7 +78,7 @@
 
 // assign assigns a node to the server, or not.
 func (server *limitedServer) assign(node int) {
-	server.nodes[node].SetUsage(1, node >= LimitedNodes(server.perSecond, len(server.nodes), len(server.nodes)))
+	server.nodes[node].SetUsage(1, node >= LimitedNodes(server.perSecond, len(server.nodes), len(server.nodes)), 2*server.interval)
 }
 
 // report sends a node's bulletin to the others.
@@ -99,6 +102,8 @@
 // send a request at once (incident LIMIT, 72 nodes).
 func TestManyNodesExceedLimit(t *testing.T) {
 	const window = 4 * clock.Second
+	// saturated is a demand at which every node has a request whenever it may send one.
+	const saturated = 1000
 	expectWithin := func(t *testing.T, nodes int, perSecond, demand float64, interval clock.Millis) {
 		t.Helper()
 		for seed := range uint64(8) {
@@ -127,6 +132,7 @@
 			t.Run(fmt.Sprint(size.nodes, " nodes, ", perSecond, " a second"), func(t *testing.T) {
 				expectWithin(t, size.nodes, perSecond, 2*perSecond, size.interval)
 				expectWithin(t, size.nodes, perSecond, 20*perSecond, size.interval)
+				expectWithin(t, size.nodes, perSecond, saturated, size.interval)
 			})
 		}
 	}
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -47,14 +47,18 @@
 	}
 }
 
-// evidenceIntervals is the number of intervals between bulletins after which the evidence
-// of peers is known: one bulletin may be lost or late.
+// evidenceIntervals is the number of intervals between bulletins after which peers know
+// of something: one bulletin may be lost or late.
 const evidenceIntervals = 2
 
+// evidenceDelay returns the time until the peers know what this node has seen or sent.
+func (edge *Edge) evidenceDelay() clock.Millis {
+	return evidenceIntervals*node.BulletinInterval(edge.nodes(), false) + maxBatchWait
+}
+
 // reviewQuarantine draws conclusions from the evidence of crashes and logs them.
 func (edge *Edge) reviewQuarantine() {
-	delay := evidenceIntervals*node.BulletinInterval(edge.nodes(), false) + maxBatchWait
-	began, ended := edge.quarantine.Review(delay, edge.clock.Now())
+	began, ended := edge.quarantine.Review(edge.evidenceDelay(), edge.clock.Now())
 	for _, block := range began {
 		edge.log.Warn().Strs(logging.FieldPartHashes, block.Names()).Int64("firstCrashAgeMillis", int64(edge.clock.Now()-block.Since())).
 			Msg("prompt parts quarantined: they crash backend servers")
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -95,5 +95,9 @@
 func (edge *Edge) assignLimit(server *backend.Server, hosts []string) {
 	rateLimit, servers := server.RateLimit(), len(edge.fleet.Current().Pool(server.Pool()))
 	count := backend.LimitedNodes(rateLimit.PerSecond(), len(hosts)+1, servers)
-	rateLimit.SetUsage(edge.refillShare(), !node.IsAmongFirst(edge.settings.Load().Host(), hosts, server.Hash(), count))
+	spacing := clock.Millis(0)
+	if len(hosts) > 0 {
+		spacing = edge.evidenceDelay()
+	}
+	rateLimit.SetUsage(edge.refillShare(), !node.IsAmongFirst(edge.settings.Load().Host(), hosts, server.Hash(), count), spacing)
 }
