Let few nodes use a server with a low limit, also where servers are few

LimitedNodes raised the number of nodes for a server so that each node had two servers on average; with the pool of that moment it let some 15 nodes use a server, and each may send one unseen.

The number follows from the limit alone now, 6 nodes at 2 a second. Where all servers have limits these nodes use them up and the others refuse. TestManyNodesExceedLimit failed with a seventh as many servers as nodes (9 of 8 and 27 of 26.6 allowed, at 72 and 295 nodes) and passes.

--- a/internal/backend/ratelimit.go
+++ b/internal/backend/ratelimit.go
@@ -241,19 +241,14 @@
 	// would exceed a low limit together.
 	nodesPerRate = 1.5
 	extraNodes   = 3
-	// minServersPerNode is the mean number of servers that a node may use, also where
-	// there are many nodes and few servers.
-	minServersPerNode = 2
 )
 
-// LimitedNodes returns the number of nodes that share a server with the limit, in a
-// deployment of the nodes and servers.
+// LimitedNodes returns the number of nodes that share a server with the limit. The other
+// nodes use other servers, and refuse requests if there are none: where all servers
+// have limits, these nodes alone use them up.
 //
-//	limit 2.6, 7 nodes, 9 servers      -> 6
-//	limit 3, 295 nodes, 240 servers    -> 7
-//	limit 3, 295 nodes, 30 servers     -> 20
-func LimitedNodes(perSecond float64, nodes, servers int) int {
-	bound := int(nodesPerRate*perSecond) + extraNodes
-	needed := (minServersPerNode*nodes + servers - 1) / max(servers, 1)
-	return min(nodes, max(bound, needed))
+//	limit 2.6, 7 nodes   -> 6
+//	limit 3, 295 nodes   -> 7
+func LimitedNodes(perSecond float64, nodes int) int {
+	return min(nodes, int(nodesPerRate*perSecond)+extraNodes)
 }
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -93,8 +93,8 @@
 
 // assignLimit assigns this node and those on the other hosts to a server with a limit.
 func (edge *Edge) assignLimit(server *backend.Server, hosts []string) {
-	rateLimit, servers := server.RateLimit(), len(edge.fleet.Current().Pool(server.Pool()))
-	count := backend.LimitedNodes(rateLimit.PerSecond(), len(hosts)+1, servers)
+	rateLimit := server.RateLimit()
+	count := backend.LimitedNodes(rateLimit.PerSecond(), len(hosts)+1)
 	spacing := clock.Millis(0)
 	if len(hosts) > 0 {
 		spacing = edge.evidenceDelay()
