Assign nodes to limited servers by the hosts that share limits

Suspected, not shown: a node that takes few peers for live, as late bulletins make it, counts itself among the first.

--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -30,7 +30,7 @@
 		return
 	}
 	if server.RateLimit().Observe(statement, edge.clock.Now()) {
-		edge.assignLimit(server, edge.liveHosts())
+		edge.assignLimit(server, edge.peers.states.View().Hosts(edge.clock.Now()))
 		edge.logLimit(server, "backend server named another limit")
 	}
 }
@@ -60,7 +60,7 @@
 			continue
 		}
 		if server.RateLimit().Learn(limit.Statement(), now-limit.Age(), now) {
-			edge.assignLimit(server, edge.liveHosts())
+			edge.assignLimit(server, edge.peers.states.View().Hosts(edge.clock.Now()))
 			edge.logLimit(server, "backend server named another limit: reported by a peer node")
 		}
 		server.RateLimit().AddPeers(added[limit.Server()], now)
@@ -74,7 +74,7 @@
 		return
 	}
 	edge.peers.limitsAssigned = now
-	hosts := edge.liveHosts()
+	hosts := edge.peers.states.View().Hosts(now)
 	for _, server := range edge.fleet.Current().Servers() {
 		if server.RateLimit().IsLimited() {
 			edge.assignLimit(server, hosts)
@@ -82,16 +82,9 @@
 	}
 }
 
-// liveHosts returns the hosts of the live peers.
-func (edge *Edge) liveHosts() []string {
-	var hosts []string
-	for _, peer := range edge.peers.states.View().Live(edge.clock.Now()) {
-		hosts = append(hosts, peer.Host())
-	}
-	return hosts
-}
-
 // assignLimit assigns this node and those on the other hosts to a server with a limit.
+// The hosts are those that share limits, not the live ones: nodes agree on which are
+// live only roughly, and one that takes few for live would count itself among the first.
 func (edge *Edge) assignLimit(server *backend.Server, hosts []string) {
 	rateLimit := server.RateLimit()
 	count := backend.LimitedNodes(rateLimit.PerSecond(), len(hosts)+1)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -203,6 +203,18 @@
 	return 1 + view.count(func(state peerState) bool { return now-state.receivedAt < expectedAge && !state.latest.stopping })
 }
 
+// Hosts returns the hosts of the peers that share limits with this node, as Nodes counts
+// them.
+func (view *PeerView) Hosts(now clock.Millis) []string {
+	var hosts []string
+	for _, state := range view.peers {
+		if now-state.receivedAt < expectedAge && !state.latest.stopping {
+			hosts = append(hosts, state.latest.host)
+		}
+	}
+	return hosts
+}
+
 // LiveCount returns the number of live nodes, this one included.
 func (view *PeerView) LiveCount(now clock.Millis) int {
 	return 1 + view.count(func(state peerState) bool { return view.isLive(state, now) })
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -39,6 +39,8 @@
 	require.Equal(t, []string{"10.0.0.9:7600"}, peers.View().Addresses(lost+1))
 	require.Empty(t, peers.View().Addresses(lost+5*clock.Second))
 	require.Equal(t, 1, peers.View().Nodes(lost+1))
+	require.Empty(t, peers.View().Hosts(lost+1))
+	require.Equal(t, []string{"edge-2"}, peers.View().Hosts(10*clock.Second))
 	peers.Receive(newBulletin("edge-2", 7, 2, 0, 0), lost+100)
 	peers.Publish()
 	require.Len(t, peers.View().Live(lost+101), 1)
