--- a/internal/backend/ratelimit.go
+++ b/internal/backend/ratelimit.go
@@ -132,6 +132,14 @@
 	return 0
 }
 
+// Level returns the requests that the bucket holds, below 0 for a debt.
+func (rateLimit *RateLimit) Level(now clock.Millis) float64 {
+	if state := rateLimit.state.Load(); state != nil {
+		return state.refilled(rateLimit.share(), now)
+	}
+	return 0
+}
+
 // SetUsage sets this node's part: the share of the limit at which it refills, which is 1
 // if it has the reports of all peers, whether it leaves the server to other nodes, and
 // the time between two of its requests, in which the others learn of the first one.
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -182,6 +182,7 @@
 			return choice, request.OutcomeTooLate
 		}
 		if choice.Server().RateLimit().Take(rank, edge.clock.Now()) {
+			requestContext.logLimitedSend(choice.Server())
 			return choice, 0
 		}
 		// Another request has just taken the last of the server's limit.
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -39,6 +39,18 @@
 	edge.log.Info().Str("backendServer", server.ID()).Str("pool", server.Pool()).Float64("perSecond", server.RateLimit().PerSecond()).Msg(message)
 }
 
+// logLimitedSend logs a request that is sent to a server with a limit, and what this node
+// knows of the limit.
+func (requestContext *requestContext) logLimitedSend(server *backend.Server) {
+	rateLimit := server.RateLimit()
+	if !rateLimit.IsLimited() {
+		return
+	}
+	edge := requestContext.edge
+	edge.log.Info().Str("requestId", requestContext.call.ID()).Str("backendServer", server.ID()).Float64("perSecond", rateLimit.PerSecond()).
+		Int("nodes", edge.nodes()).Float64("level", rateLimit.Level(edge.clock.Now())).Msg("request uses the limit of a backend server")
+}
+
 // serverLimits returns what this node tells its peers about the limits of servers.
 func (edge *Edge) serverLimits(now clock.Millis) []node.ServerLimit {
 	var limits []node.ServerLimit
