Pass the whole list of nodes on, so that all nodes know each other

What callers saw: nothing; servers got more requests than they had asked for at 72 nodes (LIMIT).

Cause: each node lists the others in the store and passed them one by one to a queue of 64, which is drained one an iteration of up to 60 ms; what found it full was dropped. Every list begins with the same names, so the last ones were dropped each time, and nodes that miss each other in both directions never met. Class: a queue that drops state as if a later message superseded it, while the later one drops the same part.

Change: the reader of the list hands it over whole and waits until it is taken. The number of nodes is logged when it changes.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -57,13 +57,15 @@
 	sequence    atomic.Int64
 	demands     sync.Map // Pool to *demand.
 	runs        *usage.Counter
-	discovered  chan discoveredPeer
+	discovered  chan []discoveredPeer
 	received    chan node.Bulletin
 	// newerConfiguration is a version of the configuration at a peer that is newer
 	// than this node's, and newerSince the time at which it was first reported or
 	// last caused a read.
 	newerConfiguration int64
 	newerSince         clock.Millis
+	// loggedNodes is the number of nodes that was last logged.
+	loggedNodes int
 	// limitsAssigned is when nodes were last assigned to servers with limits.
 	limitsAssigned clock.Millis
 	// urgent receives a value when peers must learn of something at once, and busy when
@@ -77,12 +79,9 @@
 	address string
 }
 
-// discoveredQueue and bulletinQueue bound the queues of applyPeerState. Dropped
-// bulletins and peers are superseded by the next ones.
-const (
-	discoveredQueue = 64
-	bulletinQueue   = 256
-)
+// bulletinQueue bounds the queue of applyPeerState. Dropped bulletins are superseded by
+// the next ones.
+const bulletinQueue = 256
 
 func newPeers(host, listen string, wall clock.Millis) (*peers, error) {
 	socket, err := nodecast.New(listen)
@@ -91,7 +90,7 @@
 	}
 	return &peers{
 		socket: socket, states: node.NewPeers(host), incarnation: int64(wall), runs: usage.NewCounter(),
-		discovered: make(chan discoveredPeer, discoveredQueue), received: make(chan node.Bulletin, bulletinQueue),
+		discovered: make(chan []discoveredPeer), received: make(chan node.Bulletin, bulletinQueue),
 		urgent: make(chan struct{}, 1), busy: make(chan struct{}, 1),
 	}, nil
 }
@@ -157,7 +156,9 @@
 		case <-ctx.Done():
 			return
 		case discovered := <-peers.discovered:
-			peers.states.Add(discovered.host, discovered.address, edge.clock.Now())
+			for _, peer := range discovered {
+				peers.states.Add(peer.host, peer.address, edge.clock.Now())
+			}
 		case bulletin := <-peers.received:
 			edge.applyBulletin(bulletin, used)
 		}
@@ -165,6 +166,7 @@
 			edge.applyBulletin(<-peers.received, used)
 		}
 		peers.states.Publish()
+		edge.logNodes()
 		now := edge.clock.Now()
 		edge.applyPeerUsage(used, now)
 		edge.applyPeerWork(now)
@@ -176,6 +178,14 @@
 	}
 }
 
+// logNodes logs the number of nodes after it has changed.
+func (edge *Edge) logNodes() {
+	if nodes := edge.nodes(); nodes != edge.peers.loggedNodes {
+		edge.peers.loggedNodes = nodes
+		edge.log.Info().Int("nodes", nodes).Msg("nodes that share limits")
+	}
+}
+
 // configurationVersion returns the version of the active configuration, or 0.
 func (edge *Edge) configurationVersion() int64 {
 	if directory := edge.directory.Current(); directory != nil {
@@ -260,6 +270,7 @@
 			edge.log.Debug().Err(err).Msg("cannot read the list of nodes")
 		}
 		listed := false
+		var discovered []discoveredPeer
 		for _, object := range listing.Objects() {
 			var form nodeForm
 			if err := json.Unmarshal(object.Spec(), &form); err != nil {
@@ -270,10 +281,12 @@
 				listed = form.Address == edge.peers.socket.Address()
 				continue
 			}
-			select {
-			case edge.peers.discovered <- discoveredPeer{host: object.Name(), address: form.Address}:
-			default:
-			}
+			discovered = append(discovered, discoveredPeer{host: object.Name(), address: form.Address})
+		}
+		select {
+		case edge.peers.discovered <- discovered:
+		case <-ctx.Done():
+			return
 		}
 		wait := max(nodesInterval, nodesIntervalPerNode*clock.Millis(edge.nodes()))
 		if err != nil || !listed || len(listing.Objects()) == 1 {
