Lend what a node can't use of a server's limit to nodes that can

Cause: each node has a fixed part of a limit. What overflows at a node without a request for the server was lost.

Change: the overflow, at most half a second's worth, goes with the next bulletin to a node that has lately found its allowance used up. The lender gives it up before the borrower learns of it, so the bound on all nodes holds whatever is late or lost.

--- a/internal/backend/ratelimit.go
+++ b/internal/backend/ratelimit.go
@@ -19,6 +19,10 @@
 	// maxDebtSeconds bounds the debt that reports of peers may cause, as the time that
 	// it takes to make up for it.
 	maxDebtSeconds = 4.0
+	// spareSeconds bounds what a node lends at once, as the time in which it refills it.
+	spareSeconds = 0.5
+	// wantedTime is how long a node borrows after a request found its allowance used up.
+	wantedTime = 1 * clock.Second
 	// limitReportTime is how long a node reports a limit to its peers after it last sent
 	// a request to the server or read its answer.
 	limitReportTime = 5 * clock.Second
@@ -36,16 +40,20 @@
 //
 // Requests of peers may also stay unknown, so each node has an allowance besides: a
 // bucket that only its own requests drain, with its part of the limit as rate and its
-// part of LimitedNodes as capacity. In any 4 s the nodes together send at most
+// part of LimitedNodes as capacity. What overflows is lent to a peer that has used up
+// its own: the lender gives it up before the borrower learns of it, so a loan that is
+// late or lost can only leave a part of the limit unused. In any 4 s the nodes together
+// send at most
 //
-//	4 x limit + 1.5 x limit + 3
+//	4 x limit + 1.5 x limit + 3 + 0.5 x limit lent before
 //
 // whatever they know of each other. The platform allows 6 x limit + 5; the rest is for
 // nodes that briefly disagree on who uses the server.
 type RateLimit struct {
-	state atomic.Pointer[rateLimitState]
-	sent  atomic.Int64
-	usage atomic.Pointer[limitUsage]
+	state    atomic.Pointer[rateLimitState]
+	sent     atomic.Int64
+	usage    atomic.Pointer[limitUsage]
+	wantedAt atomic.Int64
 }
 
 type rateLimitState struct {
@@ -59,8 +67,10 @@
 	takenAt   clock.Millis
 	level     float64
 	updatedAt clock.Millis
-	// allowance is the level of this node's own bucket at allowanceAt.
+	// allowance is the level of this node's own bucket at allowanceAt, and spare what
+	// has overflowed.
 	allowance   float64
+	spare       float64
 	allowanceAt clock.Millis
 }
 
@@ -115,7 +125,7 @@
 		current := rateLimit.state.Load()
 		// The bucket is empty at first: nodes learn of a limit at the same time, and full
 		// buckets would let each of them send at once.
-		next := &rateLimitState{perSecond: limit, statedAt: at, usedAt: usedAt, updatedAt: now, allowance: math.Inf(1), allowanceAt: now}
+		next := &rateLimitState{perSecond: limit, statedAt: at, usedAt: usedAt, updatedAt: now, allowance: 1, allowanceAt: now}
 		if current != nil {
 			if at < current.statedAt {
 				return false
@@ -123,7 +133,9 @@
 			next.usedAt, next.takenAt = max(usedAt, current.usedAt), current.takenAt
 			if current.perSecond > 0 {
 				next.level, next.updatedAt = current.refilled(rateLimit.share(), now), max(now, current.updatedAt)
-				next.allowance, next.allowanceAt = current.allowanceRefilled(rateLimit.users(), now), max(now, current.allowanceAt)
+				own := *current
+				own.refillAllowance(rateLimit.users(), now)
+				next.allowance, next.spare, next.allowanceAt = own.allowance, own.spare, own.allowanceAt
 			}
 			changed = current.perSecond != limit
 		} else {
@@ -201,9 +213,14 @@
 	if rateLimit.isExcluded() {
 		missing = max(missing, 1)
 	}
-	refill := refillTime(missing, state.perSecond*share)
-	allowance := refillTime(1-state.allowanceRefilled(users, now), state.perSecond/float64(users))
-	return max(refill, allowance, rateLimit.spacingLeft(state, now))
+	wait := max(refillTime(missing, state.perSecond*share), rateLimit.spacingLeft(state, now))
+	own := *state
+	own.refillAllowance(users, now)
+	allowanceWait := refillTime(1-own.allowance, state.perSecond/float64(users))
+	if wait == 0 && allowanceWait > 0 {
+		rateLimit.wantedAt.Store(int64(now))
+	}
+	return max(wait, allowanceWait)
 }
 
 // refillTime returns the time in which a bucket gets the missing requests at the rate
@@ -219,13 +236,14 @@
 		if current == nil || current.perSecond == 0 {
 			return true
 		}
-		level, allowance := current.refilled(rateLimit.share(), now), current.allowanceRefilled(rateLimit.users(), now)
-		if level < current.needed(rank) || allowance < 1 || rateLimit.isExcluded() || rateLimit.spacingLeft(current, now) > 0 {
+		level := current.refilled(rateLimit.share(), now)
+		next := *current
+		next.refillAllowance(rateLimit.users(), now)
+		if level < current.needed(rank) || next.allowance < 1 || rateLimit.isExcluded() || rateLimit.spacingLeft(current, now) > 0 {
 			return false
 		}
-		next := *current
 		next.level, next.updatedAt, next.usedAt, next.takenAt = level-1, max(now, current.updatedAt), now, now
-		next.allowance, next.allowanceAt = allowance-1, max(now, current.allowanceAt)
+		next.allowance--
 		if rateLimit.state.CompareAndSwap(current, &next) {
 			rateLimit.sent.Add(1)
 			return true
@@ -250,15 +268,56 @@
 	}
 }
 
+// Wants reports whether a request has lately found this node's allowance used up while
+// the nodes together had not reached the limit.
+func (rateLimit *RateLimit) Wants(now clock.Millis) bool {
+	at := clock.Millis(rateLimit.wantedAt.Load())
+	return at != 0 && now-at < wantedTime
+}
+
+// Lend takes what this node can't use from its allowance and returns it, in requests.
+func (rateLimit *RateLimit) Lend(now clock.Millis) float64 {
+	for {
+		current := rateLimit.state.Load()
+		if current == nil || current.perSecond == 0 || rateLimit.isExcluded() {
+			return 0
+		}
+		next := *current
+		next.refillAllowance(rateLimit.users(), now)
+		lent := next.spare
+		next.spare = 0
+		if lent == 0 || rateLimit.state.CompareAndSwap(current, &next) {
+			return lent
+		}
+	}
+}
+
+// Borrow adds what a peer has lent, in requests, to this node's allowance.
+func (rateLimit *RateLimit) Borrow(requests float64, now clock.Millis) {
+	for {
+		current := rateLimit.state.Load()
+		if current == nil || current.perSecond == 0 {
+			return
+		}
+		next := *current
+		next.refillAllowance(rateLimit.users(), now)
+		next.allowance = min(mostNodes(next.perSecond)/float64(rateLimit.users()), next.allowance+requests)
+		if rateLimit.state.CompareAndSwap(current, &next) {
+			return
+		}
+	}
+}
+
 // Report returns what this node tells its peers: the server's latest statement, its age,
-// and the requests that this node has sent under limits. It returns false if the node
-// has nothing recent to tell.
-func (rateLimit *RateLimit) Report(now clock.Millis) (statement Statement, age clock.Millis, sent int64, ok bool) {
+// and the requests that this node has sent under limits. It reports false if nothing of
+// it is recent.
+func (rateLimit *RateLimit) Report(now clock.Millis) (statement Statement, age clock.Millis, sent int64, recent bool) {
 	state := rateLimit.state.Load()
-	if state == nil || state.usedAt == 0 || now-state.usedAt > limitReportTime {
+	if state == nil {
 		return Statement{}, 0, 0, false
 	}
-	return Statement{perSecond: state.perSecond, limited: state.perSecond > 0}, now - state.statedAt, rateLimit.sent.Load(), true
+	recent = state.usedAt != 0 && now-state.usedAt <= limitReportTime
+	return Statement{perSecond: state.perSecond, limited: state.perSecond > 0}, now - state.statedAt, rateLimit.sent.Load(), recent
 }
 
 func (state *rateLimitState) capacity() float64 { return 1 + burstSeconds*state.perSecond }
@@ -273,10 +332,16 @@
 	return min(state.capacity(), state.level+elapsed*state.perSecond*share)
 }
 
-func (state *rateLimitState) allowanceRefilled(users int, now clock.Millis) float64 {
-	elapsed := float64(max(0, now-state.allowanceAt)) / float64(clock.Second)
-	capacity := mostNodes(state.perSecond) / float64(users)
-	return min(capacity, state.allowance+elapsed*state.perSecond/float64(users))
+// refillAllowance adds what the node's own bucket got since allowanceAt.
+func (state *rateLimitState) refillAllowance(users int, now clock.Millis) {
+	if now <= state.allowanceAt {
+		return
+	}
+	rate := state.perSecond / float64(users)
+	level := state.allowance + rate*float64(now-state.allowanceAt)/float64(clock.Second)
+	state.allowance = min(mostNodes(state.perSecond)/float64(users), level)
+	state.spare = min(rate*spareSeconds, state.spare+level-state.allowance)
+	state.allowanceAt = now
 }
 
 const (
--- a/internal/backend/ratelimit_nodes_test.go
+++ b/internal/backend/ratelimit_nodes_test.go
@@ -24,6 +24,9 @@
 	interval  clock.Millis
 	// lost is the share of bulletins that a peer doesn't receive.
 	lost float64
+	// busy is the number of nodes that get requests, 0 for all that use the server.
+	busy int
+	sent int
 }
 
 // pendingResponse is a response that a node receives at the time.
@@ -42,6 +45,17 @@
 	responseTime = 40 * clock.Millisecond
 )
 
+func newLimitedServer(seed uint64, nodes int, perSecond float64) *limitedServer {
+	server := &limitedServer{
+		random: rand.New(rand.NewPCG(seed, 0)), perSecond: perSecond,
+		reported: make([]int64, nodes), told: make([]clock.Millis, nodes),
+	}
+	for range nodes {
+		server.nodes = append(server.nodes, &RateLimit{})
+	}
+	return server
+}
+
 // play sends the requests per second to the server, and bulletins at the interval.
 func (server *limitedServer) play(demand float64, interval clock.Millis) {
 	server.interval = interval
@@ -60,9 +74,14 @@
 			continue
 		}
 		node := server.random.IntN(users)
-		if !server.nodes[node].Take(0, now) {
+		if server.busy != 0 {
+			node = server.random.IntN(server.busy)
+		}
+		// Placement asks for the wait first.
+		if server.nodes[node].Wait(0, now) > 0 || !server.nodes[node].Take(0, now) {
 			continue
 		}
+		server.sent++
 		if server.told[node] != 0 && now > server.told[node]+toldTime {
 			server.arrivals = append(server.arrivals, now)
 		}
@@ -86,8 +105,9 @@
 
 // report sends a node's bulletin to the others.
 func (server *limitedServer) report(node int, now clock.Millis) {
-	statement, age, sent, ok := server.nodes[node].Report(now)
-	if !ok {
+	borrower, lent := server.lend(node, now)
+	statement, age, sent, recent := server.nodes[node].Report(now)
+	if !recent && lent == 0 {
 		return
 	}
 	added := sent - server.reported[node]
@@ -97,8 +117,21 @@
 			peer.Learn(statement, now-age, now)
 			server.assign(i)
 			peer.AddPeers(added, now)
+			if i == borrower {
+				peer.Borrow(lent, now)
+			}
+		}
+	}
+}
+
+// lend lends from a node to one that wants it.
+func (server *limitedServer) lend(node int, now clock.Millis) (borrower int, lent float64) {
+	for _, other := range server.random.Perm(len(server.nodes)) {
+		if other != node && server.nodes[other].Wants(now) {
+			return other, server.nodes[node].Lend(now)
 		}
 	}
+	return node, 0
 }
 
 // TestManyNodesExceedLimit guards against nodes that learn of a limit together and each
@@ -128,6 +161,24 @@
 	}
 }
 
+// TestIdleNodesKeepTheirPart guards against a limit that stays unused at the nodes that
+// have no requests for the server.
+func TestIdleNodesKeepTheirPart(t *testing.T) {
+	expectUsed := func(t *testing.T, size deploymentSize, perSecond float64, busy int) {
+		t.Helper()
+		for seed := range uint64(4) {
+			server := newLimitedServer(seed, size.nodes, perSecond)
+			server.busy = busy
+			server.play(saturated, size.interval)
+			require.GreaterOrEqual(t, float64(server.sent), 0.8*perSecond*float64(limitedTime/clock.Second), "seed %d", seed)
+		}
+	}
+	t.Run("7 nodes, a low limit", func(t *testing.T) { expectUsed(t, deploymentSizes[0], 2, 2) })
+	t.Run("7 nodes, a high limit", func(t *testing.T) { expectUsed(t, deploymentSizes[0], 20, 2) })
+	t.Run("7 nodes, all busy", func(t *testing.T) { expectUsed(t, deploymentSizes[0], 2, 0) })
+	t.Run("72 nodes, a low limit", func(t *testing.T) { expectUsed(t, deploymentSizes[1], 2, 2) })
+}
+
 // saturated is a demand at which every node has a request whenever it may send one.
 const saturated = 1000
 
@@ -145,13 +196,8 @@
 	t.Helper()
 	const window = 4 * clock.Second
 	for seed := range uint64(8) {
-		server := &limitedServer{
-			random: rand.New(rand.NewPCG(seed, 0)), perSecond: perSecond, lost: lost,
-			reported: make([]int64, size.nodes), told: make([]clock.Millis, size.nodes),
-		}
-		for range size.nodes {
-			server.nodes = append(server.nodes, &RateLimit{})
-		}
+		server := newLimitedServer(seed, size.nodes, perSecond)
+		server.lost = lost
 		server.play(demand, size.interval)
 		first := 0
 		for i, at := range server.arrivals {
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -54,16 +54,36 @@
 // serverLimits returns what this node tells its peers about the limits of servers.
 func (edge *Edge) serverLimits(now clock.Millis) []node.ServerLimit {
 	var limits []node.ServerLimit
+	borrowers := edge.peers.states.View().Borrowers(now)
 	for _, server := range edge.fleet.Current().Servers() {
-		if statement, age, sent, ok := server.RateLimit().Report(now); ok {
-			limits = append(limits, node.NewServerLimit(server.Hash(), statement, age, sent))
+		rateLimit := server.RateLimit()
+		loan := edge.lend(rateLimit, borrowers[server.Hash()], now)
+		statement, age, sent, recent := rateLimit.Report(now)
+		if !recent && loan.Requests() == 0 {
+			continue
+		}
+		limit := node.NewServerLimit(server.Hash(), statement, age, sent).WithLoan(loan)
+		if rateLimit.Wants(now) {
+			limit = limit.WithWants()
 		}
+		limits = append(limits, limit)
 	}
 	return limits
 }
 
+// lend lends what this node can't use of the limit to one of the borrowers, to each in
+// turn.
+func (edge *Edge) lend(rateLimit *backend.RateLimit, borrowers []string, now clock.Millis) node.Loan {
+	if len(borrowers) == 0 {
+		return node.Loan{}
+	}
+	turn := int(edge.peers.sequence.Load() % int64(len(borrowers)))
+	return node.NewLoan(borrowers[turn], rateLimit.Lend(now))
+}
+
 // applyServerLimits applies the limits in a bulletin; added holds the requests that its
-// sender has sent to each server since the previous one.
+// sender has sent to each server since the previous one, and is nil if the bulletin is
+// not the sender's latest one.
 func (edge *Edge) applyServerLimits(limits []node.ServerLimit, added map[uint64]int64, now clock.Millis) {
 	servers := edge.fleet.Current()
 	for _, limit := range limits {
@@ -76,6 +96,9 @@
 			edge.logLimit(server, "backend server named another limit: reported by a peer node")
 		}
 		server.RateLimit().AddPeers(added[limit.Server()], now)
+		if lent := limit.Loan().To(edge.settings.Load().Host()); lent > 0 && added != nil {
+			server.RateLimit().Borrow(lent, now)
+		}
 	}
 }
 
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -111,6 +111,9 @@
 		}
 		form.SetAgeMillis(int64(limit.Age()))
 		form.SetSent(limit.Sent())
+		form.SetWants(limit.Wants())
+		form.SetLent(limit.Loan().Requests())
+		form.SetBorrower(limit.Loan().Borrower())
 		forms = append(forms, form)
 	}
 	message.SetServerLimits(forms)
@@ -126,7 +129,16 @@
 			}
 			statement = backend.NewStatement(form.GetPerSecond())
 		}
-		limits = append(limits, node.NewServerLimit(form.GetServer(), statement, clock.Millis(form.GetAgeMillis()), form.GetSent()))
+		lent := form.GetLent()
+		if math.IsNaN(lent) || math.IsInf(lent, 0) || lent < 0 {
+			return nil, errors.Errorf("decode bulletin: a node lends %v requests", lent)
+		}
+		limit := node.NewServerLimit(form.GetServer(), statement, clock.Millis(form.GetAgeMillis()), form.GetSent()).
+			WithLoan(node.RestoreLoan(form.GetBorrower(), lent))
+		if form.GetWants() {
+			limit = limit.WithWants()
+		}
+		limits = append(limits, limit)
 	}
 	return limits, nil
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -294,6 +294,23 @@
 	return leaving
 }
 
+// Borrowers returns the hosts of the live peers that borrow from the allowances of
+// others, by the hash of the server's key.
+func (view *PeerView) Borrowers(now clock.Millis) map[uint64][]string {
+	borrowers := map[uint64][]string{}
+	for _, state := range view.peers {
+		if !view.isLive(state, now) {
+			continue
+		}
+		for _, limit := range state.latest.serverLimits {
+			if limit.wants {
+				borrowers[limit.server] = append(borrowers[limit.server], state.latest.host)
+			}
+		}
+	}
+	return borrowers
+}
+
 // ServerWork returns the attempts and the waiting prompt tokens of live peers,
 // by the hash of a server's key.
 func (view *PeerView) ServerWork(now clock.Millis) map[uint64]ServerWork {
