Spread bulletins over their interval, so that slow links don't drop the same peers

What callers saw: servers got up to twice what their limits allow at 295 nodes (LIMIT): 29 requests in 4 s where 17 are allowed.

Cause: a node sent its bulletin to all peers in one burst, in the order of their names. With 294 peers the burst overflows the queue of a link of 20 Mbit/s, and the last names are dropped each time. Once nothing had come for 20 s, nodes of the last data centres counted 16 nodes in place of 295: themselves and the 15 with faster links. Each then counted itself among the first for most servers. Class: a loss that hits the same ones each time, as for the queue of listed nodes.

Change: node.Cast sends to a few receivers at a time, at most 32 KB, in turn, spread over the interval.

--- a/internal/edge/bulletins.go
+++ b/internal/edge/bulletins.go
@@ -11,45 +11,55 @@
 // sendBulletins sends bulletins until the context ends.
 func (edge *Edge) sendBulletins(ctx context.Context) {
 	failing := false
+	cast, size := &node.Cast{}, 0
 	for {
-		now := edge.clock.Now()
-		addresses := edge.peers.states.View().Addresses(now)
+		receivers := edge.peers.states.View().Receivers(edge.clock.Now())
 		edge.reviewQuarantine()
-		edge.peers.sequence.Add(1)
-		err := edge.peers.socket.Send(edge.newBulletin(), addresses)
+		batch := cast.Batch(receivers, size)
+		var err error
+		size, err = edge.sendBulletin(batch)
 		if failed := err != nil; failed != failing {
 			failing = failed
 			edge.log.Warn().Err(err).Bool("failing", failing).Msg("sending bulletins to peer nodes started or stopped failing")
 		}
-		if edge.awaitBulletin(ctx, len(addresses)+1) != nil {
+		busy, idle := cast.Pause(len(batch), len(receivers))
+		urgent, err := edge.awaitBulletin(ctx, busy, idle)
+		if err != nil {
 			return
 		}
+		if urgent {
+			cast.SetUrgent(len(receivers))
+		}
 	}
 }
 
-// awaitBulletin waits until the next bulletin is due. Urgent news ends the wait. A node
-// that gets its first request leaves the longer interval of idle nodes, so that its
-// peers learn of the usage as soon as of that of others.
-func (edge *Edge) awaitBulletin(ctx context.Context, nodes int) error {
-	busy, idle := node.BulletinInterval(nodes, false), node.BulletinInterval(nodes, true)
-	urgent, err := edge.waitOrWake(ctx, busy, edge.peers.urgent, nil)
+// sendBulletin sends a bulletin to the receivers and returns its size in bytes.
+func (edge *Edge) sendBulletin(receivers []node.Receiver) (size int, err error) {
+	edge.peers.sequence.Add(1)
+	return edge.peers.socket.Send(edge.newBulletin(receivers), receivers)
+}
+
+// awaitBulletin waits until the next bulletin is due, and reports whether urgent news
+// ended the wait. A node that gets its first request leaves the longer pause of idle
+// nodes, so that its peers learn of the usage as soon as of that of others.
+func (edge *Edge) awaitBulletin(ctx context.Context, busy, idle clock.Millis) (urgent bool, err error) {
+	urgent, err = edge.waitOrWake(ctx, busy, edge.peers.urgent, nil)
 	if err != nil || urgent || edge.inFlight.Load() > 0 {
-		return err
+		return urgent, err
 	}
-	_, err = edge.waitOrWake(ctx, idle-busy, edge.peers.urgent, edge.peers.busy)
-	return err
+	return edge.waitOrWake(ctx, idle-busy, edge.peers.urgent, edge.peers.busy)
 }
 
 // waitOrWake waits for the delay, or until one of the channels, which may be nil,
-// receives a value, and reports whether one did.
-func (edge *Edge) waitOrWake(ctx context.Context, delay clock.Millis, urgent, busy <-chan struct{}) (woken bool, err error) {
+// receives a value, and reports whether urgent did.
+func (edge *Edge) waitOrWake(ctx context.Context, delay clock.Millis, urgent, busy <-chan struct{}) (isUrgent bool, err error) {
 	wait, cancel := edge.clock.WithTimeout(ctx, delay)
 	defer cancel()
 	select {
 	case <-urgent:
 		return true, nil
 	case <-busy:
-		return true, nil
+		return false, nil
 	case <-wait.Done():
 		return false, ctx.Err()
 	}
@@ -67,15 +77,15 @@
 // has ended. It sends them twice, as a datagram may be lost.
 func (edge *Edge) sendFinalBulletins() {
 	for range 2 {
-		edge.peers.sequence.Add(1)
-		addresses := edge.peers.states.View().Addresses(edge.clock.Now())
-		if err := edge.peers.socket.Send(edge.newBulletin(), addresses); err != nil {
+		receivers := edge.peers.states.View().Receivers(edge.clock.Now())
+		if _, err := edge.sendBulletin(receivers); err != nil {
 			edge.log.Warn().Err(err).Msg("cannot send the final bulletin to peer nodes")
 		}
 	}
 }
 
-func (edge *Edge) newBulletin() node.Bulletin {
+// newBulletin returns a bulletin that is sent to the receivers.
+func (edge *Edge) newBulletin(receivers []node.Receiver) node.Bulletin {
 	peers := edge.peers
 	var accounts, pools []node.Usage
 	edge.meters.forEach(func(account string, used int64) { accounts = append(accounts, node.NewUsage(account, 0, used)) })
@@ -98,7 +108,7 @@
 	host := edge.settings.Load().Host()
 	return node.NewBulletin(host, peers.socket.Address(), peers.incarnation, peers.sequence.Load(), edge.clock.Wall(), edge.stopping.Load()).
 		WithUptime(edge.clock.Now()-edge.meters.start).WithConfiguration(edge.configurationVersion(), ageOf(&edge.storeResponses.configuration, edge.clock.Now())).WithLeaving(edge.leavingServers()).WithUsage(accounts, servers, pools, windows).
-		WithServerLimits(edge.serverLimits(edge.clock.Now())).WithEvidence(edge.quarantine.Evidence(edge.clock.Now()))
+		WithServerLimits(edge.serverLimits(receivers, edge.clock.Now())).WithEvidence(edge.quarantine.Evidence(edge.clock.Now()))
 }
 
 // leavingServers returns the hashes of leaving servers if this node is a
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -51,10 +51,11 @@
 		Int("nodes", edge.nodes()).Float64("level", rateLimit.Level(edge.clock.Now())).Msg("request uses the limit of a backend server")
 }
 
-// serverLimits returns what this node tells its peers about the limits of servers.
-func (edge *Edge) serverLimits(now clock.Millis) []node.ServerLimit {
+// serverLimits returns what this node tells the receivers of a bulletin about the limits
+// of servers.
+func (edge *Edge) serverLimits(receivers []node.Receiver, now clock.Millis) []node.ServerLimit {
 	var limits []node.ServerLimit
-	borrowers := edge.peers.states.View().Borrowers(now)
+	borrowers := edge.peers.states.View().Borrowers(receivers, now)
 	for _, server := range edge.fleet.Current().Servers() {
 		rateLimit := server.RateLimit()
 		loan := edge.lend(rateLimit, borrowers[server.Hash()], now)
--- a/internal/node/nodecast/nodecast.go
+++ b/internal/node/nodecast/nodecast.go
@@ -41,15 +41,16 @@
 	return errors.Wrap(socket.conn.Close(), "close the socket for bulletins")
 }
 
-// Send sends the bulletin to each address and returns the first error.
-func (socket *Socket) Send(bulletin node.Bulletin, addresses []string) error {
+// Send sends the bulletin to each receiver. It returns the size of the datagram in bytes
+// and the first error.
+func (socket *Socket) Send(bulletin node.Bulletin, receivers []node.Receiver) (size int, err error) {
 	data, err := Encode(bulletin)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	var first error
-	for _, address := range addresses {
-		parsed, err := netip.ParseAddrPort(address)
+	for _, receiver := range receivers {
+		parsed, err := netip.ParseAddrPort(receiver.Address())
 		if err == nil {
 			_, err = socket.conn.WriteToUDPAddrPort(data, parsed)
 		}
@@ -57,7 +58,7 @@
 			first = errors.Wrap(err, "send a bulletin")
 		}
 	}
-	return first
+	return len(data), first
 }
 
 // Receive waits for the next bulletin. A datagram that is not a bulletin yields
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -168,6 +168,15 @@
 	liveAge clock.Millis
 }
 
+// peer returns the state of the peer on the host.
+func (view *PeerView) peer(host string) (peerState, bool) {
+	index, ok := slices.BinarySearchFunc(view.peers, host, func(state peerState, host string) int { return strings.Compare(state.latest.host, host) })
+	if !ok {
+		return peerState{}, false
+	}
+	return view.peers[index], true
+}
+
 // Live returns the latest bulletins of the live peers, in order of host.
 func (view *PeerView) Live(now clock.Millis) []Bulletin {
 	var live []Bulletin
@@ -183,18 +192,17 @@
 	return now-state.receivedAt < view.liveAge && !state.latest.stopping
 }
 
-// Addresses returns the addresses to which bulletins are sent, including those
-// of silent peers that may come back, and for a short time those of lost peers that
-// are still listed.
-func (view *PeerView) Addresses(now clock.Millis) []string {
-	var addresses []string
+// Receivers returns the peers to which bulletins are sent, including silent ones that
+// may come back, and for a short time lost ones that are still listed.
+func (view *PeerView) Receivers(now clock.Millis) []Receiver {
+	var receivers []Receiver
 	callTime := listedIntervals * BulletinInterval(len(view.peers)+1, true)
 	for _, state := range view.peers {
 		if now-state.receivedAt < expectedAge || (state.listedAt != 0 && now-state.listedAt < callTime) {
-			addresses = append(addresses, state.latest.address)
+			receivers = append(receivers, NewReceiver(state.latest.host, state.latest.address))
 		}
 	}
-	return addresses
+	return receivers
 }
 
 // Nodes returns the number of nodes that share limits, this one included: those
@@ -294,12 +302,13 @@
 	return leaving
 }
 
-// Borrowers returns the hosts of the live peers that borrow from the allowances of
+// Borrowers returns the hosts of those receivers that borrow from the allowances of
 // others, by the hash of the server's key.
-func (view *PeerView) Borrowers(now clock.Millis) map[uint64][]string {
+func (view *PeerView) Borrowers(receivers []Receiver, now clock.Millis) map[uint64][]string {
 	borrowers := map[uint64][]string{}
-	for _, state := range view.peers {
-		if !view.isLive(state, now) {
+	for _, receiver := range receivers {
+		state, ok := view.peer(receiver.host)
+		if !ok || !view.isLive(state, now) {
 			continue
 		}
 		for _, limit := range state.latest.serverLimits {
