Send the next request to a limited server without waiting for news

Cause: a node waited two intervals of bulletins, 2.4 s at 295 nodes, between two requests to a server with a limit, so that peers know of the first one. The allowance of each node bounds the sum without that.

What it protected, the sum over nodes that don't know of each other's requests, is checked more strictly by TestManyNodesExceedLimit and TestNodesWithoutNewsExceedLimit, which pass without the wait.

--- a/internal/backend/ratelimit.go
+++ b/internal/backend/ratelimit.go
@@ -61,10 +61,8 @@
 	perSecond float64
 	// statedAt is when the server's latest answer began, at this node or a peer, and
 	// usedAt when this node last read an answer or sent a request.
-	statedAt clock.Millis
-	usedAt   clock.Millis
-	// takenAt is when this node last sent a request.
-	takenAt   clock.Millis
+	statedAt  clock.Millis
+	usedAt    clock.Millis
 	level     float64
 	updatedAt clock.Millis
 	// allowance is the level of this node's own bucket at allowanceAt, and spare what
@@ -79,7 +77,6 @@
 	share    float64
 	users    int
 	excluded bool
-	spacing  clock.Millis
 }
 
 // Statement is what a server says of its limit.
@@ -130,7 +127,7 @@
 			if at < current.statedAt {
 				return false
 			}
-			next.usedAt, next.takenAt = max(usedAt, current.usedAt), current.takenAt
+			next.usedAt = max(usedAt, current.usedAt)
 			if current.perSecond > 0 {
 				next.level, next.updatedAt = current.refilled(rateLimit.share(), now), max(now, current.updatedAt)
 				own := *current
@@ -167,11 +164,10 @@
 }
 
 // SetUsage sets this node's part: the share of the limit at which it refills, which is 1
-// if it has the reports of all peers, the number of nodes that use the server, whether
-// this node leaves the server to them, and the time between two of its requests, in
-// which the others learn of the first one.
-func (rateLimit *RateLimit) SetUsage(share float64, users int, excluded bool, spacing clock.Millis) {
-	rateLimit.usage.Store(&limitUsage{share: share, users: users, excluded: excluded, spacing: spacing})
+// if it has the reports of all peers, the number of nodes that use the server, and
+// whether this node leaves the server to them.
+func (rateLimit *RateLimit) SetUsage(share float64, users int, excluded bool) {
+	rateLimit.usage.Store(&limitUsage{share: share, users: users, excluded: excluded})
 }
 
 func (rateLimit *RateLimit) users() int {
@@ -188,15 +184,6 @@
 	return 1
 }
 
-// spacingLeft returns the time until this node may send another request.
-func (rateLimit *RateLimit) spacingLeft(state *rateLimitState, now clock.Millis) clock.Millis {
-	usage := rateLimit.usage.Load()
-	if usage == nil || state.takenAt == 0 {
-		return 0
-	}
-	return max(0, state.takenAt+usage.spacing-now)
-}
-
 func (rateLimit *RateLimit) isExcluded() bool {
 	usage := rateLimit.usage.Load()
 	return usage != nil && usage.excluded
@@ -213,7 +200,7 @@
 	if rateLimit.isExcluded() {
 		missing = max(missing, 1)
 	}
-	wait := max(refillTime(missing, state.perSecond*share), rateLimit.spacingLeft(state, now))
+	wait := refillTime(missing, state.perSecond*share)
 	own := *state
 	own.refillAllowance(users, now)
 	allowanceWait := refillTime(1-own.allowance, state.perSecond/float64(users))
@@ -239,10 +226,10 @@
 		level := current.refilled(rateLimit.share(), now)
 		next := *current
 		next.refillAllowance(rateLimit.users(), now)
-		if level < current.needed(rank) || next.allowance < 1 || rateLimit.isExcluded() || rateLimit.spacingLeft(current, now) > 0 {
+		if level < current.needed(rank) || next.allowance < 1 || rateLimit.isExcluded() {
 			return false
 		}
-		next.level, next.updatedAt, next.usedAt, next.takenAt = level-1, max(now, current.updatedAt), now, now
+		next.level, next.updatedAt, next.usedAt = level-1, max(now, current.updatedAt), now
 		next.allowance--
 		if rateLimit.state.CompareAndSwap(current, &next) {
 			rateLimit.sent.Add(1)
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -124,9 +124,5 @@
 func (edge *Edge) assignLimit(server *backend.Server, hosts []string) {
 	rateLimit := server.RateLimit()
 	count := backend.LimitedNodes(rateLimit.PerSecond(), len(hosts)+1)
-	spacing := clock.Millis(0)
-	if len(hosts) > 0 {
-		spacing = edge.evidenceDelay()
-	}
-	rateLimit.SetUsage(edge.refillShare(), count, !node.IsAmongFirst(edge.settings.Load().Host(), hosts, server.Hash(), count), spacing)
+	rateLimit.SetUsage(edge.refillShare(), count, !node.IsAmongFirst(edge.settings.Load().Host(), hosts, server.Hash(), count))
 }
