Keep the limit of a server whose entry is gone for a while

What callers saw: nothing.

Cause: a server that is listed again is a new one to the fleet, without the limit that it had named, so all nodes sent to it freely until its next answer. Entries lapse while the store is away although the servers live.

Evidence: TestListedAgainWithoutLimit failed before (no limit after 100 lists without the server) and passes now.

Change: the fleet keeps the limits of servers that are not listed, as it keeps the marks of leaving ones.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -32,7 +32,7 @@
 	cache      Cache
 	work       Work
 	circuit    Circuit
-	rateLimit  RateLimit
+	rateLimit  *RateLimit
 	speed      atomic.Pointer[Speed]
 	// start distinguishes two runs of a server under the same id. It is empty if
 	// the platform assigns a new id to each run.
@@ -48,7 +48,7 @@
 // NewServer returns a live backend server without load. The address is the
 // host and port of a TCP listener.
 func NewServer(id, address, dataCentre, hostClass, pool string) *Server {
-	server := &Server{id: id, address: address, dataCentre: dataCentre, hostClass: hostClass, pool: pool}
+	server := &Server{id: id, address: address, dataCentre: dataCentre, hostClass: hostClass, pool: pool, rateLimit: &RateLimit{}}
 	server.speed.Store(newSpeed(&mean{}))
 	server.setStart("")
 	return server
@@ -145,7 +145,7 @@
 func (server *Server) Circuit() *Circuit { return &server.circuit }
 
 // RateLimit returns the limit on requests that the server has named.
-func (server *Server) RateLimit() *RateLimit { return &server.rateLimit }
+func (server *Server) RateLimit() *RateLimit { return server.rateLimit }
 
 // Load returns the latest load report, or nil before the first.
 func (server *Server) Load() *Load { return server.load.Load() }
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -2,8 +2,8 @@
 
 import "sync/atomic"
 
-// leavingRetention is the number of consecutive updates without a leaving server
-// after which its mark is dropped. At two to four updates per second it takes 42 to
+// leavingRetention is the number of consecutive updates without a leaving server, or one
+// with a limit, after which its mark or limit is dropped. At two to four updates per second it takes 42 to
 // 83 minutes, which is longer than the list ever lags. Only updates count, so marks
 // are kept while the list can't be read.
 const leavingRetention = 10_000
@@ -18,12 +18,21 @@
 	// marked is the same for servers that others than the list's reader have marked.
 	// Such a mark is no first evidence: whoever set it reports it by itself.
 	marked map[string]int
+	// limits holds the limits of servers that are not listed, by key. A live server's
+	// entry may be gone for a while.
+	limits map[string]unlistedLimit
 	speeds *speeds
 }
 
+// unlistedLimit is the limit of a server that was last listed the number of updates ago.
+type unlistedLimit struct {
+	rateLimit *RateLimit
+	updates   int
+}
+
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
-	fleet := &Fleet{leaving: map[string]int{}, marked: map[string]int{}, speeds: newSpeeds()}
+	fleet := &Fleet{leaving: map[string]int{}, marked: map[string]int{}, limits: map[string]unlistedLimit{}, speeds: newSpeeds()}
 	fleet.current.Store(newSnapshot(nil))
 	return fleet
 }
@@ -44,6 +53,9 @@
 		if server == nil || server.address != listing.server.address || server.start != listing.server.start {
 			server = listing.server
 			server.speed.Store(fleet.speeds.get(server))
+			if kept, ok := fleet.limits[server.Key()]; ok {
+				server.rateLimit = kept.rateLimit
+			}
 		}
 		_, leaving := fleet.leaving[server.Key()]
 		if listing.leaving && !leaving {
@@ -60,10 +72,31 @@
 		}
 		servers = append(servers, server)
 	}
-	fleet.current.Store(newSnapshot(servers))
+	next := newSnapshot(servers)
+	fleet.keepLimits(current, next)
+	fleet.current.Store(next)
 	return firstEvidence
 }
 
+// keepLimits keeps the limits of the servers that only the current snapshot has.
+func (fleet *Fleet) keepLimits(current, next *Snapshot) {
+	for key, kept := range fleet.limits {
+		kept.updates++
+		fleet.limits[key] = kept
+		if kept.updates > leavingRetention {
+			delete(fleet.limits, key)
+		}
+	}
+	for _, server := range next.byID {
+		delete(fleet.limits, server.Key())
+	}
+	for id, server := range current.byID {
+		if listed := next.byID[id]; (listed == nil || listed.Key() != server.Key()) && server.RateLimit().IsLimited() {
+			fleet.limits[server.Key()] = unlistedLimit{rateLimit: server.RateLimit()}
+		}
+	}
+}
+
 // keepMarks keeps the marks that others than the list's reader have set on servers of
 // the snapshot, since a server that is listed again is a new one here.
 func (fleet *Fleet) keepMarks(snapshot *Snapshot) {
--- a/internal/backend/ratelimit_test.go
+++ b/internal/backend/ratelimit_test.go
@@ -96,3 +96,21 @@
 	t.Run("a low limit", func(t *testing.T) { expectNodes(t, 0.5, 7, 3) })
 	t.Run("some of many", func(t *testing.T) { expectNodes(t, 3, 295, 7) })
 }
+
+// TestListedAgainWithoutLimit guards against a limit that is forgotten when the entry of
+// a live server is gone for a while.
+func TestListedAgainWithoutLimit(t *testing.T) {
+	expectLimited := func(t *testing.T, start clock.Millis, limited bool) {
+		t.Helper()
+		fleet, entry := NewFleet(), NewEntry("a", "127.0.0.1:1", "lj-a", "runners", 1).WithStart(7)
+		fleet.Update([]Listing{entry.listing()})
+		fleet.Current().Server("a").RateLimit().Observe(NewStatement(2), 1000)
+		for range 100 {
+			fleet.Update(nil)
+		}
+		fleet.Update([]Listing{entry.WithStart(start).listing()})
+		require.Equal(t, limited, fleet.Current().Server("a").RateLimit().IsLimited())
+	}
+	t.Run("the same run of the server", func(t *testing.T) { expectLimited(t, 7, true) })
+	t.Run("another run", func(t *testing.T) { expectLimited(t, 8, false) })
+}
