Let an answer that was overtaken end no limit

What callers saw: nothing. Found while looking for the cause of LIMIT elsewhere.

Cause: an answer without a limit counted from when it was read. One that the server began before it named its limit, read after another answer with it, or by a node that was frozen meanwhile, ended the limit at all nodes until the next answer.

Evidence: the subtest failed before (the limit had ended) and passes now.

Change: an answer without a limit counts from when its request was sent.

--- a/internal/backend/ratelimit.go
+++ b/internal/backend/ratelimit.go
@@ -99,13 +99,18 @@
 	return statement.perSecond, statement.limited
 }
 
-// Observe records the statement in an answer that this node received. It reports
-// whether the limit changed.
-func (rateLimit *RateLimit) Observe(statement Statement, now clock.Millis) (changed bool) {
+// Observe records the statement in an answer that this node received to a request sent
+// at the time, and reports whether the limit changed. Answers overtake each other, so one
+// without a limit ends a limit only if its request was sent after the limit was named.
+func (rateLimit *RateLimit) Observe(statement Statement, sentAt, now clock.Millis) (changed bool) {
 	if !statement.limited && rateLimit.state.Load() == nil {
 		return false
 	}
-	return rateLimit.apply(statement, now, now, now)
+	at := now
+	if !statement.limited {
+		at = sentAt
+	}
+	return rateLimit.apply(statement, at, now, now)
 }
 
 // Learn records a statement that a peer received at the time.
--- a/internal/backend/ratelimit_nodes_test.go
+++ b/internal/backend/ratelimit_nodes_test.go
@@ -91,7 +91,7 @@
 	if server.told[response.node] == 0 {
 		server.told[response.node] = response.at
 	}
-	server.nodes[response.node].Observe(NewStatement(server.perSecond), response.at)
+	server.nodes[response.node].Observe(NewStatement(server.perSecond), response.at, response.at)
 	server.assign(response.node)
 }
 
--- a/internal/backend/ratelimit_test.go
+++ b/internal/backend/ratelimit_test.go
@@ -23,7 +23,7 @@
 
 func newLimited(perSecond float64) *RateLimit {
 	rateLimit := &RateLimit{}
-	rateLimit.Observe(NewStatement(perSecond), 1000)
+	rateLimit.Observe(NewStatement(perSecond), 1000, 1000)
 	return rateLimit
 }
 
@@ -32,9 +32,14 @@
 	t.Run("a limit", func(t *testing.T) { expectTakes(t, newLimited(8), 0, 1000, 8) })
 	t.Run("a later answer without a limit ends it", func(t *testing.T) {
 		rateLimit := newLimited(8)
-		require.True(t, rateLimit.Observe(NewUnlimited(), 1500))
+		require.True(t, rateLimit.Observe(NewUnlimited(), 1500, 1500))
 		expectTakes(t, rateLimit, 0, 2000, 100)
 	})
+	t.Run("an answer that was overtaken does not end it", func(t *testing.T) {
+		rateLimit := newLimited(8)
+		require.False(t, rateLimit.Observe(NewUnlimited(), 900, 1100))
+		require.True(t, rateLimit.IsLimited())
+	})
 	t.Run("an older report of a peer changes nothing", func(t *testing.T) {
 		rateLimit := newLimited(8)
 		require.False(t, rateLimit.Learn(NewUnlimited(), 900, 1500))
@@ -104,7 +109,7 @@
 		t.Helper()
 		fleet, entry := NewFleet(), NewEntry("a", "127.0.0.1:1", "lj-a", "runners", 1).WithStart(7)
 		fleet.Update([]Listing{entry.listing()})
-		fleet.Current().Server("a").RateLimit().Observe(NewStatement(2), 1000)
+		fleet.Current().Server("a").RateLimit().Observe(NewStatement(2), 1000, 1000)
 		for range 100 {
 			fleet.Update(nil)
 		}
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -29,7 +29,7 @@
 	case verdict != runners.VerdictSuccess:
 		return
 	}
-	if server.RateLimit().Observe(statement, edge.clock.Now()) {
+	if server.RateLimit().Observe(statement, attempts.sentAt, edge.clock.Now()) {
 		edge.assignLimit(server, edge.peers.states.View().Hosts(edge.clock.Now()))
 		edge.logLimit(server, "backend server named another limit")
 	}
