Order what the store says by its era and revision

Cause: revisions were taken for a clock that only rises. After a restore they go back and are given out again: a watch from a revision that exists again misses what came before it, without a 410, and an entry at a lower revision than the one that a node has counted as old. Class: values of two lives of a counter compared as if of one. Store-Era was read nowhere.

Change: a version contains the era and the revision (platform.NewVersion). Registry, lease, usage and demand compare versions as before.

--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -35,7 +35,7 @@
 // fencing token. pools is nil if no demand was ever stored.
 type demandRecord struct {
 	loaded   bool
-	revision int64
+	version  int64
 	pools    map[string]plannedForm
 	storedAt clock.Millis
 }
@@ -51,7 +51,7 @@
 	object, err := edge.leaderTasks.objects.Get(ctx, kindDemand, demandName)
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
-		task.record = demandRecord{loaded: true, revision: platform.VersionNone}
+		task.record = demandRecord{loaded: true, version: platform.VersionNone}
 		return true
 	}
 	var form demandForm
@@ -62,14 +62,14 @@
 		edge.log.Warn().Err(err).Msg("cannot read the planned demand")
 		return false
 	}
-	task.record = demandRecord{loaded: true, revision: object.Version(), pools: form.Pools, storedAt: edge.clock.Now()}
+	task.record = demandRecord{loaded: true, version: object.Version(), pools: form.Pools, storedAt: edge.clock.Now()}
 	for _, poolConfig := range edge.autoscaledPools() {
 		if state := task.forPool(edge.clock, poolConfig); !state.settling.Settled() {
 			planned := form.Pools[poolConfig.Name()]
 			state.autoscaler.Restore(planned.Work, planned.Estimated)
 		}
 	}
-	edge.log.Info().Interface("pools", form.Pools).Int64("revision", object.Version()).Msg("loaded the planned demand")
+	edge.log.Info().Interface("pools", form.Pools).Str("version", platform.FormatVersion(object.Version())).Msg("loaded the planned demand")
 	return true
 }
 
@@ -91,7 +91,7 @@
 		return
 	}
 	edge.counters.storeCalls.Add(1)
-	revision, err := edge.leaderTasks.objects.Put(ctx, kindDemand, demandName, body, task.record.revision)
+	version, err := edge.leaderTasks.objects.Put(ctx, kindDemand, demandName, body, task.record.version)
 	if err != nil {
 		// A successor may have written the object, or this write may be applied late,
 		// so the object is read again.
@@ -99,5 +99,5 @@
 		edge.log.Warn().Err(err).Msg("cannot store the planned demand")
 		return
 	}
-	task.record = demandRecord{loaded: true, revision: revision, pools: pools, storedAt: now}
+	task.record = demandRecord{loaded: true, version: version, pools: pools, storedAt: now}
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -39,11 +39,11 @@
 // follow lists and watches objects of one kind until the context ends.
 func (edge *Edge) follow(ctx context.Context, handler watchHandler) {
 	wait := minRetryWait
-	revision, listed := int64(0), false
+	version, listed := int64(0), false
 	failing := false
 	for ctx.Err() == nil {
 		wokenUp := handler.wakeUp.consume()
-		next, err := edge.followOnce(ctx, handler, revision, listed, failing || wokenUp)
+		next, err := edge.followOnce(ctx, handler, version, listed, failing || wokenUp)
 		var gone *store.HistoryGoneError
 		var tooLarge *store.TooLargeError
 		if errors.As(err, &tooLarge) {
@@ -55,12 +55,12 @@
 			return
 		case err == nil:
 			if failing {
-				edge.log.Info().Str("kind", handler.kind).Int64("revision", next).Msg("regained the platform store")
+				edge.log.Info().Str("kind", handler.kind).Str("version", platform.FormatVersion(next)).Msg("regained the platform store")
 			}
-			revision, listed, failing, wait = next, true, false, minRetryWait
+			version, listed, failing, wait = next, true, false, minRetryWait
 			continue
 		case errors.As(err, &gone):
-			edge.log.Info().Str("kind", handler.kind).Int64("revision", revision).Msg("history of the watch is gone; listing again")
+			edge.log.Info().Str("kind", handler.kind).Str("version", platform.FormatVersion(version)).Msg("history of the watch is gone; listing again")
 			listed = false
 			// The history of the other watch is gone too, but its connection may be
 			// silent and not deliver the error.
@@ -72,7 +72,7 @@
 		}
 		if !failing {
 			failing = true
-			edge.log.Warn().Err(err).Str("kind", handler.kind).Int64("revision", revision).Msg("lost the platform store")
+			edge.log.Warn().Err(err).Str("kind", handler.kind).Str("version", platform.FormatVersion(version)).Msg("lost the platform store")
 		}
 		handler.onFailure(err)
 		edge.transport.CloseIdleConnections()
@@ -83,10 +83,10 @@
 	}
 }
 
-// followOnce lists the objects, or watches them once, and returns the revision
+// followOnce lists the objects, or watches them once, and returns the version
 // to continue from. An immediate watch does not wait: after a failure it shows
 // whether the store is back, and after a wake-up it returns the missed changes.
-func (edge *Edge) followOnce(ctx context.Context, handler watchHandler, revision int64, listed, immediate bool) (int64, error) {
+func (edge *Edge) followOnce(ctx context.Context, handler watchHandler, version int64, listed, immediate bool) (int64, error) {
 	if !listed {
 		listing, err := edge.store.List(ctx, handler.kind, store.FreshnessLatest)
 		edge.counters.storeCalls.Add(1)
@@ -104,7 +104,7 @@
 	}
 	watching, end := handler.wakeUp.watchContext(ctx)
 	defer end()
-	changes, err := edge.store.Watch(watching, handler.kind, revision, wait)
+	changes, err := edge.store.Watch(watching, handler.kind, version, wait)
 	edge.counters.storeCalls.Add(1)
 	if err != nil {
 		return 0, err
@@ -120,7 +120,7 @@
 	if handler.batchDelay != nil && len(changes.All()) > 0 && edge.clock.Wait(ctx, handler.batchDelay()) != nil {
 		return 0, ctx.Err()
 	}
-	return max(revision, changes.AsOf()), nil
+	return max(version, changes.AsOf()), nil
 }
 
 // followConfiguration activates each new configuration.
@@ -131,7 +131,7 @@
 		}
 		offered, err := store.DecodeConfiguration(object)
 		if err != nil {
-			edge.log.Error().Err(err).Int64("revision", object.Revision()).Msg("configuration refused")
+			edge.log.Error().Err(err).Str("version", platform.FormatVersion(object.Version())).Msg("configuration refused")
 			return
 		}
 		if edge.directory.Offer(offered) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -314,7 +314,7 @@
 	if errors.As(err, &conflict) {
 		var existing store.Object
 		if existing, err = edge.store.Get(ctx, kindNodes, host); err == nil && string(existing.Spec()) != string(spec) {
-			_, err = edge.store.Put(ctx, kindNodes, host, spec, existing.Revision())
+			_, err = edge.store.Put(ctx, kindNodes, host, spec, existing.Version())
 		}
 	}
 	if err != nil {
--- /dev/null
+++ b/internal/edge/restore_test.go
@@ -0,0 +1,64 @@
+package edge_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"sapphirehead/internal/standin/storestandin"
+)
+
+// setConfiguration writes the configuration at the version.
+func (fixture *fixture) setConfiguration(version int) {
+	fixture.store.Set("config", "main", strings.Replace(testConfiguration, `"version":3`, fmt.Sprintf(`"version":%d`, version), 1))
+}
+
+// countTo makes unrelated changes until the store is at the revision.
+func (fixture *fixture) countTo(revision int64) {
+	for fixture.store.Revision() < revision {
+		fixture.store.Set("unrelated", "counter", "{}")
+	}
+}
+
+// loseStore cuts the node off the store and waits until it has noticed.
+func (testNode *testNode) loseStore() {
+	testNode.door.SetFault(storestandin.FaultBusy)
+	testNode.log.await("lost the platform store", `"kind":"config"`)
+	testNode.log.await("lost the platform store", `"kind":"servers"`)
+}
+
+// TestRestoredStoreHidesChanges guards against revisions that are compared with those
+// of an earlier era of the store (incident CONFIG, DRAIN).
+func TestRestoredStoreHidesChanges(t *testing.T) {
+	t.Parallel()
+	// restore goes back to the state before 100 revisions that the node has read, makes
+	// the change, and lets the node read again.
+	restore := func(t *testing.T, fixture *fixture, counted int64, change func()) {
+		t.Helper()
+		older := fixture.store.Copy()
+		fixture.countTo(fixture.store.Revision() + 100)
+		fixture.setConfiguration(4)
+		fixture.listServer("app-1", "app", fixture.serve(fixture.apps[1]), "ready")
+		read := fixture.store.Revision()
+		fixture.log.await("configuration active", `"version":4`)
+		fixture.loseStore()
+		fixture.store.Restore(older)
+		change()
+		fixture.countTo(read + counted)
+		fixture.door.SetFault(storestandin.FaultNone)
+	}
+	for name, counted := range map[string]int64{"lower revisions": -10, "revisions counted past": 10} {
+		t.Run("a configuration, "+name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newFixture(t)
+			restore(t, fixture, counted, func() { fixture.setConfiguration(5) })
+			fixture.log.await("configuration active", `"version":5`)
+		})
+		t.Run("a server that leaves, "+name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newFixture(t)
+			restore(t, fixture, counted, func() { fixture.listServer("app-1", "app", "127.0.0.1:1", "draining") })
+			fixture.log.await("backend server leaves", `"app-1"`)
+		})
+	}
+}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -68,7 +68,7 @@
 			if ok {
 				registry.Set(entry, edge.clock.Now())
 			} else {
-				registry.Remove(object.Name(), object.Revision(), edge.clock.Now())
+				registry.Remove(object.Name(), object.Version(), edge.clock.Now())
 			}
 		},
 		onSynced: func() { edge.publishServers(registry) },
--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -25,11 +25,11 @@
 
 // usageTask is the state of the usage reports under one fencing token.
 type usageTask struct {
-	fence    int64
-	record   usage.Record
-	revision int64
-	loaded   bool
-	sent     bool
+	fence   int64
+	record  usage.Record
+	version int64
+	loaded  bool
+	sent    bool
 }
 
 func (task *usageTask) reset() { *task = usageTask{} }
@@ -89,7 +89,7 @@
 	object, err := edge.leaderTasks.objects.Get(ctx, kindUsage, usageName)
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
-		task.loaded, task.sent, task.revision = true, true, platform.VersionNone
+		task.loaded, task.sent, task.version = true, true, platform.VersionNone
 		return true
 	}
 	var form usageForm
@@ -100,7 +100,7 @@
 		edge.log.Warn().Err(err).Msg("cannot read the committed usage")
 		return false
 	}
-	task.loaded, task.sent, task.revision = true, false, object.Version()
+	task.loaded, task.sent, task.version = true, false, object.Version()
 	task.record = usage.NewRecord(form.Window, form.Counts)
 	return true
 }
@@ -114,14 +114,14 @@
 		return false
 	}
 	edge.counters.storeCalls.Add(1)
-	revision, err := edge.leaderTasks.objects.Put(ctx, kindUsage, usageName, body, task.revision)
+	version, err := edge.leaderTasks.objects.Put(ctx, kindUsage, usageName, body, task.version)
 	if err != nil {
 		// The outcome of the write is unknown, so the stored window is read again.
 		task.reset()
 		edge.log.Warn().Err(err).Int64("window", record.Window()).Msg("cannot commit the usage")
 		return false
 	}
-	task.record, task.revision, task.sent = record, revision, false
+	task.record, task.version, task.sent = record, version, false
 	return true
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -26,7 +26,7 @@
 // TablesName is the name of the one object that holds both tables.
 const TablesName = "current"
 
-// VersionNone is the condition that an object must not exist yet.
+// VersionNone is the condition that an object must not exist yet, in any era.
 const VersionNone int64 = 0
 
 // Object is one stored object at one version.
@@ -82,6 +82,7 @@
 type NotFoundError struct {
 	kind string
 	name string
+	era  int64
 }
 
 // NewNotFoundError returns an error for the object.
@@ -89,6 +90,14 @@
 	return &NotFoundError{kind: kind, name: name}
 }
 
+// InEra returns a copy for a store that is in the era.
+func (err *NotFoundError) InEra(era int64) *NotFoundError {
+	return &NotFoundError{kind: err.kind, name: err.name, era: era}
+}
+
+// Version returns the condition under which the object can be created.
+func (err *NotFoundError) Version() int64 { return NewVersion(err.era, VersionNone) }
+
 func (err *NotFoundError) Error() string {
 	return fmt.Sprintf("object %s/%s does not exist", err.kind, err.name)
 }
--- a/internal/standin/storestandin/endpoint.go
+++ b/internal/standin/storestandin/endpoint.go
@@ -95,6 +95,7 @@
 		refuse(fault, writer, request)
 		return
 	}
+	writer.Header().Set("Store-Era", strconv.FormatInt(endpoint.store.currentEra(), 10))
 	switch request.Method {
 	case http.MethodGet:
 		endpoint.read(writer, request, kind, name)
--- a/internal/standin/storestandin/store.go
+++ b/internal/standin/storestandin/store.go
@@ -12,6 +12,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -69,6 +70,7 @@
 	objects           map[string]object
 	changes           []change
 	compactedRevision int64
+	era               int64
 	pageSize          int
 	watchCuts         int
 	delayedWrites     []func()
@@ -81,7 +83,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	store := &Store{revision: 1, objects: map[string]object{}, pageSize: defaultPageSize, changed: make(chan struct{})}
+	store := &Store{revision: 1, era: 1, objects: map[string]object{}, pageSize: defaultPageSize, changed: make(chan struct{})}
 	store.defaultEndpoint = store.NewEndpoint()
 	return store
 }
@@ -141,6 +143,44 @@
 	store.wakeWatches()
 }
 
+// Copy is the state of a store that it can be restored to.
+type Copy struct {
+	revision int64
+	objects  map[string]object
+	changes  []change
+}
+
+// Copy returns a copy of the state.
+func (store *Store) Copy() *Copy {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return &Copy{revision: store.revision, objects: maps.Clone(store.objects), changes: slices.Clone(store.changes)}
+}
+
+// Restore goes back to the copy and begins a new era. Watches are cut.
+func (store *Store) Restore(older *Copy) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.era++
+	store.revision, store.objects, store.changes = older.revision, maps.Clone(older.objects), slices.Clone(older.changes)
+	store.watchCuts++
+	store.wakeWatches()
+}
+
+// Revision returns the current revision.
+func (store *Store) Revision() int64 {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.revision
+}
+
+// currentEra returns the number of restores, from 1.
+func (store *Store) currentEra() int64 {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.era
+}
+
 // ApplyDelayed applies the delayed writes, oldest first, and returns their number.
 func (store *Store) ApplyDelayed() int {
 	store.mutex.Lock()
@@ -235,7 +275,7 @@
 func (store *Store) snapshotSince(kind string, since int64) watchSnapshot {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	snapshot := watchSnapshot{events: []eventForm{}, asOf: store.revision, compacted: since < store.compactedRevision, watchCuts: store.watchCuts, changed: store.changed}
+	snapshot := watchSnapshot{events: []eventForm{}, asOf: store.revision, compacted: since < store.compactedRevision || since > store.revision, watchCuts: store.watchCuts, changed: store.changed}
 	for _, change := range store.changes {
 		if change.object.kind == kind && change.object.revision > since {
 			snapshot.events = append(snapshot.events, eventForm{Object: change.object.form(), Deleted: change.deleted})
