Report no window again that the store has lost

Cause: the store's record of the latest reported window went back with it. The next holder, or the same one after a refused write, took the record for the latest and reported the windows after it again, with the counts that it knew: fewer, if it had started since.

TestLostUsageIsReportedAgain found one conflict in each subtest before, and none now.

Change: bulletins carry the latest window that was committed, and a holder goes on after the latest that any node knows. If the record is of an earlier era and nobody knows more, it goes on after the latest window that may have been reported: one missed window costs less than a false one.

--- a/internal/edge/bulletins.go
+++ b/internal/edge/bulletins.go
@@ -107,7 +107,8 @@
 	})
 	host := edge.settings.Load().Host()
 	return node.NewBulletin(host, peers.socket.Address(), peers.incarnation, peers.sequence.Load(), edge.clock.Wall(), edge.stopping.Load()).
-		WithUptime(edge.clock.Now()-edge.meters.start).WithConfiguration(edge.configurationVersion(), ageOf(&edge.storeResponses.configuration, edge.clock.Now())).WithLeaving(edge.leavingServers()).WithUsage(accounts, servers, pools, windows).
+		WithUptime(edge.clock.Now()-edge.meters.start).WithReportedWindow(peers.reportedWindow.Load()).
+		WithConfiguration(edge.configurationVersion(), ageOf(&edge.storeResponses.configuration, edge.clock.Now())).WithLeaving(edge.leavingServers()).WithUsage(accounts, servers, pools, windows).
 		WithServerLimits(edge.serverLimits(receivers, edge.clock.Now())).WithEvidence(edge.quarantine.Evidence(edge.clock.Now()))
 }
 
--- a/internal/edge/leadertasks_test.go
+++ b/internal/edge/leadertasks_test.go
@@ -152,6 +152,38 @@
 	})
 }
 
+// TestLostUsageIsReportedAgain guards against a window that is reported twice with other
+// counts after the store lost the first report (incident ONE).
+func TestLostUsageIsReportedAgain(t *testing.T) {
+	t.Parallel()
+	// expectOnce lets a node report requests, restores the store to its state before, and
+	// replaces the node by a new process.
+	expectOnce := func(t *testing.T, peers ...string) {
+		t.Helper()
+		t.Parallel()
+		fixture, checker := newFixture(t), newChecker(t)
+		checker.awaitCallsOf(fixture, "edge-1", 1)
+		for _, peer := range peers {
+			fixture.startReady(peer)
+		}
+		var older *storestandin.Copy
+		for reported := false; !reported; {
+			older = fixture.store.Copy()
+			require.Equal(t, http.StatusOK, fixture.call(http.MethodPost, "/book/a").status)
+			call := fixture.nextCall()
+			checker.check(call)
+			reported = call.Path() == "/usage" && usageIn(t, call)["garage"] > 0
+		}
+		fixture.kill()
+		require.NoError(t, fixture.awaitEnd())
+		fixture.store.Restore(older)
+		fixture.start("edge-1", fixture.store).log.awaitCount("usage reported", 8)
+		require.Zero(t, fixture.duty.Conflicts())
+	}
+	t.Run("no other node knows of it", func(t *testing.T) { expectOnce(t) })
+	t.Run("a peer knows of it", func(t *testing.T) { expectOnce(t, "edge-2") })
+}
+
 // TestLeaderTaskCallFaults checks that reports continue without conflicts after a
 // call to the API was refused, was applied without a response, or is applied late.
 func TestLeaderTaskCallFaults(t *testing.T) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -64,6 +64,8 @@
 	// last caused a read.
 	newerConfiguration int64
 	newerSince         clock.Millis
+	// reportedWindow is the latest window whose usage is known to have been committed.
+	reportedWindow atomic.Int64
 	// loggedNodes is the number of nodes that was last logged.
 	loggedNodes int
 	// limitsAssigned is when nodes were last assigned to servers with limits.
@@ -103,6 +105,16 @@
 	return existing.(*demand)
 }
 
+// recordReportedWindow records that the usage of the window was committed.
+func (peers *peers) recordReportedWindow(window int64) {
+	for {
+		latest := peers.reportedWindow.Load()
+		if window <= latest || peers.reportedWindow.CompareAndSwap(latest, window) {
+			return
+		}
+	}
+}
+
 // nodes returns the number of nodes that share limits.
 func (edge *Edge) nodes() int {
 	return max(1, edge.peers.states.View().Nodes(edge.clock.Now()))
@@ -216,6 +228,7 @@
 	now := edge.clock.Now()
 	edge.compareConfiguration(bulletin.Configuration(), now)
 	edge.quarantine.Merge(bulletin.Evidence(), now)
+	edge.peers.recordReportedWindow(bulletin.ReportedWindow())
 	added, demanded, sent := edge.peers.states.Receive(bulletin, now)
 	edge.applyServerLimits(bulletin.ServerLimits(), sent, now)
 	for _, amount := range added {
--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -21,6 +21,8 @@
 type usageForm struct {
 	Window int64            `json:"window"`
 	Counts map[string]int64 `json:"counts"`
+	// Era is the era of the store in which the window was committed.
+	Era int64 `json:"era,omitempty"`
 }
 
 // usageTask is the state of the usage reports under one fencing token.
@@ -82,33 +84,43 @@
 }
 
 // loadUsage reads the latest committed window, which is then sent again, as a
-// predecessor may have died before it sent it.
+// predecessor may have died before it sent it. If the store has lost later ones, the
+// report goes on after the latest window that any node knows of: what was sent for the
+// lost ones is unknown, and a window must not be sent twice with other counts.
 func (edge *Edge) loadUsage(ctx context.Context) bool {
 	task := edge.leaderTasks.usage
 	edge.counters.storeCalls.Add(1)
 	object, err := edge.leaderTasks.objects.Get(ctx, kindUsage, usageName)
 	var missing *platform.NotFoundError
-	if errors.As(err, &missing) {
-		task.loaded, task.sent, task.version = true, true, platform.VersionNone
-		return true
-	}
 	var form usageForm
-	if err == nil {
+	version := object.Version()
+	switch {
+	case errors.As(err, &missing):
+		version = missing.Version()
+	case err == nil:
 		err = json.Unmarshal(object.Body(), &form)
 	}
-	if err != nil {
+	if err != nil && missing == nil {
 		edge.log.Warn().Err(err).Msg("cannot read the committed usage")
 		return false
 	}
-	task.loaded, task.sent, task.version = true, false, object.Version()
+	task.loaded, task.sent, task.version = true, false, version
 	task.record = usage.NewRecord(form.Window, form.Counts)
+	known := edge.peers.reportedWindow.Load()
+	if missing != nil || (form.Era != platform.EraOf(version) && known < form.Window) {
+		known = max(known, usage.LatestSettled(edge.trueTime(), edge.settings.Load().Bounds().UsageWindow()))
+	}
+	if known > form.Window {
+		edge.log.Warn().Int64("window", form.Window).Int64("known", known).Msg("usage reports go on after a window that the store does not have")
+		task.record, task.sent = usage.NewRecord(known, nil), true
+	}
 	return true
 }
 
 // commitUsage stores a window's counts before they are sent.
 func (edge *Edge) commitUsage(ctx context.Context, record usage.Record) bool {
 	task := edge.leaderTasks.usage
-	body, err := json.Marshal(usageForm{Window: record.Window(), Counts: record.Counts()})
+	body, err := json.Marshal(usageForm{Window: record.Window(), Counts: record.Counts(), Era: platform.EraOf(task.version)})
 	if err != nil {
 		edge.log.Error().Err(err).Msg("cannot encode the usage")
 		return false
@@ -122,6 +134,8 @@
 		return false
 	}
 	task.record, task.version, task.sent = record, version, false
+	edge.peers.recordReportedWindow(record.Window())
+	signal(edge.peers.urgent)
 	return true
 }
 
--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -93,6 +93,7 @@
 	configurationAge clock.Millis
 	evidence         quarantine.Evidence
 	serverLimits     []ServerLimit
+	reportedWindow   int64
 }
 
 // NewBulletin returns a bulletin of the process on the host, which receives
@@ -112,6 +113,17 @@
 // about the configuration.
 func (bulletin Bulletin) ConfigurationAge() clock.Millis { return bulletin.configurationAge }
 
+// WithReportedWindow returns a copy with the latest window whose usage the sender knows to
+// have been committed for a report, or 0.
+func (bulletin Bulletin) WithReportedWindow(window int64) Bulletin {
+	bulletin.reportedWindow = window
+	return bulletin
+}
+
+// ReportedWindow returns the latest window whose usage the sender knows to have been
+// committed for a report, or 0.
+func (bulletin Bulletin) ReportedWindow() int64 { return bulletin.reportedWindow }
+
 // WithUptime returns a copy with the time since the start of the sender's process.
 func (bulletin Bulletin) WithUptime(uptime clock.Millis) Bulletin {
 	bulletin.uptime = uptime
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -30,6 +30,7 @@
 	message.SetLeaving(bulletin.Leaving())
 	message.SetUptimeMillis(int64(bulletin.Uptime()))
 	message.SetConfigurationAgeMillis(int64(bulletin.ConfigurationAge()))
+	message.SetReportedWindow(bulletin.ReportedWindow())
 	encodeAccounts(message, bulletin)
 	encodeServers(message, bulletin.Servers())
 	encodeServerLimits(message, bulletin.ServerLimits())
@@ -173,7 +174,7 @@
 	}
 	return node.NewBulletin(message.GetHost(), message.GetAddress(), message.GetIncarnation(), message.GetSequence(),
 		clock.Millis(message.GetWallMillis()), message.GetStopping()).
-		WithConfiguration(message.GetConfiguration(), clock.Millis(message.GetConfigurationAgeMillis())).WithLeaving(message.GetLeaving()).WithUptime(clock.Millis(message.GetUptimeMillis())).
+		WithConfiguration(message.GetConfiguration(), clock.Millis(message.GetConfigurationAgeMillis())).WithLeaving(message.GetLeaving()).WithUptime(clock.Millis(message.GetUptimeMillis())).WithReportedWindow(message.GetReportedWindow()).
 		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence).WithServerLimits(limits), nil
 }
 
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -28,11 +28,17 @@
 // WindowAt returns the number of the window that contains the time.
 func WindowAt(trueTime, length clock.Millis) int64 { return int64(trueTime / length) }
 
+// LatestSettled returns the latest window that may have been reported by the time: one
+// whose runs all nodes have had time to tell.
+func LatestSettled(trueTime, length clock.Millis) int64 {
+	return WindowAt(trueTime-settleDelay, length) - 1
+}
+
 // NextDue returns the first window after the last reported one that can be
 // reported at the time, and false if there is none. Windows whose report would be
 // later than maxDelay are skipped.
 func NextDue(last int64, trueTime, length, maxDelay clock.Millis) (int64, bool) {
-	newest := WindowAt(trueTime-settleDelay, length) - 1
+	newest := LatestSettled(trueTime, length)
 	oldest := WindowAt(trueTime-maxDelay, length)
 	next := max(last+1, oldest)
 	return next, next <= newest
