Keep servers that a restored store lacks until they have written again

Cause: entries that lapse in an outage are kept for a grace period after it, but a restore that a node sees only as 410 was no outage: servers of the lost seconds were dropped at once, although they live and write again.

Evidence: the subtest of TestRegistry failed before (the server was dropped at once) and passes now.

Change: a list of a later era begins the grace period.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/platform"
 )
 
 // NoticeUnknown is the notice of a leaving server whose end is unknown.
@@ -15,7 +16,7 @@
 	address     string
 	dataCentre  string
 	pool        string
-	revision    int64
+	version     int64
 	slots       int
 	start       clock.Millis
 	reclaimable bool
@@ -23,10 +24,10 @@
 	notice      clock.Millis
 }
 
-// NewEntry returns the entry of a server that accepts requests, at the revision
+// NewEntry returns the entry of a server that accepts requests, at the version
 // of the list.
-func NewEntry(id, address, dataCentre, pool string, revision int64) Entry {
-	return Entry{id: id, address: address, dataCentre: dataCentre, pool: pool, revision: revision}
+func NewEntry(id, address, dataCentre, pool string, version int64) Entry {
+	return Entry{id: id, address: address, dataCentre: dataCentre, pool: pool, version: version}
 }
 
 // ID returns the server's id.
@@ -38,8 +39,8 @@
 // DataCentre returns the data centre in which the server runs.
 func (entry Entry) DataCentre() string { return entry.dataCentre }
 
-// Revision returns the revision of the list at which the entry changed.
-func (entry Entry) Revision() int64 { return entry.revision }
+// Version returns the version of the list at which the entry changed.
+func (entry Entry) Version() int64 { return entry.version }
 
 // Leaving reports whether the server accepts no new requests.
 func (entry Entry) Leaving() bool { return entry.leaving }
@@ -89,12 +90,14 @@
 //	outage from 10 s to 15 s; entry of s-1 removed at 15 s -> kept until 16.8 s
 //	no outage; entry of s-2 removed at 30 s                -> dropped at 30 s
 //
-// The entry of a leaving server is dropped at once. A registry must be used by one
+// So is one that a restored store lacks, as the server writes it again. The entry of a
+// leaving server is dropped at once. A registry must be used by one
 // goroutine.
 type Registry struct {
 	entries        map[string]Entry
 	kept           map[string]Entry
 	noticedAt      map[string]clock.Millis
+	asOf           int64
 	availableSince clock.Millis
 	unavailable    bool
 	grace          clock.Millis
@@ -120,25 +123,29 @@
 	}
 }
 
-// Replace applies a complete list as of a revision. Entries that the registry
-// has at a later revision are kept.
+// Replace applies a complete list as of a version. Entries that the registry
+// has at a later version are kept.
 func (registry *Registry) Replace(list []Entry, asOf int64, now clock.Millis) {
+	if registry.asOf != 0 && platform.EraOf(asOf) > platform.EraOf(registry.asOf) {
+		registry.unavailable, registry.availableSince = false, now
+	}
+	registry.asOf = max(registry.asOf, asOf)
 	listed := make(map[string]bool, len(list))
 	for _, entry := range list {
 		listed[entry.id] = true
 		registry.Set(entry, now)
 	}
 	for id, entry := range registry.entries {
-		if !listed[id] && entry.revision <= asOf {
+		if !listed[id] && entry.version <= asOf {
 			registry.Remove(id, asOf, now)
 		}
 	}
 }
 
-// Set applies one entry unless the registry has it at this revision or a later one.
+// Set applies one entry unless the registry has it at this version or a later one.
 func (registry *Registry) Set(entry Entry, now clock.Millis) {
 	current, ok := registry.entries[entry.id]
-	if ok && current.revision >= entry.revision {
+	if ok && current.version >= entry.version {
 		return
 	}
 	delete(registry.kept, entry.id)
@@ -148,10 +155,10 @@
 	}
 }
 
-// Remove applies the removal of an entry at the revision.
-func (registry *Registry) Remove(id string, revision int64, now clock.Millis) {
+// Remove applies the removal of an entry at the version.
+func (registry *Registry) Remove(id string, version int64, now clock.Millis) {
 	entry, ok := registry.entries[id]
-	if !ok || entry.revision > revision {
+	if !ok || entry.version > version {
 		return
 	}
 	delete(registry.entries, id)
--- a/internal/backend/registry_test.go
+++ b/internal/backend/registry_test.go
@@ -8,6 +8,7 @@
 
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/platform"
 )
 
 const testGrace = 1800 * clock.Millisecond
@@ -47,6 +48,13 @@
 		expectListed(t, registry, end-1, "a")
 		require.Empty(t, registry.List(end))
 	})
+	t.Run("an entry that a restored store lacks is kept for the grace", func(t *testing.T) {
+		registry := backend.NewRegistry(testGrace)
+		registry.Replace([]backend.Entry{newEntry("a", platform.NewVersion(1, 8)), newEntry("b", platform.NewVersion(1, 9))}, platform.NewVersion(1, 9), 0)
+		registry.Replace([]backend.Entry{newEntry("a", platform.NewVersion(2, 8))}, platform.NewVersion(2, 8), 30000)
+		expectListed(t, registry, 30000+testGrace-1, "a", "b")
+		expectListed(t, registry, 30000+testGrace, "a")
+	})
 	t.Run("an entry written again within the grace stays", func(t *testing.T) {
 		registry := backend.NewRegistry(testGrace)
 		registry.Replace([]backend.Entry{newEntry("a", 1)}, 2, 0)
