Deny no route that a peer's newer configuration may have

Cause: a node that starts after a restore reads the older configuration from the store, which answers at once, and took it for the newest: 404 for a route that was confirmed and that its peers serve.

Evidence: TestNewNodeBelievesRestoredStore got 404 before, and 503 now.

Change: a configuration counts as fresh only if no live peer has a newer one.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -267,10 +267,15 @@
 }
 
 // isConfigurationFresh reports whether the version was the newest one at the store a
-// short time ago, as this node or a peer has read.
+// short time ago, as this node or a peer has read, and no peer has a newer one. A store
+// that was restored may lack what peers still have.
 func (edge *Edge) isConfigurationFresh(version int64, now clock.Millis) bool {
+	view := edge.peers.states.View()
+	if view.HasNewerConfiguration(version, now) {
+		return false
+	}
 	return ageOf(&edge.storeResponses.configuration, now) <= maxConfigurationAge ||
-		edge.peers.states.View().ConfirmsConfiguration(version, maxConfigurationAge, now)
+		view.ConfirmsConfiguration(version, maxConfigurationAge, now)
 }
 
 func (requestContext *requestContext) refuseOverLimit(err error) {
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"sapphirehead/internal/standin/storestandin"
 )
 
@@ -62,3 +65,19 @@
 		})
 	}
 }
+
+// TestNewNodeBelievesRestoredStore guards against a node that starts after a restore and
+// denies a route that its peers know (incident CONFIG).
+func TestNewNodeBelievesRestoredStore(t *testing.T) {
+	t.Parallel()
+	fixture := newFixture(t)
+	older := fixture.store.Copy()
+	fixture.store.Set("config", "main", strings.NewReplacer(`"version":3`, `"version":4`, "/look/open/", "/added/").Replace(testConfiguration))
+	fixture.log.await("configuration active", `"version":4`)
+	fixture.loseStore()
+	fixture.store.Restore(older)
+	started := fixture.startReady("edge-2")
+	started.log.await("a peer node has a newer configuration")
+	require.Equal(t, http.StatusServiceUnavailable, fixture.callAt(started, http.MethodPost, "/added/a").status)
+	fixture.door.SetFault(storestandin.FaultNone)
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -288,6 +288,17 @@
 	return confirmed
 }
 
+// HasNewerConfiguration reports whether a live peer has a newer configuration than the
+// version.
+func (view *PeerView) HasNewerConfiguration(version int64, now clock.Millis) bool {
+	for _, state := range view.peers {
+		if view.isLive(state, now) && state.latest.configuration > version {
+			return true
+		}
+	}
+	return false
+}
+
 // Leaving returns the hashes of the keys of backend servers that live peers
 // report as leaving.
 func (view *PeerView) Leaving(now clock.Millis) map[uint64]bool {
