Write a node's object again after the store lost it

Cause: a node wrote the object by which others find it once, and never again. One that started in the lost seconds stayed unlisted, so nodes that start later could not find it.

Evidence: TestNodeStaysUnlisted waited 2 minutes in vain before, and passes now.

Change: a node whose object a list of a later era lacks writes it again.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -272,10 +272,10 @@
 // discoverPeers keeps this node's object in the store and reads those of its
 // peers.
 func (edge *Edge) discoverPeers(ctx context.Context) {
-	written := false
+	var written nodeObject
 	for {
-		if !written {
-			written = edge.writeNode(ctx)
+		if written.version == 0 {
+			written = edge.writeNode(ctx, written)
 		}
 		listing, err := edge.store.List(ctx, kindNodes, store.FreshnessStaleOK)
 		edge.counters.storeCalls.Add(1)
@@ -301,6 +301,10 @@
 		case <-ctx.Done():
 			return
 		}
+		if err == nil && !listed && platform.EraOf(listing.AsOf()) > platform.EraOf(written.version) {
+			// The store was restored and has lost the object.
+			written.version = 0
+		}
 		wait := max(nodesInterval, nodesIntervalPerNode*clock.Millis(edge.nodes()))
 		if err != nil || !listed || len(listing.Objects()) == 1 {
 			wait = nodesInterval / 4
@@ -311,30 +315,41 @@
 	}
 }
 
-// writeNode writes the object by which this node is discovered. It reports
-// false if the write must be tried again.
-func (edge *Edge) writeNode(ctx context.Context) bool {
+// nodeObject is what this process knows of the object by which the node is discovered.
+type nodeObject struct {
+	// version is that of the object, or 0 if it must be written.
+	version int64
+	// known is set once the process has found out whether it is the first on its host.
+	known bool
+}
+
+// writeNode writes the object by which this node is discovered.
+func (edge *Edge) writeNode(ctx context.Context, written nodeObject) nodeObject {
 	spec, err := json.Marshal(nodeForm{Address: edge.peers.socket.Address()})
 	if err != nil {
 		edge.log.Error().Err(err).Msg("cannot encode the object of this node")
-		return true
+		return written
 	}
 	host := edge.settings.Load().Host()
 	edge.counters.storeCalls.Add(1)
-	_, err = edge.store.Put(ctx, kindNodes, host, spec, platform.VersionNone)
+	version, err := edge.store.Put(ctx, kindNodes, host, spec, platform.VersionNone)
 	first := err == nil
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
 		var existing store.Object
-		if existing, err = edge.store.Get(ctx, kindNodes, host); err == nil && string(existing.Spec()) != string(spec) {
-			_, err = edge.store.Put(ctx, kindNodes, host, spec, existing.Version())
+		existing, err = edge.store.Get(ctx, kindNodes, host)
+		version = existing.Version()
+		if err == nil && string(existing.Spec()) != string(spec) {
+			version, err = edge.store.Put(ctx, kindNodes, host, spec, version)
 		}
 	}
 	if err != nil {
 		edge.log.Warn().Err(err).Msg("cannot write the object of this node")
-		return false
+		return written
+	}
+	if !written.known {
+		edge.meters.firstOnHost.Store(first)
 	}
-	edge.meters.firstOnHost.Store(first)
 	edge.log.Info().Str("address", edge.peers.socket.Address()).Bool("first", first).Msg("object of this node written")
-	return true
+	return nodeObject{version: version, known: true}
 }
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -81,3 +81,15 @@
 	require.Equal(t, http.StatusServiceUnavailable, fixture.callAt(started, http.MethodPost, "/added/a").status)
 	fixture.door.SetFault(storestandin.FaultNone)
 }
+
+// TestNodeStaysUnlisted guards against a node that others can't find after the store
+// lost its object.
+func TestNodeStaysUnlisted(t *testing.T) {
+	t.Parallel()
+	fixture := newEmptyFixture(t)
+	older := fixture.store.Copy()
+	fixture.testNode = fixture.startReady("edge-1")
+	fixture.store.Restore(older)
+	fixture.log.awaitCount("object of this node written", 2)
+	require.NotEmpty(t, fixture.store.Spec("sapphire-nodes", "edge-1"))
+}
