--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -160,6 +160,23 @@
 	})
 }
 
+// TestRefusalOfAnotherRequest guards against a refusal that a server repeats on a kept
+// connection and that counts for the next request there, which runs.
+func TestRefusalOfAnotherRequest(t *testing.T) {
+	expectRuns := func(t *testing.T, path string, status, runs int) {
+		t.Helper()
+		fixture := newFixture(t)
+		for _, server := range fixture.apps {
+			server.SetBehaviours(enginestandin.BehaviourRefuse, enginestandin.BehaviourRepeatRefusal)
+		}
+		require.Equal(t, http.StatusServiceUnavailable, fixture.call(http.MethodPost, "/book/a").status)
+		require.Equal(t, status, fixture.call(http.MethodPost, path).status)
+		require.Equal(t, runs, countRuns(fixture.apps))
+	}
+	t.Run("a request that may run once", func(t *testing.T) { expectRuns(t, "/book/a", http.StatusBadGateway, 1) })
+	t.Run("a request that may run again", func(t *testing.T) { expectRuns(t, "/look/a", http.StatusBadGateway, 2) })
+}
+
 // TestResume checks that a caller gets a complete stream without an interruption
 // if the stream breaks off at one server and resumes at the other.
 func TestResume(t *testing.T) {
--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -37,6 +37,8 @@
 	BehaviourTruncate
 	// BehaviourWrongRequest: executes the request and sends the response of another one.
 	BehaviourWrongRequest
+	// BehaviourRepeatRefusal: executes the request and sends the refusal of another one.
+	BehaviourRepeatRefusal
 	// BehaviourBreakStream: closes the connection in the middle of a stream's event.
 	BehaviourBreakStream
 	// BehaviourGarbage: executes the request and sends bytes that are no HTTP response.
@@ -288,6 +290,10 @@
 	case BehaviourWrongRequest:
 		header.Set("X-Request-Id", "another")
 		writer.Write([]byte("not yours"))
+	case BehaviourRepeatRefusal:
+		header.Set("X-Request-Id", "another")
+		header.Set("X-Not-Executed", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
 	case BehaviourGarbage:
 		engine.sendRaw(writer, "\x00\x01 no answer at all\r\n\r\n")
 	case BehaviourExtra:
