Take no error and no empty answer for the rest of a stream

Cause: once a stream had broken off, a next server's 4xx counted as the answer and was delivered into the begun stream, as was an answer that is no stream; a stream without an event ended the response with its end mark.

Evidence: TestErrorWithinStream: a rejection, a text and a stream without events each ended the caller's response as complete before, and break it off now. A failure (500) did so before.

Change: what can't continue the stream is a failed attempt, and is logged.

--- a/internal/backend/backendlink/exchange.go
+++ b/internal/backend/backendlink/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"strconv"
@@ -275,6 +276,12 @@
 	return len(line) == 1 || (len(line) == 2 && line[0] == '\r')
 }
 
+// IsEventStream reports whether a response with the header is a stream of events.
+func IsEventStream(header http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
 // EventID returns the id of an event, and false if it has none.
 func EventID(event []byte) (string, bool) {
 	for line := range strings.Lines(string(event)) {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -265,6 +265,9 @@
 			Int("status", response.Status()).Msg("response cannot be attributed to the request")
 		return request.OutcomeLost
 	case runners.VerdictFailure:
+		if attempts.retrier.ResponseStarted() {
+			return attempts.rejectContinuation(server, response)
+		}
 		if outcome := attempts.buffer(response); outcome != request.OutcomeAnswered {
 			return outcome
 		}
@@ -274,6 +277,9 @@
 		}
 		return request.OutcomeAnswered
 	default:
+		if attempts.retrier.ResponseStarted() && !backendlink.IsEventStream(response.Header()) {
+			return attempts.rejectContinuation(server, response)
+		}
 		if requestContext.route.Streaming() {
 			return attempts.stream(response, markRead)
 		}
@@ -286,6 +292,15 @@
 	}
 }
 
+// rejectContinuation handles a response that can't be the rest of the stream that the
+// caller has a part of.
+func (attempts *attempts) rejectContinuation(server *backend.Server, response *backendlink.Response) request.Outcome {
+	attempts.requestContext.edge.log.Warn().Str("requestId", attempts.requestContext.call.ID()).Str("backendServer", server.ID()).
+		Int("status", response.Status()).Str("contentType", response.Header().Get("Content-Type")).Str("lastEvent", attempts.lastEvent).
+		Msg("response does not continue the stream")
+	return request.OutcomeFailed
+}
+
 // speed returns what this node has learned about the pool's servers.
 func (attempts *attempts) speed() *placement.Speed {
 	return attempts.requestContext.edge.placement.Speed(attempts.requestContext.pool)
@@ -357,6 +372,10 @@
 	var firstEvent clock.Millis
 	for events := 0; ; events++ {
 		event, err := backendlink.ReadEvent(reader)
+		if errors.Is(err, io.EOF) && events == 0 && attempts.retrier.ResponseStarted() {
+			// It doesn't show that the events before it were all.
+			return attempts.rejectContinuation(requestContext.choice.Server(), response)
+		}
 		if errors.Is(err, io.EOF) {
 			attempts.speed().ObserveStream(firstEvent, requestContext.edge.clock.Now()-attempts.sentAt, events)
 			if !attempts.retrier.ResponseStarted() {
--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -190,6 +190,36 @@
 	}
 }
 
+// TestErrorWithinStream guards against a stream that broke off and that the next server's
+// error, or its lack of events, is taken for the rest of.
+func TestErrorWithinStream(t *testing.T) {
+	expectBroken := func(t *testing.T, next enginestandin.Behaviour) {
+		t.Helper()
+		fixture := newFixture(t)
+		broken := false
+		for _, server := range fixture.chats {
+			server.SetBehaviourFunc(func() enginestandin.Behaviour {
+				if broken {
+					return next
+				}
+				broken = true
+				return enginestandin.BehaviourBreakStream
+			})
+		}
+		got := fixture.call(http.MethodPost, "/resume/a")
+		require.Error(t, got.err)
+		require.NotEmpty(t, got.body)
+		require.True(t, strings.HasPrefix(wholeStream(), got.body), got.body)
+		require.True(t, strings.HasSuffix(got.body, "\n\n"), got.body)
+	}
+	for name, behaviour := range map[string]enginestandin.Behaviour{
+		"a rejection": enginestandin.BehaviourReject, "a failure": enginestandin.BehaviourFail,
+		"a text": enginestandin.BehaviourPlain, "no event": enginestandin.BehaviourEmpty,
+	} {
+		t.Run(name, func(t *testing.T) { expectBroken(t, behaviour) })
+	}
+}
+
 func TestDeny(t *testing.T) {
 	fixture := newFixture(t)
 	expectStatus := func(t *testing.T, path string, status int, edit ...func(*http.Request)) {
--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -27,6 +27,12 @@
 	BehaviourRefuse
 	// BehaviourFail: executes the request and responds with status 500.
 	BehaviourFail
+	// BehaviourReject: executes the request and responds with status 400 and a text.
+	BehaviourReject
+	// BehaviourPlain: executes the request and responds with a text in place of a stream.
+	BehaviourPlain
+	// BehaviourEmpty: executes the request and responds with a stream without events.
+	BehaviourEmpty
 	// BehaviourBusy: executes the request and responds with status 503, without the
 	// header that marks a request as not executed.
 	BehaviourBusy
@@ -279,6 +285,15 @@
 	switch behaviour {
 	case BehaviourFail:
 		writer.WriteHeader(http.StatusInternalServerError)
+	case BehaviourReject:
+		writer.WriteHeader(http.StatusBadRequest)
+		writer.Write([]byte("the prompt is too long"))
+	case BehaviourPlain:
+		header.Set("Content-Type", "text/plain")
+		writer.Write([]byte("id: 9\ndata: no stream\n\n"))
+	case BehaviourEmpty:
+		header.Set("Content-Type", "text/event-stream")
+		writer.WriteHeader(http.StatusOK)
 	case BehaviourBusy:
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	case BehaviourCut:
