--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -281,15 +281,16 @@
 		return false
 	}
 	elapsed := lease.clock.Now() - lease.observedAt
+	isOver := elapsed >= max(record.duration, lease.duration)+takeoverDelay
 	switch {
 	case record.era != EraOf(lease.version):
-		return elapsed >= max(record.duration, lease.duration)+takeoverDelay
+		return isOver
 	case RevisionOf(lease.version) == VersionNone || record.released:
 		return elapsed >= takeoverDelay
 	case record.incarnation == lease.incarnation, lease.exclusiveHost && record.holder == lease.holder:
 		return true
 	default:
-		return elapsed >= max(record.duration, lease.duration)+takeoverDelay
+		return isOver
 	}
 }
 
--- a/internal/standin/soak/incidents.go
+++ b/internal/standin/soak/incidents.go
@@ -26,6 +26,10 @@
 	lateArrivals = 3
 	// incidentPause is the mean time between two incidents.
 	incidentPause = 1500 * clock.Millisecond
+	// restorePause is the mean time between two restores of the store, and maxCopyAge the
+	// age of the copies.
+	restorePause = 2500 * clock.Millisecond
+	maxCopyAge   = 3 * clock.Second
 )
 
 // limits are the limits that a backend server may name, in requests per second.
@@ -45,6 +49,18 @@
 	}
 }
 
+// injectRestores restores the store from older copies until the context ends. What the
+// nodes wrote since is lost; operator and servers write again.
+func (run *run) injectRestores(ctx context.Context, random *rand.Rand) {
+	for run.system.clock.Wait(ctx, clock.Millis(random.Int64N(2*int64(restorePause)))) == nil {
+		older, age := run.system.store.Copy(), clock.Millis(random.Int64N(int64(maxCopyAge)))
+		// An end of the context shortens the age.
+		_ = run.system.clock.Wait(ctx, age)
+		run.reportLine(fmt.Sprintf("store is restored from a copy of %d ms ago", age))
+		run.system.store.Restore(older, "config", "servers")
+	}
+}
+
 func (run *run) drawIncident(random *rand.Rand) fault {
 	if random.IntN(2) == 0 {
 		return fault{
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -29,6 +29,8 @@
 	callerCount = 12
 	// incidentStream is the stream of the seed that incidents are drawn from.
 	incidentStream = 1 << 32
+	// restoreStream is the stream of the seed that restores of the store are drawn from.
+	restoreStream = 2 << 32
 	// meanFaultInterval is the mean time between the starts of two faults, and
 	// maxFaultTime the longest duration of one: about three overlap.
 	meanFaultInterval = 350 * clock.Millisecond
@@ -64,6 +66,7 @@
 	incidents, endIncidents := context.WithCancel(context.Background())
 	defer endIncidents()
 	group.Go(func() { run.injectIncidents(incidents, rand.New(rand.NewPCG(seed, incidentStream))) })
+	group.Go(func() { run.injectRestores(incidents, rand.New(rand.NewPCG(seed, restoreStream))) })
 	run.injectFaults(duration)
 	endIncidents()
 	run.checkRecovery()
--- a/internal/standin/storestandin/store.go
+++ b/internal/standin/storestandin/store.go
@@ -110,13 +110,18 @@
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	if existing, ok := store.objects[kind+"/"+name]; ok {
-		store.revision++
-		delete(store.objects, kind+"/"+name)
-		existing.revision = store.revision
-		store.appendChange(change{object: existing, deleted: true})
+		store.remove(existing)
 	}
 }
 
+// remove removes an object. The caller holds the mutex.
+func (store *Store) remove(existing object) {
+	store.revision++
+	delete(store.objects, existing.kind+"/"+existing.name)
+	existing.revision = store.revision
+	store.appendChange(change{object: existing, deleted: true})
+}
+
 // Spec returns an object's spec, or an empty string if there is no such object.
 func (store *Store) Spec(kind, name string) string {
 	store.mutex.Lock()
@@ -157,14 +162,26 @@
 	return &Copy{revision: store.revision, objects: maps.Clone(store.objects), changes: slices.Clone(store.changes)}
 }
 
-// Restore goes back to the copy and begins a new era. Watches are cut.
-func (store *Store) Restore(older *Copy) {
+// Restore goes back to the copy and begins a new era. Watches are cut. The objects of the
+// rewritten kinds are then written again as they were, as by writers of their own.
+func (store *Store) Restore(older *Copy, rewritten ...string) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	latest := store.objects
 	store.era++
 	store.revision, store.objects, store.changes = older.revision, maps.Clone(older.objects), slices.Clone(older.changes)
 	store.watchCuts++
 	store.wakeWatches()
+	for key, existing := range store.objects {
+		if _, ok := latest[key]; !ok && slices.Contains(rewritten, existing.kind) {
+			store.remove(existing)
+		}
+	}
+	for key, lost := range latest {
+		if slices.Contains(rewritten, lost.kind) && string(lost.spec) != string(store.objects[key].spec) {
+			store.write(lost.kind, lost.name, lost.spec)
+		}
+	}
 }
 
 // Revision returns the current revision.
