--- a/internal/backend/ratelimit.go
+++ b/internal/backend/ratelimit.go
@@ -21,8 +21,8 @@
 	maxDebtSeconds = 4.0
 	// spareSeconds bounds what a node lends at once, as the time in which it refills it.
 	spareSeconds = 0.5
-	// wantedTime is how long a node borrows after a request found its allowance used up.
-	wantedTime = 1 * clock.Second
+	// borrowTime is how long a node borrows after a request found its allowance used up.
+	borrowTime = 1 * clock.Second
 	// limitReportTime is how long a node reports a limit to its peers after it last sent
 	// a request to the server or read its answer.
 	limitReportTime = 5 * clock.Second
@@ -50,10 +50,10 @@
 // whatever they know of each other. The platform allows 6 x limit + 5; the rest is for
 // nodes that briefly disagree on who uses the server.
 type RateLimit struct {
-	state    atomic.Pointer[rateLimitState]
-	sent     atomic.Int64
-	usage    atomic.Pointer[limitUsage]
-	wantedAt atomic.Int64
+	state   atomic.Pointer[rateLimitState]
+	sent    atomic.Int64
+	usage   atomic.Pointer[limitUsage]
+	shortAt atomic.Int64
 }
 
 type rateLimitState struct {
@@ -210,7 +210,7 @@
 	own.refillAllowance(users, now)
 	allowanceWait := refillTime(1-own.allowance, state.perSecond/float64(users))
 	if wait == 0 && allowanceWait > 0 {
-		rateLimit.wantedAt.Store(int64(now))
+		rateLimit.shortAt.Store(int64(now))
 	}
 	return max(wait, allowanceWait)
 }
@@ -260,11 +260,11 @@
 	}
 }
 
-// Wants reports whether a request has lately found this node's allowance used up while
+// Borrows reports whether a request has lately found this node's allowance used up while
 // the nodes together had not reached the limit.
-func (rateLimit *RateLimit) Wants(now clock.Millis) bool {
-	at := clock.Millis(rateLimit.wantedAt.Load())
-	return at != 0 && now-at < wantedTime
+func (rateLimit *RateLimit) Borrows(now clock.Millis) bool {
+	at := clock.Millis(rateLimit.shortAt.Load())
+	return at != 0 && now-at < borrowTime
 }
 
 // Lend takes what this node can't use from its allowance and returns it, in requests.
--- a/internal/backend/ratelimit_nodes_test.go
+++ b/internal/backend/ratelimit_nodes_test.go
@@ -125,7 +125,7 @@
 // lend lends from a node to one that wants it.
 func (server *limitedServer) lend(node int, now clock.Millis) (borrower int, lent float64) {
 	for _, other := range server.random.Perm(len(server.nodes)) {
-		if other != node && server.nodes[other].Wants(now) {
+		if other != node && server.nodes[other].Borrows(now) {
 			return other, server.nodes[node].Lend(now)
 		}
 	}
--- a/internal/edge/ratelimit.go
+++ b/internal/edge/ratelimit.go
@@ -64,8 +64,8 @@
 			continue
 		}
 		limit := node.NewServerLimit(server.Hash(), statement, age, sent).WithLoan(loan)
-		if rateLimit.Wants(now) {
-			limit = limit.WithWants()
+		if rateLimit.Borrows(now) {
+			limit = limit.WithBorrowing()
 		}
 		limits = append(limits, limit)
 	}
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -112,7 +112,7 @@
 		}
 		form.SetAgeMillis(int64(limit.Age()))
 		form.SetSent(limit.Sent())
-		form.SetWants(limit.Wants())
+		form.SetWants(limit.Borrows())
 		form.SetLent(limit.Loan().Requests())
 		form.SetBorrower(limit.Loan().Borrower())
 		forms = append(forms, form)
@@ -135,9 +135,9 @@
 			return nil, errors.Errorf("decode bulletin: a node lends %v requests", lent)
 		}
 		limit := node.NewServerLimit(form.GetServer(), statement, clock.Millis(form.GetAgeMillis()), form.GetSent()).
-			WithLoan(node.RestoreLoan(form.GetBorrower(), lent))
+			WithLoan(node.NewLoanToHash(form.GetBorrower(), lent))
 		if form.GetWants() {
-			limit = limit.WithWants()
+			limit = limit.WithBorrowing()
 		}
 		limits = append(limits, limit)
 	}
--- a/internal/node/nodecast/nodecast_test.go
+++ b/internal/node/nodecast/nodecast_test.go
@@ -18,7 +18,7 @@
 	return node.NewBulletin("edge-1", "127.0.0.1:7600", 7, 3, 1_000_000, true).WithConfiguration(14, 250).WithUptime(9000).WithReportedWindow(49).WithLeaving([]uint64{5, 6}).WithUsage(
 		[]node.Usage{node.NewUsage("garage", 0, 412)}, []node.ServerWork{node.NewServerWork(9, 2, 4000)},
 		[]node.Usage{node.NewUsage("engines", 5, 9000)}, []node.WindowRuns{node.NewWindowRuns(50, "garage", 3)}).WithServerLimits([]node.ServerLimit{
-		node.NewServerLimit(9, backend.NewStatement(2.5), 20, 7).WithWants().WithLoan(node.NewLoan("edge-2", 0.25)), node.NewServerLimit(8, backend.NewUnlimited(), 30, 6),
+		node.NewServerLimit(9, backend.NewStatement(2.5), 20, 7).WithBorrowing().WithLoan(node.NewLoan("edge-2", 0.25)), node.NewServerLimit(8, backend.NewUnlimited(), 30, 6),
 	}).WithEvidence(quarantine.NewEvidence(
 		[]quarantine.CrashReport{quarantine.NewCrashReport(9, 40, []uint64{1, 2})}, []quarantine.AnswerReport{quarantine.NewAnswerReport(1, 30)},
 		[]quarantine.BlockReport{quarantine.NewBlockReport([]uint64{2}, 900, 50)}))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -323,7 +323,7 @@
 			continue
 		}
 		for _, limit := range state.latest.serverLimits {
-			if limit.wants {
+			if limit.borrows {
 				borrowers[limit.server] = append(borrowers[limit.server], state.latest.host)
 			}
 		}
