Pause before a kind is listed again and again

Found while reading: a watch whose history is gone is answered by a listing at once. A store that refuses the watch from its own listing as well, as one whose era goes back, was called in a loop without a pause.

The first listing follows at once as before; until a watch succeeds the next ones wait 50 ms and up to 400 ms.

--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -1,5 +1,16 @@
 package edge
 
+import "sapphirehead/internal/clock"
+
+// RelistWaits returns the waits before the listings after which a watch fails each time.
+func RelistWaits(count int) []clock.Millis {
+	backoff, waits := relistBackoff{}, make([]clock.Millis, count)
+	for i := range waits {
+		waits[i] = backoff.next()
+	}
+	return waits
+}
+
 // BodyBytes returns the bytes of request bodies that the node holds.
 func (edge *Edge) BodyBytes() int64 { return edge.bodyBytes.Load() }
 
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -40,7 +40,7 @@
 func (edge *Edge) follow(ctx context.Context, handler watchHandler) {
 	wait := minRetryWait
 	version, listed := int64(0), false
-	failing := false
+	failing, relists := false, relistBackoff{}
 	for ctx.Err() == nil {
 		wokenUp := handler.wakeUp.consume()
 		next, err := edge.followOnce(ctx, handler, version, listed, failing || wokenUp)
@@ -54,6 +54,9 @@
 		case ctx.Err() != nil:
 			return
 		case err == nil:
+			if listed {
+				relists.reset()
+			}
 			if failing {
 				edge.log.Info().Str("kind", handler.kind).Str("version", platform.FormatVersion(next)).Msg("regained the platform store")
 			}
@@ -65,6 +68,9 @@
 			// The history of the other watch is gone too, but its connection may be
 			// silent and not deliver the error.
 			handler.otherWakeUp.Trigger()
+			if edge.clock.Wait(ctx, relists.next()) != nil {
+				return
+			}
 			continue
 		case !failing && !wokenUp && handler.wakeUp.pending.Load():
 			// The wake-up ended the watch, which is no failure of the store.
@@ -83,6 +89,21 @@
 	}
 }
 
+// relistBackoff is the wait before a kind is listed again because its history is gone.
+// There is none the first time; a store that refuses each watch from its own listing
+// must not be called in a loop.
+type relistBackoff struct{ wait clock.Millis }
+
+// next returns the wait, which grows until reset.
+func (backoff *relistBackoff) next() clock.Millis {
+	wait := backoff.wait
+	backoff.wait = min(max(2*wait, minRetryWait), maxRetryWait)
+	return wait
+}
+
+// reset records that a watch succeeded.
+func (backoff *relistBackoff) reset() { backoff.wait = 0 }
+
 // followOnce lists the objects, or watches them once, and returns the version
 // to continue from. An immediate watch does not wait: after a failure it shows
 // whether the store is back, and after a wake-up it returns the missed changes.
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/edge"
 	"sapphirehead/internal/standin/storestandin"
 )
 
@@ -82,6 +84,18 @@
 	fixture.door.SetFault(storestandin.FaultNone)
 }
 
+// TestRelistsInALoop guards against a store that is called without a pause because it
+// refuses each watch, as one whose era goes back.
+func TestRelistsInALoop(t *testing.T) {
+	waits := edge.RelistWaits(8)
+	require.Zero(t, waits[0])
+	for i := range waits[1:] {
+		require.Positive(t, waits[i+1])
+		require.GreaterOrEqual(t, waits[i+1], waits[i])
+	}
+	require.Equal(t, 400*clock.Millisecond, waits[7])
+}
+
 // TestNodeStaysUnlisted guards against a node that others can't find after the store
 // lost its object.
 func TestNodeStaysUnlisted(t *testing.T) {
