Spread the final bulletins of a stopping node, too

Found while looking for the cause of LIMIT elsewhere: a node that stops sent its final counts twice in one burst each, so the last of its peers on a slow link learned neither of the counts nor that it stops.

--- a/internal/edge/bulletins.go
+++ b/internal/edge/bulletins.go
@@ -73,14 +73,26 @@
 	}
 }
 
-// sendFinalBulletins sends the final counts to peer nodes once sendBulletins
-// has ended. It sends them twice, as a datagram may be lost.
+// finalRounds is the number of times that a peer gets the final counts, as a datagram may
+// be lost.
+const finalRounds = 2
+
+// sendFinalBulletins sends the final counts to peer nodes once sendBulletins has ended.
 func (edge *Edge) sendFinalBulletins() {
-	for range 2 {
-		receivers := edge.peers.states.View().Receivers(edge.clock.Now())
-		if _, err := edge.sendBulletin(receivers); err != nil {
+	receivers := edge.peers.states.View().Receivers(edge.clock.Now())
+	cast, size := &node.Cast{}, 0
+	cast.SetUrgent(finalRounds * len(receivers))
+	for sent := 0; sent < finalRounds*len(receivers); {
+		batch := cast.Batch(receivers, size)
+		var err error
+		if size, err = edge.sendBulletin(batch); err != nil {
 			edge.log.Warn().Err(err).Msg("cannot send the final bulletin to peer nodes")
 		}
+		sent += len(batch)
+		if pause, _ := cast.Pause(len(batch), len(receivers)); sent < finalRounds*len(receivers) {
+			// The background context never ends, so the wait can't fail.
+			_ = edge.clock.Wait(context.Background(), pause)
+		}
 	}
 }
 
--- a/internal/node/cast_test.go
+++ b/internal/node/cast_test.go
@@ -84,6 +84,25 @@
 		}
 		require.Less(t, elapsed, 500*clock.Millisecond)
 	})
+	t.Run("urgent news in two rounds reaches each peer twice", func(t *testing.T) {
+		cast, sent, reached := &node.Cast{}, 0, map[string]int{}
+		named := make([]node.Receiver, 30)
+		for i := range named {
+			named[i] = node.NewReceiver(fmt.Sprint("edge-", i), "")
+		}
+		for cast.SetUrgent(2 * len(named)); sent < 2*len(named); {
+			batch := cast.Batch(named, 3000)
+			for _, receiver := range batch {
+				reached[receiver.Host()]++
+			}
+			busy, _ := cast.Pause(len(batch), len(named))
+			sent += len(batch)
+			require.True(t, sent >= 2*len(named) || busy < 100)
+		}
+		for _, receiver := range named {
+			require.GreaterOrEqual(t, reached[receiver.Host()], 2)
+		}
+	})
 	t.Run("no peers", func(t *testing.T) {
 		cast := &node.Cast{}
 		require.Empty(t, cast.Batch(nil, 2000))
