Tell peers of a committed window also when it is read back

A holder whose commit got no answer finds the window in the store and sends it; peers learn of it then, as of one whose commit was answered.

--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -3,9 +3,9 @@
 import "sync/atomic"
 
 // leavingRetention is the number of consecutive updates without a leaving server, or one
-// with a limit, after which its mark or limit is dropped. At two to four updates per second it takes 42 to
-// 83 minutes, which is longer than the list ever lags. Only updates count, so marks
-// are kept while the list can't be read.
+// with a limit, after which its mark or limit is dropped. At two to four updates per
+// second it takes 42 to 83 minutes, which is longer than the list ever lags. Only updates
+// count, so both are kept while the list can't be read.
 const leavingRetention = 10_000
 
 // Fleet publishes snapshots of the live servers. Update, MarkLeaving and Leaving
--- a/internal/edge/usage.go
+++ b/internal/edge/usage.go
@@ -114,6 +114,7 @@
 		edge.log.Warn().Int64("window", form.Window).Int64("known", known).Msg("usage reports go on after a window that the store does not have")
 		task.record, task.sent = usage.NewRecord(known, nil), true
 	}
+	edge.peers.recordReportedWindow(task.record.Window())
 	return true
 }
 
