--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -115,6 +115,7 @@
 			return 0, err
 		}
 		handler.onSuccess()
+		edge.logUnreadable(handler.kind, listing.Unreadable())
 		handler.onList(listing)
 		handler.onSynced()
 		return listing.AsOf(), nil
@@ -131,9 +132,7 @@
 		return 0, err
 	}
 	handler.onSuccess()
-	if changes.Unreadable() > 0 {
-		edge.log.Warn().Str("kind", handler.kind).Int("objects", changes.Unreadable()).Msg("ignored unreadable objects of the store")
-	}
+	edge.logUnreadable(handler.kind, changes.Unreadable())
 	for _, change := range changes.All() {
 		handler.onChange(change)
 	}
@@ -144,6 +143,13 @@
 	return max(version, changes.AsOf()), nil
 }
 
+// logUnreadable logs the number of objects that could not be read, if there are any.
+func (edge *Edge) logUnreadable(kind string, objects int) {
+	if objects > 0 {
+		edge.log.Warn().Str("kind", kind).Int("objects", objects).Msg("ignored unreadable objects of the store")
+	}
+}
+
 // followConfiguration activates each new configuration.
 func (edge *Edge) followConfiguration(ctx context.Context) {
 	offer := func(object store.Object) {
