Check in the soak that leader tasks go on after the last fault

Each restore begins the wait for a lease that nobody holds anew, so that none may be acquired in so short a run. The run ended without waiting for one.

--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -70,6 +70,7 @@
 	run.injectFaults(duration)
 	endIncidents()
 	run.checkRecovery()
+	run.checkLeaderTasks()
 	run.checkIncidents()
 	endLoad()
 	group.Wait()
@@ -77,6 +78,18 @@
 	return system.tally, system.logs(), nil
 }
 
+// checkLeaderTasks checks that a call of the leader tasks is accepted within the recovery
+// timeout.
+func (run *run) checkLeaderTasks() {
+	before := run.tally.Count("duties")
+	for end := run.system.clock.Now() + recoveryTimeout; run.tally.Count("duties") == before; run.wait(100) {
+		if run.system.clock.Now() > end {
+			run.tally.addViolation("no leader task runs %d ms after the last fault", recoveryTimeout)
+			return
+		}
+	}
+}
+
 // run is one seeded sequence of faults.
 type run struct {
 	system       *system
