Ignore a reported window of a clock that is wrong

Found while reading: nodes take the latest reported window from each other, so one from a clock that is far ahead would have ended the reports of all. A window later than the present one is ignored.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -228,7 +228,9 @@
 	now := edge.clock.Now()
 	edge.compareConfiguration(bulletin.Configuration(), now)
 	edge.quarantine.Merge(bulletin.Evidence(), now)
-	edge.peers.recordReportedWindow(bulletin.ReportedWindow())
+	if window := bulletin.ReportedWindow(); usage.IsPlausible(window, edge.trueTime(), edge.settings.Load().Bounds().UsageWindow()) {
+		edge.peers.recordReportedWindow(window)
+	}
 	added, demanded, sent := edge.peers.states.Receive(bulletin, now)
 	edge.applyServerLimits(bulletin.ServerLimits(), sent, now)
 	for _, amount := range added {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -34,6 +34,12 @@
 	return WindowAt(trueTime-settleDelay, length) - 1
 }
 
+// IsPlausible reports whether the window can have been reported by the time, of which the
+// nodes may be a window apart. A wrong clock must not end the reports of all nodes.
+func IsPlausible(window int64, trueTime, length clock.Millis) bool {
+	return window <= WindowAt(trueTime, length)
+}
+
 // NextDue returns the first window after the last reported one that can be
 // reported at the time, and false if there is none. Windows whose report would be
 // later than maxDelay are skipped.
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -43,3 +43,13 @@
 	t.Run("old windows are dropped", func(t *testing.T) { expectRuns(t, 101, map[int64]int64{100: 3, 101: 1}) })
 	t.Run("windows are dropped as time passes", func(t *testing.T) { expectRuns(t, 104, map[int64]int64{101: 1}) })
 }
+
+func TestIsPlausible(t *testing.T) {
+	expectPlausible := func(t *testing.T, window int64, plausible bool) {
+		t.Helper()
+		require.Equal(t, plausible, usage.IsPlausible(window, 103*clock.Second, 5*clock.Second))
+	}
+	t.Run("a window that has ended", func(t *testing.T) { expectPlausible(t, 19, true) })
+	t.Run("a window that another clock has seen end", func(t *testing.T) { expectPlausible(t, 20, true) })
+	t.Run("a window of a clock that is wrong", func(t *testing.T) { expectPlausible(t, 740, false) })
+}
