--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -102,6 +102,8 @@
 	cost          int
 	bufferedBytes int64
 	runCounted    bool
+	// fingerprintHash is 0 until it is needed.
+	fingerprintHash uint64
 }
 
 // serve handles one request. Every request is logged in one line.
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -14,6 +14,7 @@
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/backend/backendlink"
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/logging"
 	"sapphirehead/internal/placement"
 	"sapphirehead/internal/pool"
 	"sapphirehead/internal/request"
@@ -214,7 +215,7 @@
 		return outcome
 	}
 	requestContext.edge.log.Warn().Str("requestId", requestContext.call.ID()).Str("backendServer", server.ID()).Err(err).
-		Strs("parts", requestContext.sharedParts()).Str("outcome", outcome.String()).Msg("attempt failed")
+		Strs("parts", requestContext.sharedParts()).Str(logging.FieldRequestHash, requestContext.requestHash()).Str("outcome", outcome.String()).Msg("attempt failed")
 	if outcome == request.OutcomeLost {
 		attempts.recordCrash(server, err, 0)
 	}
@@ -415,7 +416,7 @@
 	requestContext := attempts.requestContext
 	if !requestContext.callerLeft() {
 		requestContext.edge.log.Warn().Str("requestId", requestContext.call.ID()).Str("backendServer", requestContext.choice.Server().ID()).Err(err).
-			Strs("parts", requestContext.sharedParts()).Str("lastEvent", attempts.lastEvent).Msg("stream broke off")
+			Strs("parts", requestContext.sharedParts()).Str(logging.FieldRequestHash, requestContext.requestHash()).Str("lastEvent", attempts.lastEvent).Msg("stream broke off")
 	}
 	if !attempts.retrier.ResponseStarted() {
 		return request.OutcomeLost
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/placement"
+	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/request"
 	"sapphirehead/internal/usage"
 	"sapphirehead/platform/runners"
@@ -52,6 +54,20 @@
 	return ids
 }
 
+// fingerprint returns the hash by which repetitions of the request are recognized.
+func (requestContext *requestContext) fingerprint() uint64 {
+	if requestContext.fingerprintHash == 0 {
+		request := requestContext.request
+		requestContext.fingerprintHash = quarantine.Fingerprint(requestContext.body, request.Method, request.Host, requestContext.target, requestContext.accountName())
+	}
+	return requestContext.fingerprintHash
+}
+
+// requestHash returns the fingerprint in hexadecimal, for logs.
+func (requestContext *requestContext) requestHash() string {
+	return strconv.FormatUint(requestContext.fingerprint(), 16)
+}
+
 // recordLoad records the load that a server reports in the head of a response.
 func (edge *Edge) recordLoad(server *backend.Server, header http.Header) {
 	if load, _, ok := runners.DecodeLoad(header, edge.clock.Now()); ok {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -20,6 +20,9 @@
 	FieldRequestID  = "requestId"
 	FieldServer     = "backendServer"
 	FieldPartHashes = "partHashes"
+	// FieldRequestHash is the hash of what a repeated request has in common with the
+	// first one.
+	FieldRequestHash = "requestHash"
 )
 
 const (
