--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -119,6 +119,8 @@
 	delivered      bool
 	sentAt         clock.Millis
 	retryAfter     clock.Millis
+	// repeated tells that the request was at a crash before it was sent.
+	repeated bool
 	// beganAt is when the latest response began, or 0 if nothing shows that it did.
 	beganAt clock.Millis
 }
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -6,6 +6,7 @@
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/logging"
 	"sapphirehead/internal/node"
+	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/request"
 )
 
@@ -16,12 +17,16 @@
 // hardly begun, so that the request may have crashed its server.
 const maxEventsAtCrash = 1
 
-// checkQuarantine reports whether the request must not be sent, as a part of its prompt
-// crashes servers.
+// checkQuarantine reports whether the request must not be sent, as it or a part of its
+// prompt crashes servers.
 func (attempts *attempts) checkQuarantine() (blocked bool) {
 	edge := attempts.requestContext.edge
-	now := edge.clock.Now()
-	attempts.retryAfter, blocked = edge.quarantine.Check(attempts.requestContext.call.Prompt(), now, func() bool {
+	if edge.quarantine.IsIdle() {
+		return false
+	}
+	now, traits := edge.clock.Now(), attempts.requestContext.traits()
+	attempts.repeated = edge.quarantine.IsSuspect(traits)
+	attempts.retryAfter, blocked = edge.quarantine.Check(traits, now, func() bool {
 		return edge.peers.states.View().LiveCount(now) == 1 || edge.candidacyFor(trialTask, now).Rank() == 0
 	})
 	return blocked
@@ -34,7 +39,7 @@
 	if events > maxEventsAtCrash || server.Leaving() || !backendlink.IsClosedByPeer(err) {
 		return
 	}
-	if edge.quarantine.Crashed(server.Hash(), attempts.requestContext.call.Prompt(), edge.clock.Now()) {
+	if edge.quarantine.Crashed(server.Hash(), attempts.requestContext.traits(), attempts.repeated, edge.clock.Now()) {
 		signal(edge.peers.urgent)
 	}
 	edge.reviewQuarantine()
@@ -42,9 +47,20 @@
 
 // recordAnswer records a complete answer of the server that began at the time.
 func (attempts *attempts) recordAnswer(server *backend.Server, outcome request.Outcome, began clock.Millis) {
-	if outcome == request.OutcomeAnswered && began != 0 {
-		attempts.requestContext.edge.quarantine.Answered(server.Hash(), attempts.requestContext.call.Prompt(), began)
+	if outcome != request.OutcomeAnswered || began == 0 {
+		return
+	}
+	quarantined := attempts.requestContext.edge.quarantine
+	traits := quarantine.NewTraits(attempts.requestContext.call.Prompt(), 0)
+	if !quarantined.IsIdle() {
+		traits = attempts.requestContext.traits()
 	}
+	quarantined.Answered(server.Hash(), traits, began)
+}
+
+// traits returns what may be the cause if the request crashes a server.
+func (requestContext *requestContext) traits() quarantine.Traits {
+	return quarantine.NewTraits(requestContext.call.Prompt(), requestContext.fingerprint())
 }
 
 // evidenceIntervals is the number of intervals between bulletins after which peers know
@@ -61,11 +77,11 @@
 	began, ended := edge.quarantine.Review(edge.evidenceDelay(), edge.clock.Now())
 	for _, block := range began {
 		edge.log.Warn().Strs(logging.FieldPartHashes, block.Names()).Int64("firstCrashAgeMillis", int64(edge.clock.Now()-block.Since())).
-			Msg("prompt parts quarantined: they crash backend servers")
+			Msg("requests quarantined: they crash backend servers")
 		signal(edge.peers.urgent)
 	}
 	for _, block := range ended {
-		edge.log.Info().Strs(logging.FieldPartHashes, block.Names()).Msg("quarantine of prompt parts ended: a prompt with them was answered")
+		edge.log.Info().Strs(logging.FieldPartHashes, block.Names()).Msg("quarantine ended: a request was answered")
 		signal(edge.peers.urgent)
 	}
 }
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -54,7 +54,7 @@
 	return ids
 }
 
-// fingerprint returns the hash by which repetitions of the request are recognized.
+// fingerprint returns the hash by which repetitions of the request are recognised.
 func (requestContext *requestContext) fingerprint() uint64 {
 	if requestContext.fingerprintHash == 0 {
 		request := requestContext.request
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -118,12 +118,12 @@
 // gate refuses chats that cannot be served in time or whose worth is too low
 // for the current load.
 func (dispatcher *dispatcher) gate(account *caller.Account, req *request.Request) error {
+	if wait, quarantined := dispatcher.entry.isQuarantined(req); quarantined {
+		return request.NewNotRunError("the request crashes backend servers", wait)
+	}
 	if req.Route().Kind() != route.KindChat {
 		return nil
 	}
-	if wait, quarantined := dispatcher.entry.isQuarantined(req); quarantined {
-		return request.NewNotRunError("the prompt crashes model runners", wait)
-	}
 	estimate, ok := dispatcher.placer.EstimateBest(req, runner.NewPromptChain(req.Prompt()))
 	if !ok {
 		return nil
@@ -138,12 +138,12 @@
 
 // choose returns the backend server for an attempt, or false if there is none.
 func (dispatcher *dispatcher) choose(req *request.Request, exclude []string) (*backend.Server, bool) {
-	if req.Route().Kind() != route.KindChat {
-		return dispatcher.services.Choose(req.Route().Pool(), exclude)
-	}
 	if _, quarantined := dispatcher.entry.isQuarantined(req); quarantined {
 		return nil, false
 	}
+	if req.Route().Kind() != route.KindChat {
+		return dispatcher.services.Choose(req.Route().Pool(), exclude)
+	}
 	estimate, ok := dispatcher.placer.Place(req, runner.NewPromptChain(req.Prompt()), 0, exclude)
 	return estimate.Server(), ok
 }
--- a/internal/entry/driver.go
+++ b/internal/entry/driver.go
@@ -100,7 +100,12 @@
 	defer end()
 	flow.Sent(attempt.Number())
 	answer, cause, err := driver.call(ctx, server, flow.Request(), call)
-	driver.attemptEnded(flow.Request(), server, cause, 0)
+	ended := cause
+	if cause == request.CauseCut && ctx.Err() != nil {
+		// The server may still be at work: it was too slow, or the caller left.
+		ended = request.CauseSilent
+	}
+	driver.attemptEnded(flow.Request(), server, ended, 0)
 	if err == nil {
 		return answer, flow.Answered(attempt.Number())
 	}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -8,6 +8,7 @@
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/logging"
+	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/request"
 	"sapphirehead/internal/route"
 	"sapphirehead/internal/runner"
@@ -17,26 +18,31 @@
 // response, so that its prompt may have crashed the runner.
 const maxTokensAtCrash = 1
 
-// quarantineParts returns the prompt as parts by which crashes of runners are compared:
-// each message, and the whole prompt, as a request is repeated with it.
-func quarantineParts(prompt request.Prompt) runner.Prompt {
-	parts := make([]runner.Part, 0, len(prompt.Messages())+2)
-	for _, message := range prompt.Messages() {
+// traitsOf returns the traits by which crashes of servers are compared: each message and
+// the whole prompt of a chat, or the whole content of another call.
+func traitsOf(req *request.Request) quarantine.Traits {
+	if req.Route().Kind() != route.KindChat {
+		return quarantine.NewTraits(runner.Prompt{}, quarantine.Fingerprint(nil, req.Account(), req.Fingerprint()))
+	}
+	messages := req.Prompt().Messages()
+	parts := make([]runner.Part, 0, len(messages)+1)
+	for _, message := range messages {
 		parts = append(parts, runner.NewPart(hexOf(xxhash.Sum64String(message.Role()+"\x00"+message.Content())), 0))
 	}
-	parts = append(parts, runner.NewPart("whole "+hexOf(prompt.Hash()), 0), runner.Part{})
-	return runner.NewPrompt(parts, 0)
+	// The last part of a prompt is not compared.
+	parts = append(parts, runner.Part{})
+	return quarantine.NewTraits(runner.NewPrompt(parts, 0), quarantine.Fingerprint(nil, hexOf(req.Prompt().Hash())))
 }
 
 func hexOf(hash uint64) string { return strconv.FormatUint(hash, 16) }
 
-// isQuarantined reports whether the request must not be sent to a runner, as its prompt
-// crashes them, and the time until the next trial.
+// isQuarantined reports whether the request must not be sent to a server, as it or a
+// message in it crashes them, and the time until the next trial.
 func (entry *Entry) isQuarantined(req *request.Request) (wait clock.Millis, quarantined bool) {
-	if req.Route().Kind() != route.KindChat || entry.quarantine.Size() == 0 {
+	if entry.quarantine.Size() == 0 {
 		return 0, false
 	}
-	return entry.quarantine.Check(quarantineParts(req.Prompt()), entry.clock.Now(), entry.mayTryQuarantined)
+	return entry.quarantine.Check(traitsOf(req), entry.clock.Now(), entry.mayTryQuarantined)
 }
 
 // mayTryQuarantined reports whether this node lets quarantined requests through on
@@ -51,18 +57,17 @@
 	return true
 }
 
-// recordEvidence records whether an attempt at a runner speaks for or against the parts
-// of its prompt. A runner that leaves as planned isn't taken for crashed.
+// recordEvidence records whether an attempt at a server speaks for or against the traits
+// of the request. A server that leaves as planned isn't taken for crashed.
 func (entry *Entry) recordEvidence(req *request.Request, server *backend.Server, cause request.Cause, tokens int) {
-	if req.Route().Kind() != route.KindChat {
-		return
-	}
 	now := entry.clock.Now()
 	switch {
 	case cause == 0:
-		entry.quarantine.Answered(server.Hash(), quarantineParts(req.Prompt()), now)
+		entry.quarantine.Answered(server.Hash(), traitsOf(req), now)
 	case cause == request.CauseCut && tokens <= maxTokensAtCrash && !server.Leaving():
-		if entry.quarantine.Crashed(server.Hash(), quarantineParts(req.Prompt()), now) {
+		// Attempts of one request follow each other, so a suspect was one when it was sent.
+		traits := traitsOf(req)
+		if entry.quarantine.Crashed(server.Hash(), traits, entry.quarantine.IsSuspect(traits), now) {
 			entry.gossip.TriggerPush()
 		}
 		entry.reviewQuarantine()
@@ -77,10 +82,10 @@
 func (entry *Entry) reviewQuarantine() {
 	began, ended := entry.quarantine.Review(evidenceRounds*roundInterval, entry.clock.Now())
 	for _, block := range began {
-		entry.log.Warn().Strs(logging.FieldPartHashes, block.Names()).Msg("prompt parts quarantined: they crash backend servers")
+		entry.log.Warn().Strs(logging.FieldPartHashes, block.Names()).Msg("requests quarantined: they crash backend servers")
 	}
 	for _, block := range ended {
-		entry.log.Info().Strs(logging.FieldPartHashes, block.Names()).Msg("quarantine of prompt parts ended: a prompt with them was answered")
+		entry.log.Info().Strs(logging.FieldPartHashes, block.Names()).Msg("quarantine ended: a request was answered")
 	}
 	if len(began)+len(ended) > 0 {
 		entry.gossip.TriggerPush()
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -62,3 +62,40 @@
 		expectRefused(t, first, sound, false)
 	})
 }
+
+// TestCallCrashesServices guards against a call that comes again and crashes one service
+// after the other (incident BUDGET, entry hosts).
+func TestCallCrashesServices(t *testing.T) {
+	newRequest := func(id, content string) *request.Request {
+		booking := route.New("book", route.KindService, "services").WithTargets(clock.Second, clock.Second, clock.Minute)
+		return request.New(id, "garage-north", booking, "", request.Prompt{}, 0).WithFingerprint(content)
+	}
+	manual := clock.NewManual(0)
+	cluster := newCluster(t, manual.Clock(), 9, 2)
+	first, second := cluster.entries[0], cluster.entries[1]
+	expectRefused := func(t *testing.T, entry *Entry, req *request.Request, refused bool) {
+		t.Helper()
+		var notRun *request.NotRunError
+		err := entry.dispatcher.gate(entry.accounts.All()[0], req)
+		require.Equal(t, refused, errors.As(err, &notRun), "%v", err)
+	}
+	for i, server := range first.fleet.Current().Servers()[:3] {
+		expectRefused(t, first, newRequest("again", "fatal"), false)
+		manual.Advance(2 * clock.Second)
+		first.countAttempt(newRequest("again", "fatal"), server, request.CauseCut, 0)
+		first.countAttempt(newRequest("beside", string(rune('a'+i))), server, request.CauseCut, 0)
+	}
+	t.Run("the call is refused at the node", func(t *testing.T) { expectRefused(t, first, newRequest("later", "fatal"), true) })
+	t.Run("and at its peer", func(t *testing.T) {
+		require.True(t, first.gossip.exchange(context.Background(), second.NodeAddress(), first.members.SelfDigest(), true))
+		expectRefused(t, second, newRequest("later", "fatal"), true)
+	})
+	t.Run("a call that was lost beside it isn't", func(t *testing.T) { expectRefused(t, first, newRequest("beside", "a"), false) })
+	t.Run("calls that end too late crash nothing", func(t *testing.T) {
+		for _, server := range first.fleet.Current().Servers()[3:6] {
+			manual.Advance(2 * clock.Second)
+			first.countAttempt(newRequest("slow", "slow"), server, request.CauseSilent, 0)
+		}
+		expectRefused(t, first, newRequest("slow", "slow"), false)
+	})
+}
--- a/internal/node/evidencecodec/evidencecodec.go
+++ b/internal/node/evidencecodec/evidencecodec.go
@@ -22,6 +22,7 @@
 		form.SetServer(report.Server())
 		form.SetAgeMillis(int64(report.Age()))
 		form.SetParts(report.Parts())
+		form.SetRepeated(report.Repeated())
 		crashes = append(crashes, form)
 	}
 	message.SetCrashes(crashes)
@@ -52,7 +53,7 @@
 	}
 	var crashes []quarantine.CrashReport
 	for _, form := range message.GetCrashes() {
-		crashes = append(crashes, quarantine.NewCrashReport(form.GetServer(), clock.Millis(form.GetAgeMillis()), form.GetParts()))
+		crashes = append(crashes, quarantine.NewCrashReport(form.GetServer(), clock.Millis(form.GetAgeMillis()), form.GetParts()).WithRepeated(form.GetRepeated()))
 	}
 	var answers []quarantine.AnswerReport
 	for i, hash := range message.GetAnswered() {
--- a/internal/node/nodecast/nodecast_test.go
+++ b/internal/node/nodecast/nodecast_test.go
@@ -20,7 +20,7 @@
 		[]node.Usage{node.NewUsage("engines", 5, 9000)}, []node.WindowRuns{node.NewWindowRuns(50, "garage", 3)}).WithServerLimits([]node.ServerLimit{
 		node.NewServerLimit(9, backend.NewStatement(2.5), 20, 7).WithBorrowing().WithLoan(node.NewLoan("edge-2", 0.25)), node.NewServerLimit(8, backend.NewUnlimited(), 30, 6),
 	}).WithEvidence(quarantine.NewEvidence(
-		[]quarantine.CrashReport{quarantine.NewCrashReport(9, 40, []uint64{1, 2})}, []quarantine.AnswerReport{quarantine.NewAnswerReport(1, 30)},
+		[]quarantine.CrashReport{quarantine.NewCrashReport(9, 40, []uint64{1, 2}).WithRepeated([]uint64{1})}, []quarantine.AnswerReport{quarantine.NewAnswerReport(1, 30)},
 		[]quarantine.BlockReport{quarantine.NewBlockReport([]uint64{2}, 900, 50)}))
 }
 
--- a/internal/quarantine/conclude.go
+++ b/internal/quarantine/conclude.go
@@ -25,23 +25,33 @@
 	// sameCause is the time within which crashes of several servers have one cause, such
 	// as the loss of a rack, and count as one.
 	sameCause = 300 * clock.Millisecond
+	// lossSpread is the same for a request that was sent to the server after the node
+	// knew of an earlier crash with it. A node sees the losses of a rack within a few
+	// round trips.
+	lossSpread = 30 * clock.Millisecond
+	// tiedStrikes is the number of crashes after which a request is quarantined although
+	// another one was at all of them.
+	tiedStrikes = 5
 )
 
-// suspect is a part with the crashes that count against it.
+// suspect is a part of prompts, or a whole request, with the crashes that count against
+// it.
 type suspect struct {
 	part     uint64
 	crashes  []int
 	strikes  int
 	answered bool
-	since    clock.Millis
+	// inRequests is set if the part is in whole requests that are quarantined.
+	inRequests bool
+	since      clock.Millis
 }
 
-// conclude returns the next quarantine that follows from the crashes, which are in
-// order of time. Parts that were never answered are considered first; a crash that one
-// of them may explain doesn't count against the others.
-func conclude(crashes []crash, view view) (Block, bool) {
+// conclude returns the next quarantine that follows from the crashes that no quarantine
+// explains, which are in order of time. Traits that were never answered are considered
+// first; a crash that one of them may explain doesn't count against the others.
+func conclude(crashes []crash, blocks []Block, view view) (Block, bool) {
 	var unanswered, answered []suspect
-	for _, suspect := range findSuspects(crashes, view.last) {
+	for _, suspect := range findSuspects(crashes, blocks, view.last) {
 		if suspect.answered {
 			answered = append(answered, suspect)
 		} else {
@@ -60,7 +70,7 @@
 	for _, suspects := range [][]suspect{unanswered, answered} {
 		var worst suspect
 		for _, suspect := range suspects {
-			if suspect.isConclusive(view) && suspect.strikes > worst.strikes {
+			if suspect.isConclusive(view) && suspect.strikes > worst.strikes && !suspect.isTied(suspects) {
 				worst = suspect
 			}
 		}
@@ -71,9 +81,9 @@
 	return Block{}, false
 }
 
-// findSuspects returns the parts of the crashes with those crashes after which they
+// findSuspects returns the traits at the crashes with those crashes after which they
 // were not answered.
-func findSuspects(crashes []crash, last lastAnswer) []suspect {
+func findSuspects(crashes []crash, blocks []Block, last lastAnswer) []suspect {
 	var suspects []suspect
 	indexes := map[uint64]int{}
 	for i, crash := range crashes {
@@ -93,20 +103,39 @@
 	}
 	for i := range suspects {
 		suspects[i].countStrikes(crashes)
+		suspects[i].countBlocks(blocks)
 	}
 	return suspects
 }
 
+// countBlocks adds a strike for each quarantined request that has the part, if it was
+// never answered: several requests with nothing but the part in common speak against the
+// part.
+func (suspect *suspect) countBlocks(blocks []Block) {
+	if suspect.answered || isRequest(suspect.part) {
+		return
+	}
+	for _, block := range blocks {
+		if contains(block.parts, suspect.part) && slices.ContainsFunc(block.parts, isRequest) {
+			suspect.strikes++
+			suspect.inRequests = true
+		}
+	}
+}
+
 // countStrikes counts the crashes; those at nearly the same time count as one.
 func (suspect *suspect) countStrikes(crashes []crash) {
 	suspect.strikes = 0
 	var counted clock.Millis
 	for _, index := range suspect.crashes {
-		at := crashes[index].at
+		at, spread := crashes[index].at, sameCause
+		if contains(crashes[index].repeated, suspect.part) {
+			spread = lossSpread
+		}
 		if suspect.strikes == 0 {
 			suspect.since = at
 		}
-		if suspect.strikes == 0 || at-counted > sameCause {
+		if suspect.strikes == 0 || at-counted > spread {
 			suspect.strikes, counted = suspect.strikes+1, at
 		}
 	}
@@ -114,7 +143,8 @@
 
 func (suspect suspect) isConclusive(view view) bool {
 	if !suspect.answered {
-		return suspect.strikes >= unansweredStrikes || (len(suspect.crashes) >= severalServers && view.uptime >= warmUp)
+		return suspect.strikes >= unansweredStrikes ||
+			(!isRequest(suspect.part) && len(suspect.crashes) >= severalServers && view.uptime >= warmUp)
 	}
 	at, _ := view.last(suspect.part)
 	return suspect.strikes >= answeredStrikes && view.now-max(at, suspect.since) >= max(answeredSilence, view.delay)
@@ -140,14 +170,41 @@
 	return suspect
 }
 
-// inseparable returns the part and all others that were suspects at the same crashes,
-// sorted.
+// isTied reports whether another request was at all crashes of this one, such as one
+// that was retried at the same servers. The next crash tells them apart.
+func (suspect suspect) isTied(suspects []suspect) bool {
+	if !isRequest(suspect.part) || suspect.strikes >= tiedStrikes {
+		return false
+	}
+	for _, other := range suspects {
+		if isRequest(other.part) && other.part != suspect.part && other.includes(suspect) {
+			return true
+		}
+	}
+	return false
+}
+
+// includes reports whether the suspect was at all crashes of the other one.
+func (suspect suspect) includes(other suspect) bool {
+	return !slices.ContainsFunc(other.crashes, func(index int) bool { return !slices.Contains(suspect.crashes, index) })
+}
+
+// inseparable returns the trait and all others that were suspects at the same crashes,
+// sorted. No request is two of the whole requests, so at most one is among them.
 func (suspect suspect) inseparable(suspects []suspect) []uint64 {
-	parts := []uint64{suspect.part}
+	traits := []uint64{suspect.part}
+	var requests []uint64
 	for _, other := range suspects {
-		if slices.Equal(other.crashes, suspect.crashes) {
-			parts = append(parts, other.part)
+		switch {
+		case other.part == suspect.part || !slices.Equal(other.crashes, suspect.crashes):
+		case isRequest(other.part):
+			requests = append(requests, other.part)
+		default:
+			traits = append(traits, other.part)
 		}
 	}
-	return sorted(parts)
+	if len(requests) == 1 && !isRequest(suspect.part) && !suspect.inRequests {
+		traits = append(traits, requests[0])
+	}
+	return sorted(traits)
 }
--- a/internal/quarantine/cost_test.go
+++ b/internal/quarantine/cost_test.go
@@ -21,7 +21,7 @@
 		for i := range crashes {
 			prompts := []string{fatal, fatal}
 			for j := range bystanders {
-				prompts = append(prompts, fmt.Sprint("A S", bystanders*i+j))
+				prompts = append(prompts, fmt.Sprintf("A S%d #%d", bystanders*i+j, j))
 			}
 			scene.crash(1+0.05*float64(i), prompts...)
 		}
@@ -33,7 +33,7 @@
 			evidence := node.Evidence(scene.now)
 			entries := len(evidence.Answers()) + len(evidence.Blocks())
 			for _, report := range evidence.Crashes() {
-				entries += 1 + len(report.Parts())
+				entries += 1 + len(report.Parts()) + len(report.Repeated())
 			}
 			require.LessOrEqual(t, entries, maxEntries)
 		}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -11,10 +11,11 @@
 	// sends a few bulletins in this time.
 	reportTime = 5 * clock.Second
 	// These bound a node's evidence in a bulletin, which must fit into one packet: crashes
-	// that no quarantine explains, with their parts, those that one explains, answers,
-	// and quarantines.
+	// that no quarantine explains, with their parts of prompts and whole requests, those
+	// that one explains, answers, and quarantines.
 	maxOpenReports      = 8
 	maxReportedParts    = 6
+	maxReportedRequests = 4
 	maxExplainedReports = 24
 	maxReportedAnswers  = 32
 	maxReportedBlocks   = 16
@@ -49,12 +50,13 @@
 // Blocks returns the quarantines that the sender knows.
 func (evidence Evidence) Blocks() []BlockReport { return evidence.blocks }
 
-// CrashReport is a crash of a server, and the parts of requests that were ended by it
+// CrashReport is a crash of a server, and the traits of requests that were ended by it
 // at the sender.
 type CrashReport struct {
-	server uint64
-	age    clock.Millis
-	parts  []uint64
+	server   uint64
+	age      clock.Millis
+	parts    []uint64
+	repeated []uint64
 }
 
 // NewCrashReport returns a report on the server with the hash of its key.
@@ -62,13 +64,24 @@
 	return CrashReport{server: server, age: age, parts: parts}
 }
 
+// WithRepeated returns a copy with the hashes of the whole requests that were suspects
+// when they were sent to the server.
+func (report CrashReport) WithRepeated(requests []uint64) CrashReport {
+	report.repeated = requests
+	return report
+}
+
+// Repeated returns the hashes of the whole requests that were suspects when they were
+// sent to the server.
+func (report CrashReport) Repeated() []uint64 { return report.repeated }
+
 // Server returns the hash of the server's key.
 func (report CrashReport) Server() uint64 { return report.server }
 
 // Age returns the time since the crash.
 func (report CrashReport) Age() clock.Millis { return report.age }
 
-// Parts returns the hashes of the parts' ids.
+// Parts returns the hashes of the traits.
 func (report CrashReport) Parts() []uint64 { return report.parts }
 
 // AnswerReport is the latest answer for a part, or of a server.
@@ -101,7 +114,7 @@
 	return BlockReport{parts: parts, age: age, decidedAge: decidedAge}
 }
 
-// Parts returns the hashes of the parts' ids.
+// Parts returns the hashes of the traits.
 func (report BlockReport) Parts() []uint64 { return report.parts }
 
 // Age returns the time since the first crash that the quarantine explains.
@@ -133,10 +146,10 @@
 		}
 		if block, ok := current.explanation(crash.parts); ok {
 			if explained++; containsAll(crash.own, block.parts) && explained <= maxExplainedReports {
-				evidence.crashes = append(evidence.crashes, NewCrashReport(crash.server, now-crash.at, block.parts))
+				evidence.crashes = append(evidence.crashes, crash.report(block.parts, now))
 			}
 		} else if open++; open <= maxOpenReports {
-			evidence.crashes = append(evidence.crashes, NewCrashReport(crash.server, now-crash.at, quarantine.mostSuspect(crash.own)))
+			evidence.crashes = append(evidence.crashes, crash.report(quarantine.mostSuspect(current, crash.own), now))
 		}
 	}
 	for _, hash := range current.disputed(now) {
@@ -176,9 +189,45 @@
 	return sorted(hashes)
 }
 
-// mostSuspect returns at most maxReportedParts parts, first those that were never
+// report returns the report on the crash with those of its traits.
+func (crash crash) report(traits []uint64, now clock.Millis) CrashReport {
+	var repeated []uint64
+	for _, request := range crash.repeated {
+		if slices.Contains(traits, request) {
+			repeated = append(repeated, request)
+		}
+	}
+	return NewCrashReport(crash.server, now-crash.at, traits).WithRepeated(repeated)
+}
+
+// mostSuspect returns at most maxReportedParts parts of prompts and maxReportedRequests
+// whole requests.
+func (quarantine *Quarantine) mostSuspect(current *state, traits []uint64) []uint64 {
+	var parts, requests []uint64
+	for _, hash := range traits {
+		if isRequest(hash) {
+			requests = append(requests, hash)
+		} else {
+			parts = append(parts, hash)
+		}
+	}
+	return append(quarantine.mostSuspectParts(parts), current.mostSuspectRequests(requests)...)
+}
+
+// mostSuspectRequests returns at most maxReportedRequests whole requests, first those at
+// most crashes.
+func (current *state) mostSuspectRequests(requests []uint64) []uint64 {
+	if len(requests) <= maxReportedRequests {
+		return requests
+	}
+	ordered := slices.Clone(requests)
+	slices.SortStableFunc(ordered, func(a, b uint64) int { return current.countCrashes(b) - current.countCrashes(a) })
+	return ordered[:maxReportedRequests]
+}
+
+// mostSuspectParts returns at most maxReportedParts parts, first those that were never
 // answered.
-func (quarantine *Quarantine) mostSuspect(parts []uint64) []uint64 {
+func (quarantine *Quarantine) mostSuspectParts(parts []uint64) []uint64 {
 	if len(parts) <= maxReportedParts {
 		return parts
 	}
@@ -207,7 +256,10 @@
 	quarantine.update(func(current *state) *state {
 		next := current
 		for _, report := range evidence.crashes {
-			next = next.withCrash(report.server, now-report.age, sorted(slices.Clone(report.parts)), nil)
+			next = next.withCrash(crash{
+				server: report.server, at: now - report.age,
+				parts: sorted(slices.Clone(report.parts)), repeated: sorted(slices.Clone(report.repeated)),
+			})
 		}
 		for _, report := range evidence.blocks {
 			next = next.withBlockOf(report, quarantine.lastAnswer, now)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -12,13 +12,19 @@
 	"sapphirehead/internal/runner"
 )
 
-// prompt returns a prompt with the parts, such as "A B", and one of its own.
-func prompt(parts string) runner.Prompt {
+// prompt returns the traits of a request whose prompt has the parts, such as "A B", and
+// one of its own. A part such as "#1" stands for the whole request.
+func prompt(parts string) quarantine.Traits {
 	var all []runner.Part
+	var fingerprint uint64
 	for id := range strings.FieldsSeq(parts + " own") {
+		if strings.HasPrefix(id, "#") {
+			fingerprint = quarantine.Fingerprint([]byte(id))
+			continue
+		}
 		all = append(all, runner.NewPart(id, 100))
 	}
-	return runner.NewPrompt(all, 0)
+	return quarantine.NewTraits(runner.NewPrompt(all, 0), fingerprint)
 }
 
 // evidenceDelay is the time after which the evidence of peers is known.
@@ -51,11 +57,17 @@
 	scene.at(seconds)
 	scene.count++
 	for i, parts := range prompts {
-		scene.nodes[(int(scene.count)+i)%len(scene.nodes)].Crashed(scene.count, prompt(parts), scene.now)
+		scene.loseAt((int(scene.count)+i)%len(scene.nodes), scene.count, parts)
 	}
 	scene.exchange()
 }
 
+// loseAt ends one request at the server. A suspect counts as one when it was sent.
+func (scene *scene) loseAt(node int, server uint64, parts string) {
+	quarantined, traits := scene.nodes[node], prompt(parts)
+	quarantined.Crashed(server, traits, quarantined.IsSuspect(traits), scene.now)
+}
+
 func (scene *scene) answer(seconds float64, node int, parts string) {
 	scene.at(seconds)
 	scene.nodes[node].Answered(1000, prompt(parts), scene.now)
@@ -159,7 +171,7 @@
 		scene.answer(1, 0, "A")
 		for i := range 5 {
 			scene.at(2 + 0.4*float64(i))
-			scene.nodes[0].Crashed(uint64(i), prompt("A"), scene.now)
+			scene.loseAt(0, uint64(i), "A")
 			scene.nodes[1].Answered(1000, prompt("A"), scene.now+100)
 			scene.nodes[0].Review(delay, scene.now)
 		}
@@ -191,6 +203,64 @@
 		scene.expectBlocked(true, "B D0")
 		scene.expectBlocked(true, "B D1")
 	})
+	t.Run("a request that comes again and crashes three servers", func(t *testing.T) {
+		scene := newScene(t, 3)
+		for i := range 3 {
+			scene.crash(float64(2*i), "#1", fmt.Sprint("#1", i))
+		}
+		scene.expectBlocked(true, "#1")
+		scene.expectBlocked(false, "#11")
+	})
+	t.Run("a request that is retried at once and crashes three servers", func(t *testing.T) {
+		scene := newScene(t, 3)
+		scene.crash(1, "#1", "#2")
+		scene.crash(1.05, "#1", "#3")
+		scene.crash(1.15, "#1", "#4")
+		scene.expectBlocked(true, "#1")
+		scene.expectBlocked(false, "#3")
+	})
+	t.Run("a request at three servers that are lost at once", func(t *testing.T) {
+		scene := newScene(t, 2)
+		for i := range 9 {
+			scene.crash(1+0.002*float64(i), "#1")
+		}
+		scene.expectBlocked(false, "#1")
+	})
+	t.Run("a request that was retried at the same servers as the one that crashes them", func(t *testing.T) {
+		scene := newScene(t, 2)
+		for i := range 3 {
+			scene.crash(1+0.1*float64(i), "#1", "#2")
+		}
+		scene.expectBlocked(false, "#2")
+		scene.crash(4, "#1")
+		scene.expectBlocked(true, "#1")
+		scene.expectBlocked(false, "#2")
+	})
+	t.Run("a request that is answered between the crashes", func(t *testing.T) {
+		scene := newScene(t, 2)
+		for i := range 6 {
+			scene.crash(float64(3*i), "#1")
+			scene.answer(float64(3*i)+0.5, i%2, "#1")
+		}
+		scene.expectBlocked(false, "#1")
+	})
+	t.Run("a prompt of which only one request crashes servers", func(t *testing.T) {
+		scene := newScene(t, 2)
+		for i := range 3 {
+			scene.crash(float64(i), "A S #1")
+		}
+		scene.expectBlocked(true, "A S #1")
+		scene.expectBlocked(false, "A S #2")
+	})
+	t.Run("a part with which several requests crash servers again and again", func(t *testing.T) {
+		scene := newScene(t, 2)
+		scene.answer(0, 1, "A")
+		for i := range 5 {
+			scene.crash(1+float64(i), fmt.Sprint("A D #", i/3))
+		}
+		scene.expectBlocked(true, "A D #5")
+		scene.expectBlocked(false, "A #5")
+	})
 	t.Run("the last part belongs to one request", func(t *testing.T) {
 		scene := newScene(t, 1)
 		for i := range 6 {
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -14,7 +14,7 @@
 	crashMemory = 5 * clock.Minute
 	// maxCrashes, maxParts and maxBlocks bound the state.
 	maxCrashes = 64
-	maxParts   = 64
+	maxParts   = 256
 	maxBlocks  = 64
 	// crashSpan is the time within which losses at one server belong to one crash. No
 	// server is back sooner.
@@ -38,29 +38,35 @@
 type crash struct {
 	server uint64
 	at     clock.Millis
-	// parts are the suspects, sorted, and own those that this node saw.
+	// parts are the suspects, sorted, and own those that this node saw: parts of prompts
+	// and whole requests.
 	parts []uint64
 	own   []uint64
+	// repeated are the whole requests that were suspects when they were sent to the
+	// server, sorted.
+	repeated []uint64
 	// survived is set if the server answered too soon after it for a crash.
 	survived bool
 }
 
-// withCrash returns the state with a loss of requests at the server.
-func (current *state) withCrash(server uint64, at clock.Millis, parts, own []uint64) *state {
+// withCrash returns the state with a loss of requests at a server.
+func (current *state) withCrash(seen crash) *state {
 	next := *current
 	for i, known := range current.crashes {
-		if known.server != server || max(known.at-at, at-known.at) > crashSpan {
+		if known.server != seen.server || max(known.at-seen.at, seen.at-known.at) > crashSpan {
 			continue
 		}
-		if containsAll(known.parts, parts) && containsAll(known.own, own) {
+		if containsAll(known.parts, seen.parts) && containsAll(known.own, seen.own) && containsAll(known.repeated, seen.repeated) {
 			return current
 		}
-		known.parts, known.own = union(known.parts, parts), union(known.own, own)
+		known.parts, known.own = union(known.parts, seen.parts), union(known.own, seen.own)
+		known.repeated = union(known.repeated, seen.repeated)
 		next.crashes = slices.Clone(current.crashes)
 		next.crashes[i] = known
 		return &next
 	}
-	next.crashes = append(slices.Clone(current.crashes), crash{server: server, at: at, parts: union(parts, nil), own: union(own, nil)})
+	seen.parts, seen.own, seen.repeated = union(seen.parts, nil), union(seen.own, nil), union(seen.repeated, nil)
+	next.crashes = append(slices.Clone(current.crashes), seen)
 	slices.SortStableFunc(next.crashes, func(a, b crash) int { return int(a.at - b.at) })
 	next.crashes = next.crashes[max(0, len(next.crashes)-maxCrashes):]
 	return &next
@@ -95,8 +101,19 @@
 }
 
 func (current *state) refersTo(hash uint64) bool {
-	return slices.ContainsFunc(current.crashes, func(crash crash) bool { return crash.server == hash || containsAll(crash.parts, []uint64{hash}) }) ||
-		slices.ContainsFunc(current.blocks, func(block Block) bool { return containsAll(block.parts, []uint64{hash}) })
+	return slices.ContainsFunc(current.crashes, func(crash crash) bool { return crash.server == hash || contains(crash.parts, hash) }) ||
+		slices.ContainsFunc(current.blocks, func(block Block) bool { return contains(block.parts, hash) })
+}
+
+// countCrashes returns the number of crashes with the trait.
+func (current *state) countCrashes(hash uint64) int {
+	count := 0
+	for _, crash := range current.crashes {
+		if !crash.survived && contains(crash.parts, hash) {
+			count++
+		}
+	}
+	return count
 }
 
 // lastAnswer returns when the latest answer for a part, or of a server, began.
@@ -137,7 +154,7 @@
 		}
 	}
 	for {
-		block, found := conclude(next.unexplained(), view)
+		block, found := conclude(next.unexplained(), next.blocks, view)
 		if !found || !next.addBlock(block) {
 			break
 		}
@@ -189,8 +206,9 @@
 	maxTrialInterval = 10 * clock.Minute
 )
 
-// Block is the quarantine of a set of parts: prompts with all of them are refused.
+// Block is the quarantine of a set of traits: requests with all of them are refused.
 type Block struct {
+	// parts are parts of prompts and at most one whole request.
 	parts []uint64
 	// since is the time of the first crash that it explains.
 	since   clock.Millis
@@ -207,7 +225,7 @@
 	return block
 }
 
-// Parts returns the hashes of the parts' ids.
+// Parts returns the hashes of the traits.
 func (block Block) Parts() []uint64 { return block.parts }
 
 // Names returns the hashes in hexadecimal, for logs.
--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -107,9 +107,9 @@
 	behaviourFunc func() Behaviour
 	// workTime is the time taken for a response and for each event of a stream.
 	workTime clock.Millis
-	// fatalPart is the id of a prompt part that crashes the server when it begins a
-	// response, and crash ends its process.
-	fatalPart string
+	// isFatal reports whether a request crashes the server when it begins the response,
+	// and crash ends its process. Both may be nil.
+	isFatal func(request *http.Request) bool
 	// namedLimit is the limit in requests per second that its responses name, or empty.
 	namedLimit string
 	crash      func()
@@ -165,17 +165,29 @@
 // SetFatalPart makes the server crash when it begins the response to a request whose
 // prompt has the part. Crash must end its connections and its listener.
 func (engine *Engine) SetFatalPart(part string, crash func()) {
+	engine.setFatal(func(request *http.Request) bool {
+		return strings.Contains(request.Header.Get("X-Prompt-Prefix"), part+":")
+	}, crash)
+}
+
+// SetFatalTarget makes the server crash when it begins the response to a request for the
+// path and query. Crash must end its connections and its listener.
+func (engine *Engine) SetFatalTarget(target string, crash func()) {
+	engine.setFatal(func(request *http.Request) bool { return request.RequestURI == target }, crash)
+}
+
+func (engine *Engine) setFatal(isFatal func(request *http.Request) bool, crash func()) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
-	engine.fatalPart, engine.crash = part, crash
+	engine.isFatal, engine.crash = isFatal, crash
 }
 
-// crashOn crashes the server if the request has the fatal part.
+// crashOn crashes the server if the request is fatal.
 func (engine *Engine) crashOn(request *http.Request) {
 	engine.mutex.Lock()
-	part, crash := engine.fatalPart, engine.crash
+	isFatal, crash := engine.isFatal, engine.crash
 	engine.mutex.Unlock()
-	if part != "" && strings.Contains(request.Header.Get("X-Prompt-Prefix"), part+":") {
+	if isFatal != nil && isFatal(request) {
 		crash()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/soak/callers.go
+++ b/internal/standin/soak/callers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/standin/enginestandin"
@@ -70,8 +71,8 @@
 	random *rand.Rand
 	client *http.Client
 	serial int
-	// session is the session of the caller's chats, and isFatal is set if they always
-	// have the fatal part.
+	// session is the session of the caller's chats. If isFatal is set, they always have
+	// the fatal part, and lookups are always the fatal request.
 	session int
 	isFatal bool
 }
@@ -106,7 +107,11 @@
 	id := fmt.Sprintf("c%d-%d", caller.number, caller.serial)
 	ctx, cancel := caller.system.clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, kind.method(), "http://"+address+kind.path(), strings.NewReader("body of "+id))
+	path, content := kind.path(), "body of "+id
+	if kind == kindLook && caller.sendsFatal(&caller.system.fatalLooks) {
+		path, content = fatalTarget, fatalTarget
+	}
+	request, err := http.NewRequestWithContext(ctx, kind.method(), "http://"+address+path, strings.NewReader(content))
 	if err != nil {
 		caller.system.tally.addViolation("request %s could not be created: %v", id, err)
 		return false
@@ -132,12 +137,17 @@
 // prompt returns the parts of a chat's prompt.
 func (caller *caller) prompt(id string) string {
 	fatal := ""
-	if caller.isFatal || (caller.system.fatal.Load() && caller.random.Float64() < fatalShare) {
+	if caller.sendsFatal(&caller.system.fatal) {
 		fatal = fatalPart + ":10,"
 	}
 	return fmt.Sprintf("first:20,session-%d:10,%s%s:10", caller.session, fatal, id)
 }
 
+// sendsFatal draws whether the next request crashes its server while the incident is on.
+func (caller *caller) sendsFatal(isOn *atomic.Bool) bool {
+	return caller.isFatal || (isOn.Load() && caller.random.Float64() < fatalShare)
+}
+
 func (caller *caller) send(request *http.Request, id string, kind kind) outcome {
 	tally := caller.system.tally
 	response, err := caller.client.Do(request)
--- a/internal/standin/soak/incidents.go
+++ b/internal/standin/soak/incidents.go
@@ -5,23 +5,27 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"sapphirehead/internal/clock"
 )
 
 const (
-	// fatalPart is the id of a prompt part that crashes model runners, and fatalShare the
-	// share of chats that have it while it is in use.
-	fatalPart  = "fatal"
-	fatalShare = 0.3
+	// fatalPart is the id of a prompt part that crashes model runners, fatalTarget the
+	// path of a request that crashes application servers, and fatalShare the share of
+	// chats and lookups that are fatal while such an incident is on.
+	fatalPart   = "fatal"
+	fatalTarget = "/look/fatal"
+	fatalShare  = 0.3
 	// restartTime is the time from a runner's crash to the start of its successor.
 	restartTime = 500 * clock.Millisecond
 	// sessions is the number of sessions that chats belong to.
 	sessions = 3
-	// crashBudget, contactTime and lateArrivals are the users' bounds: later than
-	// contactTime after the crashBudget-th crash, at most lateArrivals requests with the
-	// part reach runners.
+	// crashBudget, lookBudget, contactTime and lateArrivals are the users' bounds: later
+	// than contactTime after the crashBudget-th crash by the part, or the lookBudget-th by
+	// the request, at most lateArrivals such requests reach servers.
 	crashBudget  = 5
+	lookBudget   = 3
 	contactTime  = 3 * clock.Second
 	lateArrivals = 3
 	// incidentPause is the mean time between two incidents.
@@ -35,7 +39,7 @@
 // limits are the limits that a backend server may name, in requests per second.
 var limits = []string{"0", "0.5", "2.0", "10.0"}
 
-// injectIncidents makes callers send the fatal part, and backend servers name limits,
+// injectIncidents makes callers send fatal requests, and backend servers name limits,
 // until the context ends. It has a random source of its own, so that the seeds of the
 // other faults keep their order.
 func (run *run) injectIncidents(ctx context.Context, random *rand.Rand) {
@@ -62,7 +66,13 @@
 }
 
 func (run *run) drawIncident(random *rand.Rand) fault {
-	if random.IntN(2) == 0 {
+	switch random.IntN(4) {
+	case 0:
+		return fault{
+			name:   "callers send the fatal request",
+			inject: func() { run.system.fatalLooks.Store(true) }, undo: func() { run.system.fatalLooks.Store(false) },
+		}
+	case 1:
 		return fault{
 			name:   "callers send the fatal part",
 			inject: func() { run.system.fatal.Store(true) }, undo: func() { run.system.fatal.Store(false) },
@@ -78,17 +88,25 @@
 	}
 }
 
-// crashOnFatalPart makes the engine's current process crash on the fatal part: its
-// connections end, and a successor starts under a new id. The engine must be locked.
-func (system *system) crashOnFatalPart(engine *engine) {
+// crashOnFatal makes the engine's current process crash on the fatal part, or on the
+// fatal request if it is an application server: its connections end, and a successor
+// starts under a new id. The engine must be locked.
+func (system *system) crashOnFatal(engine *engine) {
 	id, relay := engine.id, engine.relay
 	var once sync.Once
-	engine.standin.SetFatalPart(fatalPart, func() {
-		once.Do(func() {
-			system.crashes.Add(1)
-			system.audit.Go(func() { system.replaceCrashed(engine, id, relay.Close) })
-		})
-	})
+	crash := func(crashes *atomic.Int64) func() {
+		return func() {
+			once.Do(func() {
+				crashes.Add(1)
+				system.audit.Go(func() { system.replaceCrashed(engine, id, relay.Close) })
+			})
+		}
+	}
+	if engine.streams {
+		engine.standin.SetFatalPart(fatalPart, crash(&system.crashes))
+	} else {
+		engine.standin.SetFatalTarget(fatalTarget, crash(&system.lookCrashes))
+	}
 }
 
 // replaceCrashed ends the connections of a crashed engine and starts its successor,
@@ -110,7 +128,8 @@
 }
 
 // checkIncidents checks after the last fault that all nodes serve sound chats of each
-// session, and that a known fatal part reaches no more than lateArrivals runners.
+// session, and that a known fatal part or request reaches no more than lateArrivals
+// servers.
 func (run *run) checkIncidents() {
 	caller := newCaller(run.system, callerCount+1, run.random)
 	defer caller.close()
@@ -125,16 +144,23 @@
 			}
 		}
 	}
-	before := run.system.crashes.Load()
-	if before < crashBudget {
+	caller.isFatal = true
+	run.checkFatal(caller, kindChat, &run.system.crashes, crashBudget)
+	run.checkFatal(caller, kindLook, &run.system.lookCrashes, lookBudget)
+}
+
+// checkFatal checks that hardly any more fatal requests of the kind reach servers, if
+// there were as many crashes as the budget.
+func (run *run) checkFatal(caller *caller, kind kind, crashes *atomic.Int64, budget int64) {
+	before := crashes.Load()
+	if before < budget {
 		return
 	}
 	run.wait(contactTime)
-	caller.isFatal = true
 	for i := range 4 * lateArrivals {
-		caller.call(context.Background(), run.system.nodes[i%nodeCount].address(), kindChat)
+		caller.call(context.Background(), run.system.nodes[i%nodeCount].address(), kind)
 	}
-	if late := run.system.crashes.Load() - before; late > lateArrivals {
-		run.tally.addViolation("%d requests with the fatal part reached runners later than %d ms after %d crashes", late, contactTime, before)
+	if late := crashes.Load() - before; late > lateArrivals {
+		run.tally.addViolation("%d fatal requests of kind %s %s reached servers later than %d ms after %d crashes", late, kind.method(), kind.path(), contactTime, before)
 	}
 }
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -70,11 +70,13 @@
 	relays   []*relay.Relay
 	bookings sync.Map // Id of a booking to its outcome.
 	audit    sync.WaitGroup
-	// fatal is set while callers send the fatal part; crashes counts the runners that it
-	// has crashed.
-	fatal   atomic.Bool
-	crashes atomic.Int64
-	ended   chan struct{}
+	// fatal is set while callers send the fatal part, and fatalLooks while they send the
+	// fatal request; crashes and lookCrashes count the servers that each has crashed.
+	fatal       atomic.Bool
+	fatalLooks  atomic.Bool
+	crashes     atomic.Int64
+	lookCrashes atomic.Int64
+	ended       chan struct{}
 }
 
 // edgeNode is one edge node through the restarts of its process.
@@ -196,9 +198,7 @@
 	if engine.relay, err = system.serveBehind(engine.standin); err != nil {
 		return err
 	}
-	if engine.streams {
-		system.crashOnFatalPart(engine)
-	}
+	system.crashOnFatal(engine)
 	system.publishServer(engine, "ready")
 	return nil
 }
