--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -36,7 +36,9 @@
 	speed      atomic.Pointer[Speed]
 	// start distinguishes two runs of a server under the same id. It is empty if
 	// the platform assigns a new id to each run.
-	start        string
+	start string
+	// software is the version of the server's software, or empty if it isn't known.
+	software     string
 	key          string
 	hash         uint64
 	slots        int
@@ -86,6 +88,10 @@
 // Reclaimable reports whether the server runs on a reclaimable host.
 func (server *Server) Reclaimable() bool { return server.reclaimable }
 
+// Software returns the version of the server's software, or an empty string if it isn't
+// known. Versions of one pool may serve side by side.
+func (server *Server) Software() string { return server.software }
+
 // EndsAt returns the time at which a leaving server ends, or 0 if it is unknown.
 func (server *Server) EndsAt() clock.Millis { return clock.Millis(server.endsAt.Load()) }
 
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -50,7 +50,8 @@
 	fleet.keepMarks(current)
 	for _, listing := range list {
 		server := current.Server(listing.server.id)
-		if server == nil || server.address != listing.server.address || server.start != listing.server.start {
+		if server == nil || server.address != listing.server.address || server.start != listing.server.start ||
+			server.software != listing.server.software {
 			server = listing.server
 			server.speed.Store(fleet.speeds.get(server))
 			if kept, ok := fleet.limits[server.Key()]; ok {
--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -19,6 +19,7 @@
 	version     int64
 	slots       int
 	start       clock.Millis
+	software    string
 	reclaimable bool
 	leaving     bool
 	notice      clock.Millis
@@ -58,6 +59,13 @@
 	return entry
 }
 
+// WithSoftware returns a copy with the version of the server's software, or empty if the
+// entry doesn't name it.
+func (entry Entry) WithSoftware(version string) Entry {
+	entry.software = version
+	return entry
+}
+
 // WithReclaimable returns a copy for a server on a reclaimable host.
 func (entry Entry) WithReclaimable() Entry {
 	entry.reclaimable = true
@@ -73,7 +81,7 @@
 
 func (entry Entry) listing() Listing {
 	server := NewServer(entry.id, entry.address, entry.dataCentre, "", entry.pool)
-	server.slots, server.reclaimable = entry.slots, entry.reclaimable
+	server.slots, server.reclaimable, server.software = entry.slots, entry.reclaimable, entry.software
 	if entry.start != 0 {
 		server.setStart(strconv.FormatInt(int64(entry.start), 10))
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -94,9 +94,19 @@
 		Float64("expectedMillis", requestContext.choice.Wait()).Int("reads", requestContext.choice.UncachedTokens()).Bool("home", requestContext.choice.Preferred()).
 		Int("choices", requestContext.choice.Candidates()).Int64("configuration", requestContext.version()).
 		Int64("serversAgeMillis", int64(ageOf(&edge.storeResponses.servers, edge.clock.Now()))).
+		Str("resumes", requestContext.call.Resumes()).Str("softwareVersion", requestContext.softwareVersion()).
 		Msg("request")
 }
 
+// softwareVersion returns the version of the software of the server chosen last, or an
+// empty string.
+func (requestContext *requestContext) softwareVersion() string {
+	if server := requestContext.choice.Server(); server != nil {
+		return server.Software()
+	}
+	return ""
+}
+
 func (requestContext *requestContext) version() int64 {
 	if requestContext.directory == nil {
 		return 0
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -126,10 +126,10 @@
 	}
 	after := edge.fleet.Current()
 	for _, server := range after.Servers() {
-		if previous := before.Server(server.ID()); previous == nil || previous.Key() != server.Key() {
+		if previous := before.Server(server.ID()); previous == nil || previous.Key() != server.Key() || previous.Software() != server.Software() {
 			server.Circuit().Start(now)
 			edge.log.Info().Str("backendServer", server.ID()).Str("pool", server.Pool()).Str("dataCentre", server.DataCentre()).
-				Bool("reclaimable", server.Reclaimable()).Msg("backend server listed")
+				Bool("reclaimable", server.Reclaimable()).Str("softwareVersion", server.Software()).Msg("backend server listed")
 		}
 	}
 	for _, server := range before.Servers() {
