--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	"sapphirehead/internal/directory"
 	"sapphirehead/internal/placement"
 	"sapphirehead/internal/quarantine"
+	"sapphirehead/internal/release"
 	"sapphirehead/internal/settings"
 	"sapphirehead/platform/store"
 )
@@ -49,10 +50,13 @@
 	counters       *counters
 	budgets        *budgets
 	quarantine     *quarantine.Quarantine
-	meters         *meters
-	peers          *peers
-	leaderTasks    *leaderTasks
-	listeners      listeners
+	releases       *release.Memory
+	// serversUnavailable is set while the list of servers can't be read.
+	serversUnavailable atomic.Bool
+	meters             *meters
+	peers              *peers
+	leaderTasks        *leaderTasks
+	listeners          listeners
 }
 
 type listeners struct {
@@ -65,7 +69,7 @@
 func New(loaded *settings.Edge, clock *clock.Clock, log zerolog.Logger) (*Edge, error) {
 	edge := &Edge{
 		clock: clock, log: log, directory: directory.NewActive(), fleet: backend.NewFleet(), counters: newCounters(),
-		budgets: newBudgets(), quarantine: quarantine.New(clock.Now()),
+		budgets: newBudgets(), quarantine: quarantine.New(clock.Now()), releases: release.NewMemory(clock.Now()),
 	}
 	edge.publishQuarantines()
 	edge.meters = newMeters(clock.Now(), edge.hasOlderPeer, edge.restartLevel)
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -17,6 +17,7 @@
 	"sapphirehead/internal/logging"
 	"sapphirehead/internal/placement"
 	"sapphirehead/internal/pool"
+	"sapphirehead/internal/release"
 	"sapphirehead/internal/request"
 	"sapphirehead/platform/callers"
 	"sapphirehead/platform/runners"
@@ -50,10 +51,15 @@
 	edge := requestContext.edge
 	retrier := request.NewRetrier(requestContext.route, requestContext.deadline())
 	requestContext.pool = requestContext.route.PickPool(rand.Float64())
-	edge.countRequest(requestContext.pool)
 	ctx, cancel := edge.clock.WithTimeout(requestContext.request.Context(), retrier.Deadline()-requestContext.arrived)
 	defer cancel()
 	attempts := &attempts{requestContext: requestContext, retrier: retrier, ctx: ctx}
+	mayGoOn := !requestContext.takesUp() || attempts.pinRelease()
+	edge.countRequest(requestContext.pool)
+	if !mayGoOn {
+		requestContext.refuse("the software version that began the stream is not known", shortRetryAfter)
+		return
+	}
 	for {
 		outcome := attempts.sendOnce()
 		if requestContext.callerLeft() {
@@ -116,9 +122,11 @@
 	triedServers   []string
 	buffered       bufferedResponse
 	lastEvent      string
-	delivered      bool
-	sentAt         clock.Millis
-	retryAfter     clock.Millis
+	// release is the one that began the stream, or 0 if any server may begin it.
+	release    release.ID
+	delivered  bool
+	sentAt     clock.Millis
+	retryAfter clock.Millis
 	// repeated tells that the request was at a crash before it was sent.
 	repeated bool
 	// beganAt is when the latest response began, or 0 if nothing shows that it did.
@@ -171,7 +179,7 @@
 	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
 	rank := requestContext.rank()
 	for {
-		choice, ok := edge.placement.Choose(poolConfig, requestContext.call.Prompt(), rank, attempts.triedServers)
+		choice, ok := edge.placement.Choose(poolConfig, requestContext.call.Prompt(), rank, attempts.triedServers, attempts.release)
 		switch {
 		case !ok && choice.LimitWait() > 0:
 			attempts.retryAfter = choice.LimitWait()
@@ -405,6 +413,7 @@
 		if !attempts.retrier.ResponseStarted() {
 			requestContext.countRun()
 			requestContext.recordFirstEvent()
+			attempts.recordBeginning(requestContext.choice.Server())
 			attempts.writeHead(response.Status(), response.Header(), -1)
 		}
 		if err := attempts.writeEvent(event); err != nil {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -228,6 +228,7 @@
 	now := edge.clock.Now()
 	edge.compareConfiguration(bulletin.Configuration(), now)
 	edge.quarantine.Merge(bulletin.Evidence(), now)
+	edge.releases.Merge(bulletin.Releases(), now)
 	if window := bulletin.ReportedWindow(); usage.IsPlausible(window, edge.trueTime(), edge.settings.Load().Bounds().UsageWindow()) {
 		edge.peers.recordReportedWindow(window)
 	}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -81,8 +81,14 @@
 		},
 		batchDelay: edge.batchDelay,
 		wakeUp:     &edge.wakeUps.servers, otherWakeUp: &edge.wakeUps.configuration,
-		onFailure: func(error) { registry.SetUnavailable() },
-		onSuccess: func() { registry.SetAvailable(edge.clock.Now()) },
+		onFailure: func(error) {
+			registry.SetUnavailable()
+			edge.serversUnavailable.Store(true)
+		},
+		onSuccess: func() {
+			registry.SetAvailable(edge.clock.Now())
+			edge.serversUnavailable.Store(false)
+		},
 	})
 }
 
@@ -124,6 +130,7 @@
 		edge.log.Info().Str("backendServer", id).Int64("endsAtMillis", int64(server.EndsAt())).Int64("nowMillis", int64(now)).
 			Msg("backend server leaves")
 	}
+	edge.observeReleases()
 	after := edge.fleet.Current()
 	for _, server := range after.Servers() {
 		if previous := before.Server(server.ID()); previous == nil || previous.Key() != server.Key() || previous.Software() != server.Software() {
@@ -142,8 +149,8 @@
 // sweepInterval is the time between two sweeps of idle connections.
 const sweepInterval = 2 * clock.Second
 
-// sweep periodically closes connections that are no longer needed and records the
-// queued latencies.
+// sweep periodically closes connections that are no longer needed, and records the queued
+// latencies and the releases that still serve.
 func (edge *Edge) sweep(ctx context.Context) {
 	for edge.clock.Wait(ctx, sweepInterval) == nil {
 		live := map[string]bool{}
@@ -152,5 +159,6 @@
 		}
 		edge.links.Sweep(func(key string) bool { return live[key] })
 		edge.counters.latency.flush()
+		edge.observeReleases()
 	}
 }
--- /dev/null
+++ b/internal/edge/takeup.go
@@ -0,0 +1,96 @@
+package edge
+
+import (
+	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/release"
+)
+
+const (
+	// takeUpMargin is the time that a request needs to reach a node after a caller has
+	// decided to take a stream up.
+	takeUpMargin = 1 * clock.Second
+	// unboundedStream is assumed as the length of a stream whose caller and route set no
+	// deadline.
+	unboundedStream = 1 * clock.Minute
+)
+
+// takesUp reports whether the caller takes up a stream that broke off.
+func (requestContext *requestContext) takesUp() bool {
+	return requestContext.route.Resumable() && requestContext.call.ResumeAfter() != ""
+}
+
+// streamID returns the id of the request that brought the first event of the stream, or
+// will bring it, and false if the caller doesn't name it.
+func (requestContext *requestContext) streamID() (release.RequestID, bool) {
+	id := requestContext.call.ID()
+	if requestContext.takesUp() {
+		id = requestContext.call.Resumes()
+	}
+	return release.NewRequestID(id), id != ""
+}
+
+// pinRelease limits the attempts of a request that takes a stream up to the release that
+// began it. It reports false if that release isn't known: the rest of the stream could
+// come from another one.
+func (attempts *attempts) pinRelease() bool {
+	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
+	now := edge.clock.Now()
+	if stream, named := requestContext.streamID(); named {
+		if began, known := edge.releases.BeganAt(stream, now); known {
+			attempts.release = began
+			requestContext.pool = requestContext.poolOf(began)
+			return true
+		}
+	}
+	if len(requestContext.route.Shares()) > 1 || edge.isIsolated(now) {
+		return false
+	}
+	var alone bool
+	attempts.release, alone = edge.releases.Alone(requestContext.pool, release.AloneSpan(requestContext.route.Deadline()), now)
+	return alone
+}
+
+// poolOf returns the pool of the route that has servers of the release, or the pool that
+// was picked.
+func (requestContext *requestContext) poolOf(began release.ID) string {
+	servers := requestContext.edge.fleet.Current()
+	for _, share := range requestContext.route.Shares() {
+		for _, server := range servers.Pool(share.Pool()) {
+			if release.Of(server) == began {
+				return share.Pool()
+			}
+		}
+	}
+	return requestContext.pool
+}
+
+// recordBeginning keeps the stream at the release of the server that brought its first
+// event, in this response and, for a caller who takes it up, in later ones.
+func (attempts *attempts) recordBeginning(server *backend.Server) {
+	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
+	if !requestContext.route.Resumable() {
+		return
+	}
+	attempts.release = release.Of(server)
+	wait := max(requestContext.call.Timeout(), requestContext.route.Deadline())
+	if wait == 0 {
+		wait = unboundedStream
+	}
+	if stream, named := requestContext.streamID(); named {
+		edge.releases.Begin(stream, server, requestContext.arrived+wait+takeUpMargin, edge.clock.Now())
+	}
+}
+
+// isIsolated reports whether this node reads neither the list of servers nor the
+// bulletins of peers, so that servers of a new release may serve without its knowledge.
+func (edge *Edge) isIsolated(now clock.Millis) bool {
+	return edge.serversUnavailable.Load() && edge.peers.states.View().LiveCount(now) == 1
+}
+
+// observeReleases records the releases that are listed now.
+func (edge *Edge) observeReleases() {
+	if edge.releases.Observe(edge.fleet.Current().Servers(), edge.clock.Now()) {
+		signal(edge.peers.urgent)
+	}
+}
--- /dev/null
+++ b/internal/edge/takeup_test.go
@@ -0,0 +1,169 @@
+package edge_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sapphirehead/internal/standin/enginestandin"
+)
+
+// versionedEngines are engines of two software versions, v0 and v1 in turn.
+type versionedEngines struct {
+	fixture *fixture
+	engines []*enginestandin.Engine
+}
+
+func newVersionedEngines(t *testing.T, count int) *versionedEngines {
+	t.Helper()
+	engines := &versionedEngines{fixture: newEmptyFixture(t)}
+	for _, id := range []string{"chat-0", "chat-1"} {
+		engines.fixture.store.Remove("servers", id)
+	}
+	for i := range count {
+		engine := enginestandin.New(fmt.Sprint("engine-", i), true)
+		engines.engines = append(engines.engines, engine)
+		engines.fixture.store.Set("servers", fmt.Sprint("engine-", i), fmt.Sprintf(
+			`{"service":"engines","address":%q,"zone":"lj-a","version":"v%d","batchSlots":6,"state":"ready","coldRemainingMs":0,"sequence":1}`,
+			engines.fixture.serve(engine), i%2))
+	}
+	return engines
+}
+
+// start starts a node that lists all engines.
+func (engines *versionedEngines) start(host string) *testNode {
+	node := engines.fixture.start(host, engines.fixture.store)
+	node.log.await("configuration active", `"version":3`)
+	for i := range engines.engines {
+		node.log.await("backend server listed", fmt.Sprintf(`"engine-%d"`, i))
+	}
+	return node
+}
+
+// breakStreams makes each engine break off that share of its streams.
+func (engines *versionedEngines) breakStreams(share float64) {
+	for i, engine := range engines.engines {
+		random := rand.New(rand.NewPCG(uint64(i), 7))
+		engine.SetBehaviourFunc(func() enginestandin.Behaviour {
+			if random.Float64() < share {
+				return enginestandin.BehaviourBreakStream
+			}
+			return enginestandin.BehaviourServe
+		})
+	}
+}
+
+// versionsOf returns the versions that ran each request, by the id of the request that
+// began the stream.
+func (engines *versionedEngines) versionsOf() map[string]map[int]bool {
+	versions := map[string]map[int]bool{}
+	for i, engine := range engines.engines {
+		for _, executed := range engine.Executed() {
+			stream := executed.Header().Get("Resumes")
+			if stream == "" {
+				stream = executed.ID()
+			}
+			if versions[stream] == nil {
+				versions[stream] = map[int]bool{}
+			}
+			versions[stream][i%2] = true
+		}
+	}
+	return versions
+}
+
+func (engines *versionedEngines) expectNoneJoined() {
+	engines.fixture.t.Helper()
+	for stream, versions := range engines.versionsOf() {
+		require.Len(engines.fixture.t, versions, 1, "versions of stream %s", stream)
+	}
+}
+
+// takeUp takes the stream of the request up after the events in the body.
+func takeUp(stream, body string) func(*http.Request) {
+	return func(request *http.Request) {
+		request.Header.Set("Resumes", stream)
+		request.Header.Set("Last-Event-Id", strconv.Itoa(strings.Count(body, "\n\n")-1))
+	}
+}
+
+// TestStreamJoinsVersions guards against a stream that goes on at another software version
+// than the one that began it (incident ORDER).
+func TestStreamJoinsVersions(t *testing.T) {
+	t.Parallel()
+	t.Run("within one response", func(t *testing.T) {
+		t.Parallel()
+		engines := newVersionedEngines(t, 6)
+		engines.fixture.testNode = engines.start("edge-1")
+		engines.breakStreams(0.5)
+		const calls = 40
+		whole := 0
+		for i := range calls {
+			if got := engines.fixture.call(http.MethodPost, fmt.Sprint("/resume/", i)); got.err == nil && got.body == wholeStream() {
+				whole++
+			}
+		}
+		engines.expectNoneJoined()
+		require.GreaterOrEqual(t, whole, calls/2, "streams that went on")
+	})
+	t.Run("over a caller's tries at another node", func(t *testing.T) {
+		t.Parallel()
+		engines := newVersionedEngines(t, 6)
+		nodes := []*testNode{engines.start("edge-1"), engines.start("edge-2")}
+		engines.fixture.testNode = nodes[0]
+		const calls, maxTries = 12, 6
+		wentOn := 0
+		for i := range calls {
+			engines.breakStreams(1)
+			begun := engines.fixture.callAt(nodes[0], http.MethodPost, fmt.Sprint("/resume/", i))
+			require.Error(t, begun.err)
+			require.Contains(t, begun.body, "\n\n")
+			stream := fmt.Sprint("r-", engines.fixture.requestCount)
+			engines.breakStreams(0)
+			for range maxTries {
+				got := engines.fixture.callAt(nodes[1], http.MethodPost, fmt.Sprint("/resume/", i), takeUp(stream, begun.body))
+				if got.err == nil && got.status == http.StatusOK {
+					require.Equal(t, wholeStream(), begun.body+got.body)
+					wentOn++
+					break
+				}
+				require.Equal(t, http.StatusServiceUnavailable, got.status)
+				engines.fixture.nextCall()
+			}
+		}
+		engines.expectNoneJoined()
+		require.GreaterOrEqual(t, 2*wentOn, calls, "streams that went on")
+	})
+	t.Run("after all nodes were killed and the old version has left", func(t *testing.T) {
+		t.Parallel()
+		engines := newVersionedEngines(t, 4)
+		first := engines.start("edge-1")
+		engines.breakStreams(1)
+		begun := engines.fixture.callAt(first, http.MethodPost, "/resume/a")
+		require.Error(t, begun.err)
+		first.kill()
+		require.NoError(t, first.awaitEnd())
+		engines.breakStreams(0)
+		for version := range 2 {
+			if !engines.versionsOf()["r-1"][version] {
+				continue
+			}
+			for i := version; i < len(engines.engines); i += 2 {
+				engines.fixture.store.Remove("servers", fmt.Sprint("engine-", i))
+			}
+		}
+		second := engines.fixture.start("edge-1", engines.fixture.store)
+		second.log.await("configuration active", `"version":3`)
+		second.log.await("backend server listed")
+		got := engines.fixture.callAt(second, http.MethodPost, "/resume/a", takeUp("r-1", begun.body))
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+		engines.expectNoneJoined()
+	})
+}
--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -3,6 +3,7 @@
 import (
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/quarantine"
+	"sapphirehead/internal/release"
 )
 
 // Usage is the consumption of a client account, or the demand for a pool, by
@@ -94,6 +95,7 @@
 	evidence         quarantine.Evidence
 	serverLimits     []ServerLimit
 	reportedWindow   int64
+	releases         release.News
 }
 
 // NewBulletin returns a bulletin of the process on the host, which receives
@@ -168,6 +170,17 @@
 // ServerLimits returns what the sender knows of the limits of backend servers.
 func (bulletin Bulletin) ServerLimits() []ServerLimit { return bulletin.serverLimits }
 
+// WithReleases returns a copy with what the sender knows of software versions and of the
+// streams that they began.
+func (bulletin Bulletin) WithReleases(news release.News) Bulletin {
+	bulletin.releases = news
+	return bulletin
+}
+
+// Releases returns what the sender knows of software versions and of the streams that
+// they began.
+func (bulletin Bulletin) Releases() release.News { return bulletin.releases }
+
 // WithUsage returns a copy with the node's usage and load.
 func (bulletin Bulletin) WithUsage(accounts []Usage, servers []ServerWork, pools []Usage, windows []WindowRuns) Bulletin {
 	bulletin.accounts, bulletin.servers, bulletin.pools, bulletin.windows = accounts, servers, pools, windows
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -35,6 +35,7 @@
 	encodeServers(message, bulletin.Servers())
 	encodeServerLimits(message, bulletin.ServerLimits())
 	message.SetCrashEvidence(evidencecodec.Encode(bulletin.Evidence()))
+	message.SetReleases(encodeReleases(bulletin.Releases()))
 	pools := make([]*nodepb.PoolUse, 0, len(bulletin.Pools()))
 	for _, usage := range bulletin.Pools() {
 		form := &nodepb.PoolUse{}
@@ -167,6 +168,10 @@
 	if err != nil {
 		return node.Bulletin{}, err
 	}
+	releases, err := decodeReleases(message.GetReleases())
+	if err != nil {
+		return node.Bulletin{}, err
+	}
 	accounts, windows := decodeAccounts(message)
 	pools := make([]node.Usage, 0, len(message.GetPools()))
 	for _, form := range message.GetPools() {
@@ -175,7 +180,7 @@
 	return node.NewBulletin(message.GetHost(), message.GetAddress(), message.GetIncarnation(), message.GetSequence(),
 		clock.Millis(message.GetWallMillis()), message.GetStopping()).
 		WithConfiguration(message.GetConfiguration(), clock.Millis(message.GetConfigurationAgeMillis())).WithLeaving(message.GetLeaving()).WithUptime(clock.Millis(message.GetUptimeMillis())).WithReportedWindow(message.GetReportedWindow()).
-		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence).WithServerLimits(limits), nil
+		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence).WithServerLimits(limits).WithReleases(releases), nil
 }
 
 func hasMatchingLists(message *nodepb.Bulletin) bool {
--- a/internal/node/nodecast/nodecast_test.go
+++ b/internal/node/nodecast/nodecast_test.go
@@ -12,6 +12,7 @@
 	"sapphirehead/internal/node/nodecast"
 	"sapphirehead/internal/node/nodepb"
 	"sapphirehead/internal/quarantine"
+	"sapphirehead/internal/release"
 )
 
 func sampleBulletin() node.Bulletin {
@@ -21,7 +22,8 @@
 		node.NewServerLimit(9, backend.NewStatement(2.5), 20, 7).WithBorrowing().WithLoan(node.NewLoan("edge-2", 0.25)), node.NewServerLimit(8, backend.NewUnlimited(), 30, 6),
 	}).WithEvidence(quarantine.NewEvidence(
 		[]quarantine.CrashReport{quarantine.NewCrashReport(9, 40, []uint64{1, 2}).WithRepeated([]uint64{1})}, []quarantine.AnswerReport{quarantine.NewAnswerReport(1, 30)},
-		[]quarantine.BlockReport{quarantine.NewBlockReport([]uint64{2}, 900, 50)}))
+		[]quarantine.BlockReport{quarantine.NewBlockReport([]uint64{2}, 900, 50)})).WithReleases(release.NewNews(60_000,
+		[]release.SightingReport{release.NewSightingReport(3, 4, 200)}, []release.BeginningReport{release.NewBeginningReport(11, 4, 3500)}))
 }
 
 func TestSocket(t *testing.T) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -25,6 +25,7 @@
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/pool"
+	"sapphirehead/internal/release"
 	"sapphirehead/internal/rendezvous"
 	"sapphirehead/internal/runner"
 )
@@ -114,17 +115,17 @@
 }
 
 // Choose returns the cheapest server for a request of the rank with the prompt, and
-// false if there is none. It skips leaving servers, those whose keys are excluded and
-// those at the limit that they named. A server whose circuit is open is chosen only if
-// there is no other.
-func (placement *Placement) Choose(poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string) (Choice, bool) {
+// false if there is none. It skips leaving servers, those whose keys are excluded, those
+// at the limit that they named and, unless only is 0, those of other releases. A server
+// whose circuit is open is chosen only if there is no other.
+func (placement *Placement) Choose(poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID) (Choice, bool) {
 	servers := placement.fleet.Current().Pool(poolConfig.Name())
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
 	var best, fallback Choice
 	candidates, limitWait := 0, clock.Millis(0)
 	for _, server := range servers {
-		if server.Leaving() || slices.Contains(exclude, server.Key()) {
+		if server.Leaving() || slices.Contains(exclude, server.Key()) || (only != 0 && release.Of(server) != only) {
 			continue
 		}
 		if wait := server.RateLimit().Wait(rank, now); wait > 0 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -10,6 +10,7 @@
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/placement"
 	"sapphirehead/internal/pool"
+	"sapphirehead/internal/release"
 	"sapphirehead/internal/route"
 	"sapphirehead/internal/runner"
 )
@@ -40,7 +41,7 @@
 
 func (fixture *fixture) choose(t *testing.T, exclude ...string) placement.Choice {
 	t.Helper()
-	choice, ok := fixture.placement.Choose(fixture.poolConfig, fixture.prompt, 0, exclude)
+	choice, ok := fixture.placement.Choose(fixture.poolConfig, fixture.prompt, 0, exclude, 0)
 	require.True(t, ok)
 	return choice
 }
@@ -86,12 +87,35 @@
 		fixture.fleet.Current().Server("e-2").Circuit().Trip(1000)
 		require.Zero(t, fixture.choose(t).Candidates())
 	})
+	t.Run("a stream goes on at its release only, also where the circuits are open", func(t *testing.T) {
+		fixture := newFixture()
+		var list []backend.Listing
+		for i := range engines {
+			entry := backend.NewEntry(fmt.Sprint("v-", i), "10.0.0.1:80", "lj-a", "engines", 1).WithSoftware(fmt.Sprint("v", i%2))
+			registry := backend.NewRegistry(0)
+			registry.Set(entry, 0)
+			list = append(list, registry.List(0)...)
+		}
+		fixture.fleet.Update(list)
+		for _, server := range fixture.fleet.Current().Servers() {
+			if server.Software() == "v1" {
+				server.Circuit().Trip(1000)
+			}
+		}
+		for range 3 {
+			choice, ok := fixture.placement.Choose(fixture.poolConfig, fixture.prompt, 0, nil, release.New("engines", "v1"))
+			require.True(t, ok)
+			require.Equal(t, "v1", choice.Server().Software())
+		}
+		_, ok := fixture.placement.Choose(fixture.poolConfig, fixture.prompt, 0, nil, release.New("engines", "v3"))
+		require.False(t, ok)
+	})
 	t.Run("a leaving server gets no requests", func(t *testing.T) {
 		fixture := newFixture()
 		for _, server := range fixture.fleet.Current().Servers() {
 			server.MarkLeaving()
 		}
-		_, ok := fixture.placement.Choose(fixture.poolConfig, fixture.prompt, 0, nil)
+		_, ok := fixture.placement.Choose(fixture.poolConfig, fixture.prompt, 0, nil, 0)
 		require.False(t, ok)
 	})
 }
