--- a/internal/backend/backendlink/exchange.go
+++ b/internal/backend/backendlink/exchange.go
@@ -92,6 +92,8 @@
 	stop       func() bool
 	closed     bool
 	complete   bool
+	// hasBody is set once a byte of the body was received.
+	hasBody bool
 }
 
 // Send sends the request to the server and returns the response once its head
@@ -164,15 +166,26 @@
 // Length returns the length of the body in bytes, or -1 if it is unknown.
 func (response *Response) Length() int64 { return response.head.ContentLength }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// Read reads the body. It returns io.EOF only at the end of a complete body. A body that
+// ends with the connection must have a byte: nothing else tells it from one that the
+// server never began.
 func (response *Response) Read(into []byte) (int, error) {
 	count, err := response.head.Body.Read(into)
+	response.hasBody = response.hasBody || count > 0
 	if errors.Is(err, io.EOF) {
+		if !response.hasBody && response.endsWithConnection() {
+			return count, io.ErrUnexpectedEOF
+		}
 		response.complete = true
 	}
 	return count, err
 }
 
+// endsWithConnection reports whether the body has neither a length nor chunks.
+func (response *Response) endsWithConnection() bool {
+	return response.head.ContentLength < 0 && len(response.head.TransferEncoding) == 0 && response.head.Request.Method != http.MethodHead
+}
+
 // Discard reads the rest of a response whose body is not needed, so that Close can
 // keep the connection. It gives up on a body that is longer than maxDiscardedBytes or
 // takes longer than discardTimeout.
--- a/internal/backend/backendlink/exchange_test.go
+++ b/internal/backend/backendlink/exchange_test.go
@@ -74,6 +74,7 @@
 	extraResponse    = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"
 	cutResponse      = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"
 	cutChunks        = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+	unframedHead     = "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\n\r\n"
 	earlyResponse    = "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno"
 	notHTTP          = "nothing of the kind\r\n\r\n"
 )
@@ -132,6 +133,20 @@
 	t.Run("a chunked body without the last chunk is incomplete", func(t *testing.T) {
 		expectBodies(t, newScriptedServer(t, []string{cutChunks}), 1, "lost")
 	})
+	t.Run("a body without a length that ends before its first byte is incomplete", func(t *testing.T) {
+		expectBodies(t, newScriptedServer(t, []string{unframedHead}), 1, "lost")
+	})
+	t.Run("a body without a length ends with its connection", func(t *testing.T) {
+		expectBodies(t, newScriptedServer(t, []string{unframedHead + "ok"}), 1, "ok")
+	})
+	t.Run("a head that is cut at any byte", func(t *testing.T) {
+		for _, whole := range []string{completeResponse, cutChunks, unframedHead, "HTTP/1.1 100 Continue\r\n\r\n" + completeResponse} {
+			head := whole[:strings.LastIndex(whole, "\r\n\r\n")+len("\r\n\r\n")]
+			for cut := range len(head) {
+				expectBodies(t, newScriptedServer(t, []string{head[:cut]}), 1, "lost")
+			}
+		}
+	})
 	t.Run("noise", func(t *testing.T) { expectBodies(t, newScriptedServer(t, []string{notHTTP}), 1, "lost") })
 	t.Run("no response", func(t *testing.T) { expectBodies(t, newScriptedServer(t, []string{""}), 1, "lost") })
 }
--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -190,6 +190,25 @@
 	}
 }
 
+// TestEndedHead guards against a response whose server ended within its head and that the
+// caller gets as a whole one.
+func TestEndedHead(t *testing.T) {
+	fixture := newFixture(t)
+	expectNoAnswer := func(t *testing.T, method, path string, status int) {
+		t.Helper()
+		for _, servers := range [][]*enginestandin.Engine{fixture.chats, fixture.apps} {
+			setManners(servers, enginestandin.BehaviourEndedHead, enginestandin.BehaviourEndedHead)
+		}
+		got := fixture.call(method, path)
+		require.NoError(t, got.err)
+		require.Equal(t, status, got.status, got.body)
+	}
+	t.Run("a stream", func(t *testing.T) { expectNoAnswer(t, http.MethodPost, "/chat/a", http.StatusBadGateway) })
+	t.Run("a stream that may be resumed", func(t *testing.T) { expectNoAnswer(t, http.MethodPost, "/resume/a", http.StatusBadGateway) })
+	t.Run("a request that may be repeated", func(t *testing.T) { expectNoAnswer(t, http.MethodGet, "/look/a", http.StatusBadGateway) })
+	t.Run("a request that must not be repeated", func(t *testing.T) { expectNoAnswer(t, http.MethodPost, "/book/a", http.StatusBadGateway) })
+}
+
 // TestErrorWithinStream guards against a stream that broke off and that the next server's
 // error, or its lack of events, is taken for the rest of.
 func TestErrorWithinStream(t *testing.T) {
--- a/internal/service/servicehttp/client.go
+++ b/internal/service/servicehttp/client.go
@@ -99,6 +99,10 @@
 	if len(body) > MaxResponseBytes {
 		return service.Answer{}, request.CauseCut, errors.Errorf("answer has more than %d bytes", MaxResponseBytes)
 	}
+	if len(body) == 0 && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		// Only the end of the connection ends such a body, so it may never have begun.
+		return service.Answer{}, request.CauseCut, io.ErrUnexpectedEOF
+	}
 	if response.Header.Get("X-Leaving") == "true" {
 		server.MarkLeaving()
 	}
--- a/internal/service/servicehttp/client_test.go
+++ b/internal/service/servicehttp/client_test.go
@@ -50,6 +50,15 @@
 
 // TestCall checks the cause returned for each end of a call with side effects.
 func TestCall(t *testing.T) {
+	t.Run("ended after its head", func(t *testing.T) {
+		expectCause(t, request.CauseCut, func(writer http.ResponseWriter, _ *http.Request) {
+			connection, _, err := http.NewResponseController(writer).Hijack()
+			require.NoError(t, err)
+			_, err = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\n")
+			require.NoError(t, err)
+			require.NoError(t, connection.Close())
+		})
+	})
 	t.Run("answered", func(t *testing.T) {
 		answer := expectCause(t, 0, func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusCreated) })
 		require.Equal(t, http.StatusCreated, answer.Status())
--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -62,6 +62,9 @@
 	BehaviourUnframed
 	// BehaviourUnframedCut: the same, but closes the connection within an event.
 	BehaviourUnframedCut
+	// BehaviourEndedHead: sends the head of a response with neither a length nor chunks and
+	// closes the connection.
+	BehaviourEndedHead
 	// BehaviourSilent: executes the request and never responds.
 	BehaviourSilent
 )
@@ -330,6 +333,8 @@
 		engine.sendUnframed(writer, request, unframedEvents)
 	case BehaviourUnframedCut:
 		engine.sendUnframed(writer, request, unframedEvents[:len(unframedEvents)-1])
+	case BehaviourEndedHead:
+		engine.sendUnframed(writer, request, "")
 	case BehaviourSilent:
 		<-request.Context().Done()
 	case BehaviourClose:
