--- a/internal/caller/allotment_test.go
+++ b/internal/caller/allotment_test.go
@@ -9,7 +9,6 @@
 
 	"sapphirehead/internal/caller"
 	"sapphirehead/internal/clock"
-	"sapphirehead/internal/route"
 )
 
 func TestMeter(t *testing.T) {
@@ -250,15 +249,16 @@
 
 func TestShutdownPolicy(t *testing.T) {
 	policy := caller.NewShutdownPolicy(1000, 8300)
-	stream := route.New("chat", route.KindChat, "runners").WithTargets(400, 300, 15000)
-	plain := route.New("lookup", route.KindService, "app").WithTargets(300, 0, 800)
-	expectAdmits := func(t *testing.T, policy *caller.ShutdownPolicy, routeConfig route.Route, now clock.Millis, admits bool) {
+	const stream, plain = 15 * clock.Second, 800 * clock.Millisecond
+	expectAdmits := func(t *testing.T, policy *caller.ShutdownPolicy, timeout, now clock.Millis, admits bool) {
 		t.Helper()
-		require.Equal(t, admits, policy.Admits(routeConfig, now))
+		require.Equal(t, admits, policy.Admits(timeout != plain, now+timeout, now))
 	}
 	t.Run("a node that does not stop admits everything", func(t *testing.T) { expectAdmits(t, nil, stream, 99999, true) })
 	t.Run("stream shortly after the start", func(t *testing.T) { expectAdmits(t, policy, stream, 3400, true) })
 	t.Run("stream that would be cut", func(t *testing.T) { expectAdmits(t, policy, stream, 3500, false) })
+	t.Run("a later stream that fits", func(t *testing.T) { expectAdmits(t, policy, 4*clock.Second, 3900, true) })
+	t.Run("a stream in a short grace period", func(t *testing.T) { expectAdmits(t, caller.NewShutdownPolicy(1000, 2300), stream, 1500, false) })
 	t.Run("plain request that fits", func(t *testing.T) { expectAdmits(t, policy, plain, 7100, true) })
 	t.Run("plain request that does not fit", func(t *testing.T) { expectAdmits(t, policy, plain, 7300, false) })
 }
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -241,7 +241,7 @@
 			return requestContext.deny(now, http.StatusUnauthorized, "noKey", "the key is not known")
 		}
 	}
-	if !requestContext.edge.shutdownPolicy.Load().Admits(matched, now) {
+	if !requestContext.edge.shutdownPolicy.Load().Admits(matched.Streaming(), requestContext.deadline(), now) {
 		requestContext.refuse("this node is stopping", shortRetryAfter)
 		return false
 	}
--- a/internal/edge/fixture_test.go
+++ b/internal/edge/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -187,6 +188,8 @@
 	apps         []*enginestandin.Engine
 	client       *http.Client
 	requestCount int
+	// graceSeconds is the grace period of nodes that are started, 8 if it is 0.
+	graceSeconds float64
 }
 
 const testConfiguration = `{"version":3,"routes":[
@@ -277,7 +280,8 @@
 usageWindowSeconds = 0.5
 usageLateSeconds = 8
 leaseMillis = 500
-`, testNode.host, fixture.serve(testNode.door), fixture.serve(fixture.duty))))
+graceSeconds = %g
+`, testNode.host, fixture.serve(testNode.door), fixture.serve(fixture.duty), cmp.Or(fixture.graceSeconds, 8))))
 	require.NoError(fixture.t, err)
 	return loaded
 }
--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -389,6 +389,31 @@
 	require.True(t, httpResponse.Close, "a stopping node closes the connection with its response")
 }
 
+// TestLateInGrace guards against a request that a stopping node admits although it may not
+// end before the node does.
+func TestLateInGrace(t *testing.T) {
+	expectRefused := func(t *testing.T, configuration, method, path string) {
+		t.Helper()
+		fixture := newEmptyFixture(t)
+		fixture.graceSeconds = 3
+		fixture.store.Set("config", "main", configuration)
+		fixture.testNode = fixture.startReady("edge-1")
+		for _, servers := range [][]*enginestandin.Engine{fixture.chats, fixture.apps} {
+			setManners(servers, enginestandin.BehaviourSilent)
+		}
+		fixture.stop()
+		fixture.log.await("stopping")
+		got := fixture.call(method, path, func(request *http.Request) { request.Header.Set("X-Deadline-Ms", "2900") })
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusServiceUnavailable, got.status, got.body)
+		require.Contains(t, got.body, "this node is stopping")
+	}
+	withoutTimeouts := strings.ReplaceAll(testConfiguration, `"timeoutMs":4000,`, "")
+	t.Run("its route has a timeout", func(t *testing.T) { expectRefused(t, testConfiguration, http.MethodPost, "/book/a") })
+	t.Run("its route has none", func(t *testing.T) { expectRefused(t, withoutTimeouts, http.MethodPost, "/book/a") })
+	t.Run("it may be repeated, its route has none", func(t *testing.T) { expectRefused(t, withoutTimeouts, http.MethodGet, "/look/a") })
+}
+
 // TestCallerDisconnects checks that a request ends when its caller disconnects
 // while no server has responded.
 func TestCallerDisconnects(t *testing.T) {
