--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -36,17 +36,26 @@
 }
 
 // Signals returns a context that is cancelled by the first SIGTERM or SIGINT and one
-// that is cancelled by the second.
+// that is cancelled by a later SIGINT. A supervisor may repeat SIGTERM, which must not cut
+// off the requests in progress.
 func Signals() (stop, kill context.Context) {
-	stop, cancelStop := context.WithCancel(context.Background())
-	kill, cancelKill := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return contextsOf(signals)
+}
+
+func contextsOf(signals <-chan os.Signal) (stop, kill context.Context) {
+	stop, cancelStop := context.WithCancel(context.Background())
+	kill, cancelKill := context.WithCancel(context.Background())
 	go func() {
 		<-signals
 		cancelStop()
-		<-signals
-		cancelKill()
+		for received := range signals {
+			if received == syscall.SIGINT {
+				cancelKill()
+				return
+			}
+		}
 	}()
 	return stop, kill
 }
