--- a/internal/release/history.go
+++ b/internal/release/history.go
@@ -12,6 +12,9 @@
 	// historySpan is how long a release that serves no more is remembered, and thus the
 	// longest time for which a release can be known to have served alone.
 	historySpan = 2 * clock.Minute
+	// sightingTick is the resolution of the times of sightings, so that most bulletins of
+	// peers change nothing.
+	sightingTick = 1 * clock.Second
 	// maxSightings bounds the releases that are remembered.
 	maxSightings = 256
 )
@@ -49,6 +52,9 @@
 func (history *history) add(sightings []sighting, since, now clock.Millis) (isNew bool) {
 	for {
 		current := history.state.Load()
+		if current.hasAll(sightings, since) {
+			return false
+		}
 		next, isNew := current.with(sightings, since, now)
 		if history.state.CompareAndSwap(current, next) {
 			return isNew
@@ -56,6 +62,14 @@
 	}
 }
 
+// hasAll reports whether the state has the sightings, at nearly their times.
+func (current *historyState) hasAll(sightings []sighting, since clock.Millis) bool {
+	return since >= current.since && !slices.ContainsFunc(sightings, func(added sighting) bool {
+		known, ok := current.seen[sightingKey{pool: added.pool, release: added.release}]
+		return !ok || added.last-known.last >= sightingTick
+	})
+}
+
 func (current *historyState) with(sightings []sighting, since, now clock.Millis) (next *historyState, isNew bool) {
 	next = &historyState{
 		since: max(min(current.since, since), now-historySpan), seen: maps.Clone(current.seen), mixed: map[PoolID]clock.Millis{},
