--- a/internal/node/evidencecodec/evidencecodec.go
+++ b/internal/node/evidencecodec/evidencecodec.go
@@ -21,7 +21,7 @@
 		form := &nodepb.Crash{}
 		form.SetServer(report.Server())
 		form.SetAgeMillis(int64(report.Age()))
-		form.SetParts(report.Parts())
+		form.SetParts(report.Traits())
 		form.SetRepeated(report.Repeated())
 		crashes = append(crashes, form)
 	}
@@ -37,7 +37,7 @@
 	var quarantines []*nodepb.Quarantine
 	for _, report := range evidence.Blocks() {
 		form := &nodepb.Quarantine{}
-		form.SetParts(report.Parts())
+		form.SetParts(report.Traits())
 		form.SetAgeMillis(int64(report.Age()))
 		form.SetDecidedAgeMillis(int64(report.DecidedAge()))
 		quarantines = append(quarantines, form)
--- a/internal/quarantine/conclude.go
+++ b/internal/quarantine/conclude.go
@@ -7,18 +7,18 @@
 )
 
 const (
-	// unansweredStrikes is the number of crashes after which a part that was never
+	// unansweredStrikes is the number of crashes after which a trait that was never
 	// answered is quarantined. One crash has many innocent suspects; two may be the
 	// loss of a server and of the one that its requests moved to.
 	unansweredStrikes = 3
-	// answeredStrikes is the same for a part that was answered before: it is used a lot
+	// answeredStrikes is the same for a trait that was answered before: it is used a lot
 	// and may be a bystander at several crashes. It must also have had no answer for
 	// answeredSilence, or for the time after which the evidence of peers is known if
 	// that is longer, and crashes count only once they are as old.
 	answeredStrikes = 4
 	answeredSilence = 1 * clock.Second
-	// severalServers is the number of servers at whose crashes, however close, a part
-	// that was never answered is quarantined by a node that has run for warmUp, and so
+	// severalServers is the number of servers at whose crashes, however close, a part of
+	// prompts that was never answered is quarantined by a node that has run for warmUp, and so
 	// knows the parts in use.
 	severalServers = 5
 	warmUp         = 10 * clock.Second
@@ -37,7 +37,7 @@
 // suspect is a part of prompts, or a whole request, with the crashes that count against
 // it.
 type suspect struct {
-	part     uint64
+	trait    uint64
 	crashes  []int
 	strikes  int
 	answered bool
@@ -87,16 +87,16 @@
 	var suspects []suspect
 	indexes := map[uint64]int{}
 	for i, crash := range crashes {
-		for _, part := range crash.parts {
-			at, answered := last(part)
+		for _, trait := range crash.traits {
+			at, answered := last(trait)
 			if answered && at >= crash.at {
 				continue
 			}
-			index, ok := indexes[part]
+			index, ok := indexes[trait]
 			if !ok {
 				index = len(suspects)
-				indexes[part] = index
-				suspects = append(suspects, suspect{part: part, answered: answered})
+				indexes[trait] = index
+				suspects = append(suspects, suspect{trait: trait, answered: answered})
 			}
 			suspects[index].crashes = append(suspects[index].crashes, i)
 		}
@@ -112,11 +112,11 @@
 // never answered: several requests with nothing but the part in common speak against the
 // part.
 func (suspect *suspect) countBlocks(blocks []Block) {
-	if suspect.answered || isRequest(suspect.part) {
+	if suspect.answered || isRequest(suspect.trait) {
 		return
 	}
 	for _, block := range blocks {
-		if contains(block.parts, suspect.part) && slices.ContainsFunc(block.parts, isRequest) {
+		if contains(block.traits, suspect.trait) && slices.ContainsFunc(block.traits, isRequest) {
 			suspect.strikes++
 			suspect.inRequests = true
 		}
@@ -129,7 +129,7 @@
 	var counted clock.Millis
 	for _, index := range suspect.crashes {
 		at, spread := crashes[index].at, sameCause
-		if contains(crashes[index].repeated, suspect.part) {
+		if contains(crashes[index].repeated, suspect.trait) {
 			spread = lossSpread
 		}
 		if suspect.strikes == 0 {
@@ -144,9 +144,9 @@
 func (suspect suspect) isConclusive(view view) bool {
 	if !suspect.answered {
 		return suspect.strikes >= unansweredStrikes ||
-			(!isRequest(suspect.part) && len(suspect.crashes) >= severalServers && view.uptime >= warmUp)
+			(!isRequest(suspect.trait) && len(suspect.crashes) >= severalServers && view.uptime >= warmUp)
 	}
-	at, _ := view.last(suspect.part)
+	at, _ := view.last(suspect.trait)
 	return suspect.strikes >= answeredStrikes && view.now-max(at, suspect.since) >= max(answeredSilence, view.delay)
 }
 
@@ -173,11 +173,11 @@
 // isTied reports whether another request was at all crashes of this one, such as one
 // that was retried at the same servers. The next crash tells them apart.
 func (suspect suspect) isTied(suspects []suspect) bool {
-	if !isRequest(suspect.part) || suspect.strikes >= tiedStrikes {
+	if !isRequest(suspect.trait) || suspect.strikes >= tiedStrikes {
 		return false
 	}
 	for _, other := range suspects {
-		if isRequest(other.part) && other.part != suspect.part && other.includes(suspect) {
+		if isRequest(other.trait) && other.trait != suspect.trait && other.includes(suspect) {
 			return true
 		}
 	}
@@ -192,18 +192,18 @@
 // inseparable returns the trait and all others that were suspects at the same crashes,
 // sorted. No request is two of the whole requests, so at most one is among them.
 func (suspect suspect) inseparable(suspects []suspect) []uint64 {
-	traits := []uint64{suspect.part}
+	traits := []uint64{suspect.trait}
 	var requests []uint64
 	for _, other := range suspects {
 		switch {
-		case other.part == suspect.part || !slices.Equal(other.crashes, suspect.crashes):
-		case isRequest(other.part):
-			requests = append(requests, other.part)
+		case other.trait == suspect.trait || !slices.Equal(other.crashes, suspect.crashes):
+		case isRequest(other.trait):
+			requests = append(requests, other.trait)
 		default:
-			traits = append(traits, other.part)
+			traits = append(traits, other.trait)
 		}
 	}
-	if len(requests) == 1 && !isRequest(suspect.part) && !suspect.inRequests {
+	if len(requests) == 1 && !isRequest(suspect.trait) && !suspect.inRequests {
 		traits = append(traits, requests[0])
 	}
 	return sorted(traits)
--- a/internal/quarantine/cost_test.go
+++ b/internal/quarantine/cost_test.go
@@ -33,7 +33,7 @@
 			evidence := node.Evidence(scene.now)
 			entries := len(evidence.Answers()) + len(evidence.Blocks())
 			for _, report := range evidence.Crashes() {
-				entries += 1 + len(report.Parts()) + len(report.Repeated())
+				entries += 1 + len(report.Traits()) + len(report.Repeated())
 			}
 			require.LessOrEqual(t, entries, maxEntries)
 		}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -19,7 +19,7 @@
 	maxExplainedReports = 24
 	maxReportedAnswers  = 32
 	maxReportedBlocks   = 16
-	// minReportedCrashes is the number of crashes from which answers for a part matter.
+	// minReportedCrashes is the number of crashes from which answers for a trait matter.
 	minReportedCrashes = 2
 )
 
@@ -55,13 +55,13 @@
 type CrashReport struct {
 	server   uint64
 	age      clock.Millis
-	parts    []uint64
+	traits   []uint64
 	repeated []uint64
 }
 
 // NewCrashReport returns a report on the server with the hash of its key.
-func NewCrashReport(server uint64, age clock.Millis, parts []uint64) CrashReport {
-	return CrashReport{server: server, age: age, parts: parts}
+func NewCrashReport(server uint64, age clock.Millis, traits []uint64) CrashReport {
+	return CrashReport{server: server, age: age, traits: traits}
 }
 
 // WithRepeated returns a copy with the hashes of the whole requests that were suspects
@@ -81,21 +81,21 @@
 // Age returns the time since the crash.
 func (report CrashReport) Age() clock.Millis { return report.age }
 
-// Parts returns the hashes of the traits.
-func (report CrashReport) Parts() []uint64 { return report.parts }
+// Traits returns the hashes of the traits.
+func (report CrashReport) Traits() []uint64 { return report.traits }
 
-// AnswerReport is the latest answer for a part, or of a server.
+// AnswerReport is the latest answer for a trait, or of a server.
 type AnswerReport struct {
 	hash uint64
 	age  clock.Millis
 }
 
-// NewAnswerReport returns a report on the hash of a part's id or of a server's key.
+// NewAnswerReport returns a report on the hash of a trait's id or of a server's key.
 func NewAnswerReport(hash uint64, age clock.Millis) AnswerReport {
 	return AnswerReport{hash: hash, age: age}
 }
 
-// Hash returns the hash of the part's id, or of the server's key.
+// Hash returns the hash of the trait, or of the server's key.
 func (report AnswerReport) Hash() uint64 { return report.hash }
 
 // Age returns the time since the answer began.
@@ -103,19 +103,19 @@
 
 // BlockReport is a quarantine.
 type BlockReport struct {
-	parts      []uint64
+	traits     []uint64
 	age        clock.Millis
 	decidedAge clock.Millis
 }
 
-// NewBlockReport returns a report on the quarantine of the parts, with the time since
+// NewBlockReport returns a report on the quarantine of the traits, with the time since
 // the first crash that it explains and the time since it was decided.
-func NewBlockReport(parts []uint64, age, decidedAge clock.Millis) BlockReport {
-	return BlockReport{parts: parts, age: age, decidedAge: decidedAge}
+func NewBlockReport(traits []uint64, age, decidedAge clock.Millis) BlockReport {
+	return BlockReport{traits: traits, age: age, decidedAge: decidedAge}
 }
 
-// Parts returns the hashes of the traits.
-func (report BlockReport) Parts() []uint64 { return report.parts }
+// Traits returns the hashes of the traits.
+func (report BlockReport) Traits() []uint64 { return report.traits }
 
 // Age returns the time since the first crash that the quarantine explains.
 func (report BlockReport) Age() clock.Millis { return report.age }
@@ -125,7 +125,7 @@
 
 // Evidence returns what this node tells its peers now: the quarantines, the recent
 // crashes that it saw, and the answers that matter for them. A crash that a quarantine
-// explains is reported with its parts only, or peers that have not seen the request
+// explains is reported with its traits only, or peers that have not seen the request
 // with them would count the crash against others.
 func (quarantine *Quarantine) Evidence(now clock.Millis) Evidence {
 	current := quarantine.state.Load()
@@ -134,7 +134,7 @@
 	}
 	var evidence Evidence
 	for _, block := range current.blocks[max(0, len(current.blocks)-maxReportedBlocks):] {
-		evidence.blocks = append(evidence.blocks, NewBlockReport(block.parts, now-block.since, now-block.decided))
+		evidence.blocks = append(evidence.blocks, NewBlockReport(block.traits, now-block.since, now-block.decided))
 	}
 	open, explained := 0, 0
 	for _, crash := range slices.Backward(current.crashes) {
@@ -144,9 +144,9 @@
 		if len(crash.own) == 0 || crash.survived {
 			continue
 		}
-		if block, ok := current.explanation(crash.parts); ok {
-			if explained++; containsAll(crash.own, block.parts) && explained <= maxExplainedReports {
-				evidence.crashes = append(evidence.crashes, crash.report(block.parts, now))
+		if block, ok := current.explanation(crash.traits); ok {
+			if explained++; containsAll(crash.own, block.traits) && explained <= maxExplainedReports {
+				evidence.crashes = append(evidence.crashes, crash.report(block.traits, now))
 			}
 		} else if open++; open <= maxOpenReports {
 			evidence.crashes = append(evidence.crashes, crash.report(quarantine.mostSuspect(current, crash.own), now))
@@ -160,14 +160,14 @@
 	return evidence
 }
 
-// disputed returns the hashes for which answers matter now: parts of quarantines, the
-// servers of recent crashes, and while there are such crashes the parts at several of
-// the open ones. A part at a single crash needs no answer.
+// disputed returns the hashes for which answers matter now: traits of quarantines, the
+// servers of recent crashes, and while there are such crashes the traits at several of
+// the open ones. A trait at a single crash needs no answer.
 func (current *state) disputed(now clock.Millis) []uint64 {
 	open := current.unexplained()
 	var hashes []uint64
 	for _, block := range current.blocks {
-		hashes = append(hashes, block.parts...)
+		hashes = append(hashes, block.traits...)
 	}
 	if len(open) == 0 || now-open[len(open)-1].at > reportTime {
 		return sorted(hashes)
@@ -177,13 +177,13 @@
 		if now-crash.at <= crashSpan {
 			hashes = append(hashes, crash.server)
 		}
-		for _, part := range crash.parts {
-			counts[part]++
+		for _, trait := range crash.traits {
+			counts[trait]++
 		}
 	}
-	for part, count := range counts {
+	for trait, count := range counts {
 		if count >= minReportedCrashes {
-			hashes = append(hashes, part)
+			hashes = append(hashes, trait)
 		}
 	}
 	return sorted(hashes)
@@ -258,7 +258,7 @@
 		for _, report := range evidence.crashes {
 			next = next.withCrash(crash{
 				server: report.server, at: now - report.age,
-				parts: sorted(slices.Clone(report.parts)), repeated: sorted(slices.Clone(report.repeated)),
+				traits: sorted(slices.Clone(report.traits)), repeated: sorted(slices.Clone(report.repeated)),
 			})
 		}
 		for _, report := range evidence.blocks {
@@ -271,9 +271,9 @@
 // withBlockOf returns the state with a quarantine that a peer reported, unless answers
 // that this node knows disprove it.
 func (current *state) withBlockOf(report BlockReport, last lastAnswer, now clock.Millis) *state {
-	block := newBlock(sorted(slices.Clone(report.parts)), now-report.age, now-report.decidedAge, now)
-	block.parts = block.remaining(last)
-	if len(block.parts) == 0 {
+	block := newBlock(sorted(slices.Clone(report.traits)), now-report.age, now-report.decidedAge, now)
+	block.traits = block.remaining(last)
+	if len(block.traits) == 0 {
 		return current
 	}
 	next := *current
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -80,7 +80,7 @@
 	if len(traits.hashes) == 0 {
 		return false
 	}
-	seen := crash{server: server, at: now, parts: traits.hashes, own: traits.hashes}
+	seen := crash{server: server, at: now, traits: traits.hashes, own: traits.hashes}
 	if request, ok := traits.request(); ok && repeated {
 		seen.repeated = []uint64{request}
 	}
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -12,9 +12,9 @@
 const (
 	// crashMemory is how long a crash counts against its suspects.
 	crashMemory = 5 * clock.Minute
-	// maxCrashes, maxParts and maxBlocks bound the state.
+	// maxCrashes, maxTraits and maxBlocks bound the state.
 	maxCrashes = 64
-	maxParts   = 256
+	maxTraits  = 256
 	maxBlocks  = 64
 	// crashSpan is the time within which losses at one server belong to one crash. No
 	// server is back sooner.
@@ -29,8 +29,8 @@
 	// crashes are in order of time.
 	crashes []crash
 	blocks  []Block
-	// peerAnswers are the latest answers at peers, for the parts and servers of crashes
-	// and for quarantined parts.
+	// peerAnswers are the latest answers at peers, for the traits and servers of crashes
+	// and for quarantined traits.
 	peerAnswers map[uint64]clock.Millis
 }
 
@@ -38,10 +38,10 @@
 type crash struct {
 	server uint64
 	at     clock.Millis
-	// parts are the suspects, sorted, and own those that this node saw: parts of prompts
+	// traits are the suspects, sorted, and own those that this node saw: parts of prompts
 	// and whole requests.
-	parts []uint64
-	own   []uint64
+	traits []uint64
+	own    []uint64
 	// repeated are the whole requests that were suspects when they were sent to the
 	// server, sorted.
 	repeated []uint64
@@ -56,28 +56,28 @@
 		if known.server != seen.server || max(known.at-seen.at, seen.at-known.at) > crashSpan {
 			continue
 		}
-		if containsAll(known.parts, seen.parts) && containsAll(known.own, seen.own) && containsAll(known.repeated, seen.repeated) {
+		if containsAll(known.traits, seen.traits) && containsAll(known.own, seen.own) && containsAll(known.repeated, seen.repeated) {
 			return current
 		}
-		known.parts, known.own = union(known.parts, seen.parts), union(known.own, seen.own)
+		known.traits, known.own = union(known.traits, seen.traits), union(known.own, seen.own)
 		known.repeated = union(known.repeated, seen.repeated)
 		next.crashes = slices.Clone(current.crashes)
 		next.crashes[i] = known
 		return &next
 	}
-	seen.parts, seen.own, seen.repeated = union(seen.parts, nil), union(seen.own, nil), union(seen.repeated, nil)
+	seen.traits, seen.own, seen.repeated = union(seen.traits, nil), union(seen.own, nil), union(seen.repeated, nil)
 	next.crashes = append(slices.Clone(current.crashes), seen)
 	slices.SortStableFunc(next.crashes, func(a, b crash) int { return int(a.at - b.at) })
 	next.crashes = next.crashes[max(0, len(next.crashes)-maxCrashes):]
 	return &next
 }
 
-func union(parts, added []uint64) []uint64 {
-	all := sorted(append(slices.Clone(parts), added...))
-	return all[:min(len(all), maxParts)]
+func union(traits, added []uint64) []uint64 {
+	all := sorted(append(slices.Clone(traits), added...))
+	return all[:min(len(all), maxTraits)]
 }
 
-// withPeerAnswers returns the state with answers at a peer. Those for parts and servers
+// withPeerAnswers returns the state with answers at a peer. Those for traits and servers
 // that matter to no crash and no quarantine are left out.
 func (current *state) withPeerAnswers(reports []AnswerReport, now clock.Millis) *state {
 	next, copied := *current, false
@@ -101,22 +101,22 @@
 }
 
 func (current *state) refersTo(hash uint64) bool {
-	return slices.ContainsFunc(current.crashes, func(crash crash) bool { return crash.server == hash || contains(crash.parts, hash) }) ||
-		slices.ContainsFunc(current.blocks, func(block Block) bool { return contains(block.parts, hash) })
+	return slices.ContainsFunc(current.crashes, func(crash crash) bool { return crash.server == hash || contains(crash.traits, hash) }) ||
+		slices.ContainsFunc(current.blocks, func(block Block) bool { return contains(block.traits, hash) })
 }
 
 // countCrashes returns the number of crashes with the trait.
 func (current *state) countCrashes(hash uint64) int {
 	count := 0
 	for _, crash := range current.crashes {
-		if !crash.survived && contains(crash.parts, hash) {
+		if !crash.survived && contains(crash.traits, hash) {
 			count++
 		}
 	}
 	return count
 }
 
-// lastAnswer returns when the latest answer for a part, or of a server, began.
+// lastAnswer returns when the latest answer for a trait, or of a server, began.
 type lastAnswer func(hash uint64) (at clock.Millis, ok bool)
 
 // view is what a review sees besides the state.
@@ -147,7 +147,7 @@
 	}
 	for _, block := range current.blocks {
 		if remaining := block.remaining(view.last); len(remaining) > 0 {
-			block.parts = remaining
+			block.traits = remaining
 			next.blocks = append(next.blocks, block)
 		} else {
 			ended = append(ended, block)
@@ -168,18 +168,18 @@
 // addBlock adds a quarantine to a state that isn't published yet, unless another one
 // covers it, and removes those that it covers.
 func (current *state) addBlock(added Block) (isNew bool) {
-	if slices.ContainsFunc(current.blocks, func(block Block) bool { return containsAll(added.parts, block.parts) }) {
+	if slices.ContainsFunc(current.blocks, func(block Block) bool { return containsAll(added.traits, block.traits) }) {
 		return false
 	}
-	kept := slices.DeleteFunc(slices.Clone(current.blocks), func(block Block) bool { return containsAll(block.parts, added.parts) })
+	kept := slices.DeleteFunc(slices.Clone(current.blocks), func(block Block) bool { return containsAll(block.traits, added.traits) })
 	kept = append(kept, added)
 	current.blocks = kept[max(0, len(kept)-maxBlocks):]
 	return true
 }
 
-// explanation returns a quarantine whose parts are all among the sorted ones.
-func (current *state) explanation(parts []uint64) (Block, bool) {
-	index := slices.IndexFunc(current.blocks, func(block Block) bool { return block.matches(parts) })
+// explanation returns a quarantine whose traits are all among the sorted ones.
+func (current *state) explanation(traits []uint64) (Block, bool) {
+	index := slices.IndexFunc(current.blocks, func(block Block) bool { return block.matches(traits) })
 	if index < 0 {
 		return Block{}, false
 	}
@@ -190,7 +190,7 @@
 func (current *state) unexplained() []crash {
 	var open []crash
 	for _, crash := range current.crashes {
-		if _, explained := current.explanation(crash.parts); !explained && !crash.survived {
+		if _, explained := current.explanation(crash.traits); !explained && !crash.survived {
 			open = append(open, crash)
 		}
 	}
@@ -200,7 +200,7 @@
 const (
 	// firstTrial is the time from the start of a quarantine to its first trial,
 	// trialFactor the growth of the time between trials, and maxTrialInterval its
-	// limit. A trial of a part that crashes servers costs the requests at one of them.
+	// limit. A trial of a trait that crashes servers costs the requests at one of them.
 	firstTrial       = 1 * clock.Minute
 	trialFactor      = 4
 	maxTrialInterval = 10 * clock.Minute
@@ -208,31 +208,31 @@
 
 // Block is the quarantine of a set of traits: requests with all of them are refused.
 type Block struct {
-	// parts are parts of prompts and at most one whole request.
-	parts []uint64
+	// traits are parts of prompts and at most one whole request.
+	traits []uint64
 	// since is the time of the first crash that it explains.
 	since   clock.Millis
 	decided clock.Millis
 	trials  *atomic.Int64
 }
 
-// newBlock returns a quarantine of the sorted parts. Trials that were due before now
+// newBlock returns a quarantine of the sorted traits. Trials that were due before now
 // count as begun.
-func newBlock(parts []uint64, since, decided, now clock.Millis) Block {
-	block := Block{parts: parts, since: since, decided: decided, trials: new(atomic.Int64)}
+func newBlock(traits []uint64, since, decided, now clock.Millis) Block {
+	block := Block{traits: traits, since: since, decided: decided, trials: new(atomic.Int64)}
 	due, _ := block.schedule(now)
 	block.trials.Store(due)
 	return block
 }
 
-// Parts returns the hashes of the traits.
-func (block Block) Parts() []uint64 { return block.parts }
+// Traits returns the hashes of the traits.
+func (block Block) Traits() []uint64 { return block.traits }
 
 // Names returns the hashes in hexadecimal, for logs.
 func (block Block) Names() []string {
-	names := make([]string, 0, len(block.parts))
-	for _, part := range block.parts {
-		names = append(names, strconv.FormatUint(part, 16))
+	names := make([]string, 0, len(block.traits))
+	for _, trait := range block.traits {
+		names = append(names, strconv.FormatUint(trait, 16))
 	}
 	return names
 }
@@ -240,13 +240,13 @@
 // Since returns the time of the first crash that the quarantine explains.
 func (block Block) Since() clock.Millis { return block.since }
 
-// matches reports whether the sorted parts contain all parts of the quarantine.
-func (block Block) matches(parts []uint64) bool { return containsAll(parts, block.parts) }
+// matches reports whether the sorted traits contain all traits of the quarantine.
+func (block Block) matches(traits []uint64) bool { return containsAll(traits, block.traits) }
 
-// remaining returns the parts for which no answer has begun since the first crash.
+// remaining returns the traits for which no answer has begun since the first crash.
 func (block Block) remaining(last lastAnswer) []uint64 {
-	return slices.DeleteFunc(slices.Clone(block.parts), func(part uint64) bool {
-		at, ok := last(part)
+	return slices.DeleteFunc(slices.Clone(block.traits), func(trait uint64) bool {
+		at, ok := last(trait)
 		return ok && at > block.since+timeMargin
 	})
 }
