--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -52,10 +52,13 @@
 		server := current.Server(listing.server.id)
 		if server == nil || server.address != listing.server.address || server.start != listing.server.start ||
 			server.software != listing.server.software {
+			previous := server
 			server = listing.server
 			server.speed.Store(fleet.speeds.get(server))
 			if kept, ok := fleet.limits[server.Key()]; ok {
 				server.rateLimit = kept.rateLimit
+			} else if previous != nil && previous.Key() == server.Key() {
+				server.rateLimit = previous.rateLimit
 			}
 		}
 		_, leaving := fleet.leaving[server.Key()]
--- a/internal/backend/ratelimit_test.go
+++ b/internal/backend/ratelimit_test.go
@@ -119,3 +119,16 @@
 	t.Run("the same run of the server", func(t *testing.T) { expectLimited(t, 7, true) })
 	t.Run("another run", func(t *testing.T) { expectLimited(t, 8, false) })
 }
+
+// TestOddVersionEndsLimit guards against a limit that is forgotten when the entry of a live
+// server names another software version for a while, as odd entries do.
+func TestOddVersionEndsLimit(t *testing.T) {
+	fleet, entry := NewFleet(), NewEntry("a", "127.0.0.1:1", "lj-a", "runners", 1).WithStart(7).WithSoftware("v1")
+	fleet.Update([]Listing{entry.listing()})
+	fleet.Current().Server("a").RateLimit().Observe(NewStatement(2), 1000, 1000)
+	for _, version := range []string{"", "v1", "v2"} {
+		fleet.Update([]Listing{entry.WithSoftware(version).listing()})
+		require.Equal(t, version, fleet.Current().Server("a").Software())
+		require.True(t, fleet.Current().Server("a").RateLimit().IsLimited(), version)
+	}
+}
