--- a/internal/quarantine/conclude.go
+++ b/internal/quarantine/conclude.go
@@ -151,11 +151,11 @@
 }
 
 // explainedBy returns the crashes at which one of the suspects is present that have
-// more than one strike.
+// more than one strike. A whole request explains none: its own retry gives it two.
 func explainedBy(suspects []suspect) map[int]bool {
 	explained := map[int]bool{}
 	for _, suspect := range suspects {
-		if suspect.strikes > 1 {
+		if suspect.strikes > 1 && !isRequest(suspect.trait) {
 			for _, index := range suspect.crashes {
 				explained[index] = true
 			}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -165,6 +165,19 @@
 		scene.expectBlocked(true, "A D")
 		scene.expectBlocked(false, "A")
 	})
+	t.Run("a part in use that crashes the servers of requests and of their retries", func(t *testing.T) {
+		scene := newScene(t, 2)
+		scene.answer(1, 0, "A D")
+		for i := range 4 {
+			scene.crash(2+float64(i), fmt.Sprint("A D #", i))
+			scene.crash(2.1+float64(i), fmt.Sprint("A D #", i))
+			scene.answer(2.5+float64(i), 1, "A")
+		}
+		scene.at(7)
+		scene.exchange()
+		scene.expectBlocked(true, "A D")
+		scene.expectBlocked(false, "A")
+	})
 	t.Run("a part in use whose answers at a peer are known late", func(t *testing.T) {
 		const delay = 2 * clock.Second
 		scene := newScene(t, 2)
