--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -165,7 +165,7 @@
 	}
 	defer response.Close()
 	edge.recordLoad(server, response.Header())
-	attempts.recordLimit(server, response)
+	attempts.recordStatements(server, response)
 	attempts.beganAt = edge.clock.Now()
 	outcome = attempts.handleResponse(server, response, markRead)
 	attempts.recordOutcome(server, outcome)
--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -115,6 +115,10 @@
 	isFatal func(request *http.Request) bool
 	// namedLimit is the limit in requests per second that its responses name, or empty.
 	namedLimit string
+	// saysLeaving makes all responses say that the server leaves, and refusalWait is the
+	// Retry-After of refusals, or empty.
+	saysLeaving bool
+	refusalWait string
 	crash      func()
 }
 
@@ -156,13 +160,39 @@
 	engine.namedLimit = perSecond
 }
 
-// nameLimit adds the limit to the header of a response.
-func (engine *Engine) nameLimit(header http.Header) {
+// SetSaysLeaving makes all responses say whether the server leaves.
+func (engine *Engine) SetSaysLeaving(leaves bool) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.saysLeaving = leaves
+}
+
+// SetRefusalWait sets the Retry-After of refusals; with an empty text they have none.
+func (engine *Engine) SetRefusalWait(seconds string) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.refusalWait = seconds
+}
+
+// addWait adds the Retry-After to the header of a refusal.
+func (engine *Engine) addWait(header http.Header) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	if engine.refusalWait != "" {
+		header.Set("Retry-After", engine.refusalWait)
+	}
+}
+
+// addStatements adds what the server says of itself to the header of a response.
+func (engine *Engine) addStatements(header http.Header) {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	if engine.namedLimit != "" {
 		header.Set("Server-Limit", engine.namedLimit)
 	}
+	if engine.saysLeaving {
+		header.Set("Server-Leaving", "1")
+	}
 }
 
 // SetFatalPart makes the server crash when it begins the response to a request whose
@@ -256,7 +286,7 @@
 	behaviour, hold := engine.nextBehaviour()
 	header := writer.Header()
 	header.Set("X-Request-Id", request.Header.Get("X-Request-Id"))
-	engine.nameLimit(header)
+	engine.addStatements(header)
 	if behaviour == BehaviourRefuseEarly {
 		engine.refuseEarly(writer)
 	}
@@ -275,6 +305,7 @@
 	}
 	if behaviour == BehaviourRefuse {
 		header.Set("X-Not-Executed", "1")
+		engine.addWait(header)
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
