--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -119,7 +119,7 @@
 	// Retry-After of refusals, or empty.
 	saysLeaving bool
 	refusalWait string
-	crash      func()
+	crash       func()
 }
 
 // arrivedQueueLength is the number of arrivals that a test may leave unread.
