--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -95,7 +95,7 @@
 		delete(fleet.limits, server.Key())
 	}
 	for id, server := range current.byID {
-		if listed := next.byID[id]; (listed == nil || listed.Key() != server.Key()) && server.RateLimit().IsLimited() {
+		if listed := next.byID[id]; (listed == nil || listed.Key() != server.Key()) && server.RateLimit().isKept() {
 			fleet.limits[server.Key()] = unlistedLimit{rateLimit: server.RateLimit()}
 		}
 	}
--- a/internal/backend/ratelimit.go
+++ b/internal/backend/ratelimit.go
@@ -54,6 +54,9 @@
 	sent    atomic.Int64
 	usage   atomic.Pointer[limitUsage]
 	shortAt atomic.Int64
+	// pausedUntil is until when the server wants no requests of this node, as it has
+	// said, or 0.
+	pausedUntil atomic.Int64
 }
 
 type rateLimitState struct {
@@ -194,8 +197,42 @@
 	return usage != nil && usage.excluded
 }
 
+// maxPause bounds the time for which a server is left alone, so that it is found again
+// whatever it says.
+const maxPause = 1 * clock.Hour
+
+// Pause records that the server wants no requests of this node for the time. It reports
+// whether the pause now ends later than before.
+func (rateLimit *RateLimit) Pause(wait, now clock.Millis) (longer bool) {
+	until := int64(now + min(wait, maxPause))
+	for {
+		current := rateLimit.pausedUntil.Load()
+		if until <= current {
+			return false
+		}
+		if rateLimit.pausedUntil.CompareAndSwap(current, until) {
+			return true
+		}
+	}
+}
+
+// pauseLeft returns the time until the pause is over, 0 if there is none.
+func (rateLimit *RateLimit) pauseLeft(now clock.Millis) clock.Millis {
+	return max(0, clock.Millis(rateLimit.pausedUntil.Load())-now)
+}
+
+// isKept reports whether the server has said something that must outlive its entry.
+func (rateLimit *RateLimit) isKept() bool {
+	return rateLimit.IsLimited() || rateLimit.pausedUntil.Load() != 0
+}
+
 // Wait returns the time until a request of the rank may be sent, 0 if it may be now.
 func (rateLimit *RateLimit) Wait(rank int, now clock.Millis) clock.Millis {
+	return max(rateLimit.pauseLeft(now), rateLimit.limitWait(rank, now))
+}
+
+// limitWait returns the time until the limit allows a request of the rank.
+func (rateLimit *RateLimit) limitWait(rank int, now clock.Millis) clock.Millis {
 	state := rateLimit.state.Load()
 	if state == nil || state.perSecond == 0 {
 		return 0
@@ -223,6 +260,9 @@
 
 // Take takes a request of the rank from the bucket, and reports whether it may be sent.
 func (rateLimit *RateLimit) Take(rank int, now clock.Millis) bool {
+	if rateLimit.pauseLeft(now) > 0 {
+		return false
+	}
 	for {
 		current := rateLimit.state.Load()
 		if current == nil || current.perSecond == 0 {
--- a/internal/backend/ratelimit_test.go
+++ b/internal/backend/ratelimit_test.go
@@ -120,6 +120,21 @@
 	t.Run("another run", func(t *testing.T) { expectLimited(t, 8, false) })
 }
 
+// TestListedAgainDuringPause guards against a pause that is forgotten when the entry of a
+// live server is gone for a while.
+func TestListedAgainDuringPause(t *testing.T) {
+	fleet, entry := NewFleet(), NewEntry("a", "127.0.0.1:1", "lj-a", "runners", 1).WithStart(7)
+	fleet.Update([]Listing{entry.listing()})
+	require.True(t, fleet.Current().Server("a").RateLimit().Pause(5*clock.Second, 1000))
+	require.False(t, fleet.Current().Server("a").RateLimit().Pause(2*clock.Second, 2000), "an earlier end")
+	fleet.Update(nil)
+	fleet.Update([]Listing{entry.listing()})
+	rateLimit := fleet.Current().Server("a").RateLimit()
+	require.Equal(t, 3*clock.Second, rateLimit.Wait(0, 3000))
+	require.False(t, rateLimit.Take(0, 5999))
+	require.True(t, rateLimit.Take(0, 6000))
+}
+
 // TestOddVersionEndsLimit guards against a limit that is forgotten when the entry of a live
 // server names another software version for a while, as odd entries do.
 func TestOddVersionEndsLimit(t *testing.T) {
--- a/internal/edge/statements.go
+++ b/internal/edge/statements.go
@@ -12,6 +12,18 @@
 	attempts.recordLimit(server, response)
 	if runners.Classify(response.Status(), response.Header(), attempts.requestContext.call.ID()) != runners.VerdictMismatched {
 		attempts.recordLeaving(server, response)
+		attempts.recordPause(server, response)
+	}
+}
+
+// recordPause leaves a server alone that has turned this request away and wants no others
+// for a time.
+func (attempts *attempts) recordPause(server *backend.Server, response *backendlink.Response) {
+	edge := attempts.requestContext.edge
+	wait, ok := runners.DecodeWait(response.Status(), response.Header())
+	if ok && server.RateLimit().Pause(wait, edge.clock.Now()) {
+		edge.log.Info().Str("requestId", attempts.requestContext.call.ID()).Str("backendServer", server.ID()).Int64("waitMillis", int64(wait)).
+			Msg("backend server wants no requests for a time")
 	}
 }
 
