--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -108,6 +108,8 @@
 	// behaviourFunc returns the behaviour of a request for which none was set; if it
 	// is nil, the request is served.
 	behaviourFunc func() Behaviour
+	// word comes before the number in the text of each event.
+	word string
 	// workTime is the time taken for a response and for each event of a stream.
 	workTime clock.Millis
 	// isFatal reports whether a request crashes the server when it begins the response,
@@ -128,7 +130,7 @@
 // New returns a server with the id. It responds with event streams, or with plain
 // text bodies.
 func New(id string, streams bool) *Engine {
-	return &Engine{id: id, streams: streams, arrived: make(chan struct{}, arrivedQueueLength)}
+	return &Engine{id: id, streams: streams, word: "piece", arrived: make(chan struct{}, arrivedQueueLength)}
 }
 
 // SetBehaviours sets the behaviours of the next requests, in order. Requests after them use
@@ -152,6 +154,10 @@
 // must be called before the server is in use.
 func (engine *Engine) SetWorkTime(workTime clock.Millis) { engine.workTime = workTime }
 
+// SetWord sets the word before the number in the text of each event, "piece" by default.
+// It must be called before the server is in use.
+func (engine *Engine) SetWord(word string) { engine.word = word }
+
 // SetNamedLimit sets the limit in requests per second that all responses name; with an
 // empty text they name none.
 func (engine *Engine) SetNamedLimit(perSecond string) {
@@ -448,7 +454,7 @@
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(writer, "id: %d\ndata: piece %d\n\n", id, id)
+		fmt.Fprintf(writer, "id: %d\ndata: %s %d\n\n", id, engine.word, id)
 		if err := control.Flush(); err != nil || !engine.work(request.Context()) {
 			return
 		}
--- a/internal/standin/soak/callers.go
+++ b/internal/standin/soak/callers.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 
@@ -75,8 +77,20 @@
 	// the fatal part, and lookups are always the fatal request.
 	session int
 	isFatal bool
+	// broken is the latest stream that broke off and may be resumed, if any.
+	broken brokenStream
 }
 
+// brokenStream is the part of a stream that a caller has.
+type brokenStream struct {
+	id     string
+	events string
+	at     clock.Millis
+}
+
+// takeUpTime is the time within which callers take a stream up.
+const takeUpTime = 2 * clock.Second
+
 func newCaller(system *system, number int, random *rand.Rand) *caller {
 	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &caller{
@@ -124,6 +138,9 @@
 		request.Header.Set("X-Prompt-Prefix", caller.prompt(id))
 		request.Header.Set("X-Token-Counts", "50,10")
 	}
+	if kind == kindResume {
+		caller.takeUp(request)
+	}
 	// Without GetBody the transport can't repeat a request by itself, as a booking may
 	// run only once.
 	request.GetBody = nil
@@ -164,12 +181,18 @@
 	case err != nil:
 		tally.count("brokenOff")
 		if kind == kindChat || kind == kindResume {
-			caller.checkStream(id, string(body), false)
+			caller.checkStream(id, caller.takenUp(request)+string(body), false)
+		}
+		if kind == kindResume {
+			caller.breakOff(request, string(body))
 		}
 		return outcomeUnknown
 	case response.StatusCode == http.StatusOK:
 		tally.count("served")
-		caller.checkSuccess(id, kind, response, string(body))
+		caller.checkSuccess(id, kind, response, caller.takenUp(request)+string(body))
+		if kind == kindResume {
+			caller.broken = brokenStream{}
+		}
 		return outcomeServed
 	case response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests:
 		tally.count("refused")
@@ -197,14 +220,48 @@
 	}
 }
 
-// checkStream checks that each event was received once and in order, and that a
+// takeUp makes the request take up the stream that broke off last, if it is recent.
+func (caller *caller) takeUp(request *http.Request) {
+	if caller.broken.id == "" || caller.system.clock.Now() > caller.broken.at+takeUpTime {
+		caller.broken = brokenStream{}
+		return
+	}
+	request.Header.Set("Resumes", caller.broken.id)
+	request.Header.Set("Last-Event-Id", strconv.Itoa(strings.Count(caller.broken.events, "\n\n")-1))
+}
+
+// takenUp returns the events that the caller had before a request that takes up a stream.
+func (caller *caller) takenUp(request *http.Request) string {
+	if request.Header.Get("Resumes") == "" {
+		return ""
+	}
+	caller.system.tally.count("takenUp")
+	return caller.broken.events
+}
+
+// breakOff keeps the whole events of a stream that broke off.
+func (caller *caller) breakOff(request *http.Request, body string) {
+	if request.Header.Get("Resumes") != "" {
+		caller.broken = brokenStream{}
+		return
+	}
+	if end := strings.LastIndex(body, "\n\n"); end >= 0 {
+		caller.broken = brokenStream{id: request.Header.Get("X-Request-Id"), events: body[:end+2], at: caller.system.clock.Now()}
+	}
+}
+
+// checkStream checks that each event was received once and in order, all of one software
+// version, and that a
 // stream that ended without an error is complete.
 func (caller *caller) checkStream(id, body string, complete bool) {
-	var events strings.Builder
-	for event := range enginestandin.StreamEvents {
-		fmt.Fprintf(&events, "id: %d\ndata: piece %d\n\n", event, event)
-	}
-	if !strings.HasPrefix(events.String(), body) || (complete && body != events.String()) {
+	isStream := slices.ContainsFunc(versions, func(version string) bool {
+		var events strings.Builder
+		for event := range enginestandin.StreamEvents {
+			fmt.Fprintf(&events, "id: %d\ndata: %s %d\n\n", event, version, event)
+		}
+		return strings.HasPrefix(events.String(), body) && (!complete || body == events.String())
+	})
+	if !isStream {
 		caller.system.tally.addViolation("stream %s is out of order or incomplete (ended without error: %t): %q", id, complete, body)
 	}
 }
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -99,6 +99,8 @@
 	streams  bool
 	mutex    sync.Mutex
 	idPrefix string
+	// number tells apart the engines of a pool.
+	number   int
 	id       string
 	standin  *enginestandin.Engine
 	relay    *relay.Relay
@@ -106,6 +108,16 @@
 	standins []*enginestandin.Engine
 }
 
+// versions are the software versions of the engines, each of which writes its name into
+// the events of its streams.
+var versions = []string{"v1", "v2"}
+
+// version returns the software version of the engine's current process. Successors are of
+// the other one.
+func (engine *engine) version() string {
+	return versions[(engine.number+engine.starts)%len(versions)]
+}
+
 func newSystem(bin, folder string) (*system, error) {
 	system := &system{
 		clock: clock.System(), store: storestandin.New(), duty: dutystandin.New(), tally: newTally(), ended: make(chan struct{}),
@@ -114,7 +126,7 @@
 	system.configure()
 	for i := range engineCount {
 		system.engines = append(system.engines,
-			&engine{pool: "engines", streams: true, idPrefix: fmt.Sprint("chat-", i)}, &engine{pool: "app", idPrefix: fmt.Sprint("app-", i)})
+			&engine{pool: "engines", streams: true, idPrefix: fmt.Sprint("chat-", i), number: i}, &engine{pool: "app", idPrefix: fmt.Sprint("app-", i), number: i})
 	}
 	for _, engine := range system.engines {
 		if err := system.startEngine(engine); err != nil {
@@ -183,6 +195,7 @@
 	engine.id = fmt.Sprintf("%s.%d", engine.idPrefix, engine.starts)
 	engine.standin = enginestandin.New(engine.id, engine.streams)
 	engine.standin.SetWorkTime(engineWorkTime)
+	engine.standin.SetWord(engine.version())
 	arrived := engine.standin.Arrived()
 	go func() {
 		for {
@@ -205,8 +218,8 @@
 
 func (system *system) publishServer(engine *engine, state string) {
 	system.store.Set("servers", engine.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"lj-a","version":"v1","batchSlots":6,"state":%q,"coldRemainingMs":0,"sequence":1}`,
-		engine.pool, engine.relay.Address(), state))
+		`{"service":%q,"address":%q,"zone":"lj-a","version":%q,"batchSlots":6,"state":%q,"coldRemainingMs":0,"sequence":1}`,
+		engine.pool, engine.relay.Address(), engine.version(), state))
 }
 
 func (system *system) startNodes() error {
