--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -94,7 +94,7 @@
 		Float64("expectedMillis", requestContext.choice.Wait()).Int("reads", requestContext.choice.UncachedTokens()).Bool("home", requestContext.choice.Preferred()).
 		Int("choices", requestContext.choice.Candidates()).Int64("configuration", requestContext.version()).
 		Int64("serversAgeMillis", int64(ageOf(&edge.storeResponses.servers, edge.clock.Now()))).
-		Str("resumes", requestContext.call.Resumes()).Str("softwareVersion", requestContext.softwareVersion()).
+		Str("resumes", requestContext.call.BegunBy()).Str("softwareVersion", requestContext.softwareVersion()).
 		Msg("request")
 }
 
--- a/internal/edge/takeup.go
+++ b/internal/edge/takeup.go
@@ -25,7 +25,7 @@
 func (requestContext *requestContext) streamID() (release.RequestID, bool) {
 	id := requestContext.call.ID()
 	if requestContext.takesUp() {
-		id = requestContext.call.Resumes()
+		id = requestContext.call.BegunBy()
 	}
 	return release.NewRequestID(id), id != ""
 }
