--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/bash
+# Builds the stand-ins of the scripted cases. Run it after the build of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o target/review-cases ./review/testdata/cases
