Show that streams join two software versions over upgrades in an outage of the store

Servers that start again under their ids with another version, while the store is away, go on with streams that the earlier version began. Nothing is fixed.

--- a/review/testdata/cases/client.go
+++ b/review/testdata/cases/client.go
@@ -25,6 +25,7 @@
 	failure  string
 	// leaving is set if the answer said that its runner leaves.
 	leaving bool
+	body    string
 }
 
 // Deadlines of clients: of charge-skip and order-lookup, and of chat-reply.
@@ -71,7 +72,9 @@
 	if err == nil {
 		attempt.headAt, attempt.status = time.Now(), response.StatusCode
 		attempt.leaving = response.Header.Get("Server-Leaving") == "1"
-		_, err = io.ReadAll(response.Body)
+		var data []byte
+		data, err = io.ReadAll(response.Body)
+		attempt.body = string(data)
 		response.Body.Close()
 	}
 	attempt.endedAt = time.Now()
--- a/review/testdata/cases/drill.go
+++ b/review/testdata/cases/drill.go
@@ -24,7 +24,7 @@
 	copyBefore = 2 * time.Second
 	awayAfter  = 1400 * time.Millisecond
 	awayFor    = 1000 * time.Millisecond
-	againAfter = 1000 * time.Millisecond
+	againAfter = 600 * time.Millisecond
 )
 
 const drillConfiguration = `{"version":1,"routes":[
--- a/review/testdata/cases/env.go
+++ b/review/testdata/cases/env.go
@@ -125,7 +125,11 @@
 }
 
 func serveClosable(handler http.Handler) (string, *http.Server) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return serveAt("127.0.0.1:0", handler)
+}
+
+func serveAt(address string, handler http.Handler) (string, *http.Server) {
+	listener, err := net.Listen("tcp", address)
 	check(err)
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }()
@@ -345,8 +349,8 @@
 // publish writes the entry of a runner.
 func (env *env) publish(runner *runner, state string, sequence int) {
 	env.store.Set("servers", runner.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"version":"v1","batchSlots":%d,"state":%q,"coldRemainingMs":0,"sequence":%d}`,
-		runner.service, runner.address, runner.zone, runner.slots, state, sequence))
+		`{"service":%q,"address":%q,"zone":%q,"version":%q,"batchSlots":%d,"state":%q,"coldRemainingMs":0,"sequence":%d,"born":%d}`,
+		runner.service, runner.address, runner.zone, runner.version, runner.slots, state, sequence, runner.born))
 }
 
 // cloud is the platform's API for duties: it checks fences and keeps each accepted call.
--- a/review/testdata/cases/main.go
+++ b/review/testdata/cases/main.go
@@ -10,7 +10,7 @@
 		fmt.Fprintln(os.Stderr, "usage: cases CASE RECORD")
 		os.Exit(statusNotRun)
 	}
-	cases := map[string]func(*env, bool) int{"stop": stopCase, "drill": drillCase}
+	cases := map[string]func(*env, bool) int{"stop": stopCase, "drill": drillCase, "upgrade": upgradeCase}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
--- a/review/testdata/cases/runner.go
+++ b/review/testdata/cases/runner.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 type runner struct {
 	id      string
 	service string
+	version string
+	born    int64
 	zone    string
 	address string
 	slots   int
@@ -51,7 +54,7 @@
 )
 
 func (env *env) addRunner(id, service, zone string, slots int) *runner {
-	runner := &runner{id: id, service: service, zone: zone, slots: slots, places: make(chan struct{}, slots), gone: make(chan struct{})}
+	runner := &runner{id: id, service: service, version: "v1", born: time.Now().UnixMilli(), zone: zone, slots: slots, places: make(chan struct{}, slots), gone: make(chan struct{})}
 	runner.address, runner.server = serveClosable(runner)
 	env.publish(runner, "ready", 1)
 	return runner
@@ -111,7 +114,7 @@
 		return true
 	case <-request.Context().Done():
 		return false
-	case <-runner.gone:
+	case <-runner.currentGone():
 		return false
 	}
 }
@@ -123,11 +126,21 @@
 	}
 	runner.stateLeaving(writer.Header())
 	writer.Header().Set("Content-Type", "text/event-stream")
-	for number := 1; number <= streamEvents; number++ {
-		if number > 1 && !runner.work(request, eventTime) {
+	version, gone := runner.state()
+	first := 1
+	if last, err := strconv.Atoi(request.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	for number := first; number <= streamEvents; number++ {
+		if number > first && !runner.work(request, eventTime) {
+			return false
+		}
+		select {
+		case <-gone:
 			return false
+		default:
 		}
-		fmt.Fprintf(writer, "id: %d\ndata: event %d of %d\n\n", number, number, streamEvents)
+		fmt.Fprintf(writer, "id: %d\ndata: event %d of %d by %s\n\n", number, number, streamEvents, version)
 		if http.NewResponseController(writer).Flush() != nil {
 			return false
 		}
@@ -194,6 +207,29 @@
 
 // end ends the runner's process: its channels close, and what it runs is lost.
 func (runner *runner) end() {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
 	close(runner.gone)
 	runner.server.Close()
 }
+
+// startAgain starts the runner again under its id and at its address, with another version
+// of its software.
+func (runner *runner) startAgain(version string) {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	runner.version, runner.born, runner.gone = version, time.Now().UnixMilli(), make(chan struct{})
+	_, runner.server = serveAt(runner.address, runner)
+}
+
+// state returns the version of the runner's current start, and what its end closes.
+func (runner *runner) state() (version string, gone <-chan struct{}) {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	return runner.version, runner.gone
+}
+
+func (runner *runner) currentGone() <-chan struct{} {
+	_, gone := runner.state()
+	return gone
+}
