--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripted cases. Run it after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-cases ./review/testdata/cases
+go build -tags review -o target/review-cases ./review
--- a/review/testdata/cases/drill.go
+++ b/review/drill.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/testdata/cases/env.go
+++ b/review/env.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command cases runs the scripted cases of the review: it starts sapphire-edge as the
 // deploy file does, on loopback, between stand-ins for the platform, the runners and the
 // clients, and checks what these have seen.
