Log when a stopping node decides to end

The log had no line between "stopping" and "stopped", so it could not tell whether a request came before or after the decision to end, nor how many connections were open then.

The line "ending" names both and the time since the stop began. No change of behaviour.

--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -39,6 +39,8 @@
 			break
 		}
 	}
+	edge.log.Info().Int64("connections", callers.open.Load()).Int64("inFlight", edge.inFlight.Load()).
+		Int64("stoppingMillis", int64(edge.clock.Now()-start)).Msg("ending")
 	if remaining := edge.inFlight.Load(); remaining > 0 {
 		edge.log.Warn().Int64("inFlight", remaining).Msg("grace period is over; cutting off requests in progress")
 	}
