Admit no request once a stopping entry host has found none in progress

A request could pass the check for a closed admission, and be counted only after the stop had read the counter as 0. The host then ended its server within 0.5 s, and a longer request was cut off, though it was admitted.

Admit now counts first and checks afterwards, so that a stop that reads 0 after Close sees every request that can still be admitted.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -107,7 +107,8 @@
 // NewAdmission returns an admission with a limit on the node's requests in flight.
 func NewAdmission(maxInFlight int64) *Admission { return &Admission{maxInFlight: maxInFlight} }
 
-// Close makes all later calls of Admit refuse.
+// Close makes all later calls of Admit refuse. Once InFlight has returned 0 after it, no
+// request is in progress nor will be.
 func (admission *Admission) Close() { admission.closed.Store(true) }
 
 // InFlight returns the number of admitted requests in progress.
@@ -116,10 +117,14 @@
 // Admit admits a request of the account and returns the function to call when it
 // has ended, or a *request.NotRunError.
 func (admission *Admission) Admit(account *Account) (release func(), err error) {
+	inFlight := admission.inFlight.Add(1)
+	// The counter goes before the check, so that after Close no request is admitted once
+	// InFlight has returned 0.
 	if admission.closed.Load() {
+		admission.inFlight.Add(-1)
 		return nil, request.NewNotRunError("this entry host is stopping", overLimitRetryAfter)
 	}
-	if admission.inFlight.Add(1) > admission.maxInFlight {
+	if inFlight > admission.maxInFlight {
 		admission.inFlight.Add(-1)
 		return nil, request.NewNotRunError("this entry host has no room", overLimitRetryAfter)
 	}
