Close the listener of a stopping node before it stops serving

Cause: the node took "no connection is open" for "no request will come" and went on to its last bulletins and its exit, while the listener still accepted and the shutdown policy, which reckons with the end of the grace period, still admitted.

Change: the listener closes at that decision, and the connections that it has accepted, or that wait in the kernel's queue, are served before the node goes on. Once the listener is closed the count of open connections can only fall, so its 0 is final. After the grace period requests are refused as before.

TestRequestAsStopEnds opens connections at the line "ending": before the change each was cut off (unexpected EOF; the variants that finish their request later never reach a server); passes now. TestDrain covers the queue.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"sapphirehead/internal/caller"
+	"sapphirehead/internal/caller/callerlink"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/directory"
 	"sapphirehead/internal/placement"
@@ -50,12 +51,19 @@
 // callerServer is the HTTP server for callers and its open connections.
 type callerServer struct {
 	server         *http.Server
+	listener       *callerlink.Listener
 	open           atomic.Int64
 	maxConnections int64
+	// accepted is closed once the listener is, and open includes each connection that it
+	// accepted.
+	accepted chan struct{}
 }
 
 func (edge *Edge) newCallerServer() *callerServer {
-	callerServer := &callerServer{maxConnections: int64(connectionDescriptorShare * float64(edge.settings.Load().Descriptors()))}
+	callerServer := &callerServer{
+		listener: callerlink.New(edge.listeners.caller), accepted: make(chan struct{}),
+		maxConnections: int64(connectionDescriptorShare * float64(edge.settings.Load().Descriptors())),
+	}
 	callerServer.server = &http.Server{
 		Handler:           http.HandlerFunc(edge.serve),
 		ReadHeaderTimeout: headerTimeout.Duration(),
@@ -66,6 +74,20 @@
 	return callerServer
 }
 
+// serve accepts connections until the listener closes.
+func (callerServer *callerServer) serve() error {
+	defer close(callerServer.accepted)
+	return ignoreClosed(callerServer.server.Serve(callerServer.listener))
+}
+
+// closeListener ends the accepting of connections. After it, open includes each one that
+// was accepted, and can only fall.
+func (callerServer *callerServer) closeListener() error {
+	err := callerServer.listener.Drain()
+	<-callerServer.accepted
+	return err
+}
+
 // trackConnection counts the open connections. A connection over the limit is
 // closed at once, so that its caller connects to another node and the open
 // connections keep their file descriptors.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -155,7 +155,7 @@
 	callers := edge.newCallerServer()
 	group.Go(func() error { return ignoreClosed(ready.Serve(edge.listeners.ready)) })
 	group.Go(func() error { return ignoreClosed(metrics.Serve(edge.listeners.metrics)) })
-	group.Go(func() error { return ignoreClosed(callers.server.Serve(edge.listeners.caller)) })
+	group.Go(callers.serve)
 	select {
 	case <-stop.Done():
 		edge.stop(kill, callers)
@@ -166,7 +166,7 @@
 	if err := edge.peers.socket.Close(); err != nil {
 		edge.log.Warn().Err(err).Msg("cannot close the socket for peer nodes")
 	}
-	callers.server.Close()
+	edge.endCallers(kill, callers)
 	ready.Close()
 	metrics.Close()
 	err := group.Wait()
@@ -175,7 +175,7 @@
 }
 
 func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- a/internal/edge/fixture_test.go
+++ b/internal/edge/fixture_test.go
@@ -40,6 +40,8 @@
 	mutex sync.Mutex
 	all   []string
 	added chan struct{}
+	// hooks run once each, in the goroutine that writes the first line with their text.
+	hooks map[string]func()
 }
 
 func newTestLog(t *testing.T) *testLog {
@@ -48,12 +50,38 @@
 
 // Write appends one line.
 func (testLog *testLog) Write(line []byte) (int, error) {
+	for _, hook := range testLog.appendLine(string(bytes.TrimSpace(line))) {
+		hook()
+	}
+	return len(line), nil
+}
+
+// appendLine appends a line and returns the hooks that it runs.
+func (testLog *testLog) appendLine(line string) []func() {
 	testLog.mutex.Lock()
 	defer testLog.mutex.Unlock()
-	testLog.all = append(testLog.all, string(bytes.TrimSpace(line)))
+	testLog.all = append(testLog.all, line)
 	close(testLog.added)
 	testLog.added = make(chan struct{})
-	return len(line), nil
+	var due []func()
+	for text, hook := range testLog.hooks {
+		if strings.Contains(line, text) {
+			due = append(due, hook)
+			delete(testLog.hooks, text)
+		}
+	}
+	return due
+}
+
+// onLine runs the hook when a line with the text is written, and holds up its writer
+// until the hook returns.
+func (testLog *testLog) onLine(text string, hook func()) {
+	testLog.mutex.Lock()
+	defer testLog.mutex.Unlock()
+	if testLog.hooks == nil {
+		testLog.hooks = make(map[string]func())
+	}
+	testLog.hooks[text] = hook
 }
 
 // await waits for a line with all of the texts and returns it.
