Bound the memory of all responses in progress together

Here each response had its bound, and all of them together had none.

A response that needs more is lost, which counts against its server; short responses go on to arrive.

The stand-in for endless responses can stall, and shares its buffer between connections, so that the figures are the node's.

--- a/internal/backend/backendlink/endless_test.go
+++ b/internal/backend/backendlink/endless_test.go
@@ -65,7 +65,7 @@
 func readEvents(response *backendlink.Response) error {
 	reader := bufio.NewReader(response)
 	for {
-		if _, err := backendlink.ReadEvent(reader); err != nil {
+		if _, err := backendlink.ReadEvent(reader, unlimited); err != nil {
 			return err
 		}
 	}
--- a/internal/backend/backendlink/exchange.go
+++ b/internal/backend/backendlink/exchange.go
@@ -252,6 +252,9 @@
 // maxEventBytes bounds the size of an event, and of the comments before it.
 const maxEventBytes = 256 << 10
 
+// minEventBuffer is the first size of the buffer for an event.
+const minEventBuffer = 128
+
 // EventTooLongError reports that an event of a stream has no end within the bound.
 type EventTooLongError struct{ bytes int }
 
@@ -264,11 +267,20 @@
 
 // ReadEvent returns the next complete event of a stream of server-sent events,
 // including its blank line. It returns io.EOF at the end of the stream, and
-// another error if the stream ends within an event. Errors: *EventTooLongError.
-func ReadEvent(reader *bufio.Reader) ([]byte, error) {
+// another error if the stream ends within an event. reserve is called with the size of
+// the event's buffer before the buffer grows, and may refuse it. Errors:
+// *EventTooLongError, and those of reserve.
+func ReadEvent(reader *bufio.Reader, reserve func(bytes int) error) ([]byte, error) {
 	var event []byte
 	for len(event) <= maxEventBytes {
 		line, err := reader.ReadSlice('\n')
+		if needed := len(event) + len(line); needed > cap(event) {
+			size := max(needed, 2*cap(event), minEventBuffer)
+			if err := reserve(size); err != nil {
+				return event, err
+			}
+			event = append(make([]byte, 0, size), event...)
+		}
 		event = append(event, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/internal/backend/backendlink/exchange_test.go
+++ b/internal/backend/backendlink/exchange_test.go
@@ -206,16 +206,19 @@
 	links.Sweep(func(string) bool { return false })
 }
 
+// unlimited lets an event's buffer grow.
+func unlimited(int) error { return nil }
+
 func TestReadEvent(t *testing.T) {
 	expectEvents := func(t *testing.T, text string, complete bool, events ...string) {
 		t.Helper()
 		reader := bufio.NewReader(strings.NewReader(text))
 		for _, want := range events {
-			event, err := backendlink.ReadEvent(reader)
+			event, err := backendlink.ReadEvent(reader, unlimited)
 			require.NoError(t, err)
 			require.Equal(t, want, string(event))
 		}
-		_, err := backendlink.ReadEvent(reader)
+		_, err := backendlink.ReadEvent(reader, unlimited)
 		require.Equal(t, complete, errors.Is(err, io.EOF))
 	}
 	t.Run("two events", func(t *testing.T) {
@@ -223,6 +226,17 @@
 	})
 	t.Run("carriage returns", func(t *testing.T) { expectEvents(t, "id: 1\r\n\r\n", true, "id: 1\r\n\r\n") })
 	t.Run("end within an event", func(t *testing.T) { expectEvents(t, "id: 1\n\nid: 2\nda", false, "id: 1\n\n") })
+	t.Run("no memory for the event", func(t *testing.T) {
+		const limit = 1000
+		refused := errors.New("no memory")
+		_, err := backendlink.ReadEvent(bufio.NewReader(strings.NewReader(strings.Repeat("data: a\n", limit))), func(bytes int) error {
+			if bytes > limit {
+				return refused
+			}
+			return nil
+		})
+		require.ErrorIs(t, err, refused)
+	})
 	t.Run("id", func(t *testing.T) {
 		id, ok := backendlink.EventID([]byte("x-weight-versions: 3\nid: 17\ndata: a\n\n"))
 		require.True(t, ok)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -47,6 +47,7 @@
 	shutdownPolicy atomic.Pointer[caller.ShutdownPolicy]
 	inFlight       atomic.Int64
 	bodyBytes      atomic.Int64
+	responseMemory *responseMemory
 	counters       *counters
 	budgets        *budgets
 	quarantine     *quarantine.Quarantine
@@ -74,6 +75,7 @@
 	edge.publishQuarantines()
 	edge.meters = newMeters(clock.Now(), edge.hasOlderPeer, edge.restartLevel)
 	edge.settings.Store(loaded)
+	edge.responseMemory = newResponseMemory(func() int64 { return int64(responseMemoryShare * float64(edge.settings.Load().MemoryBytes())) })
 	edge.links = backendlink.New(clock, func() { edge.counters.connections.Add(1) })
 	edge.placement = placement.New(clock, edge.fleet, loaded.DataCentre(), rand.Float64)
 	edge.transport = &http.Transport{
--- a/internal/edge/endless_test.go
+++ b/internal/edge/endless_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"runtime/metrics"
 	"strings"
 	"testing"
 
@@ -17,21 +18,24 @@
 // host has for everything.
 const smallMemory = 64 << 20
 
-// withEndlessServer starts a node whose application servers respond with the head and
+// withEndlessServer starts a node whose servers respond with the head and
 // the pattern without end. The head gets the request's id.
 func withEndlessServer(t *testing.T, head, pattern string, pause clock.Millis) (*fixture, *endlessstandin.Server) {
 	t.Helper()
-	fixture := newFixture(t)
+	fixture := newEmptyFixture(t)
+	fixture.memoryMegabytes = smallMemory >> 20
+	fixture.store.Set("config", "main", strings.NewReplacer(`"targetLatencyMs":2000`, `"targetLatencyMs":60000`, `"batchSlots":16`, `"batchSlots":500`).Replace(testConfiguration))
+	fixture.testNode = fixture.startReady("edge-1")
 	server, err := endlessstandin.New(func(request *http.Request) string {
 		return strings.Replace(head, "ID", request.Header.Get("X-Request-Id"), 1)
 	}, pattern, pause)
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
-	for _, id := range []string{"app-0", "app-1"} {
-		fixture.listServer(id, "app", server.Address(), "ready")
+	for id, pool := range map[string]string{"app-0": "app", "app-1": "app", "chat-0": "engines", "chat-1": "engines"} {
+		fixture.listServer(id, pool, server.Address(), "ready")
 	}
 	fixture.eventually("servers at the address of the stand-in", func() bool {
-		return fixture.node.UsesAddress("app", server.Address())
+		return fixture.node.UsesAddress("app", server.Address()) && fixture.node.UsesAddress("engines", server.Address())
 	})
 	return fixture, server
 }
@@ -52,22 +56,22 @@
 	t.Helper()
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	status := fixture.callAndDiscard(path)
+	status := fixture.callAndDiscard(http.MethodGet, path, "400")
 	runtime.ReadMemStats(&after)
 	require.Contains(t, statuses, status)
 	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(smallMemory))
 	awaitValue(fixture.testNode, "connection closed by the node", server.Abandoned())
 }
 
-// callAndDiscard sends a request with a short deadline and returns the status of a
-// whole response, or 0 for a broken one.
-func (fixture *fixture) callAndDiscard(path string) int {
+// callAndDiscard sends a request with the deadline in milliseconds and returns the status
+// of a whole response, or 0 for a broken one.
+func (fixture *fixture) callAndDiscard(method, path, deadline string) int {
 	fixture.t.Helper()
-	request, err := http.NewRequest(http.MethodGet, "http://"+fixture.node.Addresses()["caller"]+path, nil)
+	request, err := http.NewRequest(method, "http://"+fixture.node.Addresses()["caller"]+path, nil)
 	require.NoError(fixture.t, err)
 	request.Host = "desk.example"
 	request.Header.Set("X-Request-Id", "endless")
-	request.Header.Set("X-Deadline-Ms", "400")
+	request.Header.Set("X-Deadline-Ms", deadline)
 	request.Header.Set("Authorization", "Token key-of-garage")
 	response, err := fixture.client.Do(request)
 	if err != nil {
@@ -105,6 +109,49 @@
 	}
 }
 
+// liveHeap returns the bytes that a garbage collection leaves.
+func liveHeap() uint64 {
+	runtime.GC()
+	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(live)
+	return live[0].Value.Uint64()
+}
+
+// TestUnendedResponsesTogether guards against a node that runs out of memory as many
+// responses at once each hold what one may hold.
+func TestUnendedResponsesTogether(t *testing.T) {
+	const requests, partBytes = 400, 190 << 10
+	// expectLiveHeap sends requests whose responses never end, and checks how much they
+	// hold at any moment.
+	expectLiveHeap := func(t *testing.T, fixture *fixture, method, path string) {
+		t.Helper()
+		before := liveHeap()
+		ended := make(chan int, requests)
+		for range requests {
+			go func() { ended <- fixture.callAndDiscard(method, path, "4000") }()
+		}
+		highest := uint64(0)
+		for left := requests; left > 0; {
+			highest = max(highest, liveHeap())
+			for len(ended) > 0 {
+				require.NotEqual(t, http.StatusOK, <-ended)
+				left--
+			}
+		}
+		require.Less(t, highest, before+smallMemory)
+	}
+	t.Run("bodies", func(t *testing.T) {
+		fixture, server := withEndlessServer(t, "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\nX-Request-Id: ID\r\n\r\n", "ok", 0)
+		server.SetStall(partBytes)
+		expectLiveHeap(t, fixture, http.MethodGet, "/look/a")
+	})
+	t.Run("events", func(t *testing.T) {
+		fixture, server := withEndlessServer(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Response-Stamp: s\r\nX-Request-Id: ID\r\n\r\n", "data: x\n", 0)
+		server.SetStall(partBytes)
+		expectLiveHeap(t, fixture, http.MethodPost, "/chat/a")
+	})
+}
+
 // TestChunkedBodiesCount checks that the memory for request bodies is bounded although
 // their callers announce no length.
 func TestChunkedBodiesCount(t *testing.T) {
--- a/internal/edge/fixture_test.go
+++ b/internal/edge/fixture_test.go
@@ -218,6 +218,8 @@
 	requestCount int
 	// graceSeconds is the grace period of nodes that are started, 8 if it is 0.
 	graceSeconds float64
+	// memoryMegabytes is the memory of nodes that are started, or 0 for the default.
+	memoryMegabytes int
 }
 
 const testConfiguration = `{"version":3,"routes":[
@@ -309,7 +311,9 @@
 usageLateSeconds = 8
 leaseMillis = 500
 graceSeconds = %g
-`, testNode.host, fixture.serve(testNode.door), fixture.serve(fixture.duty), cmp.Or(fixture.graceSeconds, 8))))
+[limits]
+memoryMegabytes = %d
+`, testNode.host, fixture.serve(testNode.door), fixture.serve(fixture.duty), cmp.Or(fixture.graceSeconds, 8), cmp.Or(fixture.memoryMegabytes, 256))))
 	require.NoError(fixture.t, err)
 	return loaded
 }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -53,7 +53,8 @@
 	requestContext.pool = requestContext.route.PickPool(rand.Float64())
 	ctx, cancel := edge.clock.WithTimeout(requestContext.request.Context(), retrier.Deadline()-requestContext.arrived)
 	defer cancel()
-	attempts := &attempts{requestContext: requestContext, retrier: retrier, ctx: ctx}
+	attempts := &attempts{requestContext: requestContext, retrier: retrier, ctx: ctx, hold: newResponseHold(edge.responseMemory)}
+	defer attempts.hold.release()
 	mayGoOn := !requestContext.takesUp() || attempts.pinRelease()
 	edge.countRequest(requestContext.pool)
 	if !mayGoOn {
@@ -121,7 +122,9 @@
 	ctx            context.Context
 	triedServers   []string
 	buffered       bufferedResponse
-	lastEvent      string
+	// hold is the memory of buffered, or of a stream's current event.
+	hold      *responseHold
+	lastEvent string
 	// release is the one that began the stream, or 0 if any server may begin it.
 	release    release.ID
 	delivered  bool
@@ -319,7 +322,7 @@
 
 // buffer reads the whole response, or begins to relay it if it is long.
 func (attempts *attempts) buffer(response *backendlink.Response) request.Outcome {
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
+	body, err := attempts.hold.readAll(response, maxBufferedBytes+1)
 	if err != nil {
 		attempts.recordCrash(attempts.requestContext.choice.Server(), err, 0)
 		return request.OutcomeLost
@@ -382,7 +385,8 @@
 	defer requestContext.clearWriteDeadline()
 	var firstEvent clock.Millis
 	for events := 0; ; events++ {
-		event, err := backendlink.ReadEvent(reader)
+		attempts.hold.release()
+		event, err := backendlink.ReadEvent(reader, attempts.hold.grow)
 		if errors.Is(err, io.EOF) && events == 0 && attempts.retrier.ResponseStarted() {
 			// It doesn't show that the events before it were all.
 			return attempts.rejectContinuation(requestContext.choice.Server(), response)
--- a/internal/standin/endlessstandin/endless.go
+++ b/internal/standin/endlessstandin/endless.go
@@ -8,6 +8,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -24,7 +25,10 @@
 	listener net.Listener
 	prefix   func(request *http.Request) string
 	pattern  []byte
+	// burst is one write of a server without a pause.
+	burst    []byte
 	pause    clock.Millis
+	stall    atomic.Int64
 	sent     atomic.Int64
 	abandons chan struct{}
 	done     sync.WaitGroup
@@ -46,6 +50,7 @@
 	}
 	server := &Server{
 		listener: listener, prefix: prefix, pattern: []byte(pattern), pause: pause,
+		burst:    bytes.Repeat([]byte(pattern), burstBytes/len(pattern)+1),
 		abandons: make(chan struct{}, abandonsQueueLength), open: map[net.Conn]bool{},
 	}
 	server.done.Go(server.accept)
@@ -55,6 +60,10 @@
 // Address returns the server's host and port.
 func (server *Server) Address() string { return server.listener.Addr().String() }
 
+// SetStall makes the server send nothing more on a connection after the number of bytes
+// of the pattern, rounded up to a whole write, and keep the connection open.
+func (server *Server) SetStall(bytes int64) { server.stall.Store(bytes) }
+
 // Sent returns the number of bytes of patterns that were sent to all callers.
 func (server *Server) Sent() int64 { return server.sent.Load() }
 
@@ -122,8 +131,14 @@
 	if _, err := conn.Write([]byte(server.prefix(request))); err != nil {
 		return
 	}
-	piece := bytes.Repeat(server.pattern, burstBytes/len(server.pattern)+1)
+	piece := server.burst
+	total, stall := int64(0), server.stall.Load()
 	for sent := 0; ; sent++ {
+		if stall > 0 && total >= stall {
+			// It ends when the caller closes the connection.
+			_, _ = io.Copy(io.Discard, conn)
+			return
+		}
 		if server.pause > 0 {
 			paused := make(chan struct{})
 			clock.System().AfterFunc(server.pause, func() { close(paused) })
@@ -131,6 +146,7 @@
 			piece = server.pattern[sent%len(server.pattern) : sent%len(server.pattern)+1]
 		}
 		count, err := conn.Write(piece)
+		total += int64(count)
 		server.sent.Add(int64(count))
 		if err != nil {
 			return
