End a response that its caller leaves unread for 10 s

A caller that asked for a long body and read nothing kept its request, the buffer and a planned stop for as long as it kept the connection open: only events of streams had a deadline for writing.

Each part of a response now has 10 s, events as before. Longer bodies are passed on in parts of 32 KiB, each with its own deadline.

TestCallerReadsNothing: the request had not ended after 120 s before; it ends after 10 s now.

--- a/internal/edge/endless_test.go
+++ b/internal/edge/endless_test.go
@@ -152,6 +152,15 @@
 	})
 }
 
+// TestCallerReadsNothing guards against a request that lasts for as long as its caller
+// leaves a long response unread.
+func TestCallerReadsNothing(t *testing.T) {
+	fixture, _ := withEndlessServer(t, "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\nX-Request-Id: ID\r\n\r\n", "ok", 0)
+	connection := fixture.connect()
+	connection.write("GET /look/a HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: unread\r\nAuthorization: Token key-of-garage\r\n\r\n")
+	fixture.log.await(`"message":"request"`, "unread")
+}
+
 // TestChunkedBodiesCount checks that the memory for request bodies is bounded although
 // their callers announce no length.
 func TestChunkedBodiesCount(t *testing.T) {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -28,6 +28,8 @@
 	// any of it is sent to the caller, so that the request can be retried if the
 	// response breaks off.
 	maxBufferedBytes = 256 << 10
+	// relayBytes is the size of the parts in which a longer response is passed on.
+	relayBytes = 32 << 10
 	// writeTimeout is how long a caller may leave a part of a response unread.
 	writeTimeout = 10 * clock.Second
 )
@@ -337,11 +339,17 @@
 // relay sends a long response to the caller as it arrives.
 func (attempts *attempts) relay(response *backendlink.Response) request.Outcome {
 	attempts.writeHead(response.Status(), response.Header(), response.Length())
-	_, err := attempts.requestContext.writer.Write(attempts.buffered.body)
-	if err == nil {
-		_, err = io.Copy(attempts.requestContext.writer, response)
+	defer attempts.requestContext.clearWriteDeadline()
+	err := attempts.requestContext.write(attempts.buffered.body)
+	part := make([]byte, relayBytes)
+	for err == nil {
+		var count int
+		count, err = response.Read(part)
+		if writeErr := attempts.requestContext.write(part[:count]); writeErr != nil {
+			err = writeErr
+		}
 	}
-	if err != nil {
+	if !errors.Is(err, io.EOF) {
 		return request.OutcomeCut
 	}
 	attempts.delivered = true
@@ -374,7 +382,10 @@
 		return
 	}
 	attempts.writeHead(attempts.buffered.status, attempts.buffered.header, int64(len(attempts.buffered.body)))
-	attempts.requestContext.writer.Write(attempts.buffered.body)
+	defer attempts.requestContext.clearWriteDeadline()
+	if err := attempts.requestContext.write(attempts.buffered.body); err != nil && !attempts.requestContext.callerLeft() {
+		attempts.requestContext.edge.log.Warn().Str("requestId", attempts.requestContext.call.ID()).Err(err).Msg("caller does not read the response")
+	}
 }
 
 // stream relays the events of a stream as they arrive, and never part of an
@@ -444,20 +455,25 @@
 	if id, ok := backendlink.EventID(event); ok {
 		attempts.lastEvent = id
 	}
-	control := http.NewResponseController(requestContext.writer)
-	if err := control.SetWriteDeadline(deadlineIn(writeTimeout)); err != nil {
-		return errors.Wrap(err, "set the write deadline")
+	if err := requestContext.write(event); err != nil {
+		return err
 	}
-	if _, err := requestContext.writer.Write(event); err != nil {
-		return errors.Wrap(err, "write an event")
+	return errors.Wrap(http.NewResponseController(requestContext.writer).Flush(), "flush an event")
+}
+
+// write sends a part of the response to the caller, who may leave it unread for
+// writeTimeout.
+func (requestContext *requestContext) write(part []byte) error {
+	if err := http.NewResponseController(requestContext.writer).SetWriteDeadline(deadlineIn(writeTimeout)); err != nil {
+		return errors.Wrap(err, "set the write deadline")
 	}
-	return errors.Wrap(control.Flush(), "flush an event")
+	_, err := requestContext.writer.Write(part)
+	return errors.Wrap(err, "write a part of the response")
 }
 
-// clearWriteDeadline removes the deadline before the connection's next
-// response.
+// clearWriteDeadline removes the deadline before the connection's next response.
 func (requestContext *requestContext) clearWriteDeadline() {
 	if err := http.NewResponseController(requestContext.writer).SetWriteDeadline(noDeadline); err != nil {
-		requestContext.edge.log.Error().Err(err).Msg("cannot clear the write deadline of a stream")
+		requestContext.edge.log.Error().Err(err).Msg("cannot clear the write deadline of a response")
 	}
 }
