Read the list of servers before a take-up relies on one version alone

Cause: a node keeps a stream whose beginning it doesn't know at the version that it knows to have served alone, and nothing bounds how old that knowledge is. It refused only once it noticed that it reads neither store nor bulletins.

The node now reads the list once more, in a call that begins after the take-up arrived; one read serves all take-ups of an interval. Without the store, fresh bulletins of all peers will do, else the take-up is refused as not run. Each entry of a watch is recorded, also if its removal is among the same changes.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -79,15 +79,18 @@
 	return entry
 }
 
-func (entry Entry) listing() Listing {
+// Server returns a server with what the entry says of it.
+func (entry Entry) Server() *Server {
 	server := NewServer(entry.id, entry.address, entry.dataCentre, "", entry.pool)
 	server.slots, server.reclaimable, server.software = entry.slots, entry.reclaimable, entry.software
 	if entry.start != 0 {
 		server.setStart(strconv.FormatInt(int64(entry.start), 10))
 	}
-	return NewListing(server, entry.leaving)
+	return server
 }
 
+func (entry Entry) listing() Listing { return NewListing(entry.Server(), entry.leaving) }
+
 // Registry follows the platform's list of backend servers, in which each server
 // keeps its entry alive by heartbeats. During an outage of the platform's store,
 // entries expire although their servers are live. An entry that is removed
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -43,6 +43,7 @@
 	transport      *http.Transport
 	storeResponses storeResponses
 	wakeUps        wakeUps
+	listReads      *listReads
 	stopping       atomic.Bool
 	shutdownPolicy atomic.Pointer[caller.ShutdownPolicy]
 	inFlight       atomic.Int64
@@ -70,7 +71,7 @@
 func New(loaded *settings.Edge, clock *clock.Clock, log zerolog.Logger) (*Edge, error) {
 	edge := &Edge{
 		clock: clock, log: log, directory: directory.NewActive(), fleet: backend.NewFleet(), counters: newCounters(),
-		budgets: newBudgets(), quarantine: quarantine.New(clock.Now()), releases: release.NewMemory(clock.Now()),
+		budgets: newBudgets(), quarantine: quarantine.New(clock.Now()), releases: release.NewMemory(clock.Now()), listReads: newListReads(),
 	}
 	edge.publishQuarantines()
 	edge.meters = newMeters(clock.Now(), edge.hasOlderPeer, edge.restartLevel)
--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -1,6 +1,9 @@
 package edge
 
-import "sapphirehead/internal/clock"
+import (
+	"sapphirehead/internal/clock"
+	"sapphirehead/internal/release"
+)
 
 // RelistWaits returns the waits before the listings after which a watch fails each time.
 func RelistWaits(count int) []clock.Millis {
@@ -36,3 +39,11 @@
 	})
 	return used
 }
+
+// LearnAlone makes the node believe that the software version alone has served in the
+// pool for as long as it remembers, as the bulletin of a peer would.
+func (edge *Edge) LearnAlone(pool, version string) {
+	edge.releases.Merge(release.NewNews(clock.Minute, []release.SightingReport{
+		release.NewSightingReport(release.NewPoolID(pool), release.New(pool, version), 0),
+	}, nil), edge.clock.Now())
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -30,12 +30,23 @@
 	batchDelay func() clock.Millis
 	onFailure  func(error)
 	onSuccess  func()
+	// onRead is called with the time at which a successful call was sent, once its
+	// result is in use; nil if nobody needs it.
+	onRead func(began clock.Millis)
 	// wakeUp ends a watch of this kind early, and otherWakeUp one of the other
 	// kind.
 	wakeUp      *wakeUp
 	otherWakeUp *wakeUp
 }
 
+// synced records that the result of a call that was sent at the time has been applied.
+func (handler watchHandler) synced(began clock.Millis) {
+	handler.onSynced()
+	if handler.onRead != nil {
+		handler.onRead(began)
+	}
+}
+
 // follow lists and watches objects of one kind until the context ends.
 func (edge *Edge) follow(ctx context.Context, handler watchHandler) {
 	wait := minRetryWait
@@ -108,6 +119,7 @@
 // to continue from. An immediate watch does not wait: after a failure it shows
 // whether the store is back, and after a wake-up it returns the missed changes.
 func (edge *Edge) followOnce(ctx context.Context, handler watchHandler, version int64, listed, immediate bool) (int64, error) {
+	began := edge.clock.Now()
 	if !listed {
 		listing, err := edge.store.List(ctx, handler.kind, store.FreshnessLatest)
 		edge.counters.storeCalls.Add(1)
@@ -117,7 +129,7 @@
 		handler.onSuccess()
 		edge.logUnreadable(handler.kind, listing.Unreadable())
 		handler.onList(listing)
-		handler.onSynced()
+		handler.synced(began)
 		return listing.AsOf(), nil
 	}
 	wait := handler.watchWait()
@@ -126,7 +138,12 @@
 	}
 	watching, end := handler.wakeUp.watchContext(ctx)
 	defer end()
-	changes, err := edge.store.Watch(watching, handler.kind, version, wait)
+	watchCtx := watching
+	if immediate {
+		// It is short, and a series of wake-ups must not keep it from its end.
+		watchCtx = ctx
+	}
+	changes, err := edge.store.Watch(watchCtx, handler.kind, version, wait)
 	edge.counters.storeCalls.Add(1)
 	if err != nil {
 		return 0, err
@@ -136,8 +153,11 @@
 	for _, change := range changes.All() {
 		handler.onChange(change)
 	}
-	handler.onSynced()
-	if handler.batchDelay != nil && len(changes.All()) > 0 && edge.clock.Wait(ctx, handler.batchDelay()) != nil {
+	handler.synced(began)
+	if handler.batchDelay != nil && len(changes.All()) > 0 {
+		edge.clock.Wait(watching, handler.batchDelay())
+	}
+	if ctx.Err() != nil {
 		return 0, ctx.Err()
 	}
 	return max(version, changes.AsOf()), nil
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -67,11 +67,14 @@
 			}
 			if ok {
 				registry.Set(entry, edge.clock.Now())
+				// Its removal may be among the same changes.
+				edge.releases.Observe([]*backend.Server{entry.Server()}, edge.clock.Now())
 			} else {
 				registry.Remove(object.Name(), object.Version(), edge.clock.Now())
 			}
 		},
 		onSynced: func() { edge.publishServers(registry) },
+		onRead:   edge.listReads.record,
 		watchWait: func() clock.Millis {
 			wait := platform.WatchWait(edge.settings.Load().Bounds().Drain(), edge.isDesignatedWatcher(), edge.nodes())
 			if end, ok := registry.GraceEnd(); ok {
--- a/internal/edge/takeup.go
+++ b/internal/edge/takeup.go
@@ -34,20 +34,38 @@
 // began it. It reports false if that release isn't known: the rest of the stream could
 // come from another one.
 func (attempts *attempts) pinRelease() bool {
-	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
-	now := edge.clock.Now()
-	if stream, named := requestContext.streamID(); named {
-		if began, known := edge.releases.BeganAt(stream, now); known {
-			attempts.release = began
-			requestContext.pool = requestContext.poolOf(began)
-			return true
-		}
+	requestContext := attempts.requestContext
+	if attempts.pinKnownRelease() {
+		return true
 	}
-	if len(requestContext.route.Shares()) > 1 || edge.isIsolated(now) {
+	// A server of another release may have joined, and begun the stream through another
+	// node, without this node's knowledge.
+	isAlone := len(requestContext.route.Shares()) <= 1 && attempts.pinLoneRelease() &&
+		requestContext.edge.hasListSince(attempts.ctx, requestContext.arrived)
+	return attempts.pinKnownRelease() || (isAlone && attempts.pinLoneRelease())
+}
+
+// pinKnownRelease limits the attempts to the release that is known to have begun the
+// stream, and reports false if there is none.
+func (attempts *attempts) pinKnownRelease() bool {
+	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
+	stream, named := requestContext.streamID()
+	if !named {
 		return false
 	}
-	var alone bool
-	attempts.release, alone = edge.releases.Alone(requestContext.pool, release.AloneSpan(requestContext.route.Deadline()), now)
+	began, known := edge.releases.BeganAt(stream, edge.clock.Now())
+	if known {
+		attempts.release = began
+		requestContext.pool = requestContext.poolOf(began)
+	}
+	return known
+}
+
+// pinLoneRelease limits the attempts to the release that alone has served for as long as
+// a stream may last, and reports false if there is none.
+func (attempts *attempts) pinLoneRelease() (alone bool) {
+	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
+	attempts.release, alone = edge.releases.Alone(requestContext.pool, release.AloneSpan(requestContext.route.Deadline()), edge.clock.Now())
 	return alone
 }
 
@@ -82,12 +100,6 @@
 	}
 }
 
-// isIsolated reports whether this node reads neither the list of servers nor the
-// bulletins of peers, so that servers of a new release may serve without its knowledge.
-func (edge *Edge) isIsolated(now clock.Millis) bool {
-	return edge.serversUnavailable.Load() && edge.peers.states.View().LiveCount(now) == 1
-}
-
 // observeReleases records the releases that are listed now.
 func (edge *Edge) observeReleases() {
 	if edge.releases.Observe(edge.fleet.Current().Servers(), edge.clock.Now()) {
--- a/internal/edge/takeup_test.go
+++ b/internal/edge/takeup_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"sapphirehead/internal/standin/enginestandin"
+	"sapphirehead/internal/standin/storestandin"
 )
 
 // versionedEngines are engines of two software versions, v0 and v1 in turn.
@@ -167,3 +168,77 @@
 		engines.expectNoneJoined()
 	})
 }
+
+// TestTakeUpOutOfStep guards against a stream that a caller takes up at a node which hasn't
+// read that servers of another software version have joined, and that goes on at the only
+// version which the node knows.
+func TestTakeUpOutOfStep(t *testing.T) {
+	t.Parallel()
+	// newNode starts a node that knows two servers of v0, and that v0 alone has served.
+	newNode := func(t *testing.T) *versionedEngines {
+		t.Helper()
+		engines := newVersionedEngines(t, 3)
+		engines.fixture.store.Remove("servers", "engine-1")
+		engines.fixture.testNode = engines.fixture.start("edge-1", engines.fixture.store)
+		engines.fixture.log.await("configuration active", `"version":3`)
+		engines.fixture.log.await("backend server listed", `"engine-0"`)
+		engines.fixture.log.await("backend server listed", `"engine-2"`)
+		engines.fixture.node.LearnAlone("engines", "v0")
+		return engines
+	}
+	// join adds a server of v1, which began the stream through another node.
+	join := func(engines *versionedEngines) {
+		engines.fixture.store.Set("servers", "engine-1", `{"service":"engines","address":"127.0.0.1:1","zone":"lj-a","version":"v1","batchSlots":6,"state":"ready","coldRemainingMs":0,"sequence":1}`)
+	}
+	takeUpElsewhere := func(engines *versionedEngines) response {
+		return engines.fixture.call(http.MethodPost, "/resume/a", takeUp("elsewhere", "id: 0\ndata: piece 0\n\n"))
+	}
+	expectRefused := func(t *testing.T, engines *versionedEngines) {
+		t.Helper()
+		got := takeUpElsewhere(engines)
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusServiceUnavailable, got.status, got.body)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+		require.Zero(t, countRuns(engines.engines))
+	}
+	t.Run("in step", func(t *testing.T) {
+		t.Parallel()
+		engines := newNode(t)
+		require.Equal(t, http.StatusOK, takeUpElsewhere(engines).status)
+	})
+	t.Run("the store answers nobody, and all peers are there", func(t *testing.T) {
+		t.Parallel()
+		engines := newNode(t)
+		other := engines.fixture.start("edge-2", engines.fixture.store)
+		engines.fixture.log.await("nodes that share limits", `"nodes":2`)
+		for _, node := range []*testNode{engines.fixture.testNode, other} {
+			node.door.SetFault(storestandin.FaultReset)
+			node.log.await("lost the platform store", `"kind":"servers"`)
+		}
+		require.Equal(t, http.StatusOK, takeUpElsewhere(engines).status)
+	})
+	t.Run("its watch is silent", func(t *testing.T) {
+		t.Parallel()
+		engines := newNode(t)
+		engines.fixture.door.MuteWatches(true, "servers")
+		join(engines)
+		expectRefused(t, engines)
+	})
+	t.Run("the store doesn't answer it", func(t *testing.T) {
+		t.Parallel()
+		engines := newNode(t)
+		engines.fixture.door.MuteWatches(true, "servers")
+		engines.fixture.door.SetFault(storestandin.FaultSilent)
+		join(engines)
+		expectRefused(t, engines)
+	})
+	t.Run("the server has joined and ended meanwhile", func(t *testing.T) {
+		t.Parallel()
+		engines := newNode(t)
+		engines.fixture.door.MuteWatches(true, "servers")
+		join(engines)
+		engines.fixture.store.Remove("servers", "engine-1")
+		engines.fixture.door.MuteWatches(false, "servers")
+		expectRefused(t, engines)
+	})
+}
--- a/internal/edge/wakeup.go
+++ b/internal/edge/wakeup.go
@@ -20,10 +20,14 @@
 	}
 }
 
-// watchContext returns a context that the next wake-up cancels.
+// watchContext returns a context that the next wake-up cancels, or one that is pending.
 func (wakeUp *wakeUp) watchContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	wakeUp.cancel.Store(&cancel)
+	if wakeUp.pending.Load() {
+		// It came before the context was there to be cancelled.
+		cancel()
+	}
 	return ctx, cancel
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -238,6 +238,13 @@
 	return count
 }
 
+// HearsAll reports whether there are peers, and a bulletin of each one that shares limits
+// with this node arrived within the age.
+func (view *PeerView) HearsAll(age, now clock.Millis) bool {
+	nodes := view.Nodes(now)
+	return nodes > 1 && nodes == 1+view.count(func(state peerState) bool { return now-state.receivedAt < age && !state.latest.stopping })
+}
+
 // TrueTime returns the time of day on which most nodes agree, where now is the
 // time of this node's monotonic clock and wall its time of day. It adds to now the
 // median offset of the live nodes' times of day, which no minority of wrong clocks
