Drop servers that left while only this node lost the store

Nodes that were cut off sent to a server 3.8 s after the store had accepted its leaving; bound 3 s.

Cause: the logs show that the server's entry was removed without a draining state at 10.0 s. The other nodes dropped it by 11.5 s. The cut ones read the store again at 10.7 s, but kept the removed entry until 14.3 s: entries that are gone after an outage may have expired in it, and get a grace period of 0.9 of the drain bound. That is meant for an outage of the store. Here only the node was away, and no server had to let its entry expire.

Bulletins of the designated watchers, whose short watches notice an outage, now say for how long the store has served them without a failure. Where that covers the whole outage of a node, its grace period ends at once. The grace period after a restore is another one and stays.

TestRemovedDuringOutage/only_this_node_lost_the_store: before, the server was not dropped within the test's limit of 2 minutes (grace of 9 minutes in the test); passes now. /all_nodes_lost_it: kept before and now.

--- a/internal/backend/registry.go
+++ b/internal/backend/registry.go
@@ -101,7 +101,8 @@
 //	outage from 10 s to 15 s; entry of s-1 removed at 15 s -> kept until 16.8 s
 //	no outage; entry of s-2 removed at 30 s                -> dropped at 30 s
 //
-// So is one that a restored store lacks, as the server writes it again. The entry of a
+// So is one that a restored store lacks, as the server writes it again. One that is removed
+// while only this node can't reach the store has left (EndGrace). The entry of a
 // leaving server is dropped at once. A registry must be used by one
 // goroutine.
 type Registry struct {
@@ -111,7 +112,9 @@
 	asOf           int64
 	availableSince clock.Millis
 	unavailable    bool
-	grace          clock.Millis
+	// restored is set if the grace period is that of a store that lost entries.
+	restored bool
+	grace    clock.Millis
 }
 
 // NewRegistry returns an empty registry with the grace period after an outage of
@@ -129,16 +132,24 @@
 // SetAvailable records that the platform responds.
 func (registry *Registry) SetAvailable(now clock.Millis) {
 	if registry.unavailable {
-		registry.unavailable = false
+		registry.unavailable, registry.restored = false, false
 		registry.availableSince = now
 	}
 }
 
+// EndGrace ends the grace period after an outage that was not the store's but this node's,
+// so that no server had to let its entry expire. That after a restore goes on.
+func (registry *Registry) EndGrace(now clock.Millis) {
+	if !registry.unavailable && !registry.restored {
+		registry.availableSince = now - registry.grace
+	}
+}
+
 // Replace applies a complete list as of a version. Entries that the registry
 // has at a later version are kept.
 func (registry *Registry) Replace(list []Entry, asOf int64, now clock.Millis) {
 	if registry.asOf != 0 && platform.EraOf(asOf) > platform.EraOf(registry.asOf) {
-		registry.unavailable, registry.availableSince = false, now
+		registry.unavailable, registry.restored, registry.availableSince = false, true, now
 	}
 	registry.asOf = max(registry.asOf, asOf)
 	listed := make(map[string]bool, len(list))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,6 +44,7 @@
 	storeResponses storeResponses
 	wakeUps        wakeUps
 	listReads      *listReads
+	listService    *listService
 	stopping       atomic.Bool
 	shutdownPolicy atomic.Pointer[caller.ShutdownPolicy]
 	inFlight       atomic.Int64
@@ -71,7 +72,7 @@
 func New(loaded *settings.Edge, clock *clock.Clock, log zerolog.Logger) (*Edge, error) {
 	edge := &Edge{
 		clock: clock, log: log, directory: directory.NewActive(), fleet: backend.NewFleet(), counters: newCounters(),
-		budgets: newBudgets(), quarantine: quarantine.New(clock.Now()), releases: release.NewMemory(clock.Now()), listReads: newListReads(),
+		budgets: newBudgets(), quarantine: quarantine.New(clock.Now()), releases: release.NewMemory(clock.Now()), listReads: newListReads(), listService: newListService(),
 	}
 	edge.publishQuarantines()
 	edge.meters = newMeters(clock.Now(), edge.hasOlderPeer, edge.restartLevel)
--- a/internal/edge/fixture_test.go
+++ b/internal/edge/fixture_test.go
@@ -218,6 +218,8 @@
 	requestCount int
 	// graceSeconds is the grace period of nodes that are started, 8 if it is 0.
 	graceSeconds float64
+	// drainMillis is the drain bound of nodes that are started, 2000 if it is 0.
+	drainMillis int
 	// memoryMegabytes is the memory of nodes that are started, or 0 for the default.
 	memoryMegabytes int
 }
@@ -311,9 +313,10 @@
 usageLateSeconds = 8
 leaseMillis = 500
 graceSeconds = %g
+drainMillis = %d
 [limits]
 memoryMegabytes = %d
-`, testNode.host, fixture.serve(testNode.door), fixture.serve(fixture.duty), cmp.Or(fixture.graceSeconds, 8), cmp.Or(fixture.memoryMegabytes, 256))))
+`, testNode.host, fixture.serve(testNode.door), fixture.serve(fixture.duty), cmp.Or(fixture.graceSeconds, 8), cmp.Or(fixture.drainMillis, 2000), cmp.Or(fixture.memoryMegabytes, 256))))
 	require.NoError(fixture.t, err)
 	return loaded
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -227,6 +227,10 @@
 func (edge *Edge) applyBulletin(bulletin node.Bulletin, used map[string]int64) {
 	now := edge.clock.Now()
 	edge.compareConfiguration(bulletin.Configuration(), now)
+	if service := bulletin.ListService(); service > 0 && edge.listService.compare(now-service) {
+		edge.log.Info().Str("peer", bulletin.Host()).Msg("the store served a peer node all the while; servers that are gone from the list have left")
+		edge.wakeUps.servers.Trigger()
+	}
 	edge.quarantine.Merge(bulletin.Evidence(), now)
 	edge.releases.Merge(bulletin.Releases(), now)
 	if window := bulletin.ReportedWindow(); usage.IsPlausible(window, edge.trueTime(), edge.settings.Load().Bounds().UsageWindow()) {
--- a/internal/edge/serverlist.go
+++ b/internal/edge/serverlist.go
@@ -89,3 +89,70 @@
 	}
 	read()
 }
+
+// listService is how the store has served this node's reads of the list of servers. Readers
+// use an immutable state, which updates replace.
+type listService struct {
+	state atomic.Pointer[listServiceState]
+}
+
+// listServiceState is immutable.
+type listServiceState struct {
+	// since is when the service began that has not failed yet, or 0 in an outage.
+	since clock.Millis
+	// servedUntil is when the store certainly still served this node before the latest
+	// outage, or 0 if there was none.
+	servedUntil clock.Millis
+	// isOwnOutage is set if the store served a peer all through the latest outage.
+	isOwnOutage bool
+}
+
+func newListService() *listService {
+	listService := &listService{}
+	listService.state.Store(&listServiceState{})
+	return listService
+}
+
+// fail records a failed read; the latest successful one began at the time.
+func (listService *listService) fail(latestRead clock.Millis) {
+	if listService.state.Load().since != 0 {
+		listService.state.Store(&listServiceState{servedUntil: latestRead})
+	}
+}
+
+// succeed records a successful read, and reports whether the latest outage is known to
+// have been this node's own.
+func (listService *listService) succeed(now clock.Millis) (isOwnOutage bool) {
+	for {
+		current := listService.state.Load()
+		if current.since != 0 {
+			return current.isOwnOutage
+		}
+		next := *current
+		next.since = now
+		if listService.state.CompareAndSwap(current, &next) {
+			return next.isOwnOutage
+		}
+	}
+}
+
+// age returns the time for which no read has failed, or 0 in an outage.
+func (listService *listService) age(now clock.Millis) clock.Millis {
+	if since := listService.state.Load().since; since != 0 {
+		return now - since
+	}
+	return 0
+}
+
+// compare records that the store has served a peer since the time. It reports whether this
+// shows, for the first time, that the latest outage was this node's own.
+func (listService *listService) compare(peerSince clock.Millis) bool {
+	current := listService.state.Load()
+	if current.isOwnOutage || current.servedUntil == 0 || peerSince > current.servedUntil {
+		return false
+	}
+	next := *current
+	next.isOwnOutage = true
+	// Where another update comes first, the next bulletin shows it again.
+	return listService.state.CompareAndSwap(current, &next)
+}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -86,10 +86,15 @@
 		wakeUp:     &edge.wakeUps.servers, otherWakeUp: &edge.wakeUps.configuration,
 		onFailure: func(error) {
 			registry.SetUnavailable()
+			edge.listService.fail(edge.listReads.latest.Load().began)
 			edge.serversUnavailable.Store(true)
 		},
 		onSuccess: func() {
-			registry.SetAvailable(edge.clock.Now())
+			now := edge.clock.Now()
+			registry.SetAvailable(now)
+			if edge.listService.succeed(now) {
+				registry.EndGrace(now)
+			}
 			edge.serversUnavailable.Store(false)
 		},
 	})
--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -96,6 +96,9 @@
 	serverLimits     []ServerLimit
 	reportedWindow   int64
 	releases         release.News
+	// listService is the time for which the store has answered the sender's reads of the
+	// list of servers, or 0.
+	listService clock.Millis
 }
 
 // NewBulletin returns a bulletin of the process on the host, which receives
@@ -181,6 +184,18 @@
 // they began.
 func (bulletin Bulletin) Releases() release.News { return bulletin.releases }
 
+// WithListService returns a copy with the time for which the store has answered the
+// sender's reads of the list of servers without a failure, or 0 if it doesn't or the sender
+// can't tell.
+func (bulletin Bulletin) WithListService(service clock.Millis) Bulletin {
+	bulletin.listService = service
+	return bulletin
+}
+
+// ListService returns the time for which the store has answered the sender's reads of the
+// list of servers without a failure, or 0 if it doesn't or the sender can't tell.
+func (bulletin Bulletin) ListService() clock.Millis { return bulletin.listService }
+
 // WithUsage returns a copy with the node's usage and load.
 func (bulletin Bulletin) WithUsage(accounts []Usage, servers []ServerWork, pools []Usage, windows []WindowRuns) Bulletin {
 	bulletin.accounts, bulletin.servers, bulletin.pools, bulletin.windows = accounts, servers, pools, windows
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -31,6 +31,7 @@
 	message.SetUptimeMillis(int64(bulletin.Uptime()))
 	message.SetConfigurationAgeMillis(int64(bulletin.ConfigurationAge()))
 	message.SetReportedWindow(bulletin.ReportedWindow())
+	message.SetListServiceMillis(int64(bulletin.ListService()))
 	encodeAccounts(message, bulletin)
 	encodeServers(message, bulletin.Servers())
 	encodeServerLimits(message, bulletin.ServerLimits())
@@ -180,7 +181,8 @@
 	return node.NewBulletin(message.GetHost(), message.GetAddress(), message.GetIncarnation(), message.GetSequence(),
 		clock.Millis(message.GetWallMillis()), message.GetStopping()).
 		WithConfiguration(message.GetConfiguration(), clock.Millis(message.GetConfigurationAgeMillis())).WithLeaving(message.GetLeaving()).WithUptime(clock.Millis(message.GetUptimeMillis())).WithReportedWindow(message.GetReportedWindow()).
-		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence).WithServerLimits(limits).WithReleases(releases), nil
+		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence).WithServerLimits(limits).WithReleases(releases).
+		WithListService(clock.Millis(message.GetListServiceMillis())), nil
 }
 
 func hasMatchingLists(message *nodepb.Bulletin) bool {
--- a/internal/node/nodecast/nodecast_test.go
+++ b/internal/node/nodecast/nodecast_test.go
@@ -16,7 +16,7 @@
 )
 
 func sampleBulletin() node.Bulletin {
-	return node.NewBulletin("edge-1", "127.0.0.1:7600", 7, 3, 1_000_000, true).WithConfiguration(14, 250).WithUptime(9000).WithReportedWindow(49).WithLeaving([]uint64{5, 6}).WithUsage(
+	return node.NewBulletin("edge-1", "127.0.0.1:7600", 7, 3, 1_000_000, true).WithConfiguration(14, 250).WithUptime(9000).WithReportedWindow(49).WithListService(8000).WithLeaving([]uint64{5, 6}).WithUsage(
 		[]node.Usage{node.NewUsage("garage", 0, 412)}, []node.ServerWork{node.NewServerWork(9, 2, 4000)},
 		[]node.Usage{node.NewUsage("engines", 5, 9000)}, []node.WindowRuns{node.NewWindowRuns(50, "garage", 3)}).WithServerLimits([]node.ServerLimit{
 		node.NewServerLimit(9, backend.NewStatement(2.5), 20, 7).WithBorrowing().WithLoan(node.NewLoan("edge-2", 0.25)), node.NewServerLimit(8, backend.NewUnlimited(), 30, 6),
