Keep what a server says of its leaving after its entry is removed

Cause: the statement marks the object of the server to which the request was sent.

The fleet now keeps unlisted servers until their requests have ended and reads their marks; a statement also marks the listed object of the same start.

--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -18,6 +18,10 @@
 	// marked is the same for servers that others than the list's reader have marked.
 	// Such a mark is no first evidence: whoever set it reports it by itself.
 	marked map[string]int
+	// unlisted holds servers that are gone from the list while requests to them may still
+	// be in progress: an answer may yet show that one leaves. The value is set once none
+	// was in progress at an update.
+	unlisted map[*Server]bool
 	// limits holds the limits of servers that are not listed, by key. A live server's
 	// entry may be gone for a while.
 	limits map[string]unlistedLimit
@@ -32,7 +36,9 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
-	fleet := &Fleet{leaving: map[string]int{}, marked: map[string]int{}, limits: map[string]unlistedLimit{}, speeds: newSpeeds()}
+	fleet := &Fleet{
+		leaving: map[string]int{}, marked: map[string]int{}, unlisted: map[*Server]bool{}, limits: map[string]unlistedLimit{}, speeds: newSpeeds(),
+	}
 	fleet.current.Store(newSnapshot(nil))
 	return fleet
 }
@@ -78,6 +84,7 @@
 	}
 	next := newSnapshot(servers)
 	fleet.keepLimits(current, next)
+	fleet.keepUnlisted(current, next)
 	fleet.current.Store(next)
 	return firstEvidence
 }
@@ -109,6 +116,30 @@
 			fleet.marked[server.Key()] = 0
 		}
 	}
+	for server := range fleet.unlisted {
+		if server.Leaving() {
+			fleet.marked[server.Key()] = 0
+		}
+	}
+}
+
+// keepUnlisted keeps the servers that only the current snapshot has, and drops those whose
+// requests have ended. One that was idle stays for another update, as a request may have
+// been about to begin.
+func (fleet *Fleet) keepUnlisted(current, next *Snapshot) {
+	for server, wasIdle := range fleet.unlisted {
+		isIdle := server.InFlight() == 0
+		if isIdle && wasIdle {
+			delete(fleet.unlisted, server)
+			continue
+		}
+		fleet.unlisted[server] = isIdle
+	}
+	for id, server := range current.byID {
+		if next.byID[id] != server {
+			fleet.unlisted[server] = false
+		}
+	}
 }
 
 // ageMarks counts one more update for each mark and drops the expired ones.
--- a/internal/backend/leaving_test.go
+++ b/internal/backend/leaving_test.go
@@ -62,6 +62,22 @@
 		fleet.Update(newListings(false, "a"))
 		expectLeaving(t, fleet, "a", true)
 	})
+	t.Run("an answer shows it after the entry was removed", func(t *testing.T) {
+		fleet := backend.NewFleet()
+		fleet.Update(newListings(false, "a"))
+		server := fleet.Current().Server("a")
+		end := server.Begin()
+		for range 3 {
+			fleet.Update(nil)
+		}
+		server.MarkLeaving()
+		end()
+		for range 3 {
+			fleet.Update(nil)
+		}
+		fleet.Update(newListings(false, "a"))
+		expectLeaving(t, fleet, "a", true)
+	})
 	t.Run("a mark belongs to one run of a server", func(t *testing.T) {
 		registry := backend.NewRegistry(0)
 		list := func(start clock.Millis, revision int64) []backend.Listing {
--- a/internal/edge/statements.go
+++ b/internal/edge/statements.go
@@ -34,6 +34,10 @@
 		return
 	}
 	edge := attempts.requestContext.edge
+	if listed := edge.fleet.Current().Server(server.ID()); listed != nil && listed.Key() == server.Key() {
+		// Its entry may have been removed and written again since the request was sent.
+		listed.MarkLeaving()
+	}
 	edge.log.Info().Str("requestId", attempts.requestContext.call.ID()).Str("backendServer", server.ID()).
 		Msg("backend server leaves: it said so in a response")
 	if edge.isDesignatedWatcher() {
