Keep streams off servers that may have started again under their ids

No page says that the version may change under one id; for callers a stream that ends is better than one that is joined unseen.

Cause: the release of a server is that of its entry as last read, whatever its connections have shown since.

After a refused connection, a response that the server's host ended, or an idle connection that it closed before its time, a server is now a release of its own until a read of the list that began later. The read is made at once, so with the store at hand the doubt lasts for that read.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -45,6 +45,7 @@
 	reclaimable  bool
 	endsAt       atomic.Int64
 	peerInFlight atomic.Int64
+	doubtedAt    atomic.Int64
 }
 
 // NewServer returns a live backend server without load. The address is the
@@ -92,6 +93,21 @@
 // known. Versions of one pool may serve side by side.
 func (server *Server) Software() string { return server.software }
 
+// Doubt records that the server's process may have ended at the time: it may have started
+// again since, under the same id and with other software, without the list showing it yet.
+func (server *Server) Doubt(now clock.Millis) { server.doubtedAt.Store(int64(now)) }
+
+// Confirm records that the list, as of the time, still names this start of the server.
+func (server *Server) Confirm(asOf clock.Millis) {
+	if doubted := server.doubtedAt.Load(); doubted != 0 && doubted <= int64(asOf) {
+		server.doubtedAt.CompareAndSwap(doubted, 0)
+	}
+}
+
+// DoubtedAt returns when the server's process may have ended, or 0 if the list has been
+// read since.
+func (server *Server) DoubtedAt() clock.Millis { return clock.Millis(server.doubtedAt.Load()) }
+
 // EndsAt returns the time at which a leaving server ends, or 0 if it is unknown.
 func (server *Server) EndsAt() clock.Millis { return clock.Millis(server.endsAt.Load()) }
 
--- a/internal/backend/backendlink/exchange_test.go
+++ b/internal/backend/backendlink/exchange_test.go
@@ -80,7 +80,7 @@
 )
 
 func newLinks(opened *int) *backendlink.Links {
-	return backendlink.New(clock.System(), func() { *opened++ })
+	return backendlink.New(clock.System(), func() { *opened++ }, func(*backend.Server) {})
 }
 
 func post(body string, nonIdempotent bool) backendlink.Request {
--- a/internal/backend/backendlink/links.go
+++ b/internal/backend/backendlink/links.go
@@ -27,19 +27,20 @@
 	clock  *clock.Clock
 	dial   func(ctx context.Context, address string) (net.Conn, error)
 	opened func()
+	ended  func(*backend.Server)
 	idle   sync.Map // Key of a server to *idleStack.
 }
 
-// New returns links without connections. The function opened is called for each
-// new connection.
-func New(clock *clock.Clock, opened func()) *Links {
-	return &Links{clock: clock, dial: dial, opened: opened}
+// New returns links without connections. The function opened is called for each new
+// connection, and ended if a server has closed an idle one before its time.
+func New(clock *clock.Clock, opened func(), ended func(*backend.Server)) *Links {
+	return &Links{clock: clock, dial: dial, opened: opened, ended: ended}
 }
 
 // acquire returns an idle connection to the server, or a new one.
 func (links *Links) acquire(ctx context.Context, server *backend.Server, nonIdempotent bool) (*connection, error) {
 	if idle, ok := links.idle.Load(server.Key()); ok {
-		if connection := links.acquireIdle(idle.(*idleStack), nonIdempotent); connection != nil {
+		if connection := links.acquireIdle(server, idle.(*idleStack), nonIdempotent); connection != nil {
 			return connection, nil
 		}
 	}
@@ -51,7 +52,7 @@
 	return newConnection(conn), nil
 }
 
-func (links *Links) acquireIdle(idle *idleStack, nonIdempotent bool) *connection {
+func (links *Links) acquireIdle(server *backend.Server, idle *idleStack, nonIdempotent bool) *connection {
 	for {
 		connection := idle.pop()
 		if connection == nil {
@@ -62,9 +63,12 @@
 			idle.push(connection)
 			return nil
 		}
-		if age < connection.maxIdle && connection.isReusable() {
-			connection.reused = true
-			return connection
+		if age < connection.maxIdle {
+			if connection.isReusable() {
+				connection.reused = true
+				return connection
+			}
+			links.ended(server)
 		}
 		connection.close()
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -78,7 +78,7 @@
 	edge.meters = newMeters(clock.Now(), edge.hasOlderPeer, edge.restartLevel)
 	edge.settings.Store(loaded)
 	edge.responseMemory = newResponseMemory(func() int64 { return int64(responseMemoryShare * float64(edge.settings.Load().MemoryBytes())) })
-	edge.links = backendlink.New(clock, func() { edge.counters.connections.Add(1) })
+	edge.links = backendlink.New(clock, func() { edge.counters.connections.Add(1) }, edge.doubt)
 	edge.placement = placement.New(clock, edge.fleet, loaded.DataCentre(), rand.Float64)
 	edge.transport = &http.Transport{
 		DialContext: backendlink.Dialer(storeProbes).DialContext, DisableCompression: true,
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -149,6 +149,9 @@
 		return request.OutcomeQuarantined
 	}
 	choice, outcome := attempts.choose(poolConfig)
+	if outcome == request.OutcomeNoServer && attempts.resolvesDoubts() {
+		choice, outcome = attempts.choose(poolConfig)
+	}
 	if outcome != 0 {
 		return outcome
 	}
@@ -231,8 +234,11 @@
 	}
 	requestContext.edge.log.Warn().Str("requestId", requestContext.call.ID()).Str("backendServer", server.ID()).Err(err).
 		Strs("parts", requestContext.sharedParts()).Str(logging.FieldRequestHash, requestContext.requestHash()).Str("outcome", outcome.String()).Msg("attempt failed")
-	if outcome == request.OutcomeLost {
+	switch {
+	case outcome == request.OutcomeLost:
 		attempts.recordCrash(server, err, 0)
+	case !isTimeUp(attempts.ctx):
+		requestContext.edge.doubt(server)
 	}
 	var lost *backendlink.ResponseLostError
 	if errors.As(err, &lost) && lost.Reused() && !isTimeUp(attempts.ctx) {
--- a/internal/edge/serverlist.go
+++ b/internal/edge/serverlist.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 
+	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/node"
 )
@@ -60,18 +61,34 @@
 // may have read before the time, which is not later than now. It reads the list once
 // more, or, without the store, relies on the bulletins of all peers.
 func (edge *Edge) hasListSince(ctx context.Context, since clock.Millis) bool {
-	if !edge.serversUnavailable.Load() {
-		edge.requestListRead()
-		ctx, cancel := edge.clock.WithTimeout(ctx, edge.settings.Load().Platform().Timeout())
-		defer cancel()
-		if edge.listReads.await(ctx, since) {
-			return true
-		}
+	if edge.readsListSince(ctx, since) {
+		return true
 	}
 	quietest := evidenceIntervals*node.BulletinInterval(edge.nodes(), true) + maxBatchWait
 	return edge.peers.states.View().HearsAll(quietest, edge.clock.Now())
 }
 
+// readsListSince reads the list of servers once more, as of the time at least, and reports
+// whether the store answered.
+func (edge *Edge) readsListSince(ctx context.Context, since clock.Millis) bool {
+	if edge.serversUnavailable.Load() {
+		return false
+	}
+	edge.requestListRead()
+	ctx, cancel := edge.clock.WithTimeout(ctx, edge.settings.Load().Platform().Timeout())
+	defer cancel()
+	return edge.listReads.await(ctx, since)
+}
+
+// doubt records that the server's process may have ended, and reads the list.
+func (edge *Edge) doubt(server *backend.Server) {
+	if server.DoubtedAt() == 0 {
+		edge.log.Info().Str("backendServer", server.ID()).Msg("backend server may have ended; reading the list")
+	}
+	server.Doubt(edge.clock.Now())
+	edge.requestListRead()
+}
+
 // requestListRead causes a read of the list of servers that begins later than now, one for
 // all requests of the interval.
 func (edge *Edge) requestListRead() {
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -6,6 +6,7 @@
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/platform"
+	"sapphirehead/internal/release"
 	"sapphirehead/platform/store"
 )
 
@@ -68,13 +69,18 @@
 			if ok {
 				registry.Set(entry, edge.clock.Now())
 				// Its removal may be among the same changes.
-				edge.releases.Observe([]*backend.Server{entry.Server()}, edge.clock.Now())
+				edge.releases.Observe([]*backend.Server{entry.Server()}, release.Listed, edge.clock.Now())
 			} else {
 				registry.Remove(object.Name(), object.Version(), edge.clock.Now())
 			}
 		},
 		onSynced: func() { edge.publishServers(registry) },
-		onRead:   edge.listReads.record,
+		onRead: func(began clock.Millis) {
+			for _, server := range edge.fleet.Current().Servers() {
+				server.Confirm(began)
+			}
+			edge.listReads.record(began)
+		},
 		watchWait: func() clock.Millis {
 			wait := platform.WatchWait(edge.settings.Load().Bounds().Drain(), edge.isDesignatedWatcher(), edge.nodes())
 			if end, ok := registry.GraceEnd(); ok {
--- a/internal/edge/takeup.go
+++ b/internal/edge/takeup.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"slices"
+
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/release"
@@ -91,6 +93,9 @@
 		return
 	}
 	attempts.release = release.Of(server)
+	if server.DoubtedAt() != 0 {
+		edge.observeReleases()
+	}
 	wait := max(requestContext.call.Timeout(), requestContext.route.Deadline())
 	if wait == 0 {
 		wait = unboundedStream
@@ -100,9 +105,25 @@
 	}
 }
 
-// observeReleases records the releases that are listed now.
+// observeReleases records the releases that are listed now. Without the store, servers that
+// may have started again count as releases of their own.
 func (edge *Edge) observeReleases() {
-	if edge.releases.Observe(edge.fleet.Current().Servers(), edge.clock.Now()) {
+	releaseOf := release.Listed
+	if edge.serversUnavailable.Load() {
+		releaseOf = release.Of
+	}
+	if edge.releases.Observe(edge.fleet.Current().Servers(), releaseOf, edge.clock.Now()) {
 		signal(edge.peers.urgent)
 	}
 }
+
+// resolvesDoubts waits for the list of servers if the stream could go on only at servers
+// that may have started again, and reports whether there was one.
+func (attempts *attempts) resolvesDoubts() bool {
+	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
+	isDoubted := func(server *backend.Server) bool {
+		return server.DoubtedAt() != 0 && release.Listed(server) == attempts.release
+	}
+	return attempts.release != 0 && slices.ContainsFunc(edge.fleet.Current().Pool(requestContext.pool), isDoubted) &&
+		edge.readsListSince(attempts.ctx, edge.clock.Now())
+}
--- a/internal/edge/takeup_test.go
+++ b/internal/edge/takeup_test.go
@@ -242,3 +242,37 @@
 		expectRefused(t, engines)
 	})
 }
+
+// TestRestartedServerJoinsVersions guards against a stream that goes on at a server which
+// has started again under its id, with other software, while the store is away.
+func TestRestartedServerJoinsVersions(t *testing.T) {
+	t.Parallel()
+	const calls = 4
+	engines := newVersionedEngines(t, 3)
+	engines.fixture.store.Remove("servers", "engine-1")
+	restarted, old := engines.engines[0], engines.engines[2]
+	// Streams begin at the other server, which is in the node's data centre.
+	engines.fixture.store.Set("servers", "engine-0", fmt.Sprintf(
+		`{"service":"engines","address":%q,"zone":"lj-b","version":"v0","batchSlots":6,"state":"ready","coldRemainingMs":0,"sequence":1}`, engines.fixture.serve(restarted)))
+	engines.fixture.testNode = engines.fixture.start("edge-1", engines.fixture.store)
+	for _, id := range []string{"engine-0", "engine-2"} {
+		engines.fixture.log.await("backend server listed", id)
+	}
+	engines.fixture.log.await("configuration active", `"version":3`)
+	engines.fixture.door.SetFault(storestandin.FaultReset)
+	engines.fixture.log.await("lost the platform store", `"kind":"servers"`)
+	call := func() string {
+		return engines.fixture.call(http.MethodPost, fmt.Sprint("/resume/", engines.fixture.requestCount)).body
+	}
+	breakStream := func() enginestandin.Behaviour { return enginestandin.BehaviourBreakStream }
+	old.SetBehaviourFunc(breakStream)
+	require.Equal(t, wholeStream(), call(), "the stream goes on at the other server")
+	restarted.SetBehaviourFunc(breakStream)
+	require.NotEqual(t, wholeStream(), call())
+	restarted.SetWord("news")
+	restarted.SetBehaviourFunc(nil)
+	for range calls {
+		body := call()
+		require.False(t, strings.Contains(body, "piece") && strings.Contains(body, "news"), body)
+	}
+}
--- a/internal/release/memory.go
+++ b/internal/release/memory.go
@@ -39,12 +39,12 @@
 	return memory
 }
 
-// Observe records the servers that are listed now, and reports whether one is of a
-// release that was not known.
-func (memory *Memory) Observe(servers []*backend.Server, now clock.Millis) (isNew bool) {
+// Observe records the servers that are listed now, of the releases that the function names,
+// and reports whether one was not known.
+func (memory *Memory) Observe(servers []*backend.Server, releaseOf func(*backend.Server) ID, now clock.Millis) (isNew bool) {
 	sightings := make([]sighting, 0, len(servers))
 	for _, server := range servers {
-		sightings = append(sightings, sighting{pool: NewPoolID(server.Pool()), release: Of(server), first: now, last: now})
+		sightings = append(sightings, sighting{pool: NewPoolID(server.Pool()), release: releaseOf(server), first: now, last: now})
 	}
 	return memory.history.add(sightings, now, now)
 }
--- a/internal/release/memory_test.go
+++ b/internal/release/memory_test.go
@@ -53,7 +53,7 @@
 // observe records the servers every two seconds up to the time.
 func observe(memory *release.Memory, from, until clock.Millis, versions ...string) {
 	for now := from; now <= until; now += 2 * second {
-		memory.Observe(servers(versions...), now)
+		memory.Observe(servers(versions...), release.Listed, now)
 	}
 }
 
@@ -85,7 +85,7 @@
 		memory := release.NewMemory(0)
 		observe(memory, 0, 300*second, "v1")
 		begin(memory, "r-1", "v1", 300*second)
-		require.True(t, memory.Observe(servers("v1", "v2"), 303*second))
+		require.True(t, memory.Observe(servers("v1", "v2"), release.Listed, 303*second))
 		require.Len(t, memory.News(303*second).Beginnings(), 1)
 	})
 	t.Run("a later beginning counts after a take-up", func(t *testing.T) {
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -12,6 +12,8 @@
 package release
 
 import (
+	"strconv"
+
 	"github.com/cespare/xxhash/v2"
 
 	"sapphirehead/internal/backend"
@@ -23,15 +25,24 @@
 // New returns the release of the pool with the version.
 func New(pool, version string) ID { return hashOf(pool, version) }
 
-// Of returns the release of the server. A server whose version isn't known is a release
-// of its own, as nothing shows that another one writes the same.
-func Of(server *backend.Server) ID {
+// Listed returns the release of the server according to its entry. A server whose version
+// isn't known is a release of its own, as nothing shows that another one writes the same.
+func Listed(server *backend.Server) ID {
 	if server.Software() == "" {
 		return hashOf(server.Pool(), "", server.Key())
 	}
 	return New(server.Pool(), server.Software())
 }
 
+// Of returns the release of the server as it serves now. A server that may have started
+// again since the list was read is a release of its own.
+func Of(server *backend.Server) ID {
+	if doubted := server.DoubtedAt(); doubted != 0 {
+		return hashOf(server.Pool(), "", server.Key(), strconv.FormatInt(int64(doubted), 10))
+	}
+	return Listed(server)
+}
+
 // PoolID identifies a pool among nodes.
 type PoolID uint64
 
--- a/internal/standin/enginestandin/engine.go
+++ b/internal/standin/enginestandin/engine.go
@@ -155,8 +155,18 @@
 func (engine *Engine) SetWorkTime(workTime clock.Millis) { engine.workTime = workTime }
 
 // SetWord sets the word before the number in the text of each event, "piece" by default.
-// It must be called before the server is in use.
-func (engine *Engine) SetWord(word string) { engine.word = word }
+// A stream that has begun keeps its word.
+func (engine *Engine) SetWord(word string) {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	engine.word = word
+}
+
+func (engine *Engine) currentWord() string {
+	engine.mutex.Lock()
+	defer engine.mutex.Unlock()
+	return engine.word
+}
 
 // SetNamedLimit sets the limit in requests per second that all responses name; with an
 // empty text they name none.
@@ -448,13 +458,14 @@
 	if after, err := strconv.Atoi(request.Header.Get("Last-Event-Id")); err == nil {
 		firstID = after + 1
 	}
+	word := engine.currentWord()
 	for id := firstID; id < StreamEvents; id++ {
 		if behaviour == BehaviourBreakStream && id == firstID+2 {
 			fmt.Fprintf(writer, "id: %d\nda", id)
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(writer, "id: %d\ndata: %s %d\n\n", id, engine.word, id)
+		fmt.Fprintf(writer, "id: %d\ndata: %s %d\n\n", id, word, id)
 		if err := control.Flush(); err != nil || !engine.work(request.Context()) {
 			return
 		}
