Stop nodes in turn in the soak, and open connections for each request

Nothing checked that a booking which ran gets an answer from a node that is only stopped.

Now half of the callers keep their connections, or none does; nodes are stopped in turn beside the other faults; the grace is 8 s, as deployed, and application servers take 50 ms. A booking that ran and was cut off by a process that was neither killed nor paused is a violation. Stops have a random source of their own, so the faults of earlier seeds keep their order.

--- a/internal/standin/soak/callers.go
+++ b/internal/standin/soak/callers.go
@@ -13,6 +13,7 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/standin/enginestandin"
+	"sapphirehead/internal/standin/harness"
 )
 
 // kind is the kind of a caller's request.
@@ -91,24 +92,26 @@
 // takeUpTime is the time within which callers take a stream up.
 const takeUpTime = 2 * clock.Second
 
-func newCaller(system *system, number int, random *rand.Rand) *caller {
+// newCaller returns a caller that keeps its connections open until the process at the other
+// end is gone, or opens one for each request.
+func newCaller(system *system, number int, keepsOpen bool, random *rand.Rand) *caller {
 	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &caller{
 		system: system, number: number, random: random,
 		session: number % sessions,
-		client:  &http.Client{Transport: &http.Transport{}, CheckRedirect: refuseRedirect},
+		client:  &http.Client{Transport: &http.Transport{DisableKeepAlives: !keepsOpen}, CheckRedirect: refuseRedirect},
 	}
 }
 
 func (caller *caller) close() { caller.client.CloseIdleConnections() }
 
-// run sends requests to random nodes until the context ends. It reuses open
-// connections, as the platform's clients do.
+// run sends requests to random nodes until the context ends, stopping ones among them, as
+// behind a load balancer that has too few others.
 func (caller *caller) run(ctx context.Context) {
 	defer caller.close()
 	for ctx.Err() == nil {
 		node := caller.system.nodes[caller.random.IntN(nodeCount)]
-		caller.call(ctx, node.address(), requestMix[caller.random.IntN(len(requestMix))])
+		caller.call(ctx, node.process.Load(), requestMix[caller.random.IntN(len(requestMix))])
 		if caller.system.clock.Wait(ctx, clock.Millis(caller.random.Int64N(int64(maxPause)))) != nil {
 			return
 		}
@@ -116,7 +119,7 @@
 }
 
 // call sends one request and reports whether it was served.
-func (caller *caller) call(ctx context.Context, address string, kind kind) bool {
+func (caller *caller) call(ctx context.Context, process *harness.Process, kind kind) bool {
 	caller.serial++
 	id := fmt.Sprintf("c%d-%d", caller.number, caller.serial)
 	ctx, cancel := caller.system.clock.WithTimeout(ctx, callTimeout)
@@ -125,7 +128,7 @@
 	if kind == kindLook && caller.sendsFatal(&caller.system.fatalLooks) {
 		path, content = fatalTarget, fatalTarget
 	}
-	request, err := http.NewRequestWithContext(ctx, kind.method(), "http://"+address+path, strings.NewReader(content))
+	request, err := http.NewRequestWithContext(ctx, kind.method(), "http://"+process.Address("caller")+path, strings.NewReader(content))
 	if err != nil {
 		caller.system.tally.addViolation("request %s could not be created: %v", id, err)
 		return false
@@ -144,9 +147,12 @@
 	// Without GetBody the transport can't repeat a request by itself, as a booking may
 	// run only once.
 	request.GetBody = nil
-	outcome := caller.send(request, id, kind)
+	outcome, answered := caller.send(request, id, kind)
 	if kind == kindBook {
 		caller.system.bookings.Store(id, outcome)
+		if !answered && ctx.Err() == nil {
+			caller.system.cut.Store(id, process)
+		}
 	}
 	return outcome == outcomeServed
 }
@@ -165,12 +171,13 @@
 	return caller.isFatal || (isOn.Load() && caller.random.Float64() < fatalShare)
 }
 
-func (caller *caller) send(request *http.Request, id string, kind kind) outcome {
+// send sends the request and returns its outcome, and whether there was a whole answer.
+func (caller *caller) send(request *http.Request, id string, kind kind) (outcome outcome, answered bool) {
 	tally := caller.system.tally
 	response, err := caller.client.Do(request)
 	if err != nil {
 		tally.count("noAnswer")
-		return outcomeUnknown
+		return outcomeUnknown, false
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
@@ -186,23 +193,23 @@
 		if kind == kindResume {
 			caller.breakOff(request, string(body))
 		}
-		return outcomeUnknown
+		return outcomeUnknown, false
 	case response.StatusCode == http.StatusOK:
 		tally.count("served")
 		caller.checkSuccess(id, kind, response, caller.takenUp(request)+string(body))
 		if kind == kindResume {
 			caller.broken = brokenStream{}
 		}
-		return outcomeServed
+		return outcomeServed, true
 	case response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests:
 		tally.count("refused")
-		return outcomeNotRun
+		return outcomeNotRun, true
 	case response.StatusCode < http.StatusInternalServerError:
 		tally.addViolation("request %s was denied with %d: %s", id, response.StatusCode, body)
-		return outcomeUnknown
+		return outcomeUnknown, true
 	default:
 		tally.count("failed")
-		return outcomeUnknown
+		return outcomeUnknown, true
 	}
 }
 
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -64,7 +64,11 @@
 // signal sends a signal to a process that may be about to be replaced.
 func (run *run) signal(node *edgeNode, signal syscall.Signal) {
 	// The process may just have ended; the fault that ended it starts it again.
-	_ = node.process.Load().Signal(signal)
+	process := node.process.Load()
+	if signal == syscall.SIGSTOP {
+		run.system.disturbed.Store(process, true)
+	}
+	_ = process.Signal(signal)
 }
 
 // storeFault makes the store fail for one node, or for all.
--- a/internal/standin/soak/incidents.go
+++ b/internal/standin/soak/incidents.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"sapphirehead/internal/clock"
 )
@@ -34,6 +35,8 @@
 	// age of the copies.
 	restorePause = 2500 * clock.Millisecond
 	maxCopyAge   = 3 * clock.Second
+	// maxStopPause is the longest time between the end of a stop in turn and the next one.
+	maxStopPause = 1500 * clock.Millisecond
 )
 
 // limits are the limits that a backend server may name, in requests per second.
@@ -65,6 +68,15 @@
 	}
 }
 
+// injectStops stops the nodes in turn, and starts each one again, until the context ends.
+func (run *run) injectStops(ctx context.Context, random *rand.Rand) {
+	for next := 0; run.system.clock.Wait(ctx, clock.Millis(random.Int64N(int64(maxStopPause)))) == nil; next++ {
+		node := run.system.nodes[next%nodeCount]
+		run.reportLine(node.name + " is stopped in turn")
+		run.system.restart(node, syscall.SIGTERM)
+	}
+}
+
 func (run *run) drawIncident(random *rand.Rand) fault {
 	switch random.IntN(4) {
 	case 0:
@@ -131,12 +143,12 @@
 // session, and that a known fatal part or request reaches no more than lateArrivals
 // servers.
 func (run *run) checkIncidents() {
-	caller := newCaller(run.system, callerCount+1, run.random)
+	caller := newCaller(run.system, callerCount+1, true, run.random)
 	defer caller.close()
 	for _, node := range run.system.nodes {
 		for session := range sessions {
 			caller.session = session
-			for end := run.system.clock.Now() + recoveryTimeout; !caller.call(context.Background(), node.address(), kindChat); run.wait(100) {
+			for end := run.system.clock.Now() + recoveryTimeout; !caller.call(context.Background(), node.process.Load(), kindChat); run.wait(100) {
 				if run.system.clock.Now() > end {
 					run.tally.addViolation("%s does not serve chats of session %d %d ms after the last fault", node.name, session, recoveryTimeout)
 					break
@@ -158,7 +170,7 @@
 	}
 	run.wait(contactTime)
 	for i := range 4 * lateArrivals {
-		caller.call(context.Background(), run.system.nodes[i%nodeCount].address(), kind)
+		caller.call(context.Background(), run.system.nodes[i%nodeCount].process.Load(), kind)
 	}
 	if late := crashes.Load() - before; late > lateArrivals {
 		run.tally.addViolation("%d fatal requests of kind %s %s reached servers later than %d ms after %d crashes", late, kind.method(), kind.path(), contactTime, before)
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -3,8 +3,9 @@
 // given by a seed, and checks the responses that callers receive against the
 // requests that backend servers executed.
 //
-// Faults overlap, and callers keep using their open connections meanwhile. For
-// example:
+// Faults overlap, and nodes are stopped in turn. Meanwhile half of the callers keep using
+// their open connections, so that a node waits out its grace period, or all open one for
+// each request, so that it ends early. For example:
 //
 //	0.30 s  app-1.1 sends bad responses for 1210 ms
 //	0.41 s  edge-2 is stopped for 350 ms
@@ -31,6 +32,8 @@
 	incidentStream = 1 << 32
 	// restoreStream is the stream of the seed that restores of the store are drawn from.
 	restoreStream = 2 << 32
+	// stopStream is the stream of the seed that stops in turn are drawn from.
+	stopStream = 3 << 32
 	// meanFaultInterval is the mean time between the starts of two faults, and
 	// maxFaultTime the longest duration of one: about three overlap.
 	meanFaultInterval = 350 * clock.Millisecond
@@ -59,14 +62,17 @@
 	load, endLoad := context.WithCancel(context.Background())
 	defer endLoad()
 	var group sync.WaitGroup
+	stops := rand.New(rand.NewPCG(seed, stopStream))
+	keepers := stops.IntN(2) * callerCount / 2
 	for i := range callerCount {
-		caller := newCaller(system, i, rand.New(rand.NewPCG(seed, uint64(i))))
+		caller := newCaller(system, i, i < keepers, rand.New(rand.NewPCG(seed, uint64(i))))
 		group.Go(func() { caller.run(load) })
 	}
 	incidents, endIncidents := context.WithCancel(context.Background())
 	defer endIncidents()
 	group.Go(func() { run.injectIncidents(incidents, rand.New(rand.NewPCG(seed, incidentStream))) })
 	group.Go(func() { run.injectRestores(incidents, rand.New(rand.NewPCG(seed, restoreStream))) })
+	group.Go(func() { run.injectStops(incidents, stops) })
 	run.injectFaults(duration)
 	endIncidents()
 	run.checkRecovery()
@@ -129,11 +135,11 @@
 
 // checkRecovery checks that each node serves a booking within the recovery timeout.
 func (run *run) checkRecovery() {
-	caller := newCaller(run.system, callerCount, run.random)
+	caller := newCaller(run.system, callerCount, true, run.random)
 	defer caller.close()
 	for _, node := range run.system.nodes {
 		for end := run.system.clock.Now() + recoveryTimeout; ; run.wait(100) {
-			if caller.call(context.Background(), node.address(), kindBook) {
+			if caller.call(context.Background(), node.process.Load(), kindBook) {
 				break
 			}
 			if run.system.clock.Now() > end {
--- a/internal/standin/soak/soak_test.go
+++ b/internal/standin/soak/soak_test.go
@@ -61,9 +61,10 @@
 
 // regressionSeeds are seeds that failed once.
 var regressionSeeds = []uint64{
-	9119, // A window whose commit got no answer was reported again after a restore.
-	9226, // No leader task ran in a short run with three restores.
-	9123, // A reload signal ended a process that had no handler for it yet.
+	9119,  // A window whose commit got no answer was reported again after a restore.
+	9226,  // No leader task ran in a short run with three restores.
+	20001, // A node that ended early cut off bookings that it had just accepted.
+	9123,  // A reload signal ended a process that had no handler for it yet.
 }
 
 // TestSoakRegressions runs the seeds that failed once.
--- a/internal/standin/soak/system.go
+++ b/internal/standin/soak/system.go
@@ -21,8 +21,10 @@
 const (
 	nodeCount   = 3
 	engineCount = 3
-	// engineWorkTime is the time that an engine takes for a response or an event.
-	engineWorkTime = 8 * clock.Millisecond
+	// eventWorkTime is the time that a model runner takes for an event, and workTime the
+	// time of an application server for a response.
+	eventWorkTime = 8 * clock.Millisecond
+	workTime      = 50 * clock.Millisecond
 )
 
 const configuration = `{"version":%d,"routes":[
@@ -49,7 +51,7 @@
 [cloud]
 address = %q
 [bounds]
-graceSeconds = 4
+graceSeconds = 8
 usageWindowSeconds = 1
 leaseMillis = 1500
 `
@@ -69,7 +71,11 @@
 	servers  []*http.Server
 	relays   []*relay.Relay
 	bookings sync.Map // Id of a booking to its outcome.
-	audit    sync.WaitGroup
+	// cut holds the processes that ended bookings without an answer, by the booking's id,
+	// and disturbed those that were killed or paused.
+	cut       sync.Map
+	disturbed sync.Map
+	audit     sync.WaitGroup
 	// fatal is set while callers send the fatal part, and fatalLooks while they send the
 	// fatal request; crashes and lookCrashes count the servers that each has crashed.
 	fatal       atomic.Bool
@@ -87,11 +93,8 @@
 	relay    *relay.Relay
 	mutex    sync.Mutex
 	process  atomic.Pointer[harness.Process]
-	caller   atomic.Pointer[string]
 }
 
-func (edgeNode *edgeNode) address() string { return *edgeNode.caller.Load() }
-
 // engine is a backend server behind a relay. A leaving one is replaced by a new one
 // with the same id prefix.
 type engine struct {
@@ -194,7 +197,10 @@
 	engine.starts++
 	engine.id = fmt.Sprintf("%s.%d", engine.idPrefix, engine.starts)
 	engine.standin = enginestandin.New(engine.id, engine.streams)
-	engine.standin.SetWorkTime(engineWorkTime)
+	engine.standin.SetWorkTime(workTime)
+	if engine.streams {
+		engine.standin.SetWorkTime(eventWorkTime)
+	}
 	engine.standin.SetWord(engine.version())
 	arrived := engine.standin.Arrived()
 	go func() {
@@ -237,9 +243,7 @@
 	if err != nil {
 		return err
 	}
-	address := process.Address("caller")
 	node.process.Store(process)
-	node.caller.Store(&address)
 	return nil
 }
 
@@ -248,6 +252,9 @@
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
 	process := node.process.Load()
+	if signal == syscall.SIGKILL {
+		system.disturbed.Store(process, true)
+	}
 	if err := process.Signal(signal); err != nil {
 		system.tally.addViolation("%s ended by itself: %v", node.name, err)
 	}
@@ -295,6 +302,12 @@
 			}
 		}
 	}
+	system.cut.Range(func(id, process any) bool {
+		if _, disturbed := system.disturbed.Load(process); !disturbed && runs[id.(string)] > 0 {
+			system.tally.addViolation("booking %s ran, and %s ended its connection without an answer", id, process.(*harness.Process).Name())
+		}
+		return true
+	})
 	system.bookings.Range(func(id, outcome any) bool {
 		switch count := runs[id.(string)]; {
 		case count > 1:
