Count the time of a request's body in its deadline at servers

The timeout of a request's attempts began once its body was read, and lasted from its arrival to its deadline once more. A request whose body took long got that much more time, and was passed on after its deadline (found by the review by reading, without a case).

The timeout now ends at the deadline. TestSlowBodyOutlivesDeadline: a booking whose body takes longer than its deadline ran and was answered 200 before; it is refused as not run now (3 runs with the race detector).

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -53,7 +53,7 @@
 	edge := requestContext.edge
 	retrier := request.NewRetrier(requestContext.route, requestContext.deadline())
 	requestContext.pool = requestContext.route.PickPool(rand.Float64())
-	ctx, cancel := edge.clock.WithTimeout(requestContext.request.Context(), retrier.Deadline()-requestContext.arrived)
+	ctx, cancel := edge.clock.WithTimeout(requestContext.request.Context(), retrier.Deadline()-edge.clock.Now())
 	defer cancel()
 	attempts := &attempts{requestContext: requestContext, retrier: retrier, ctx: ctx, hold: newResponseHold(edge.responseMemory)}
 	defer attempts.hold.release()
--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -414,6 +414,30 @@
 	t.Run("it may be repeated, its route has none", func(t *testing.T) { expectRefused(t, withoutTimeouts, http.MethodGet, "/look/a") })
 }
 
+// TestSlowBodyOutlivesDeadline guards against a request whose body takes up its time and
+// which then gets that time once more at a server.
+func TestSlowBodyOutlivesDeadline(t *testing.T) {
+	fixture := newFixture(t)
+	before := fixture.node.BodyBytes()
+	reader, writer := io.Pipe()
+	ended := make(chan response, 1)
+	go func() {
+		ended <- fixture.call(http.MethodPost, "/book/a", func(request *http.Request) {
+			request.Body, request.ContentLength = reader, -1
+			request.Header.Set("X-Deadline-Ms", "30")
+		})
+	}()
+	_, err := writer.Write([]byte("body"))
+	require.NoError(t, err)
+	fixture.eventually("beginning of the body", func() bool { return fixture.node.BodyBytes() > before })
+	require.NoError(t, clock.System().Wait(t.Context(), 40*clock.Millisecond))
+	require.NoError(t, writer.Close())
+	got := awaitValue(fixture.testNode, "response", ended)
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusServiceUnavailable, got.status, got.body)
+	require.Zero(t, countRuns(fixture.apps))
+}
+
 // TestCallerDisconnects checks that a request ends when its caller disconnects
 // while no server has responded.
 func TestCallerDisconnects(t *testing.T) {
