Accept a peer's new process whose clock is behind that of the one before

A bulletin's incarnation is the time of day at the start of its process, and a bulletin of a lower one was ignored.

A bulletin of another process now counts once the one before has been silent for as long as a peer counts as live, so a late datagram of the process before still doesn't. TestOlderIncarnation: the new process's usage was 0 of 30 before and counts now.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -92,10 +92,12 @@
 		peer = newPeer(Bulletin{}, now)
 		peers.byHost[bulletin.host] = peer
 	}
-	if !bulletin.newerThan(peer.latest) {
+	seenBefore, silence := peer.latest.incarnation != 0, now-peer.receivedAt
+	// A process whose host's clock has jumped back has a lower number than the one before.
+	isOtherProcess := bulletin.incarnation != peer.latest.incarnation && silence >= peers.liveAge()
+	if !bulletin.newerThan(peer.latest) && !isOtherProcess {
 		return nil, nil, nil
 	}
-	seenBefore, silence := peer.latest.incarnation != 0, now-peer.receivedAt
 	if bulletin.incarnation != peer.latest.incarnation {
 		peer.resetSums()
 	}
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -91,6 +91,30 @@
 	})
 }
 
+// TestOlderIncarnation guards against a peer that is ignored since its clock had jumped back
+// when its process started.
+func TestOlderIncarnation(t *testing.T) {
+	const liveAge = 1500 * clock.Millisecond
+	expectUsed := func(t *testing.T, peers *node.Peers, bulletin node.Bulletin, now clock.Millis, tokens int64) {
+		t.Helper()
+		used, _, _ := peers.Receive(bulletin, now)
+		require.Equal(t, tokens, sumTokens(used))
+	}
+	newPeers := func() *node.Peers {
+		peers := node.NewPeers("edge-1")
+		peers.Receive(newBulletin("edge-2", 9000, 1, 100, 0), 0)
+		return peers
+	}
+	t.Run("a late bulletin of the process before", func(t *testing.T) {
+		expectUsed(t, newPeers(), newBulletin("edge-2", 5000, 1, 30, 0), liveAge-1, 0)
+	})
+	t.Run("a new process after the silence of the one before", func(t *testing.T) {
+		peers := newPeers()
+		expectUsed(t, peers, newBulletin("edge-2", 5000, 1, 30, 0), liveAge, 30)
+		expectUsed(t, peers, newBulletin("edge-2", 5000, 2, 50, 0), liveAge+100, 20)
+	})
+}
+
 func TestPeerView(t *testing.T) {
 	expectCounts := func(t *testing.T, peers *node.Peers, now clock.Millis, live, nodes int) {
 		t.Helper()
