Reckon with stopping peers in the reserve of an allotment

Cause: the reserve that a node keeps for requests which its peers admit unseen counts the peers that share limits, without stopping ones. These still serve for seconds; the excess falls into the time in which most nodes are stopping, before any has started again.

Ruled out: the level with which a new process begins.

The reserve now counts stopping peers until their bulletins cease. TestStoppingPeersServe covers the count, which did not exist before.

--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -135,7 +135,7 @@
 
 // Admit takes the tokens of one request, or returns a *request.NotRunError. Share
 // is the part of the rate at which this node refills, 1 if it receives the
-// updates of all its peers; nodes is the number of nodes.
+// updates of all its peers; nodes is the number of nodes that admit requests.
 func (meter *Meter) Admit(allotment Allotment, tokens int, share float64, nodes int, now clock.Millis) error {
 	if allotment.perSecond == 0 {
 		meter.used.Add(int64(tokens))
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -138,7 +138,8 @@
 	now := edge.clock.Now()
 	allotment := edge.allotment(account)
 	cost = allotment.Cost(tokens)
-	return cost, edge.meters.forAccount(account, allotment, now).Admit(allotment, cost, edge.refillShare(), edge.nodes(), now)
+	serving := edge.peers.states.View().Serving(now)
+	return cost, edge.meters.forAccount(account, allotment, now).Admit(allotment, cost, edge.refillShare(), serving, now)
 }
 
 // chargeRepeat charges the cost of a request to the account once more, as an attempt that
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -213,6 +213,15 @@
 	return 1 + view.count(func(state peerState) bool { return now-state.receivedAt < expectedAge && !state.latest.stopping })
 }
 
+// Serving returns the number of nodes that may serve requests now, this one included: those
+// that share limits, and stopping ones until their bulletins cease.
+func (view *PeerView) Serving(now clock.Millis) int {
+	return 1 + view.count(func(state peerState) bool {
+		age := now - state.receivedAt
+		return age < view.liveAge || (age < expectedAge && !state.latest.stopping)
+	})
+}
+
 // Hosts returns the hosts of the peers that share limits with this node, as Nodes counts
 // them.
 func (view *PeerView) Hosts(now clock.Millis) []string {
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -91,6 +91,26 @@
 	})
 }
 
+// TestStoppingPeersServe guards against nodes that don't reckon with the requests which
+// stopping peers still admit.
+func TestStoppingPeersServe(t *testing.T) {
+	const liveAge, expectedAge = 1500 * clock.Millisecond, 20 * clock.Second
+	peers := node.NewPeers("edge-1")
+	for host, stopping := range map[string]bool{"edge-2": false, "edge-3": true, "edge-4": true} {
+		peers.Receive(node.NewBulletin(host, "10.0.0.2:7600", 1, 1, 0, stopping), 0)
+	}
+	peers.Publish()
+	expectServing := func(t *testing.T, now clock.Millis, serving int) {
+		t.Helper()
+		require.Equal(t, serving, peers.View().Serving(now))
+	}
+	t.Run("they stop", func(t *testing.T) { expectServing(t, liveAge-1, 4) })
+	t.Run("they have ended", func(t *testing.T) { expectServing(t, liveAge, 2) })
+	t.Run("a silent peer that doesn't stop", func(t *testing.T) { expectServing(t, expectedAge-1, 2) })
+	t.Run("a lost peer", func(t *testing.T) { expectServing(t, expectedAge, 1) })
+	t.Run("limits are shared without them", func(t *testing.T) { require.Equal(t, 2, peers.View().Nodes(0)) })
+}
+
 // TestOlderIncarnation guards against a peer that is ignored since its clock had jumped back
 // when its process started.
 func TestOlderIncarnation(t *testing.T) {
