Take no outage of the store for a node's own before it is over

A watcher that had just become one could report a service that its long watch hadn't proved.

A peer's service now counts only after the outage, and a watcher's service begins anew after a gap between reads in which an entry could expire.

TestRemovedDuringOutage/all_nodes_lost_it,_and_the_others_notice_later: failed before, passes now (2 runs with the race detector).

--- a/internal/edge/bulletins.go
+++ b/internal/edge/bulletins.go
@@ -125,16 +125,6 @@
 		WithReleases(edge.releases.News(edge.clock.Now())).WithListService(edge.provenListService())
 }
 
-// provenListService returns the time for which the store has served this node's reads of
-// the list of servers, or 0 if this node isn't a designated watcher: the long watches of
-// others don't fail in an outage that ends before they do.
-func (edge *Edge) provenListService() clock.Millis {
-	if !edge.isDesignatedWatcher() {
-		return 0
-	}
-	return edge.listService.age(edge.clock.Now())
-}
-
 // leavingServers returns the hashes of leaving servers if this node is a
 // designated watcher.
 func (edge *Edge) leavingServers() []uint64 {
--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -17,6 +17,9 @@
 // BodyBytes returns the bytes of request bodies that the node holds.
 func (edge *Edge) BodyBytes() int64 { return edge.bodyBytes.Load() }
 
+// Bulletins returns the number of bulletins that the node has sent.
+func (edge *Edge) Bulletins() int64 { return edge.peers.sequence.Load() }
+
 // UsesAddress reports whether every server of the pool that takes requests has the
 // address.
 func (edge *Edge) UsesAddress(pool, address string) bool {
--- a/internal/edge/serverlist.go
+++ b/internal/edge/serverlist.go
@@ -7,6 +7,7 @@
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/node"
+	"sapphirehead/internal/platform"
 )
 
 // listReadIntervalPerNode times the number of nodes is the least time between two reads of
@@ -115,8 +116,10 @@
 
 // listServiceState is immutable.
 type listServiceState struct {
-	// since is when the service began that has not failed yet, or 0 in an outage.
-	since clock.Millis
+	// since is when the service began in which no read has failed and none was long in
+	// coming, or 0 in an outage; servedAt is the time of the latest successful read.
+	since    clock.Millis
+	servedAt clock.Millis
 	// servedUntil is when the store certainly still served this node before the latest
 	// outage, or 0 if there was none.
 	servedUntil clock.Millis
@@ -138,34 +141,38 @@
 }
 
 // succeed records a successful read, and reports whether the latest outage is known to
-// have been this node's own.
-func (listService *listService) succeed(now clock.Millis) (isOwnOutage bool) {
+// have been this node's own. An outage may have passed unnoticed if the read before is
+// older than maxGap.
+func (listService *listService) succeed(maxGap, now clock.Millis) (isOwnOutage bool) {
 	for {
 		current := listService.state.Load()
-		if current.since != 0 {
-			return current.isOwnOutage
-		}
 		next := *current
-		next.since = now
+		if next.since == 0 || now-next.servedAt > maxGap {
+			next.since = now
+		}
+		next.servedAt = now
 		if listService.state.CompareAndSwap(current, &next) {
 			return next.isOwnOutage
 		}
 	}
 }
 
-// age returns the time for which no read has failed, or 0 in an outage.
-func (listService *listService) age(now clock.Millis) clock.Millis {
-	if since := listService.state.Load().since; since != 0 {
-		return now - since
+// age returns the time for which the store has served this node, or 0 in an outage, or
+// where one may have begun since the latest read.
+func (listService *listService) age(maxGap, now clock.Millis) clock.Millis {
+	current := listService.state.Load()
+	if current.since == 0 || now-current.servedAt > maxGap {
+		return 0
 	}
-	return 0
+	return now - current.since
 }
 
 // compare records that the store has served a peer since the time. It reports whether this
-// shows, for the first time, that the latest outage was this node's own.
+// shows, for the first time, that the latest outage was this node's own. During an outage
+// nothing does: the peer may be about to notice it.
 func (listService *listService) compare(peerSince clock.Millis) bool {
 	current := listService.state.Load()
-	if current.isOwnOutage || current.servedUntil == 0 || peerSince > current.servedUntil {
+	if current.since == 0 || current.isOwnOutage || current.servedUntil == 0 || peerSince > current.servedUntil {
 		return false
 	}
 	next := *current
@@ -173,3 +180,20 @@
 	// Where another update comes first, the next bulletin shows it again.
 	return listService.state.CompareAndSwap(current, &next)
 }
+
+// maxListGap returns the longest time between two reads of the list by a designated
+// watcher. An outage that fits into it is too short for an entry to expire.
+func (edge *Edge) maxListGap() clock.Millis {
+	settings := edge.settings.Load()
+	return platform.WatchWait(settings.Bounds().Drain(), true, edge.nodes()) + settings.Platform().Timeout()
+}
+
+// provenListService returns the time for which the store has served this node's reads of
+// the list of servers, or 0 if this node isn't a designated watcher: the long watches of
+// others don't fail in an outage that ends before they do.
+func (edge *Edge) provenListService() clock.Millis {
+	if !edge.isDesignatedWatcher() {
+		return 0
+	}
+	return edge.listService.age(edge.maxListGap(), edge.clock.Now())
+}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -98,7 +98,7 @@
 		onSuccess: func() {
 			now := edge.clock.Now()
 			registry.SetAvailable(now)
-			if edge.listService.succeed(now) {
+			if edge.listService.succeed(edge.maxListGap(), now) {
 				registry.EndGrace(now)
 			}
 			edge.serversUnavailable.Store(false)
--- a/internal/edge/servers_test.go
+++ b/internal/edge/servers_test.go
@@ -54,4 +54,18 @@
 			require.False(t, node.log.contains("backend server gone from the list"))
 		}
 	})
+	t.Run("all nodes lost it, and the others notice later", func(t *testing.T) {
+		t.Parallel()
+		fixture, nodes := start(t)
+		nodes[1].door.SetFault(storestandin.FaultReset)
+		nodes[1].log.await("lost the platform store", `"kind":"servers"`)
+		sent := nodes[0].node.Bulletins()
+		fixture.eventually("bulletins of a node that has not noticed", func() bool { return nodes[0].node.Bulletins() > sent+2 })
+		loseStore(fixture, nodes...)
+		fixture.listServer("app-2", "app", "127.0.0.1:1", "ready")
+		for _, node := range nodes {
+			node.log.await("backend server listed", "app-2")
+			require.False(t, node.log.contains("backend server gone from the list"))
+		}
+	})
 }
