--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -238,6 +238,7 @@
 	case outcome == request.OutcomeLost:
 		attempts.recordCrash(server, err, 0)
 	case !isTimeUp(attempts.ctx):
+		// The connection was refused, or not answered in time.
 		requestContext.edge.doubt(server)
 	}
 	var lost *backendlink.ResponseLostError
