Divide an account's burst among nodes that are cut off from each other

A node that loses contact refills at its share of the rate, but keeps the whole burst: 26 isolated nodes hold it 26 times.

Change: a node holds at most its share of the burst. What it leaves to silent peers is set aside from the time on at which they fell silent, their later reports are charged to that first, and the rest returns to the level. The delay that the reserve counts on is at least the mean age of the peers' bulletins, which rises before a silent peer ceases to count as live.

--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -18,6 +18,8 @@
 	overshoot   float64
 	// delay is the time in seconds until peer nodes have received the usage of a node.
 	delay float64
+	// detection is the time until a silent peer no longer counts as live.
+	detection clock.Millis
 }
 
 // NewAllotment returns an allotment. A perSecond of 0 means no limit. If tokens
@@ -44,20 +46,28 @@
 	return allotment
 }
 
+// WithDetection returns a copy for nodes that count a peer as live until it has been
+// silent for the time.
+func (allotment Allotment) WithDetection(detection clock.Millis) Allotment {
+	allotment.detection = detection
+	return allotment
+}
+
 // reserve returns the tokens to keep in the bucket for requests that peer nodes
 // admit before they receive this node's usage. They are expected to have the same
 // demand as this node, own, but not more than maxGrowth times what they are known to
 // use, peers: at a node with few requests, one large request looks like a burst of the
 // account.
 //
-// The reserve is at most the overshoot and reservedBurstShare of the burst. An account
-// whose demand needs more is far over its allotment, and gets its rate all the same.
-func (allotment Allotment) reserve(own, peers float64, nodes int) float64 {
+// The reserve is at most the overshoot and reservedBurstShare of the burst, of which a
+// node has its share. An account whose demand needs more is far over its allotment, and
+// gets its rate all the same.
+func (allotment Allotment) reserve(own, peers float64, nodes int, share float64) float64 {
 	unseen := own * float64(nodes-1)
 	if peers > 0 {
 		unseen = min(unseen, maxGrowth*peers)
 	}
-	return min(unseen*allotment.delay, allotment.overshoot+reservedBurstShare*allotment.burst)
+	return min(unseen*allotment.delay, share*(allotment.overshoot+reservedBurstShare*allotment.burst))
 }
 
 // PerSecond returns the rate in tokens per second, or 0 for no limit.
@@ -83,7 +93,8 @@
 	// which peers admit unseen.
 	reservedBurstShare = 0.5
 	// debtLimitSeconds bounds the debt that peer nodes' reports may cause: the
-	// burst and the tokens of this time at the allotment's rate.
+	// burst and the tokens of this time at the allotment's rate. It also bounds what is
+	// set aside for silent peers, whose later reports are charged to it first.
 	debtLimitSeconds = 10.0
 	// demandWindowSeconds is the time constant of the average demand.
 	demandWindowSeconds = 1.0
@@ -98,7 +109,13 @@
 // above 0 again before a request is admitted, which preserves the mean rate.
 //
 // A node that receives updates from only some of its peers refills at its share
-// of the rate, as the other peers may be using the rest.
+// of the rate and holds at most its share of the burst, as the other peers may be
+// using the rest. What it forgoes is set aside, from the time on at which they fell
+// silent. The usage that those peers report later is charged to that first, and only
+// the remainder to the level. What is left returns to the level:
+//
+//	rate 1,000, contact with 2 of 4 nodes for 3 s -> 1,500 set aside
+//	the others report 1,400 afterwards            -> the level rises by 100
 type Meter struct {
 	state atomic.Pointer[meterState]
 	used  atomic.Int64
@@ -108,15 +125,22 @@
 	level     float64
 	updatedAt clock.Millis
 	// demand is the average tokens per second of requests at this node, admitted
-	// or not, and peers that of the usage reported by peers.
+	// or not, used that of the admitted ones, and peers that of the usage reported by
+	// peers.
 	demand float64
+	used   float64
 	peers  float64
+	// share is that of the latest update, and wholeSince the time since which it is 1.
+	share      float64
+	wholeSince clock.Millis
+	// setAside is the tokens that this node left to peers from which it received nothing.
+	setAside float64
 }
 
 // NewMeter returns a meter whose bucket is full.
 func NewMeter(allotment Allotment, now clock.Millis) *Meter {
 	meter := &Meter{}
-	meter.state.Store(&meterState{level: allotment.burst, updatedAt: now})
+	meter.state.Store(&meterState{level: allotment.burst, updatedAt: now, share: 1, wholeSince: now})
 	return meter
 }
 
@@ -126,7 +150,7 @@
 // would get its burst twice.
 func NewMeterSince(start clock.Millis, level float64) *Meter {
 	meter := &Meter{}
-	meter.state.Store(&meterState{level: level, updatedAt: start})
+	meter.state.Store(&meterState{level: level, updatedAt: start, share: 1, wholeSince: start})
 	return meter
 }
 
@@ -144,17 +168,17 @@
 	cost := float64(tokens)
 	for {
 		current := meter.state.Load()
-		next := &meterState{
-			level: current.refilled(allotment, share, now), updatedAt: now,
-			demand: average(current.demand, cost, current.updatedAt, now),
-			peers:  average(current.peers, 0, current.updatedAt, now),
-		}
+		next := current.refilled(allotment, share, now)
+		next.demand += cost / demandWindowSeconds
 		// A large request needs no higher level than a small one, or an account near
-		// its limit would never get a large one admitted. It leaves a debt.
-		needed := allotment.reserve(next.demand, next.peers, nodes)
+		// its limit would never get a large one admitted. It leaves a debt. Nodes that
+		// are cut off from each other each leave one, so there it needs more.
+		needed := allotment.reserve(next.demand, next.peers, nodes, share)
+		needed = max(needed, min((1-share)*cost, share*reservedBurstShare*allotment.burst))
 		admitted := next.level > needed
 		if admitted {
 			next.level -= cost
+			next.used += cost / demandWindowSeconds
 		}
 		if !meter.state.CompareAndSwap(current, next) {
 			continue
@@ -172,7 +196,7 @@
 // whatever the level is.
 func (meter *Meter) Charge(allotment Allotment, tokens int, share float64, now clock.Millis) {
 	if allotment.perSecond > 0 {
-		meter.take(allotment, float64(tokens), 0, share, now)
+		meter.take(allotment, float64(tokens), share, now)
 	}
 	meter.used.Add(int64(tokens))
 }
@@ -180,41 +204,96 @@
 // Refund returns the tokens of an admitted request that did not run.
 func (meter *Meter) Refund(allotment Allotment, tokens int, share float64, now clock.Millis) {
 	meter.used.Add(-int64(tokens))
-	meter.take(allotment, -float64(tokens), 0, share, now)
+	meter.take(allotment, -float64(tokens), share, now)
 }
 
 // AddPeerUsage applies tokens that peer nodes admitted or, if negative, refunded.
 func (meter *Meter) AddPeerUsage(allotment Allotment, tokens int64, share float64, now clock.Millis) {
-	meter.take(allotment, float64(tokens), math.Max(0, float64(tokens)), share, now)
+	meter.update(allotment, share, now, func(state *meterState) {
+		state.level -= float64(tokens)
+		state.peers += math.Max(0, float64(tokens)) / demandWindowSeconds
+	})
 }
 
-// take lowers the level by the tokens, of which those of peers also count as their
-// usage.
-func (meter *Meter) take(allotment Allotment, tokens, ofPeers, share float64, now clock.Millis) {
+// AddUsageDuringSilence applies tokens that a peer admitted while this node received
+// nothing from it.
+func (meter *Meter) AddUsageDuringSilence(allotment Allotment, tokens int64, share float64, now clock.Millis) {
+	meter.update(allotment, share, now, func(state *meterState) {
+		covered := min(math.Max(0, float64(tokens)), state.setAside)
+		state.setAside -= covered
+		state.level -= float64(tokens) - covered
+	})
+}
+
+// take lowers the level by the tokens.
+func (meter *Meter) take(allotment Allotment, tokens, share float64, now clock.Millis) {
+	meter.update(allotment, share, now, func(state *meterState) { state.level -= tokens })
+}
+
+// update applies a change to the state as of now, and bounds the level.
+func (meter *Meter) update(allotment Allotment, share float64, now clock.Millis, change func(state *meterState)) {
 	for {
 		current := meter.state.Load()
-		level := current.refilled(allotment, share, now) - tokens
+		next := current.refilled(allotment, share, now)
+		change(next)
 		// The debt is bounded, or a peer node's false report could lock the account
 		// out indefinitely.
-		level = min(max(level, -allotment.burst-debtLimitSeconds*allotment.perSecond), allotment.burst)
-		next := &meterState{
-			level: level, updatedAt: now, demand: average(current.demand, 0, current.updatedAt, now),
-			peers: average(current.peers, ofPeers, current.updatedAt, now),
-		}
+		next.level = min(max(next.level, -allotment.debtLimit()), share*allotment.burst)
 		if meter.state.CompareAndSwap(current, next) {
 			return
 		}
 	}
 }
 
-func (state *meterState) refilled(allotment Allotment, share float64, now clock.Millis) float64 {
+// debtLimit returns the most that peers' reports may lower an empty bucket.
+func (allotment Allotment) debtLimit() float64 {
+	return allotment.burst + debtLimitSeconds*allotment.perSecond
+}
+
+// refilled returns the state as of now, at a node with the share of the rate and burst.
+func (state *meterState) refilled(allotment Allotment, share float64, now clock.Millis) *meterState {
 	elapsed := float64(max(0, now-state.updatedAt)) / float64(clock.Second)
-	return min(allotment.burst, state.level+elapsed*allotment.perSecond*share)
+	next := &meterState{
+		level: state.level + elapsed*allotment.perSecond*share, updatedAt: now, share: share, wholeSince: state.wholeSince, setAside: state.setAside,
+		demand: average(state.demand, elapsed), used: average(state.used, elapsed), peers: average(state.peers, elapsed),
+	}
+	if share < 1 {
+		next.setAsideForSilent(allotment, state.share, elapsed)
+	} else {
+		next.returnSetAside(allotment, state.share, now)
+	}
+	next.level = min(next.level, share*allotment.burst)
+	return next
+}
+
+// setAsideForSilent leaves the rate and the burst of silent peers to them. Those that have
+// just ceased to count as live were silent for the detection time before, in which this
+// node already used more than its share of what the bucket held then and got since.
+func (state *meterState) setAsideForSilent(allotment Allotment, shareBefore, elapsed float64) {
+	forgone := elapsed * allotment.perSecond * (1 - state.share)
+	if state.share < shareBefore {
+		detection := float64(allotment.detection) / float64(clock.Second)
+		held := min(state.level, allotment.burst) + (state.used+state.peers)*detection
+		left := math.Max(0, held) * (1 - state.share/shareBefore)
+		state.level -= left
+		forgone += left
+	}
+	state.setAside = min(state.setAside+forgone, allotment.debtLimit())
+}
+
+// returnSetAside returns what silent peers left, once all peers have been live for so long
+// that their reports have arrived.
+func (state *meterState) returnSetAside(allotment Allotment, shareBefore float64, now clock.Millis) {
+	if shareBefore < 1 {
+		state.wholeSince = now
+	}
+	if state.setAside > 0 && float64(now-state.wholeSince) >= allotment.delay*float64(clock.Second) {
+		state.level += state.setAside
+		state.setAside = 0
+	}
 }
 
-// average returns the average tokens per second of the time before updatedAt, with more
-// tokens now.
-func average(perSecond, tokens float64, updatedAt, now clock.Millis) float64 {
-	elapsed := float64(max(0, now-updatedAt)) / float64(clock.Second)
-	return perSecond*math.Exp(-elapsed/demandWindowSeconds) + tokens/demandWindowSeconds
+// average returns the average tokens per second, after the elapsed seconds without any.
+func average(perSecond, elapsed float64) float64 {
+	return perSecond * math.Exp(-elapsed/demandWindowSeconds)
 }
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -126,10 +126,12 @@
 // allotment returns the account's allotment with the allowed overshoot.
 func (edge *Edge) allotment(account *caller.Account) caller.Allotment {
 	bounds := edge.settings.Load().Bounds()
-	delay := float64(node.ExtraInterval(edge.nodes())) / float64(clock.Second)
+	nodes := edge.nodes()
+	delay := float64(node.ExtraInterval(nodes)) / float64(clock.Second)
 	share := max(0, overshootShare-overshootDelayLoss*delay)
 	return account.Allotment().WithOvershoot(bounds.QuotaOvershoot()*share, bounds.QuotaSlack()*overshootSlackShare).
-		WithDelay(max(minUsageDelay, node.BulletinInterval(edge.nodes(), false)+maxBatchWait))
+		WithDelay(max(minUsageDelay, node.BulletinInterval(nodes, false)+maxBatchWait, edge.peers.states.View().MeanAge(edge.clock.Now()))).
+		WithDetection(node.LiveAge(nodes))
 }
 
 // charge charges a request to the account and returns its cost in tokens, or a
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"sapphirehead/internal/caller"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/node/nodecast"
@@ -163,7 +164,7 @@
 func (edge *Edge) applyPeerState(ctx context.Context) {
 	peers := edge.peers
 	for {
-		used := map[string]int64{}
+		used := newPeerUsage()
 		select {
 		case <-ctx.Done():
 			return
@@ -224,7 +225,7 @@
 
 // applyBulletin applies one bulletin and adds the usage of client accounts at
 // its sender to used.
-func (edge *Edge) applyBulletin(bulletin node.Bulletin, used map[string]int64) {
+func (edge *Edge) applyBulletin(bulletin node.Bulletin, used *peerUsage) {
 	now := edge.clock.Now()
 	edge.compareConfiguration(bulletin.Configuration(), now)
 	if service := bulletin.ListService(); service > 0 && edge.listService.compare(now-service) {
@@ -236,27 +237,57 @@
 	if window := bulletin.ReportedWindow(); usage.IsPlausible(window, edge.trueTime(), edge.settings.Load().Bounds().UsageWindow()) {
 		edge.peers.recordReportedWindow(window)
 	}
-	added, demanded, sent := edge.peers.states.Receive(bulletin, now)
-	edge.applyServerLimits(bulletin.ServerLimits(), sent, now)
-	for _, amount := range added {
-		used[amount.Name()] += amount.Tokens()
-	}
-	for _, amount := range demanded {
+	increase := edge.peers.states.Receive(bulletin, now)
+	edge.applyServerLimits(bulletin.ServerLimits(), increase.Sent(), now)
+	used.add(increase)
+	for _, amount := range increase.Demanded() {
 		edge.peers.demandFor(amount.Name()).atPeers.Add(amount.Tokens())
 	}
 }
 
+// peerUsage is the tokens that client accounts used at peers according to a batch of
+// bulletins, by account.
+type peerUsage struct {
+	current map[string]int64
+	// duringSilence is the usage at peers that had not counted as live.
+	duringSilence map[string]int64
+}
+
+func newPeerUsage() *peerUsage {
+	return &peerUsage{current: map[string]int64{}, duringSilence: map[string]int64{}}
+}
+
+func (peerUsage *peerUsage) add(increase node.Increase) {
+	sums := peerUsage.current
+	if increase.AfterSilence() {
+		sums = peerUsage.duringSilence
+	}
+	for _, amount := range increase.Used() {
+		sums[amount.Name()] += amount.Tokens()
+	}
+}
+
 // applyPeerUsage charges the usage of client accounts at peers to the meters.
-func (edge *Edge) applyPeerUsage(used map[string]int64, now clock.Millis) {
+func (edge *Edge) applyPeerUsage(used *peerUsage, now clock.Millis) {
+	share := edge.refillShare()
+	edge.chargeEach(used.duringSilence, now, func(meter *caller.Meter, allotment caller.Allotment, tokens int64) {
+		meter.AddUsageDuringSilence(allotment, tokens, share, now)
+	})
+	edge.chargeEach(used.current, now, func(meter *caller.Meter, allotment caller.Allotment, tokens int64) {
+		meter.AddPeerUsage(allotment, tokens, share, now)
+	})
+}
+
+// chargeEach calls charge for each account that the configuration has.
+func (edge *Edge) chargeEach(used map[string]int64, now clock.Millis, charge func(meter *caller.Meter, allotment caller.Allotment, tokens int64)) {
 	directory := edge.directory.Current()
 	if directory == nil {
 		return
 	}
-	share := edge.refillShare()
 	for name, tokens := range used {
 		if account, ok := directory.AccountNamed(name); ok {
 			allotment := edge.allotment(account)
-			edge.meters.forAccount(account, allotment, now).AddPeerUsage(allotment, tokens, share, now)
+			charge(edge.meters.forAccount(account, allotment, now), allotment, tokens)
 		}
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -77,15 +77,34 @@
 	peer.sent = map[uint64]int64{}
 }
 
-// Receive applies a bulletin that arrived at the time, and returns the usage of
-// client accounts at the sender since its previous bulletin, the demand for pools
-// there, and the requests sent to servers with limits, by the hash of their keys. The
-// first bulletin from a host only sets the sums to count from;
-// a new process on a known host counts from 0. Demand during a longer silence
-// is left out, as it would look like a burst.
-func (peers *Peers) Receive(bulletin Bulletin, now clock.Millis) (used, demanded []Usage, sent map[uint64]int64) {
+// Increase is what has happened at a peer since its previous bulletin.
+type Increase struct {
+	used         []Usage
+	demanded     []Usage
+	sent         map[uint64]int64
+	afterSilence bool
+}
+
+// Used returns the usage of client accounts.
+func (increase Increase) Used() []Usage { return increase.used }
+
+// Demanded returns the demand for pools. Demand during a longer silence is left out, as
+// it would look like a burst.
+func (increase Increase) Demanded() []Usage { return increase.demanded }
+
+// Sent returns the requests sent to servers with limits, by the hash of their keys, and
+// nil if the bulletin is not the sender's latest one.
+func (increase Increase) Sent() map[uint64]int64 { return increase.sent }
+
+// AfterSilence reports whether the peer had not counted as live before the bulletin.
+func (increase Increase) AfterSilence() bool { return increase.afterSilence }
+
+// Receive applies a bulletin that arrived at the time, and returns the increase since the
+// sender's previous one. The first bulletin from a host only sets the sums to count from;
+// a new process on a known host counts from 0.
+func (peers *Peers) Receive(bulletin Bulletin, now clock.Millis) Increase {
 	if bulletin.host == peers.host {
-		return nil, nil, nil
+		return Increase{}
 	}
 	peer, ok := peers.byHost[bulletin.host]
 	if !ok {
@@ -96,22 +115,24 @@
 	// A process whose host's clock has jumped back has a lower number than the one before.
 	isOtherProcess := bulletin.incarnation != peer.latest.incarnation && silence >= peers.liveAge()
 	if !bulletin.newerThan(peer.latest) && !isOtherProcess {
-		return nil, nil, nil
+		return Increase{}
 	}
 	if bulletin.incarnation != peer.latest.incarnation {
 		peer.resetSums()
 	}
-	used, demanded = additions(peer.accounts, bulletin.accounts), additions(peer.pools, bulletin.pools)
+	increase := Increase{
+		used: additions(peer.accounts, bulletin.accounts), demanded: additions(peer.pools, bulletin.pools), afterSilence: silence >= peers.liveAge(),
+	}
 	peer.latest, peer.receivedAt, peer.clockOffset = bulletin, now, bulletin.wall-now
 	peers.tally.add(peer.runs, bulletin.windows)
-	sent = peer.addSent(bulletin.serverLimits)
+	increase.sent = peer.addSent(bulletin.serverLimits)
 	if !seenBefore {
-		return nil, nil, nil
+		return Increase{}
 	}
-	if silence >= peers.liveAge() {
-		demanded = nil
+	if increase.afterSilence {
+		increase.demanded = nil
 	}
-	return used, demanded, sent
+	return increase
 }
 
 // addSent returns the increase of the requests sent to servers with limits, and stores
@@ -239,6 +260,19 @@
 	return 1 + view.count(func(state peerState) bool { return view.isLive(state, now) })
 }
 
+// MeanAge returns the mean age of the latest bulletins of the live peers, or 0 if there
+// are none. It rises before a peer that fell silent ceases to count as live.
+func (view *PeerView) MeanAge(now clock.Millis) clock.Millis {
+	live, sum := clock.Millis(0), clock.Millis(0)
+	for _, state := range view.peers {
+		if view.isLive(state, now) {
+			live++
+			sum += now - state.receivedAt
+		}
+	}
+	return sum / max(1, live)
+}
+
 func (view *PeerView) count(matches func(peerState) bool) int {
 	count := 0
 	for _, state := range view.peers {
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -58,7 +58,8 @@
 		t.Helper()
 		peers := node.NewPeers("edge-1")
 		for i, step := range steps {
-			used, demanded, _ := peers.Receive(step.bulletin, step.at)
+			increase := peers.Receive(step.bulletin, step.at)
+			used, demanded := increase.Used(), increase.Demanded()
 			require.Equal(t, []int64{step.used, step.demanded}, []int64{sumTokens(used), sumTokens(demanded)}, "step %d", i)
 		}
 	}
@@ -117,7 +118,7 @@
 	const liveAge = 1500 * clock.Millisecond
 	expectUsed := func(t *testing.T, peers *node.Peers, bulletin node.Bulletin, now clock.Millis, tokens int64) {
 		t.Helper()
-		used, _, _ := peers.Receive(bulletin, now)
+		used := peers.Receive(bulletin, now).Used()
 		require.Equal(t, tokens, sumTokens(used))
 	}
 	newPeers := func() *node.Peers {
