Order reclaimable servers up to the bound that both kinds share

Cause: a deployment starts with 30 on-demand engines in each data centre and a bound of 60 for both kinds. The lease holder orders 45 reclaimable ones in each, the cloud starts 30, and doesn't start the other 15 once the on-demand ones have left.

Change: no more reclaimable servers are ordered in a data centre than the others that serve there leave room for; when those leave, the order rises.

Result: the new case of TestAutoscaler fails without the change (15 ordered).

--- a/internal/cloud/autoscaler.go
+++ b/internal/cloud/autoscaler.go
@@ -157,10 +157,13 @@
 		serversPerDataCentre := perDataCentre(reclaimableNeed, len(dataCentres), rental)
 		for _, dataCentre := range dataCentres {
 			place := NewPlace(dataCentre, true)
-			desired[place] = serversPerDataCentre
+			// The cloud starts fewer than ordered where the bound for both kinds is reached,
+			// and doesn't start the rest later.
+			capacity := max(0, rental.MaxServers()-serving[NewPlace(dataCentre, false)])
+			desired[place] = min(serversPerDataCentre, capacity)
 			if scarce {
 				// A server released now could not be replaced when demand rises.
-				desired[place] = max(serversPerDataCentre, serving[place])
+				desired[place] = max(desired[place], serving[place])
 			}
 			reclaimable += min(desired[place], serving[place])
 			largestLoss = max(largestLoss, min(desired[place], serving[place]))
--- a/internal/cloud/autoscaler_test.go
+++ b/internal/cloud/autoscaler_test.go
@@ -53,6 +53,15 @@
 		autoscaler, _ := newAutoscaler(1.8)
 		expectDesired(t, autoscaler, nil, false, 6, 4)
 	})
+	t.Run("reclaimable servers beyond the bound for both kinds are ordered once others have left", func(t *testing.T) {
+		autoscaler, _ := newAutoscaler(4)
+		serving := spread(2)
+		for _, dataCentre := range testRental().DataCentres() {
+			serving[cloud.NewPlace(dataCentre, false)] = 4
+		}
+		expectDesired(t, autoscaler, serving, false, 6, 2)
+		expectDesired(t, autoscaler, spread(2), false, 15, 2)
+	})
 	t.Run("others carry the demand alone while reclaimable ones are scarce", func(t *testing.T) {
 		autoscaler, _ := newAutoscaler(1.8)
 		expectDesired(t, autoscaler, spread(2), true, 6, 3)
