Spread requests to application services by aged figures

Cause: the requests that peers reported counted fully, although the figures are about 0.2 s old with 79 nodes and a response takes 60 ms. All nodes chose the same server at once.

Change: what peers reported of a server is weighted by its age against the response time and shrinks to the server's share of the pool's sum. A server's own report corrects it in the same way. Requests are spread at random by capacity; a surplus counts as far as the requests that nodes send meanwhile make up for it. The engines' choice is unchanged.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -45,6 +45,7 @@
 	reclaimable  bool
 	endsAt       atomic.Int64
 	peerInFlight atomic.Int64
+	peersAsOf    atomic.Int64
 	doubtedAt    atomic.Int64
 }
 
@@ -131,8 +132,15 @@
 // peer nodes have reported.
 func (server *Server) PeerInFlight() int64 { return server.peerInFlight.Load() }
 
-// SetPeerInFlight records the number of attempts that peer nodes have reported.
-func (server *Server) SetPeerInFlight(attempts int64) { server.peerInFlight.Store(attempts) }
+// PeersAsOf returns the mean time of the reports of peer nodes.
+func (server *Server) PeersAsOf() clock.Millis { return clock.Millis(server.peersAsOf.Load()) }
+
+// SetPeerInFlight records the number of attempts that peer nodes have reported, and the
+// mean time of their reports.
+func (server *Server) SetPeerInFlight(attempts int64, asOf clock.Millis) {
+	server.peerInFlight.Store(attempts)
+	server.peersAsOf.Store(int64(asOf))
+}
 
 // Begin counts an attempt in progress until the returned function is called.
 func (server *Server) Begin() (end func()) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -265,13 +265,13 @@
 // the server is leaving if one of them reported it.
 func (edge *Edge) applyPeerWork(now clock.Millis) {
 	view := edge.peers.states.View()
-	work, leaving := view.ServerWork(now), view.Leaving(now)
+	work, leaving, asOf := view.ServerWork(now), view.Leaving(now), view.MeanReceivedAt(now)
 	for _, server := range edge.fleet.Current().Servers() {
 		if leaving[server.Hash()] && server.MarkLeaving() {
 			edge.log.Info().Str("backendServer", server.ID()).Msg("backend server leaves: reported by a peer node")
 		}
 		peerWork := work[server.Hash()]
-		server.SetPeerInFlight(int64(peerWork.Attempts()))
+		server.SetPeerInFlight(int64(peerWork.Attempts()), asOf)
 		server.Work().SetPeerPending(int64(peerWork.Tokens()))
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -364,3 +364,16 @@
 	}
 	return sums
 }
+
+// MeanReceivedAt returns the mean time at which the latest bulletins of live peers
+// arrived, or now if there are none.
+func (view *PeerView) MeanReceivedAt(now clock.Millis) clock.Millis {
+	age, live := clock.Millis(0), clock.Millis(0)
+	for _, state := range view.peers {
+		if view.isLive(state, now) {
+			age += now - state.receivedAt
+			live++
+		}
+	}
+	return now - age/max(1, live)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,7 +12,7 @@
 //	                                          centre, expected to cache half
 //	100 ms of queue at both                -> any other server of the data centre
 //
-// For application services it chooses the server with the least work.
+// For application services it spreads requests by the load expected at each server.
 package placement
 
 import (
@@ -45,8 +45,11 @@
 
 // Choice is the server for one attempt, with the estimates behind the decision.
 type Choice struct {
-	server         *backend.Server
-	cost           float64
+	server *backend.Server
+	cost   float64
+	// order is what the choice is made by: the cost, or for application services a
+	// random number that depends on it.
+	order          float64
 	uncachedTokens int
 	preferred      bool
 	candidates     int
@@ -64,7 +67,8 @@
 func (choice Choice) Cost() float64 { return choice.cost }
 
 // Wait returns the expected time to the first event at an engine in milliseconds:
-// the prefill of the queued prompts and of this one, and the wait for a slot.
+// the prefill of the queued prompts and of this one, and the wait for a slot. Of an
+// application server it is the expected time of the response.
 func (choice Choice) Wait() float64 { return choice.wait }
 
 // ShowsPrefill reports whether the time to the first event shows the speed of the
@@ -99,8 +103,7 @@
 }
 
 // New returns a placement for a node in the data centre. Random returns a number
-// from 0 to 1, which is added to the cost of an application server in
-// milliseconds to spread requests over servers of nearly equal cost.
+// from 0 to 1, by which requests are spread over application servers.
 func New(clock *clock.Clock, fleet *backend.Fleet, dataCentre string, random func() float64) *Placement {
 	return &Placement{clock: clock, fleet: fleet, dataCentre: dataCentre, random: random}
 }
@@ -122,6 +125,10 @@
 	servers := placement.fleet.Current().Pool(poolConfig.Name())
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
+	var ofService service
+	if poolConfig.Kind() != pool.KindRunner {
+		ofService = newService(servers, poolConfig, speed, now)
+	}
 	var best, fallback Choice
 	candidates, limitWait := 0, clock.Millis(0)
 	for _, server := range servers {
@@ -134,7 +141,13 @@
 			}
 			continue
 		}
-		choice := placement.estimate(server, poolConfig, speed, prompt, cachedShare(server, preferred, alternate), now)
+		var choice Choice
+		if poolConfig.Kind() == pool.KindRunner {
+			choice = placement.estimate(server, poolConfig, speed, prompt, cachedShare(server, preferred, alternate), now)
+		} else {
+			choice.server = server
+			ofService.estimate(&choice, placement.distanceMillis(server), placement.random())
+		}
 		if !server.Circuit().Allows(now) {
 			fallback = cheaper(fallback, choice)
 			continue
@@ -150,7 +163,7 @@
 }
 
 func cheaper(current, other Choice) Choice {
-	if current.server == nil || other.cost < current.cost {
+	if current.server == nil || other.order < current.order {
 		return other
 	}
 	return current
@@ -201,29 +214,37 @@
 	}
 }
 
+// estimate returns the choice of an engine.
 func (placement *Placement) estimate(server *backend.Server, poolConfig pool.Pool, speed *Speed, prompt runner.Prompt, cachedSessionShare float64, now clock.Millis) Choice {
 	choice := Choice{server: server, preferred: cachedSessionShare == 1}
 	running, waiting := serverLoad(server, now)
-	slots := server.Slots()
-	if slots == 0 {
-		slots = poolConfig.Slots()
-	}
+	slots := serverSlots(server, poolConfig)
 	requestsAhead := math.Max(0, waiting+running-float64(slots)+1)
-	if poolConfig.Kind() == pool.KindRunner {
-		choice.uncachedTokens = uncachedTokens(prompt, cachedSessionShare)
-		choice.engine = true
-		choice.onlyLastPart = cachedSessionShare == 1 || len(prompt.Parts()) == 2
-		choice.queue = float64(max(0, server.Work().Pending()))/speed.PrefillRate() + speed.SlotWaitMillis(slots)*requestsAhead
-		choice.wait = choice.queue + float64(choice.uncachedTokens)/speed.PrefillRate()
-		choice.cost = choice.wait + speed.ContentionMillis()*running
-	} else {
-		choice.cost = speed.ResponseMillis()*(running/float64(max(slots, 1))+requestsAhead) + placement.random()
-	}
+	choice.uncachedTokens = uncachedTokens(prompt, cachedSessionShare)
+	choice.engine = true
+	choice.onlyLastPart = cachedSessionShare == 1 || len(prompt.Parts()) == 2
+	choice.queue = float64(max(0, server.Work().Pending()))/speed.PrefillRate() + speed.SlotWaitMillis(slots)*requestsAhead
+	choice.wait = choice.queue + float64(choice.uncachedTokens)/speed.PrefillRate()
+	choice.cost = choice.wait + speed.ContentionMillis()*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(now))
+	choice.order = choice.cost
+	return choice
+}
+
+// distanceMillis returns the time that the distance to the server costs.
+func (placement *Placement) distanceMillis(server *backend.Server) float64 {
 	if server.DataCentre() != placement.dataCentre {
-		choice.cost += remoteRoundTripMillis
+		return remoteRoundTripMillis
 	}
-	choice.cost += rampPenaltyMillis * (1 - server.Circuit().Ramp(now))
-	return choice
+	return 0
+}
+
+// serverSlots returns the number of requests that the server processes concurrently, or 0
+// if it isn't known.
+func serverSlots(server *backend.Server, poolConfig pool.Pool) int {
+	if slots := server.Slots(); slots > 0 {
+		return slots
+	}
+	return poolConfig.Slots()
 }
 
 // uncachedTokens returns the number of prompt tokens that a server would have to
