Read the fourth figure of X-Server-Load, and age engines' figures by it

Cause: a header with four figures was dropped. Reading its first three as they are makes placement worse, since all nodes act on the same old figures.

Change: backend.Load has a slowdown with the time of its report. At engines that report it, the figures of peers and of the report count by their age, and servers other than a session's preferred one are chosen with a random part as large as the prefill that peers have probably sent meanwhile. Engines with three figures are chosen as before.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -204,6 +204,9 @@
 	waitingTokens int
 	ownInFlight   int64
 	sentTokens    int64
+	// slowdown is how long work takes at this moment in relation to the usual time, or 0
+	// if the server doesn't report it.
+	slowdown float64
 }
 
 // NewLoad returns a report that was received at the given time, with the
@@ -212,6 +215,32 @@
 	return &Load{receivedAt: receivedAt, running: running, queued: queued, waitingTokens: tokens}
 }
 
+// minSlowdown and maxSlowdown bound what a report may say, so that no server gets all
+// requests or none by it.
+const (
+	minSlowdown = 0.1
+	maxSlowdown = 10.0
+)
+
+// WithSlowdown returns a copy of the report of a server that shares its host with other
+// work, with the time that work takes now in relation to the usual time.
+func (load *Load) WithSlowdown(slowdown float64) *Load {
+	shared := *load
+	shared.slowdown = min(max(slowdown, minSlowdown), maxSlowdown)
+	return &shared
+}
+
+// SharesHost reports whether the server shares its host with other work.
+func (load *Load) SharesHost() bool { return load.slowdown > 0 }
+
+// Slowdown returns how long work takes in relation to the usual time, 1 as usual.
+func (load *Load) Slowdown() float64 {
+	if !load.SharesHost() {
+		return 1
+	}
+	return load.slowdown
+}
+
 // At returns when the report was received.
 func (load *Load) At() clock.Millis { return load.receivedAt }
 
--- a/internal/backend/work.go
+++ b/internal/backend/work.go
@@ -65,6 +65,9 @@
 // and those that peer nodes have reported.
 func (work *Work) Pending() int64 { return work.pending.Load() + work.peerPending.Load() }
 
+// PeerPending returns the waiting prompt tokens that peer nodes have reported.
+func (work *Work) PeerPending() int64 { return work.peerPending.Load() }
+
 // SetPeerPending records the waiting prompt tokens that peer nodes have reported.
 func (work *Work) SetPeerPending(tokens int64) { work.peerPending.Store(tokens) }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -52,12 +52,14 @@
 	order          float64
 	uncachedTokens int
 	preferred      bool
-	candidates     int
-	engine         bool
-	wait           float64
-	queue          float64
-	onlyLastPart   bool
-	limitWait      clock.Millis
+	// savesTokens tells that the preferred server saves the prefill of tokens.
+	savesTokens  bool
+	candidates   int
+	engine       bool
+	wait         float64
+	queue        float64
+	onlyLastPart bool
+	limitWait    clock.Millis
 }
 
 // Server returns the chosen server.
@@ -125,11 +127,8 @@
 	servers := placement.fleet.Current().Pool(poolConfig.Name())
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
-	var ofService service
-	if poolConfig.Kind() != pool.KindRunner {
-		ofService = newService(servers, poolConfig, speed, now)
-	}
-	var best, fallback Choice
+	aged := newAgedLoad(servers, poolConfig, speed.lifeMillis(poolConfig.Kind()), now)
+	var best, affine, fallback Choice
 	candidates, limitWait := 0, clock.Millis(0)
 	for _, server := range servers {
 		if server.Leaving() || slices.Contains(exclude, server.Key()) || (only != 0 && release.Of(server) != only) {
@@ -143,18 +142,26 @@
 		}
 		var choice Choice
 		if poolConfig.Kind() == pool.KindRunner {
-			choice = placement.estimate(server, poolConfig, speed, prompt, cachedShare(server, preferred, alternate), now)
+			choice = placement.estimateEngine(server, aged, speed, prompt, cachedShare(server, preferred, alternate))
 		} else {
 			choice.server = server
-			ofService.estimate(&choice, placement.distanceMillis(server), placement.random())
+			aged.estimateService(&choice, placement.distanceMillis(server), placement.random())
 		}
 		if !server.Circuit().Allows(now) {
 			fallback = cheaper(fallback, choice)
 			continue
 		}
 		candidates++
+		if choice.savesTokens {
+			affine = choice
+			continue
+		}
 		best = cheaper(best, choice)
 	}
+	// The order of the others is partly random, so that only their costs can be compared.
+	if best.server == nil || (affine.server != nil && affine.cost <= best.cost) {
+		best = affine
+	}
 	if best.server == nil {
 		best = fallback
 	}
@@ -214,19 +221,31 @@
 	}
 }
 
-// estimate returns the choice of an engine.
-func (placement *Placement) estimate(server *backend.Server, poolConfig pool.Pool, speed *Speed, prompt runner.Prompt, cachedSessionShare float64, now clock.Millis) Choice {
+// estimateEngine returns the choice of an engine.
+func (placement *Placement) estimateEngine(server *backend.Server, aged agedLoad, speed *Speed, prompt runner.Prompt, cachedSessionShare float64) Choice {
 	choice := Choice{server: server, preferred: cachedSessionShare == 1}
-	running, waiting := serverLoad(server, now)
-	slots := serverSlots(server, poolConfig)
+	slots := serverSlots(server, aged.poolConfig)
+	running, waiting := serverLoad(server, aged.now)
+	pending := float64(server.Work().Pending())
+	spreadMillis := 0.0
+	if load := server.Load(); load != nil && load.SharesHost() {
+		share, ofPeers, ofServer := aged.others(server)
+		running, waiting = float64(server.InFlight())+math.Max(0, share+ofPeers+ofServer), 0
+		pending = aged.pendingTokens(server, speed.PrefillRate())
+		spreadMillis = aged.spreadMillis(server)
+	}
 	requestsAhead := math.Max(0, waiting+running-float64(slots)+1)
 	choice.uncachedTokens = uncachedTokens(prompt, cachedSessionShare)
 	choice.engine = true
 	choice.onlyLastPart = cachedSessionShare == 1 || len(prompt.Parts()) == 2
-	choice.queue = float64(max(0, server.Work().Pending()))/speed.PrefillRate() + speed.SlotWaitMillis(slots)*requestsAhead
+	choice.queue = math.Max(0, pending)/speed.PrefillRate() + speed.SlotWaitMillis(slots)*requestsAhead
 	choice.wait = choice.queue + float64(choice.uncachedTokens)/speed.PrefillRate()
-	choice.cost = choice.wait + speed.ContentionMillis()*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(now))
+	choice.cost = choice.wait + speed.ContentionMillis()*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(aged.now))
 	choice.order = choice.cost
+	choice.savesTokens = choice.preferred && choice.uncachedTokens < uncachedTokens(prompt, 0)
+	if spreadMillis > 0 {
+		choice.order += spreadMillis * exponentialLog(placement.random())
+	}
 	return choice
 }
 
--- a/internal/placement/uneven_test.go
+++ b/internal/placement/uneven_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -23,61 +24,74 @@
 	nodes      []*clusterNode
 	servers    []*clusterServer
 	interval   clock.Millis
-	work       float64
 	perMilli   float64
-	target     clock.Millis
 	// slowShare is the share of servers that other work on their hosts slows down.
 	slowShare float64
-	// reports tells that servers report their load.
-	reports bool
+	// figures is the number of figures with which servers report their load, or 0.
+	figures int
 
 	sent, late, rejected int
+	// begins holds the times to the first event, in milliseconds.
+	begins []int
 }
 
 type clusterNode struct {
 	fleet     *backend.Fleet
 	placement *placement.Placement
 	// told is what the node's latest bulletin said of each server.
-	told   []int64
+	told   []clusterWork
 	toldAt clock.Millis
 }
 
+type clusterWork struct{ attempts, tokens int64 }
+
 type clusterServer struct {
 	speed    float64
 	slowdown float64
 	running  []*clusterRequest
 	queue    []*clusterRequest
+	// cached holds the sessions used last.
+	cached []string
 }
 
 type clusterRequest struct {
 	node   *clusterNode
-	server int
+	choice placement.Choice
+	// left is the work in milliseconds at the usual speed, and after the first event of a
+	// stream the time until its end.
 	left   float64
 	sentAt clock.Millis
 	end    func()
-	choice placement.Choice
+	begin  func()
 }
 
 const (
-	clusterSlots = 6
-	slowPeriod   = 600
-	slowFactor   = 2.5
-	clusterQueue = 24
+	clusterSlots   = 6
+	clusterQueue   = 24
+	slowPeriod     = 600
+	slowFactor     = 2.5
+	engineRate     = 36.0
+	streamMillis   = 300
+	cachedSessions = 12
+	serviceMillis  = 60
+	serviceTarget  = 300
+	applyInterval  = 60
 )
 
-func newServices(nodes int, interval clock.Millis, speeds ...float64) *cluster {
-	cluster := &cluster{
-		manual: clock.NewManual(10_000), random: rand.New(rand.NewPCG(3, 5)), interval: interval,
-		poolConfig: pool.New("app", pool.KindService), work: 60, target: 300,
+func newCluster(kind pool.Kind, nodes int, interval clock.Millis, speeds ...float64) *cluster {
+	cluster := &cluster{manual: clock.NewManual(10_000), random: rand.New(rand.NewPCG(3, 5)), interval: interval, poolConfig: pool.New("pool", kind)}
+	slots := clusterSlots
+	if kind == pool.KindRunner {
+		slots = 64
 	}
 	for _, speed := range speeds {
 		cluster.servers = append(cluster.servers, &clusterServer{speed: speed, slowdown: 1})
 	}
 	for range nodes {
-		node := &clusterNode{fleet: backend.NewFleet(), told: make([]int64, len(speeds))}
+		node := &clusterNode{fleet: backend.NewFleet(), told: make([]clusterWork, len(speeds))}
 		var list []backend.Listing
 		for i := range speeds {
-			entry := backend.NewEntry(fmt.Sprint("s-", i), "10.0.0.1:80", "lj-a", "app", 1).WithSlots(clusterSlots)
+			entry := backend.NewEntry(fmt.Sprintf("s-%03d", i), "10.0.0.1:80", "lj-a", "pool", 1).WithSlots(slots)
 			list = append(list, backend.NewListing(entry.Server(), false))
 		}
 		node.fleet.Update(list)
@@ -87,126 +101,229 @@
 	return cluster
 }
 
-func (node *clusterNode) server(i int) *backend.Server { return node.fleet.Current().Pool("app")[i] }
+func (node *clusterNode) servers() []*backend.Server { return node.fleet.Current().Pool("pool") }
 
 func (cluster *cluster) play(duration clock.Millis) {
 	for range duration {
 		cluster.manual.Advance(1)
 		now := cluster.manual.Now()
 		cluster.gossip(now)
-		if now%slowPeriod == 0 {
-			cluster.drawSlowdowns()
+		for _, server := range cluster.servers {
+			if now%slowPeriod == 0 {
+				server.slowdown = 1
+				if cluster.random.Float64() < cluster.slowShare {
+					server.slowdown = slowFactor
+				}
+			}
 		}
 		for cluster.random.Float64() < cluster.perMilli/(1+cluster.perMilli) {
 			cluster.send(cluster.nodes[cluster.random.IntN(len(cluster.nodes))], now)
 		}
-		for i, server := range cluster.servers {
-			cluster.run(i, server, now)
-		}
-	}
-}
-
-func (cluster *cluster) drawSlowdowns() {
-	for _, server := range cluster.servers {
-		server.slowdown = 1
-		if cluster.random.Float64() < cluster.slowShare {
-			server.slowdown = slowFactor
+		for i := range cluster.servers {
+			if cluster.poolConfig.Kind() == pool.KindRunner {
+				cluster.prefill(i, now)
+			}
+			cluster.run(i, now)
 		}
 	}
 }
 
 // gossip sends the bulletins of this millisecond, and applies those received.
 func (cluster *cluster) gossip(now clock.Millis) {
-	const applyInterval = 60
-	sums, toldAt := make([]int64, len(cluster.servers)), clock.Millis(0)
+	count := clock.Millis(len(cluster.nodes))
 	for i, node := range cluster.nodes {
-		if (now+clock.Millis(i)*cluster.interval/clock.Millis(len(cluster.nodes)))%cluster.interval == 0 {
+		if (now+clock.Millis(i)*cluster.interval/count)%cluster.interval == 0 {
 			node.toldAt = now
-			for s := range cluster.servers {
-				node.told[s] = node.server(s).InFlight()
+			for s, server := range node.servers() {
+				node.told[s] = clusterWork{attempts: server.InFlight(), tokens: server.Work().OwnPending()}
 			}
 		}
+	}
+	if now%min(applyInterval, cluster.interval) != 0 {
+		return
+	}
+	sums, toldAt := make([]clusterWork, len(cluster.servers)), clock.Millis(0)
+	for _, node := range cluster.nodes {
 		toldAt += node.toldAt
-		for s, attempts := range node.told {
-			sums[s] += attempts
+		for s, work := range node.told {
+			sums[s].attempts, sums[s].tokens = sums[s].attempts+work.attempts, sums[s].tokens+work.tokens
 		}
 	}
-	for i, node := range cluster.nodes {
-		if (now+clock.Millis(i))%min(applyInterval, cluster.interval) == 0 {
-			for s := range cluster.servers {
-				node.server(s).SetPeerInFlight(sums[s]-node.told[s], toldAt/clock.Millis(len(cluster.nodes)))
-			}
+	for _, node := range cluster.nodes {
+		for s, server := range node.servers() {
+			server.SetPeerInFlight(sums[s].attempts-node.told[s].attempts, toldAt/count)
+			server.Work().SetPeerPending(sums[s].tokens - node.told[s].tokens)
 		}
 	}
 }
 
+// send sends a request, half of which belong to sessions.
 func (cluster *cluster) send(node *clusterNode, now clock.Millis) {
 	cluster.sent++
+	parts := []runner.Part{runner.NewPart("head", 500), runner.NewPart("tail", 1000+cluster.random.IntN(2000))}
+	if cluster.random.IntN(2) == 0 {
+		session := runner.NewPart(fmt.Sprint("session-", cluster.random.IntN(300)), 1500)
+		parts = []runner.Part{parts[0], session, parts[1]}
+	}
+	prompt := runner.NewPrompt(parts, 0)
 	var tried []string
 	for range 2 {
-		choice, ok := node.placement.Choose(cluster.poolConfig, runner.Prompt{}, 0, tried, 0)
+		choice, ok := node.placement.Choose(cluster.poolConfig, prompt, 0, tried, 0)
 		if !ok {
 			break
 		}
 		var index int
 		fmt.Sscanf(choice.Server().ID(), "s-%d", &index)
-		server := cluster.servers[index]
-		if len(server.queue) >= clusterQueue {
+		server, work := cluster.servers[index], serviceMillis*(0.8+0.4*cluster.random.Float64())
+		if cluster.poolConfig.Kind() == pool.KindRunner {
+			tokens := parts[len(parts)-1].Tokens()
+			if len(parts) == 3 && !server.holds(parts[1].ID()) {
+				tokens += parts[1].Tokens()
+			}
+			work = float64(tokens) / engineRate
+		} else if len(server.queue) >= clusterQueue {
 			cluster.rejected++
 			cluster.report(node, index, now)
 			tried = append(tried, choice.Server().Key())
 			continue
 		}
 		server.queue = append(server.queue, &clusterRequest{
-			node: node, server: index, left: cluster.work * (0.8 + 0.4*cluster.random.Float64()), sentAt: now, end: choice.Server().Begin(), choice: choice,
+			node: node, choice: choice, left: work, sentAt: now, end: choice.Server().Begin(), begin: choice.Server().Work().Queue(choice.UncachedTokens()),
 		})
 		return
 	}
 	cluster.late++
 }
 
-func (cluster *cluster) run(index int, server *clusterServer, now clock.Millis) {
+// holds reports whether the session is among those used last, and uses it.
+func (server *clusterServer) holds(session string) bool {
+	index := slices.Index(server.cached, session)
+	if index >= 0 {
+		server.cached = slices.Delete(server.cached, index, index+1)
+	}
+	server.cached = append(server.cached, session)
+	server.cached = server.cached[max(0, len(server.cached)-cachedSessions):]
+	return index >= 0
+}
+
+// prefill works on the first prompt in an engine's queue.
+func (cluster *cluster) prefill(index int, now clock.Millis) {
+	server := cluster.servers[index]
+	if len(server.queue) == 0 {
+		return
+	}
+	first := server.queue[0]
+	if first.left -= server.speed / server.slowdown; first.left > 0 {
+		return
+	}
+	server.queue = server.queue[1:]
+	cluster.report(first.node, index, now)
+	elapsed := now - first.sentAt
+	cluster.begins = append(cluster.begins, int(elapsed))
+	cluster.observeFirstEvent(first, elapsed)
+	first.begin()
+	first.left = streamMillis
+	server.running = append(server.running, first)
+}
+
+// run works on the requests in a server's slots.
+func (cluster *cluster) run(index int, now clock.Millis) {
+	server := cluster.servers[index]
+	isEngine := cluster.poolConfig.Kind() == pool.KindRunner
 	running := server.running[:0]
 	for _, request := range server.running {
 		if request.left -= server.speed / server.slowdown; request.left > 0 {
 			running = append(running, request)
 			continue
 		}
-		if now-request.sentAt > cluster.target {
-			cluster.late++
+		elapsed := now - request.sentAt
+		if !isEngine {
+			if elapsed > serviceTarget {
+				cluster.late++
+			}
+			cluster.report(request.node, index, now)
+			cluster.observeResponse(request, elapsed)
+			request.begin()
 		}
-		cluster.report(request.node, index, now)
-		request.node.placement.Speed("app").ObserveResponse(now - request.sentAt)
 		request.end()
 	}
 	server.running = running
-	for len(server.running) < clusterSlots && len(server.queue) > 0 {
+	for !isEngine && len(server.running) < clusterSlots && len(server.queue) > 0 {
 		server.running, server.queue = append(server.running, server.queue[0]), server.queue[1:]
 	}
 }
 
+func (cluster *cluster) observeFirstEvent(request *clusterRequest, elapsed clock.Millis) {
+	if request.choice.ShowsPrefill() {
+		request.node.placement.Speed("pool").ObserveFirstEvent(request.choice.UncachedTokens(), elapsed)
+	}
+}
+
+func (cluster *cluster) observeResponse(request *clusterRequest, elapsed clock.Millis) {
+	request.node.placement.Speed("pool").ObserveResponse(elapsed)
+}
+
 func (cluster *cluster) report(node *clusterNode, index int, now clock.Millis) {
-	if !cluster.reports {
+	server := cluster.servers[index]
+	if cluster.figures == 0 {
 		return
 	}
-	server := cluster.servers[index]
-	node.server(index).Report(backend.NewLoad(now, len(server.running), len(server.queue), 0))
+	load := backend.NewLoad(now, len(server.running), len(server.queue), 0)
+	if cluster.figures == 4 {
+		load = load.WithSlowdown(server.slowdown)
+	}
+	node.servers()[index].Report(load)
+}
+
+// percentile returns a percentile of the times to the first event.
+func (cluster *cluster) percentile(percent int) int {
+	slices.Sort(cluster.begins)
+	return cluster.begins[len(cluster.begins)*percent/100]
+}
+
+// repeatSpeeds returns the speeds of a number of servers, in turn.
+func repeatSpeeds(count int, speeds ...float64) []float64 {
+	var all []float64
+	for i := range count {
+		all = append(all, speeds[i%len(speeds)])
+	}
+	return all
 }
 
 // TestStaleFigures guards against nodes that all choose the same server, as they act
 // on figures that are older than the time that a response takes.
 func TestStaleFigures(t *testing.T) {
-	expectServed := func(t *testing.T, perMilli, slowShare float64, reports bool, bound float64) {
+	expectServed := func(t *testing.T, perMilli, slowShare float64, figures int, bound float64) {
 		t.Helper()
-		cluster := newServices(79, 316, 1, 1, 1)
-		cluster.perMilli, cluster.slowShare, cluster.reports = perMilli, slowShare, reports
+		cluster := newCluster(pool.KindService, 79, 316, 1, 1, 1)
+		cluster.perMilli, cluster.slowShare, cluster.figures = perMilli, slowShare, figures
 		cluster.play(40 * clock.Second)
 		t.Log(cluster.sent, cluster.late, cluster.rejected)
 		require.Less(t, float64(cluster.late)/float64(cluster.sent), bound)
 		require.Less(t, float64(cluster.rejected)/float64(cluster.sent), bound)
 	}
-	t.Run("equal servers", func(t *testing.T) { expectServed(t, 0.23, 0, false, 0.002) })
-	t.Run("equal servers that report their load", func(t *testing.T) { expectServed(t, 0.23, 0, true, 0.002) })
-	t.Run("some servers are slow for a time", func(t *testing.T) { expectServed(t, 0.115, 0.15, false, 0.03) })
-	t.Run("some servers are slow for a time, in a burst", func(t *testing.T) { expectServed(t, 0.2, 0.15, false, 0.06) })
+	t.Run("equal servers", func(t *testing.T) { expectServed(t, 0.23, 0, 0, 0.002) })
+	t.Run("equal servers that report their load", func(t *testing.T) { expectServed(t, 0.23, 0, 3, 0.002) })
+	t.Run("some servers are slow for a time", func(t *testing.T) { expectServed(t, 0.115, 0.15, 0, 0.03) })
+	t.Run("some servers are slow for a time, in a burst", func(t *testing.T) { expectServed(t, 0.2, 0.15, 0, 0.06) })
+	t.Run("and report it", func(t *testing.T) { expectServed(t, 0.2, 0.15, 4, 0.06) })
+}
+
+// TestUnevenEngines guards against queues at engines that all nodes choose at once, and at
+// slow ones. The times are those to the first event at 0.7 of the capacity.
+func TestUnevenEngines(t *testing.T) {
+	expectBegun := func(t *testing.T, perMilli, slowShare float64, p50, p90 int, speeds ...float64) {
+		t.Helper()
+		cluster := newCluster(pool.KindRunner, 79, 316, repeatSpeeds(60, speeds...)...)
+		cluster.perMilli, cluster.slowShare, cluster.figures = perMilli, slowShare, 4
+		cluster.play(20 * clock.Second)
+		cluster.begins = nil
+		cluster.play(20 * clock.Second)
+		t.Log(len(cluster.begins), cluster.percentile(50), cluster.percentile(90), cluster.percentile(99))
+		require.Less(t, cluster.percentile(50), p50)
+		require.Less(t, cluster.percentile(90), p90)
+	}
+	t.Run("equal", func(t *testing.T) { expectBegun(t, 0.72, 0, 150, 400, 1) })
+	t.Run("0.6, 1.0 and 1.6", func(t *testing.T) { expectBegun(t, 0.77, 0, 250, 800, 0.6, 1, 1.6) })
+	t.Run("0.6, 1.0 and 1.6, and slow for a time", func(t *testing.T) { expectBegun(t, 0.7, 0.15, 250, 800, 0.6, 1, 1.6) })
 }
