Learn a rate for each server, and place requests by it and by the slowdown

Cause: the rate was one figure for the pool, so slow servers got as much work as fast ones, and the reported slowdown was not used.

Change: backend.Rate learns the logarithm of observed over expected time of each server, relative to its pool, with the reported slowdown divided out; bounded steps, shrinkage by the scatter of observations, ageing within 60 s. A slowdown counts by its age against 400 ms. Requests with slack try engines that looked slow now and then. The debug line of a choice has serverRate.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -33,6 +33,7 @@
 	work       Work
 	circuit    Circuit
 	rateLimit  *RateLimit
+	rate       Rate
 	speed      atomic.Pointer[Speed]
 	// start distinguishes two runs of a server under the same id. It is empty if
 	// the platform assigns a new id to each run.
@@ -174,6 +175,9 @@
 // Circuit returns the server's circuit breaker.
 func (server *Server) Circuit() *Circuit { return &server.circuit }
 
+// Rate returns what this node has learned of the server's speed.
+func (server *Server) Rate() *Rate { return &server.rate }
+
 // RateLimit returns the limit on requests that the server has named.
 func (server *Server) RateLimit() *RateLimit { return server.rateLimit }
 
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -187,7 +187,7 @@
 	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
 	rank := requestContext.rank()
 	for {
-		choice, ok := edge.placement.Choose(poolConfig, requestContext.call.Prompt(), rank, attempts.triedServers, attempts.release)
+		choice, ok := edge.placement.ChooseWithin(poolConfig, requestContext.call.Prompt(), rank, attempts.triedServers, attempts.release, requestContext.slack())
 		switch {
 		case !ok && choice.LimitWait() > 0:
 			attempts.retryAfter = choice.LimitWait()
@@ -309,7 +309,7 @@
 		requestContext.countRun()
 		outcome := attempts.buffer(response)
 		if outcome == request.OutcomeAnswered {
-			attempts.speed().ObserveResponse(requestContext.edge.clock.Now() - attempts.sentAt)
+			requestContext.edge.placement.ObserveResponse(requestContext.pool, requestContext.choice, requestContext.edge.clock.Now()-attempts.sentAt)
 		}
 		return outcome
 	}
@@ -428,8 +428,8 @@
 		if events == 0 {
 			attempts.beganAt = requestContext.edge.clock.Now()
 			firstEvent = requestContext.edge.clock.Now() - attempts.sentAt
-			if requestContext.choice.ShowsPrefill() && attempts.lastEvent == "" {
-				attempts.speed().ObserveFirstEvent(requestContext.choice.UncachedTokens(), firstEvent)
+			if attempts.lastEvent == "" {
+				requestContext.edge.placement.ObserveFirstEvent(requestContext.pool, requestContext.choice, firstEvent)
 			}
 		}
 		if !attempts.retrier.ResponseStarted() {
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
 	"sapphirehead/internal/placement"
 	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/request"
@@ -20,12 +21,21 @@
 	return requestContext.route.Rank()
 }
 
+// slack returns the time left to the target of the request, or 0 if it has none.
+func (requestContext *requestContext) slack() clock.Millis {
+	target := requestContext.route.FirstToken()
+	if target == 0 {
+		return 0
+	}
+	return max(0, target-(requestContext.edge.clock.Now()-requestContext.arrived))
+}
+
 // logChoice logs the server chosen for an attempt and the inputs of the choice.
 func (requestContext *requestContext) logChoice(choice placement.Choice) {
 	requestContext.choice = choice
 	requestContext.edge.log.Debug().Str("requestId", requestContext.call.ID()).Str("backendServer", choice.Server().ID()).
 		Float64("costMillis", choice.Cost()).Int("reads", choice.UncachedTokens()).Bool("home", choice.Preferred()).
-		Int("choices", choice.Candidates()).Msg("attempt")
+		Int("choices", choice.Candidates()).Float64("serverRate", choice.Rate()).Msg("attempt")
 }
 
 // logStep logs the step that follows an attempt, unless the attempt was
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,11 +53,16 @@
 	uncachedTokens int
 	preferred      bool
 	// savesTokens tells that the preferred server saves the prefill of tokens.
-	savesTokens  bool
-	candidates   int
-	engine       bool
-	wait         float64
+	savesTokens bool
+	candidates  int
+	engine      bool
+	wait        float64
+	// base is the part of wait that a server with the pool's rate would take.
+	base         float64
+	rateFactor   float64
+	showsRate    bool
 	queue        float64
+	foundQueue   bool
 	onlyLastPart bool
 	limitWait    clock.Millis
 }
@@ -73,10 +78,13 @@
 // application server it is the expected time of the response.
 func (choice Choice) Wait() float64 { return choice.wait }
 
+// Rate returns the learned speed of the server in relation to its pool, 1 for the same.
+func (choice Choice) Rate() float64 { return 1 / choice.rateFactor }
+
 // ShowsPrefill reports whether the time to the first event shows the speed of the
 // server: nothing was ahead of the request, as far as this node knew, and all tokens
 // expected to be prefilled belong to its last part, which no cache holds.
-func (choice Choice) ShowsPrefill() bool { return choice.queue == 0 && choice.onlyLastPart }
+func (choice Choice) ShowsPrefill() bool { return !choice.foundQueue && choice.onlyLastPart }
 
 // LimitWait returns the time until a server takes another request, if some are left out
 // for the limit that they named, or 0.
@@ -124,11 +132,18 @@
 // at the limit that they named and, unless only is 0, those of other releases. A server
 // whose circuit is open is chosen only if there is no other.
 func (placement *Placement) Choose(poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID) (Choice, bool) {
+	return placement.ChooseWithin(poolConfig, prompt, rank, exclude, only, 0)
+}
+
+// ChooseWithin is Choose for a request with the time left to its target, or 0 if it has
+// none. Now and then a request with more time than it needs is sent to a server that looked
+// slow, to find out whether it still is.
+func (placement *Placement) ChooseWithin(poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID, slack clock.Millis) (Choice, bool) {
 	servers := placement.fleet.Current().Pool(poolConfig.Name())
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
 	aged := newAgedLoad(servers, poolConfig, speed.lifeMillis(poolConfig.Kind()), now)
-	var best, affine, fallback Choice
+	var best, affine, explored, fallback Choice
 	candidates, limitWait := 0, clock.Millis(0)
 	for _, server := range servers {
 		if server.Leaving() || slices.Contains(exclude, server.Key()) || (only != 0 && release.Of(server) != only) {
@@ -145,13 +160,16 @@
 			choice = placement.estimateEngine(server, aged, speed, prompt, cachedShare(server, preferred, alternate))
 		} else {
 			choice.server = server
-			aged.estimateService(&choice, placement.distanceMillis(server), placement.random())
+			aged.estimateService(&choice, speed, placement.distanceMillis(server), placement.random())
 		}
 		if !server.Circuit().Allows(now) {
 			fallback = cheaper(fallback, choice)
 			continue
 		}
 		candidates++
+		if choice.rateFactor > 1 && placement.explores(choice, slack, now) {
+			explored = choice
+		}
 		if choice.savesTokens {
 			affine = choice
 			continue
@@ -162,6 +180,9 @@
 	if best.server == nil || (affine.server != nil && affine.cost <= best.cost) {
 		best = affine
 	}
+	if explored.server != nil {
+		best = explored
+	}
 	if best.server == nil {
 		best = fallback
 	}
@@ -238,13 +259,18 @@
 	choice.uncachedTokens = uncachedTokens(prompt, cachedSessionShare)
 	choice.engine = true
 	choice.onlyLastPart = cachedSessionShare == 1 || len(prompt.Parts()) == 2
-	choice.queue = math.Max(0, pending)/speed.PrefillRate() + speed.SlotWaitMillis(slots)*requestsAhead
-	choice.wait = choice.queue + float64(choice.uncachedTokens)/speed.PrefillRate()
+	choice.foundQueue = server.Work().Pending() > 0 || requestsAhead > 0
+	choice.rateFactor, _ = server.Rate().Factor(aged.now)
+	factor := choice.rateFactor * speed.slowdown(server, aged.now)
+	queue, prefill := math.Max(0, pending)/speed.PrefillRate()+speed.SlotWaitMillis(slots)*requestsAhead, float64(choice.uncachedTokens)/speed.PrefillRate()
+	choice.showsRate = choice.onlyLastPart && queue <= maxQueueShare*prefill
+	choice.base = queue + prefill
+	choice.queue, choice.wait = factor*queue, factor*choice.base
 	choice.cost = choice.wait + speed.ContentionMillis()*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(aged.now))
 	choice.order = choice.cost
 	choice.savesTokens = choice.preferred && choice.uncachedTokens < uncachedTokens(prompt, 0)
 	if spreadMillis > 0 {
-		choice.order += spreadMillis * exponentialLog(placement.random())
+		choice.order += spreadMillis * exponentialLog(placement.random(), 1)
 	}
 	return choice
 }
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -17,18 +17,26 @@
 // Requests are spread at random in proportion to the servers' capacities, and less to a
 // server that has more than its share: by so much that the difference is made up for by
 // the requests that all nodes send before they know of each other's. What only this node
-// knows counts fully.
-func (aged agedLoad) estimateService(choice *Choice, distanceMillis, draw float64) {
+// knows counts fully. Where there is capacity to spare, slow servers get still less.
+func (aged agedLoad) estimateService(choice *Choice, speed *Speed, distanceMillis, draw float64) {
 	server, slots := choice.server, aged.slots(choice.server)
 	share, ofPeers, ofServer := aged.others(server)
 	own := float64(server.InFlight()) + ofServer
-	choice.wait = aged.lifeMillis * (1 + math.Max(0, share+ofPeers+own-slots+1)/slots)
+	rateFactor, logarithm := server.Rate().Factor(aged.now)
+	choice.rateFactor = rateFactor
+	slowdown := speed.slowdown(server, aged.now)
+	factor := rateFactor * slowdown
+	if slowdown != 1 {
+		logarithm += math.Log(slowdown)
+	}
+	choice.base = aged.lifeMillis * (1 + math.Max(0, share+ofPeers+own-slots+1)/slots)
+	choice.wait = factor * choice.base
 	choice.cost = choice.wait + distanceMillis
 	age := float64(max(0, aged.now-server.PeersAsOf()))
-	sentMeanwhile := share * math.Min(age/aged.lifeMillis, maxSentShares)
+	sentMeanwhile := share * math.Min(age/(factor*aged.lifeMillis), maxSentShares)
 	distance := distanceMillis / aged.lifeMillis * slots
 	surplus := (ofPeers+distance)/(surplusWeight+sentMeanwhile) + own/surplusWeight
 	// The smallest of exponentially distributed times belongs to a server with a
-	// probability in proportion to its capacity, or less for the surplus.
-	choice.order = exponentialLog(draw) - math.Log(slots*server.Circuit().Ramp(aged.now)) + surplus
+	// probability in proportion to its weight.
+	choice.order = exponentialLog(draw, slots*server.Circuit().Ramp(aged.now)) + (1+aged.avoidance)*logarithm + surplus
 }
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -88,13 +88,20 @@
 	// and responseMillis that of a response which is no stream.
 	streamMillis   float64
 	responseMillis float64
+	// offset is the mean logarithm of observed times in relation to the expected ones,
+	// variance its variance at a server, and rated the number of observations.
+	offset   float64
+	variance float64
+	rated    int
+	// slowdown is the mean slowdown that servers reported.
+	slowdown float64
 }
 
 // NewSpeed returns the speed that is assumed before any observation.
 func NewSpeed() *Speed {
 	speed := &Speed{}
 	speed.state.Store(&speedState{
-		prefillRate: initialPrefillRate * (1 - decodeShare), streamMillis: initialStreamMillis, responseMillis: initialResponseMillis,
+		prefillRate: initialPrefillRate * (1 - decodeShare), streamMillis: initialStreamMillis, responseMillis: initialResponseMillis, slowdown: 1, variance: initialVariance,
 	})
 	return speed
 }
--- a/internal/placement/uneven_test.go
+++ b/internal/placement/uneven_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -220,7 +221,7 @@
 	cluster.report(first.node, index, now)
 	elapsed := now - first.sentAt
 	cluster.begins = append(cluster.begins, int(elapsed))
-	cluster.observeFirstEvent(first, elapsed)
+	first.node.placement.ObserveFirstEvent("pool", first.choice, elapsed)
 	first.begin()
 	first.left = streamMillis
 	server.running = append(server.running, first)
@@ -242,7 +243,7 @@
 				cluster.late++
 			}
 			cluster.report(request.node, index, now)
-			cluster.observeResponse(request, elapsed)
+			request.node.placement.ObserveResponse("pool", request.choice, elapsed)
 			request.begin()
 		}
 		request.end()
@@ -253,16 +254,6 @@
 	}
 }
 
-func (cluster *cluster) observeFirstEvent(request *clusterRequest, elapsed clock.Millis) {
-	if request.choice.ShowsPrefill() {
-		request.node.placement.Speed("pool").ObserveFirstEvent(request.choice.UncachedTokens(), elapsed)
-	}
-}
-
-func (cluster *cluster) observeResponse(request *clusterRequest, elapsed clock.Millis) {
-	request.node.placement.Speed("pool").ObserveResponse(elapsed)
-}
-
 func (cluster *cluster) report(node *clusterNode, index int, now clock.Millis) {
 	server := cluster.servers[index]
 	if cluster.figures == 0 {
@@ -327,3 +318,139 @@
 	t.Run("0.6, 1.0 and 1.6", func(t *testing.T) { expectBegun(t, 0.77, 0, 250, 800, 0.6, 1, 1.6) })
 	t.Run("0.6, 1.0 and 1.6, and slow for a time", func(t *testing.T) { expectBegun(t, 0.7, 0.15, 250, 800, 0.6, 1, 1.6) })
 }
+
+// rates returns the mean of the learned factors at all nodes, by server, and the extremes.
+func (cluster *cluster) rates() (means []float64, least, most float64) {
+	least, most = math.Inf(1), 0
+	for i := range cluster.servers {
+		sum := 0.0
+		for _, node := range cluster.nodes {
+			factor, _ := node.servers()[i].Rate().Factor(cluster.manual.Now())
+			sum, least, most = sum+factor, min(least, factor), max(most, factor)
+		}
+		means = append(means, sum/float64(len(cluster.nodes)))
+	}
+	return means, least, most
+}
+
+// TestLearnedRates guards against rates that don't follow the servers' speeds, and against
+// differences that are found among equal servers.
+func TestLearnedRates(t *testing.T) {
+	play := func(kind pool.Kind, perMilli, slowShare float64, figures int, speeds ...float64) *cluster {
+		cluster := newCluster(kind, 7, 30, repeatSpeeds(12, speeds...)...)
+		cluster.perMilli, cluster.slowShare, cluster.figures = perMilli, slowShare, figures
+		cluster.play(40 * clock.Second)
+		return cluster
+	}
+	expectUneven := func(t *testing.T, cluster *cluster, leastRatio float64) {
+		t.Helper()
+		means, _, _ := cluster.rates()
+		t.Log(means[:3])
+		require.Greater(t, means[0], means[1])
+		require.Greater(t, means[1], means[2])
+		require.Greater(t, means[0]/means[2], leastRatio, "2.7 is true")
+	}
+	expectEqual := func(t *testing.T, cluster *cluster) {
+		t.Helper()
+		means, least, most := cluster.rates()
+		t.Log(means, least, most)
+		for _, mean := range means {
+			require.InDelta(t, 1, mean, 0.06)
+		}
+		require.Greater(t, least, 0.7)
+		require.Less(t, most, 1.4)
+	}
+	t.Run("engines", func(t *testing.T) { expectUneven(t, play(pool.KindRunner, 0.1, 0.15, 4, 0.6, 1, 1.6), 1.4) })
+	t.Run("engines with three figures", func(t *testing.T) { expectUneven(t, play(pool.KindRunner, 0.1, 0, 3, 0.6, 1, 1.6), 1.3) })
+	t.Run("services", func(t *testing.T) { expectUneven(t, play(pool.KindService, 0.6, 0.15, 4, 0.6, 1, 1.6), 1.8) })
+	t.Run("equal services", func(t *testing.T) { expectEqual(t, play(pool.KindService, 0.8, 0.15, 4, 1)) })
+	t.Run("equal engines", func(t *testing.T) {
+		cluster := play(pool.KindRunner, 0.144, 0, 3, 1)
+		expectEqual(t, cluster)
+		// Without learned rates it is 151 and 308 ms.
+		t.Log(cluster.percentile(50), cluster.percentile(90))
+		require.Less(t, cluster.percentile(50), 160)
+		require.Less(t, cluster.percentile(90), 325)
+	})
+}
+
+// TestUnevenServices guards against requests to slow servers while fast ones are free.
+func TestUnevenServices(t *testing.T) {
+	// 0.6 of the capacity, with slowdowns 0.67.
+	cluster := newCluster(pool.KindService, 79, 316, repeatSpeeds(12, 0.6, 1, 1.6)...)
+	cluster.perMilli, cluster.slowShare, cluster.figures = 0.77, 0.15, 4
+	cluster.play(40 * clock.Second)
+	t.Log(cluster.sent, cluster.late, cluster.rejected)
+	require.Less(t, float64(cluster.late)/float64(cluster.sent), 0.02)
+}
+
+// TestSlowdown guards against slowdowns that count for longer than they last, or for nothing.
+func TestSlowdown(t *testing.T) {
+	cluster := newCluster(pool.KindService, 1, 30, 1, 1)
+	cluster.perMilli, cluster.figures = 0.1, 4
+	node := cluster.nodes[0]
+	shareOfSlow := func(age clock.Millis) float64 {
+		node.servers()[0].Report(backend.NewLoad(cluster.manual.Now(), 0, 0, 0).WithSlowdown(2.5))
+		node.servers()[1].Report(backend.NewLoad(cluster.manual.Now(), 0, 0, 0).WithSlowdown(1))
+		cluster.manual.Advance(age)
+		slow := 0
+		for range 2000 {
+			choice, ok := node.placement.Choose(cluster.poolConfig, runner.Prompt{}, 0, nil, 0)
+			require.True(t, ok)
+			if choice.Server() == node.servers()[0] {
+				slow++
+			}
+		}
+		return float64(slow) / 2000
+	}
+	require.Less(t, shareOfSlow(20), 0.15)
+	require.InDelta(t, 0.5, shareOfSlow(3*clock.Second), 0.05)
+}
+
+// TestExploration guards against slow servers that are never tried again, and against
+// callers who pay for the trial.
+func TestExploration(t *testing.T) {
+	shareOfSlow := func(slack clock.Millis) float64 {
+		cluster := newCluster(pool.KindRunner, 1, 30, 1, 1)
+		node := cluster.nodes[0]
+		for range 40 {
+			node.servers()[1].Rate().Observe(math.Log(2), 0.3, cluster.manual.Now())
+		}
+		cluster.manual.Advance(6 * clock.Second)
+		slow := 0
+		for range 2000 {
+			choice, ok := node.placement.ChooseWithin(cluster.poolConfig, runner.NewPrompt(nil, 1500), 0, nil, 0, slack)
+			require.True(t, ok)
+			if choice.Server() == node.servers()[1] {
+				slow++
+			}
+		}
+		return float64(slow) / 2000
+	}
+	require.InDelta(t, 0.05, shareOfSlow(500), 0.02)
+	require.Zero(t, shareOfSlow(100))
+	require.Zero(t, shareOfSlow(0))
+}
+
+// BenchmarkChoose measures one decision among 240 servers with four figures and rates.
+func BenchmarkChoose(b *testing.B) {
+	for name, kind := range map[string]pool.Kind{"engines": pool.KindRunner, "services": pool.KindService} {
+		b.Run(name, func(b *testing.B) {
+			cluster := newCluster(kind, 1, 30, repeatSpeeds(240, 1)...)
+			node := cluster.nodes[0]
+			for i, server := range node.servers() {
+				server.Report(backend.NewLoad(cluster.manual.Now(), 2, 1, 0).WithSlowdown(1.5))
+				server.SetPeerInFlight(int64(i%7), cluster.manual.Now()-200)
+				server.Work().SetPeerPending(int64(1000 * (i % 3)))
+				for range 40 {
+					server.Rate().Observe(float64(i%3)*0.4-0.4, 0.3, cluster.manual.Now())
+				}
+			}
+			parts := []runner.Part{runner.NewPart("head", 500), runner.NewPart("session", 1500), runner.NewPart("tail", 1000)}
+			prompt := runner.NewPrompt(parts, 0)
+			for b.Loop() {
+				node.placement.Choose(cluster.poolConfig, prompt, 0, nil, 0)
+			}
+		})
+	}
+}
