--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -142,7 +142,7 @@
 	servers := placement.fleet.Current().Pool(poolConfig.Name())
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
-	aged := newAgedLoad(servers, poolConfig, speed.lifeMillis(poolConfig.Kind()), now)
+	aged, prefill := newAgedLoad(servers, poolConfig, speed, now), newPrefill(prompt)
 	var best, affine, explored, fallback Choice
 	candidates, limitWait := 0, clock.Millis(0)
 	for _, server := range servers {
@@ -155,26 +155,25 @@
 			}
 			continue
 		}
-		var choice Choice
+		choice := Choice{server: server}
 		if poolConfig.Kind() == pool.KindRunner {
-			choice = placement.estimateEngine(server, aged, speed, prompt, cachedShare(server, preferred, alternate))
+			placement.estimateEngine(&choice, aged, &prefill, cachedShare(server, preferred, alternate), best.least())
 		} else {
-			choice.server = server
-			aged.estimateService(&choice, speed, placement.distanceMillis(server), placement.random())
+			aged.estimateService(&choice, placement.distanceMillis(server), placement.random(), best.least())
 		}
 		if !server.Circuit().Allows(now) {
-			fallback = cheaper(fallback, choice)
+			fallback.replace(&choice)
 			continue
 		}
 		candidates++
-		if choice.rateFactor > 1 && placement.explores(choice, slack, now) {
+		if choice.rateFactor > 1 && placement.explores(&choice, slack, now) {
 			explored = choice
 		}
 		if choice.savesTokens {
 			affine = choice
 			continue
 		}
-		best = cheaper(best, choice)
+		best.replace(&choice)
 	}
 	// The order of the others is partly random, so that only their costs can be compared.
 	if best.server == nil || (affine.server != nil && affine.cost <= best.cost) {
@@ -190,11 +189,19 @@
 	return best, best.server != nil
 }
 
-func cheaper(current, other Choice) Choice {
-	if current.server == nil || other.order < current.order {
-		return other
+// least returns the order of the choice, or infinity if there is none yet.
+func (choice *Choice) least() float64 {
+	if choice.server == nil {
+		return math.Inf(1)
+	}
+	return choice.order
+}
+
+// replace replaces the choice by another one that comes before it.
+func (choice *Choice) replace(other *Choice) {
+	if choice.server == nil || other.order < choice.order {
+		*choice = *other
 	}
-	return current
 }
 
 // affinityServers returns the preferred and the alternate server of the prompt's
@@ -242,37 +249,43 @@
 	}
 }
 
-// estimateEngine returns the choice of an engine.
-func (placement *Placement) estimateEngine(server *backend.Server, aged agedLoad, speed *Speed, prompt runner.Prompt, cachedSessionShare float64) Choice {
-	choice := Choice{server: server, preferred: cachedSessionShare == 1}
-	slots := serverSlots(server, aged.poolConfig)
-	running, waiting := serverLoad(server, aged.now)
-	pending := float64(server.Work().Pending())
-	spreadMillis := 0.0
-	if load := server.Load(); load != nil && load.SharesHost() {
-		share, ofPeers, ofServer := aged.others(server)
-		running, waiting = float64(server.InFlight())+math.Max(0, share+ofPeers+ofServer), 0
-		pending = aged.pendingTokens(server, speed.PrefillRate())
-		spreadMillis = aged.spreadMillis(server)
+// estimateEngine adds the estimates for an engine to the choice. Least is the least order
+// so far.
+func (placement *Placement) estimateEngine(choice *Choice, aged *agedLoad, prefill *prefill, cachedSessionShare, least float64) {
+	server := choice.server
+	slots, streamMillis := serverSlots(server, aged.poolSlots), aged.lifeMillis
+	rateFactor, logarithm := server.Rate().Factor(aged.now)
+	var running, waiting, pending float64
+	load := server.Load()
+	sharesHost := load != nil && load.SharesHost()
+	if sharesHost {
+		capacity := aged.capacity(float64(max(1, slots)), rateFactor, logarithm)
+		share, ofPeers, ofServer := aged.others(server, capacity)
+		running = float64(server.InFlight()) + max(0, share+ofPeers+ofServer)
+		pending = aged.pendingTokens(server, capacity)
+	} else {
+		running, waiting = serverLoad(server, aged.now)
+		pending = float64(server.Work().Pending())
 	}
-	requestsAhead := math.Max(0, waiting+running-float64(slots)+1)
-	choice.uncachedTokens = uncachedTokens(prompt, cachedSessionShare)
+	requestsAhead := max(0, waiting+running-float64(slots)+1)
+	choice.preferred = cachedSessionShare == 1
+	choice.uncachedTokens = prefill.uncachedTokens(cachedSessionShare)
+	choice.savesTokens = choice.preferred && prefill.sessionTokens > 0
 	choice.engine = true
-	choice.onlyLastPart = cachedSessionShare == 1 || len(prompt.Parts()) == 2
+	choice.onlyLastPart = choice.preferred || prefill.parts == 2
 	choice.foundQueue = server.Work().Pending() > 0 || requestsAhead > 0
-	choice.rateFactor, _ = server.Rate().Factor(aged.now)
-	factor := choice.rateFactor * speed.slowdown(server, aged.now)
-	queue, prefill := math.Max(0, pending)/speed.PrefillRate()+speed.SlotWaitMillis(slots)*requestsAhead, float64(choice.uncachedTokens)/speed.PrefillRate()
-	choice.showsRate = choice.onlyLastPart && queue <= maxQueueShare*prefill
-	choice.base = queue + prefill
+	choice.rateFactor = rateFactor
+	factor := rateFactor * aged.slowdown(server)
+	queue, own := max(0, pending)*aged.tokenMillis+streamMillis/float64(max(slots, 1))*requestsAhead, float64(choice.uncachedTokens)*aged.tokenMillis
+	choice.showsRate = choice.onlyLastPart && queue <= maxQueueShare*own
+	choice.base = queue + own
 	choice.queue, choice.wait = factor*queue, factor*choice.base
-	choice.cost = choice.wait + speed.ContentionMillis()*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(aged.now))
+	choice.cost = choice.wait + contentionShare*streamMillis*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(aged.now))
 	choice.order = choice.cost
-	choice.savesTokens = choice.preferred && choice.uncachedTokens < uncachedTokens(prompt, 0)
-	if spreadMillis > 0 {
-		choice.order += spreadMillis * exponentialLog(placement.random(), 1)
+	if sharesHost && aged.peersPerSlot > 0 {
+		spreadMillis := aged.spreadMillis(server)
+		choice.order = spreadMillis * randomOrder(choice.cost/spreadMillis, placement.random(), 1, least/spreadMillis)
 	}
-	return choice
 }
 
 // distanceMillis returns the time that the distance to the server costs.
@@ -283,29 +296,42 @@
 	return 0
 }
 
-// serverSlots returns the number of requests that the server processes concurrently, or 0
-// if it isn't known.
-func serverSlots(server *backend.Server, poolConfig pool.Pool) int {
+// serverSlots returns the number of requests that the server processes concurrently, or
+// that of the pool's servers, or 0 if it isn't known.
+func serverSlots(server *backend.Server, poolSlots int) int {
 	if slots := server.Slots(); slots > 0 {
 		return slots
 	}
-	return poolConfig.Slots()
+	return poolSlots
 }
 
-// uncachedTokens returns the number of prompt tokens that a server would have to
-// prefill: all but those of the first part, which most servers have cached, and
-// the cached share of the following parts that are common to the session's
-// requests. The last part is never cached.
-func uncachedTokens(prompt runner.Prompt, cachedSessionShare float64) int {
+// prefill is the prefill of a prompt.
+type prefill struct {
+	parts         int
+	tokens        int
+	sessionTokens int
+}
+
+// newPrefill returns the prompt tokens that a server would have to prefill: all but those
+// of the first part, which most servers have cached, and the following parts that are
+// common to the session's requests. The last part is never cached.
+func newPrefill(prompt runner.Prompt) prefill {
 	parts := prompt.Parts()
+	prefill := prefill{parts: len(parts), tokens: prompt.Tokens()}
 	if len(parts) < 2 {
-		return prompt.Tokens()
+		return prefill
 	}
-	sessionTokens := 0
+	prefill.tokens -= parts[0].Tokens()
 	for _, part := range parts[1 : len(parts)-1] {
-		sessionTokens += part.Tokens()
+		prefill.sessionTokens += part.Tokens()
 	}
-	return prompt.Tokens() - parts[0].Tokens() - int(cachedSessionShare*float64(sessionTokens))
+	return prefill
+}
+
+// uncachedTokens returns the tokens to prefill at a server with the share of the session's
+// parts in its cache.
+func (prefill *prefill) uncachedTokens(cachedSessionShare float64) int {
+	return prefill.tokens - int(cachedSessionShare*float64(prefill.sessionTokens))
 }
 
 // serverLoad returns the numbers of requests running and waiting at the server:
@@ -322,6 +348,6 @@
 	if age := now - load.At(); age > freshLoadAge {
 		weight = float64(freshLoadAge) / float64(age)
 	}
-	running = math.Max(inFlight, weight*float64(load.Running())+float64(server.InFlight()-load.OwnInFlight()))
+	running = max(inFlight, weight*float64(load.Running())+float64(server.InFlight()-load.OwnInFlight()))
 	return running, weight * float64(load.Queued())
 }
--- a/internal/placement/rates.go
+++ b/internal/placement/rates.go
@@ -33,13 +33,12 @@
 
 // slowdown returns how long work takes at the server now in relation to the usual time: as
 // reported, or the pool's mean where the report is old.
-func (speed *Speed) slowdown(server *backend.Server, now clock.Millis) float64 {
+func (aged *agedLoad) slowdown(server *backend.Server) float64 {
 	load := server.Load()
 	if load == nil || !load.SharesHost() {
 		return 1
 	}
-	mean := speed.state.Load().slowdown
-	return mean + ageWeight(now-load.At(), slowdownLife)*(load.Slowdown()-mean)
+	return aged.meanSlowdown + ageWeight(aged.now-load.At(), slowdownLife)*(load.Slowdown()-aged.meanSlowdown)
 }
 
 // observe records the time of a response for the server's rate, and returns the time that
@@ -88,7 +87,7 @@
 }
 
 // explores reports whether a request with the slack is to try the server of the choice.
-func (placement *Placement) explores(choice Choice, slack, now clock.Millis) bool {
+func (placement *Placement) explores(choice *Choice, slack, now clock.Millis) bool {
 	return choice.rateFactor > 1 && now-choice.server.Rate().ObservedAt() >= exploreAge &&
 		choice.wait < exploreSlackShare*float64(slack) && placement.random() < exploreShare
 }
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 
 	"sapphirehead/internal/clock"
-	"sapphirehead/internal/pool"
 )
 
 // What a process assumes of a pool until it has observed responses. The estimates of a
@@ -128,14 +127,6 @@
 // ResponseMillis returns the mean time of a response that is no stream.
 func (speed *Speed) ResponseMillis() float64 { return speed.state.Load().responseMillis }
 
-// lifeMillis returns the mean time for which a request is in progress.
-func (speed *Speed) lifeMillis(kind pool.Kind) float64 {
-	if kind == pool.KindRunner {
-		return speed.state.Load().streamMillis
-	}
-	return speed.ResponseMillis()
-}
-
 // ObserveFirstEvent records the time from sending a prompt to its first event. Tokens
 // is the number of tokens that the engine had to prefill at least. Only prompts that
 // found no queue may be recorded.
