Export the difference between expected and actual first events

Cause: nothing showed how far the estimates of placement are from what happens.

Change: estimateGapMillis has, by pool, the count and percentiles of the time to the first event, or of a service's response, less the expected one.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -309,7 +309,7 @@
 		requestContext.countRun()
 		outcome := attempts.buffer(response)
 		if outcome == request.OutcomeAnswered {
-			requestContext.edge.placement.ObserveResponse(requestContext.pool, requestContext.choice, requestContext.edge.clock.Now()-attempts.sentAt)
+			attempts.observeTime(requestContext.edge.placement.ObserveResponse, requestContext.edge.clock.Now()-attempts.sentAt)
 		}
 		return outcome
 	}
@@ -429,7 +429,7 @@
 			attempts.beganAt = requestContext.edge.clock.Now()
 			firstEvent = requestContext.edge.clock.Now() - attempts.sentAt
 			if attempts.lastEvent == "" {
-				requestContext.edge.placement.ObserveFirstEvent(requestContext.pool, requestContext.choice, firstEvent)
+				attempts.observeTime(requestContext.edge.placement.ObserveFirstEvent, firstEvent)
 			}
 		}
 		if !attempts.retrier.ResponseStarted() {
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -38,6 +38,14 @@
 		Int("choices", choice.Candidates()).Float64("serverRate", choice.Rate()).Msg("attempt")
 }
 
+// observeTime learns from the time to the first event, or of a service's response, and
+// records its difference from the expected one.
+func (attempts *attempts) observeTime(observe func(pool string, choice placement.Choice, elapsed clock.Millis), elapsed clock.Millis) {
+	requestContext := attempts.requestContext
+	observe(requestContext.pool, requestContext.choice, elapsed)
+	requestContext.edge.counters.latency.observeGap(requestContext.pool, elapsed-clock.Millis(requestContext.choice.Wait()))
+}
+
 // logStep logs the step that follows an attempt, unless the attempt was
 // answered.
 func (requestContext *requestContext) logStep(retrier *request.Retrier, outcome request.Outcome, step request.Step) {
