--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -33,6 +33,8 @@
 	work       Work
 	circuit    Circuit
 	rateLimit  *RateLimit
+	rate       Rate
+	slowdown   atomic.Pointer[Slowdown]
 	speed      atomic.Pointer[Speed]
 	// start distinguishes two runs of a server under the same id. It is empty if
 	// the platform assigns a new id to each run.
@@ -45,6 +47,7 @@
 	reclaimable  bool
 	endsAt       atomic.Int64
 	peerInFlight atomic.Int64
+	peersAsOf    atomic.Int64
 	doubtedAt    atomic.Int64
 }
 
@@ -131,8 +134,15 @@
 // peer nodes have reported.
 func (server *Server) PeerInFlight() int64 { return server.peerInFlight.Load() }
 
-// SetPeerInFlight records the number of attempts that peer nodes have reported.
-func (server *Server) SetPeerInFlight(attempts int64) { server.peerInFlight.Store(attempts) }
+// PeersAsOf returns the mean time of the reports of peer nodes.
+func (server *Server) PeersAsOf() clock.Millis { return clock.Millis(server.peersAsOf.Load()) }
+
+// SetPeerInFlight records the number of attempts that peer nodes have reported, and the
+// mean time of their reports.
+func (server *Server) SetPeerInFlight(attempts int64, asOf clock.Millis) {
+	server.peerInFlight.Store(attempts)
+	server.peersAsOf.Store(int64(asOf))
+}
 
 // Begin counts an attempt in progress until the returned function is called.
 func (server *Server) Begin() (end func()) {
@@ -166,6 +176,9 @@
 // Circuit returns the server's circuit breaker.
 func (server *Server) Circuit() *Circuit { return &server.circuit }
 
+// Rate returns what this node has learned of the server's speed.
+func (server *Server) Rate() *Rate { return &server.rate }
+
 // RateLimit returns the limit on requests that the server has named.
 func (server *Server) RateLimit() *RateLimit { return server.rateLimit }
 
@@ -177,6 +190,9 @@
 func (server *Server) Report(load *Load) {
 	load.ownInFlight = server.InFlight()
 	load.sentTokens = server.work.SentTokens()
+	if load.SharesHost() {
+		server.SetSlowdown(load.slowdown, load.receivedAt)
+	}
 	for {
 		current := server.load.Load()
 		if current != nil && current.receivedAt > load.receivedAt {
@@ -196,6 +212,9 @@
 	waitingTokens int
 	ownInFlight   int64
 	sentTokens    int64
+	// slowdown is how long work takes at this moment in relation to the usual time, or 0
+	// if the server doesn't report it.
+	slowdown float64
 }
 
 // NewLoad returns a report that was received at the given time, with the
@@ -204,6 +223,32 @@
 	return &Load{receivedAt: receivedAt, running: running, queued: queued, waitingTokens: tokens}
 }
 
+// minSlowdown and maxSlowdown bound what a report may say, so that no server gets all
+// requests or none by it.
+const (
+	minSlowdown = 0.1
+	maxSlowdown = 10.0
+)
+
+// WithSlowdown returns a copy of the report of a server that shares its host with other
+// work, with the time that work takes now in relation to the usual time.
+func (load *Load) WithSlowdown(slowdown float64) *Load {
+	shared := *load
+	shared.slowdown = min(max(slowdown, minSlowdown), maxSlowdown)
+	return &shared
+}
+
+// SharesHost reports whether the server shares its host with other work.
+func (load *Load) SharesHost() bool { return load.slowdown > 0 }
+
+// Slowdown returns how long work takes in relation to the usual time, 1 as usual.
+func (load *Load) Slowdown() float64 {
+	if !load.SharesHost() {
+		return 1
+	}
+	return load.slowdown
+}
+
 // At returns when the report was received.
 func (load *Load) At() clock.Millis { return load.receivedAt }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -234,6 +234,7 @@
 	}
 	edge.quarantine.Merge(bulletin.Evidence(), now)
 	edge.releases.Merge(bulletin.Releases(), now)
+	edge.placement.Merge(bulletin.Host(), bulletin.Incarnation(), bulletin.Speeds())
 	if window := bulletin.ReportedWindow(); usage.IsPlausible(window, edge.trueTime(), edge.settings.Load().Bounds().UsageWindow()) {
 		edge.peers.recordReportedWindow(window)
 	}
@@ -296,13 +297,13 @@
 // the server is leaving if one of them reported it.
 func (edge *Edge) applyPeerWork(now clock.Millis) {
 	view := edge.peers.states.View()
-	work, leaving := view.ServerWork(now), view.Leaving(now)
+	work, leaving, asOf := view.ServerWork(now), view.Leaving(now), view.MeanReceivedAt(now)
 	for _, server := range edge.fleet.Current().Servers() {
 		if leaving[server.Hash()] && server.MarkLeaving() {
 			edge.log.Info().Str("backendServer", server.ID()).Msg("backend server leaves: reported by a peer node")
 		}
 		peerWork := work[server.Hash()]
-		server.SetPeerInFlight(int64(peerWork.Attempts()))
+		server.SetPeerInFlight(int64(peerWork.Attempts()), asOf)
 		server.Work().SetPeerPending(int64(peerWork.Tokens()))
 	}
 }
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"sapphirehead/internal/backend"
+	"sapphirehead/internal/clock"
 	"sapphirehead/internal/placement"
 	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/request"
@@ -20,12 +21,29 @@
 	return requestContext.route.Rank()
 }
 
+// slack returns the time left to the target of the request, or 0 if it has none.
+func (requestContext *requestContext) slack() clock.Millis {
+	target := requestContext.route.FirstToken()
+	if target == 0 {
+		return 0
+	}
+	return max(0, target-(requestContext.edge.clock.Now()-requestContext.arrived))
+}
+
 // logChoice logs the server chosen for an attempt and the inputs of the choice.
 func (requestContext *requestContext) logChoice(choice placement.Choice) {
 	requestContext.choice = choice
 	requestContext.edge.log.Debug().Str("requestId", requestContext.call.ID()).Str("backendServer", choice.Server().ID()).
 		Float64("costMillis", choice.Cost()).Int("reads", choice.UncachedTokens()).Bool("home", choice.Preferred()).
-		Int("choices", choice.Candidates()).Msg("attempt")
+		Int("choices", choice.Candidates()).Float64("serverRate", choice.Rate()).Msg("attempt")
+}
+
+// observeTime learns from the time to the first event, or of a service's response, and
+// records its difference from the expected one.
+func (attempts *attempts) observeTime(observe func(pool string, choice placement.Choice, elapsed clock.Millis), elapsed clock.Millis) {
+	requestContext := attempts.requestContext
+	observe(requestContext.pool, requestContext.choice, elapsed)
+	requestContext.edge.counters.latency.observeGap(requestContext.pool, elapsed-clock.Millis(requestContext.choice.Wait()))
 }
 
 // logStep logs the step that follows an attempt, unless the attempt was
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,7 +12,7 @@
 //	                                          centre, expected to cache half
 //	100 ms of queue at both                -> any other server of the data centre
 //
-// For application services it chooses the server with the least work.
+// For application services it spreads requests by the load expected at each server.
 package placement
 
 import (
@@ -45,16 +45,26 @@
 
 // Choice is the server for one attempt, with the estimates behind the decision.
 type Choice struct {
-	server         *backend.Server
-	cost           float64
+	server *backend.Server
+	cost   float64
+	// order is what the choice is made by: the cost, or for application services a
+	// random number that depends on it.
+	order          float64
 	uncachedTokens int
 	preferred      bool
-	candidates     int
-	engine         bool
-	wait           float64
-	queue          float64
-	onlyLastPart   bool
-	limitWait      clock.Millis
+	// savesTokens tells that the preferred server saves the prefill of tokens.
+	savesTokens bool
+	candidates  int
+	engine      bool
+	wait        float64
+	// base is the part of wait that a server with the pool's rate would take.
+	base         float64
+	rateFactor   float64
+	showsRate    bool
+	queue        float64
+	foundQueue   bool
+	onlyLastPart bool
+	limitWait    clock.Millis
 }
 
 // Server returns the chosen server.
@@ -64,13 +74,17 @@
 func (choice Choice) Cost() float64 { return choice.cost }
 
 // Wait returns the expected time to the first event at an engine in milliseconds:
-// the prefill of the queued prompts and of this one, and the wait for a slot.
+// the prefill of the queued prompts and of this one, and the wait for a slot. Of an
+// application server it is the expected time of the response.
 func (choice Choice) Wait() float64 { return choice.wait }
 
+// Rate returns the learned speed of the server in relation to its pool, 1 for the same.
+func (choice Choice) Rate() float64 { return 1 / choice.rateFactor }
+
 // ShowsPrefill reports whether the time to the first event shows the speed of the
 // server: nothing was ahead of the request, as far as this node knew, and all tokens
 // expected to be prefilled belong to its last part, which no cache holds.
-func (choice Choice) ShowsPrefill() bool { return choice.queue == 0 && choice.onlyLastPart }
+func (choice Choice) ShowsPrefill() bool { return !choice.foundQueue && choice.onlyLastPart }
 
 // LimitWait returns the time until a server takes another request, if some are left out
 // for the limit that they named, or 0.
@@ -96,13 +110,16 @@
 	dataCentre string
 	random     func() float64
 	speeds     sync.Map // Pool to *Speed.
+	// log holds what this node observed for its peers, and merged, by host, what it has
+	// received from them.
+	log    backend.SpeedLog
+	merged map[string]newsFrom
 }
 
 // New returns a placement for a node in the data centre. Random returns a number
-// from 0 to 1, which is added to the cost of an application server in
-// milliseconds to spread requests over servers of nearly equal cost.
+// from 0 to 1, by which requests are spread over application servers.
 func New(clock *clock.Clock, fleet *backend.Fleet, dataCentre string, random func() float64) *Placement {
-	return &Placement{clock: clock, fleet: fleet, dataCentre: dataCentre, random: random}
+	return &Placement{clock: clock, fleet: fleet, dataCentre: dataCentre, random: random, merged: map[string]newsFrom{}}
 }
 
 // Speed returns what this node has learned about the servers of the pool.
@@ -119,10 +136,18 @@
 // at the limit that they named and, unless only is 0, those of other releases. A server
 // whose circuit is open is chosen only if there is no other.
 func (placement *Placement) Choose(poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID) (Choice, bool) {
+	return placement.ChooseWithin(poolConfig, prompt, rank, exclude, only, 0)
+}
+
+// ChooseWithin is Choose for a request with the time left to its target, or 0 if it has
+// none. Now and then a request with more time than it needs is sent to a server that looked
+// slow, to find out whether it still is.
+func (placement *Placement) ChooseWithin(poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID, slack clock.Millis) (Choice, bool) {
 	servers := placement.fleet.Current().Pool(poolConfig.Name())
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
-	var best, fallback Choice
+	aged, prefill := newAgedLoad(servers, poolConfig, speed, now), newPrefill(prompt)
+	var best, affine, explored, fallback Choice
 	candidates, limitWait := 0, clock.Millis(0)
 	for _, server := range servers {
 		if server.Leaving() || slices.Contains(exclude, server.Key()) || (only != 0 && release.Of(server) != only) {
@@ -134,13 +159,32 @@
 			}
 			continue
 		}
-		choice := placement.estimate(server, poolConfig, speed, prompt, cachedShare(server, preferred, alternate), now)
+		choice := Choice{server: server}
+		if poolConfig.Kind() == pool.KindRunner {
+			placement.estimateEngine(&choice, aged, &prefill, cachedShare(server, preferred, alternate), best.least())
+		} else {
+			aged.estimateService(&choice, placement.distanceMillis(server), placement.random(), best.least())
+		}
 		if !server.Circuit().Allows(now) {
-			fallback = cheaper(fallback, choice)
+			fallback.replace(&choice)
 			continue
 		}
 		candidates++
-		best = cheaper(best, choice)
+		if choice.rateFactor > 1 && placement.explores(&choice, slack, now) {
+			explored = choice
+		}
+		if choice.savesTokens {
+			affine = choice
+			continue
+		}
+		best.replace(&choice)
+	}
+	// The order of the others is partly random, so that only their costs can be compared.
+	if best.server == nil || (affine.server != nil && affine.cost <= best.cost) {
+		best = affine
+	}
+	if explored.server != nil {
+		best = explored
 	}
 	if best.server == nil {
 		best = fallback
@@ -149,11 +193,19 @@
 	return best, best.server != nil
 }
 
-func cheaper(current, other Choice) Choice {
-	if current.server == nil || other.cost < current.cost {
-		return other
+// least returns the order of the choice, or infinity if there is none yet.
+func (choice *Choice) least() float64 {
+	if choice.server == nil {
+		return math.Inf(1)
+	}
+	return choice.order
+}
+
+// replace replaces the choice by another one that comes before it.
+func (choice *Choice) replace(other *Choice) {
+	if choice.server == nil || other.order < choice.order {
+		*choice = *other
 	}
-	return current
 }
 
 // affinityServers returns the preferred and the alternate server of the prompt's
@@ -201,45 +253,88 @@
 	}
 }
 
-func (placement *Placement) estimate(server *backend.Server, poolConfig pool.Pool, speed *Speed, prompt runner.Prompt, cachedSessionShare float64, now clock.Millis) Choice {
-	choice := Choice{server: server, preferred: cachedSessionShare == 1}
-	running, waiting := serverLoad(server, now)
-	slots := server.Slots()
-	if slots == 0 {
-		slots = poolConfig.Slots()
-	}
-	requestsAhead := math.Max(0, waiting+running-float64(slots)+1)
-	if poolConfig.Kind() == pool.KindRunner {
-		choice.uncachedTokens = uncachedTokens(prompt, cachedSessionShare)
-		choice.engine = true
-		choice.onlyLastPart = cachedSessionShare == 1 || len(prompt.Parts()) == 2
-		choice.queue = float64(max(0, server.Work().Pending()))/speed.PrefillRate() + speed.SlotWaitMillis(slots)*requestsAhead
-		choice.wait = choice.queue + float64(choice.uncachedTokens)/speed.PrefillRate()
-		choice.cost = choice.wait + speed.ContentionMillis()*running
+// estimateEngine adds the estimates for an engine to the choice. Least is the least order
+// so far.
+func (placement *Placement) estimateEngine(choice *Choice, aged *agedLoad, prefill *prefill, cachedSessionShare, least float64) {
+	server := choice.server
+	slots, streamMillis := serverSlots(server, aged.poolSlots), aged.lifeMillis
+	rateFactor, logarithm := server.Rate().Factor(aged.now)
+	var running, waiting, pending float64
+	sharesHost := server.Slowdown() != nil
+	if sharesHost {
+		capacity := aged.capacity(float64(max(1, slots)), rateFactor, logarithm)
+		share, ofPeers, ofServer := aged.others(server, capacity)
+		running = float64(server.InFlight()) + max(0, share+ofPeers+ofServer)
+		pending = aged.pendingTokens(server, capacity)
 	} else {
-		choice.cost = speed.ResponseMillis()*(running/float64(max(slots, 1))+requestsAhead) + placement.random()
+		running, waiting = serverLoad(server, aged.now)
+		pending = float64(server.Work().Pending())
+	}
+	requestsAhead := max(0, waiting+running-float64(slots)+1)
+	choice.preferred = cachedSessionShare == 1
+	choice.uncachedTokens = prefill.uncachedTokens(cachedSessionShare)
+	choice.savesTokens = choice.preferred && prefill.sessionTokens > 0
+	choice.engine = true
+	choice.onlyLastPart = choice.preferred || prefill.parts == 2
+	choice.foundQueue = server.Work().Pending() > 0 || requestsAhead > 0
+	choice.rateFactor = rateFactor
+	factor := rateFactor * aged.slowdown(server)
+	queue, own := max(0, pending)*aged.tokenMillis+streamMillis/float64(max(slots, 1))*requestsAhead, float64(choice.uncachedTokens)*aged.tokenMillis
+	choice.showsRate = choice.onlyLastPart && queue <= maxQueueShare*own
+	choice.base = queue + own
+	choice.queue, choice.wait = factor*queue, factor*choice.base
+	choice.cost = choice.wait + contentionShare*streamMillis*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(aged.now))
+	choice.order = choice.cost
+	if sharesHost && aged.peersPerSlot > 0 {
+		spreadMillis := aged.spreadMillis(server)
+		choice.order = spreadMillis * randomOrder(choice.cost/spreadMillis, placement.random(), 1, least/spreadMillis)
 	}
+}
+
+// distanceMillis returns the time that the distance to the server costs.
+func (placement *Placement) distanceMillis(server *backend.Server) float64 {
 	if server.DataCentre() != placement.dataCentre {
-		choice.cost += remoteRoundTripMillis
+		return remoteRoundTripMillis
 	}
-	choice.cost += rampPenaltyMillis * (1 - server.Circuit().Ramp(now))
-	return choice
+	return 0
 }
 
-// uncachedTokens returns the number of prompt tokens that a server would have to
-// prefill: all but those of the first part, which most servers have cached, and
-// the cached share of the following parts that are common to the session's
-// requests. The last part is never cached.
-func uncachedTokens(prompt runner.Prompt, cachedSessionShare float64) int {
+// serverSlots returns the number of requests that the server processes concurrently, or
+// that of the pool's servers, or 0 if it isn't known.
+func serverSlots(server *backend.Server, poolSlots int) int {
+	if slots := server.Slots(); slots > 0 {
+		return slots
+	}
+	return poolSlots
+}
+
+// prefill is the prefill of a prompt.
+type prefill struct {
+	parts         int
+	tokens        int
+	sessionTokens int
+}
+
+// newPrefill returns the prompt tokens that a server would have to prefill: all but those
+// of the first part, which most servers have cached, and the following parts that are
+// common to the session's requests. The last part is never cached.
+func newPrefill(prompt runner.Prompt) prefill {
 	parts := prompt.Parts()
+	prefill := prefill{parts: len(parts), tokens: prompt.Tokens()}
 	if len(parts) < 2 {
-		return prompt.Tokens()
+		return prefill
 	}
-	sessionTokens := 0
+	prefill.tokens -= parts[0].Tokens()
 	for _, part := range parts[1 : len(parts)-1] {
-		sessionTokens += part.Tokens()
+		prefill.sessionTokens += part.Tokens()
 	}
-	return prompt.Tokens() - parts[0].Tokens() - int(cachedSessionShare*float64(sessionTokens))
+	return prefill
+}
+
+// uncachedTokens returns the tokens to prefill at a server with the share of the session's
+// parts in its cache.
+func (prefill *prefill) uncachedTokens(cachedSessionShare float64) int {
+	return prefill.tokens - int(cachedSessionShare*float64(prefill.sessionTokens))
 }
 
 // serverLoad returns the numbers of requests running and waiting at the server:
@@ -256,6 +351,6 @@
 	if age := now - load.At(); age > freshLoadAge {
 		weight = float64(freshLoadAge) / float64(age)
 	}
-	running = math.Max(inFlight, weight*float64(load.Running())+float64(server.InFlight()-load.OwnInFlight()))
+	running = max(inFlight, weight*float64(load.Running())+float64(server.InFlight()-load.OwnInFlight()))
 	return running, weight * float64(load.Queued())
 }
