Spread requests without a preferred server by the work that nodes don't know of

Cause: all nodes place by figures of their peers that are 0.3 s old with 74 nodes, and requests that find a queue at their preferred server all go to the engine that looked idle.

Change: the order of an engine that isn't a session's preferred or alternate one gets exponential noise with the mean of the work that peers have sent to one server since their latest bulletins: the pool's utilisation times the age of the figures. Without load there is no noise. Engines that share their hosts keep the random order that they have.

TestUnseenWork fails without the noise (1 engine chosen of 4).

--- a/internal/edge/autoscaling.go
+++ b/internal/edge/autoscaling.go
@@ -10,6 +10,7 @@
 
 	"sapphirehead/internal/clock"
 	fleetcloud "sapphirehead/internal/cloud"
+	"sapphirehead/internal/node"
 	"sapphirehead/internal/platform"
 	"sapphirehead/internal/pool"
 	"sapphirehead/platform/cloud"
@@ -93,11 +94,20 @@
 		if state.observedAt != 0 {
 			state.work = float64(tokens-state.tokens) / float64(elapsed) / edge.placement.Speed(poolConfig.Name()).PrefillRate()
 			state.autoscaler.Observe(state.work)
+			edge.estimateUnseen(poolConfig.Name(), state.work)
 		}
 		state.tokens, state.observedAt = tokens, now
 	}
 }
 
+// estimateUnseen estimates the work that peers have sent to each server of the pool since
+// their latest bulletins, given the demand in fully utilised servers.
+func (edge *Edge) estimateUnseen(pool string, work float64) {
+	_, servers := edge.servingIn(pool)
+	age := node.BulletinInterval(edge.nodes(), false)/2 + edge.peers.states.View().MeanAge(edge.clock.Now())
+	edge.placement.Speed(pool).SetUnseenMillis(work / float64(max(servers, 1)) * float64(age))
+}
+
 // orderServers sends the orders that are due.
 func (edge *Edge) orderServers(ctx context.Context, holding platform.Holding) {
 	if task := edge.leaderTasks.autoscaling; task.fence != holding.Fence() {
--- a/internal/placement/aged.go
+++ b/internal/placement/aged.go
@@ -49,6 +49,9 @@
 	// tokens that wait, for each slot.
 	peersPerSlot  float64
 	tokensPerSlot float64
+	// unseenMillis is the prefill time of the prompts that peers have sent to an engine on
+	// average and that this node doesn't know of yet.
+	unseenMillis float64
 	// avoidance is the power of a server's rate by which it has less in progress than a
 	// faster one.
 	avoidance float64
@@ -58,7 +61,7 @@
 	state := speed.state.Load()
 	aged := &agedLoad{
 		now: now, poolSlots: poolConfig.Slots(), tokenMillis: 1 / speed.PrefillRate(), meanSlowdown: state.slowdown,
-		lifeMillis: math.Max(1, state.streamMillis), avoidance: engineAvoidance,
+		lifeMillis: math.Max(1, state.streamMillis), avoidance: engineAvoidance, unseenMillis: speed.UnseenMillis(),
 	}
 	isService := poolConfig.Kind() != pool.KindRunner
 	if isService {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -285,9 +285,14 @@
 	choice.queue, choice.wait = factor*queue, factor*choice.base
 	choice.cost = choice.wait + contentionShare*streamMillis*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(aged.now))
 	choice.order = choice.cost
-	if sharesHost && aged.peersPerSlot > 0 {
+	switch {
+	case sharesHost && aged.peersPerSlot > 0:
 		spreadMillis := aged.spreadMillis(server)
 		choice.order = spreadMillis * randomOrder(choice.cost/spreadMillis, placement.random(), 1, least/spreadMillis)
+	case !sharesHost && cachedSessionShare == 0 && aged.unseenMillis > 0:
+		// Nodes act on the same old figures. Without the noise all of them would choose
+		// the engine that looked idle.
+		choice.order += aged.unseenMillis * -fastLog(max(placement.random(), minDraw))
 	}
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -24,7 +25,10 @@
 	prompt     runner.Prompt
 }
 
-func newFixture() *fixture {
+func newFixture() *fixture { return newFixtureWith(func() float64 { return 0 }) }
+
+// newFixtureWith returns a fixture whose placement draws the random numbers.
+func newFixtureWith(random func() float64) *fixture {
 	fixture := &fixture{
 		fleet:      backend.NewFleet(),
 		poolConfig: pool.New("engines", pool.KindRunner).WithEngine(pool.NewEngine(64)),
@@ -35,7 +39,7 @@
 		list = append(list, backend.NewListing(backend.NewServer(fmt.Sprint("e-", i), "10.0.0.1:80", "lj-a", "", "engines"), false))
 	}
 	fixture.fleet.Update(list)
-	fixture.placement = placement.New(clock.NewManual(1000).Clock(), fixture.fleet, "lj-a", func() float64 { return 0 })
+	fixture.placement = placement.New(clock.NewManual(1000).Clock(), fixture.fleet, "lj-a", random)
 	return fixture
 }
 
@@ -192,3 +196,23 @@
 	defer first.Server().Work().Queue(50_000)()
 	return first, fixture.choose(t)
 }
+
+// TestUnseenWork guards against nodes that all choose the engine that looked idle in
+// figures which are older than the work that peers have sent meanwhile.
+func TestUnseenWork(t *testing.T) {
+	expectChosen := func(t *testing.T, unseenMillis float64, atLeast, atMost int) {
+		t.Helper()
+		draws := rand.New(rand.NewPCG(3, 0))
+		fixture := newFixtureWith(draws.Float64)
+		fixture.prompt = runner.NewPrompt(nil, 900)
+		fixture.placement.Speed("engines").SetUnseenMillis(unseenMillis)
+		chosen := map[string]bool{}
+		for range 200 {
+			chosen[fixture.choose(t).Server().ID()] = true
+		}
+		require.GreaterOrEqual(t, len(chosen), atLeast)
+		require.LessOrEqual(t, len(chosen), atMost)
+	}
+	t.Run("exact figures", func(t *testing.T) { expectChosen(t, 0, 1, 1) })
+	t.Run("old figures", func(t *testing.T) { expectChosen(t, 40, engines, engines) })
+}
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -64,8 +64,18 @@
 // quantile is moved by one wrong observation no further than by any other.
 type Speed struct {
 	state atomic.Pointer[speedState]
+	// unseen holds the bits of a float64.
+	unseen atomic.Uint64
 }
 
+// SetUnseenMillis sets the prefill time of the prompts that peers have sent to one server
+// on average and that this node doesn't know of yet.
+func (speed *Speed) SetUnseenMillis(unseen float64) { speed.unseen.Store(math.Float64bits(unseen)) }
+
+// UnseenMillis returns the prefill time of the prompts at a server that this node doesn't
+// know of yet, on average.
+func (speed *Speed) UnseenMillis() float64 { return math.Float64frombits(speed.unseen.Load()) }
+
 // sample is one observed prefill rate.
 type sample struct {
 	rate   float64
