Refuse by the time at which first events actually begin

The fixed factor for decoding, 1/0.85, isn't enough.

Change: each node learns the ratio of the actual to the expected time of a pool's first events, between 1 and 3, and Lateness uses it.

TestCalibration fails before (admitted though first events begin 2.5 times as late).

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -428,6 +428,7 @@
 		if events == 0 {
 			attempts.beganAt = requestContext.edge.clock.Now()
 			firstEvent = requestContext.edge.clock.Now() - attempts.sentAt
+			attempts.speed().ObserveBeginning(requestContext.choice.Wait(), firstEvent)
 			if attempts.lastEvent == "" {
 				attempts.observeTime(requestContext.edge.placement.ObserveFirstEvent, firstEvent)
 			}
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -30,9 +30,9 @@
 		return 0
 	}
 	admissionDeadline := max(admissionDeadlineShare-admissionDeadlineRankStep*float64(rank), minAdmissionDeadlineShare) * float64(routeConfig.FirstToken())
-	if choice.queue < minQueueShare*float64(routeConfig.FirstToken()) {
+	if choice.queue*choice.calibration*(1-decodeShare) < minQueueShare*float64(routeConfig.FirstToken()) {
 		return 0
 	}
-	expectedMillis := float64(elapsed) + choice.wait/(1-decodeShare)
+	expectedMillis := float64(elapsed) + choice.wait*choice.calibration
 	return max(0, clock.Millis(expectedMillis-admissionDeadline))
 }
--- a/internal/placement/aged.go
+++ b/internal/placement/aged.go
@@ -52,6 +52,7 @@
 	// unseenMillis is the prefill time of the prompts that peers have sent to an engine on
 	// average and that this node doesn't know of yet.
 	unseenMillis float64
+	calibration  float64
 	// avoidance is the power of a server's rate by which it has less in progress than a
 	// faster one.
 	avoidance float64
@@ -62,6 +63,7 @@
 	aged := &agedLoad{
 		now: now, poolSlots: poolConfig.Slots(), tokenMillis: 1 / speed.PrefillRate(), meanSlowdown: state.slowdown,
 		lifeMillis: math.Max(1, state.streamMillis), avoidance: engineAvoidance, unseenMillis: speed.UnseenMillis(),
+		calibration: speed.Calibration(),
 	}
 	isService := poolConfig.Kind() != pool.KindRunner
 	if isService {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -65,6 +65,8 @@
 	foundQueue   bool
 	onlyLastPart bool
 	limitWait    clock.Millis
+	// calibration is the factor by which first events are later than expected.
+	calibration float64
 }
 
 // Server returns the chosen server.
@@ -275,6 +277,7 @@
 	choice.uncachedTokens = prefill.uncachedTokens(cachedSessionShare)
 	choice.savesTokens = choice.preferred && prefill.sessionTokens > 0
 	choice.engine = true
+	choice.calibration = aged.calibration
 	choice.onlyLastPart = choice.preferred || prefill.parts == 2
 	choice.foundQueue = server.Work().Pending() > 0 || requestsAhead > 0
 	choice.rateFactor = rateFactor
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -197,6 +197,26 @@
 	return first, fixture.choose(t)
 }
 
+// TestCalibration guards against requests that are admitted although first events begin
+// far later than the estimate says.
+func TestCalibration(t *testing.T) {
+	routeConfig := route.New("chat", route.KindChat, "engines").WithTargets(800, 300, 6000)
+	expectLate := func(t *testing.T, expected float64, actual clock.Millis, late bool) {
+		t.Helper()
+		fixture := newFixture()
+		for _, server := range fixture.fleet.Current().Servers() {
+			server.Work().Queue(15000)
+		}
+		for range 200 {
+			fixture.placement.Speed("engines").ObserveBeginning(expected, actual)
+		}
+		require.Equal(t, late, fixture.choose(t).Lateness(routeConfig, 0, 0) > 0)
+	}
+	t.Run("as expected", func(t *testing.T) { expectLate(t, 200, 235, false) })
+	t.Run("much later", func(t *testing.T) { expectLate(t, 200, 500, true) })
+	t.Run("earlier", func(t *testing.T) { expectLate(t, 200, 100, false) })
+}
+
 // TestUnseenWork guards against nodes that all choose the engine that looked idle in
 // figures which are older than the work that peers have sent meanwhile.
 func TestUnseenWork(t *testing.T) {
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -16,6 +16,7 @@
 	initialPrefillRate    = 40.0
 	initialStreamMillis   = 1500.0
 	initialResponseMillis = 60.0
+	initialExpectedMillis = 100.0
 )
 
 const (
@@ -47,6 +48,8 @@
 	// minPrefillRate and maxPrefillRate bound the estimate, in tokens per millisecond.
 	minPrefillRate = 1.0
 	maxPrefillRate = 2000.0
+	// maxCalibration bounds the factor by which first events count as later than expected.
+	maxCalibration = 3.0
 	// meanWeight is the weight of one observation in the mean times.
 	meanWeight = 0.05
 )
@@ -97,6 +100,10 @@
 	// and responseMillis that of a response which is no stream.
 	streamMillis   float64
 	responseMillis float64
+	// expectedMillis and beganMillis are the mean expected and actual times to the first
+	// event.
+	expectedMillis float64
+	beganMillis    float64
 	// offset is the mean logarithm of observed times in relation to the expected ones,
 	// variance its variance at a server, and rated the number of observations.
 	offset   float64
@@ -111,6 +118,7 @@
 	speed := &Speed{}
 	speed.state.Store(&speedState{
 		prefillRate: initialPrefillRate * (1 - decodeShare), streamMillis: initialStreamMillis, responseMillis: initialResponseMillis, slowdown: 1, variance: initialVariance,
+		expectedMillis: initialExpectedMillis, beganMillis: initialExpectedMillis / (1 - decodeShare),
 	})
 	return speed
 }
@@ -190,6 +198,23 @@
 	})
 }
 
+// ObserveBeginning records the actual time to the first event of a prompt, and the one
+// that was expected.
+func (speed *Speed) ObserveBeginning(expected float64, elapsed clock.Millis) {
+	speed.update(func(state *speedState) {
+		state.expectedMillis += meanWeight * (expected - state.expectedMillis)
+		state.beganMillis += meanWeight * (float64(elapsed) - state.beganMillis)
+	})
+}
+
+// Calibration returns the factor by which first events are later than expected. The
+// estimate counts the prompts of other nodes late, and not the chunks of running prompts
+// that an engine mixes with the tokens of others.
+func (speed *Speed) Calibration() float64 {
+	state := speed.state.Load()
+	return min(max(state.beganMillis/max(state.expectedMillis, 1), 1), maxCalibration)
+}
+
 // ObserveResponse records the time of a complete response that is no stream.
 func (speed *Speed) ObserveResponse(elapsed clock.Millis) {
 	speed.update(func(state *speedState) {
