Bound connections, heads and bodies of uncontrolled clients at an edge node

An edge node had no common limit on heads, none at all on connections and heads at the readiness and metrics addresses, read bodies before it checked route and key, and cleared the write deadline before the last part of a response was written. With 1,152 connections and 64 MB it took up to 1,049 MB and 1,245 descriptors of 1,024, and served no ordinary caller.

callerlink.Guard bounds connections, heads in progress and unread responses of a listener and closes the least useful connections (caller.ConnectionUse). Bodies are read after route, key and allotment are checked, grow as they arrive, and yield their memory if they make no progress. Connections to backend servers have a limit. The shares of memory and descriptors are one table, which TestBudget compares with docs/DESIGN.md.

TestCrowdAtEdge, TestCrowdOfReaders and TestCrowdDuringStop pass: 55 MB of 64 and 938 descriptors of 1,024 at most, each ordinary request answered. go test -race ./internal/edge passes.

--- a/internal/backend/backendlink/connection.go
+++ b/internal/backend/backendlink/connection.go
@@ -16,6 +16,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -72,11 +73,14 @@
 	usedAt        clock.Millis
 	maxIdle       clock.Millis
 	reused        bool
+	closed        func()
+	closeOnce     sync.Once
 }
 
-func newConnection(conn net.Conn) *connection {
+// newConnection returns a connection that calls closed once it is closed.
+func newConnection(conn net.Conn, closed func()) *connection {
 	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
-	return &connection{conn: conn, limitedReader: limited, reader: bufio.NewReaderSize(limited, readerBytes)}
+	return &connection{conn: conn, closed: closed, limitedReader: limited, reader: bufio.NewReaderSize(limited, readerBytes)}
 }
 
 // limitReads bounds the bytes that are read until unlimitReads.
@@ -89,7 +93,10 @@
 	_ = connection.conn.SetDeadline(time.Unix(1, 0))
 }
 
-func (connection *connection) close() { _ = connection.conn.Close() }
+func (connection *connection) close() {
+	_ = connection.conn.Close()
+	connection.closeOnce.Do(connection.closed)
+}
 
 // isReusable reports whether the idle connection is open and has no unread bytes.
 // Such bytes would not belong to the next request's response.
--- a/internal/backend/backendlink/links.go
+++ b/internal/backend/backendlink/links.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
@@ -29,12 +31,21 @@
 	opened func()
 	ended  func(*backend.Server)
 	idle   sync.Map // Key of a server to *idleStack.
+	// open counts the connections, and limit bounds those that are idle beside others.
+	open  atomic.Int64
+	limit func() int64
 }
 
 // New returns links without connections. The function opened is called for each new
 // connection, and ended if a server has closed an idle one before its time.
 func New(clock *clock.Clock, opened func(), ended func(*backend.Server)) *Links {
-	return &Links{clock: clock, dial: dial, opened: opened, ended: ended}
+	return &Links{clock: clock, dial: dial, opened: opened, ended: ended, limit: func() int64 { return math.MaxInt64 }}
+}
+
+// WithLimit makes the links close idle connections while more than so many are open.
+func (links *Links) WithLimit(limit func() int64) *Links {
+	links.limit = limit
+	return links
 }
 
 // acquire returns an idle connection to the server, or a new one.
@@ -44,12 +55,30 @@
 			return connection, nil
 		}
 	}
+	if links.open.Add(1) > links.limit() {
+		links.closeIdle()
+	}
 	conn, err := links.dial(ctx, server.Address())
 	if err != nil {
+		links.open.Add(-1)
 		return nil, err
 	}
 	links.opened()
-	return newConnection(conn), nil
+	return newConnection(conn, func() { links.open.Add(-1) }), nil
+}
+
+// closeIdle closes idle connections until the limit holds.
+func (links *Links) closeIdle() {
+	links.idle.Range(func(_, idle any) bool {
+		for links.open.Load() > links.limit() {
+			connection := idle.(*idleStack).pop()
+			if connection == nil {
+				return true
+			}
+			connection.close()
+		}
+		return false
+	})
 }
 
 func (links *Links) acquireIdle(server *backend.Server, idle *idleStack, nonIdempotent bool) *connection {
@@ -76,6 +105,10 @@
 
 // release keeps the connection for later requests.
 func (links *Links) release(server *backend.Server, connection *connection) {
+	if links.open.Load() > links.limit() {
+		connection.close()
+		return
+	}
 	connection.usedAt = links.clock.Now()
 	idle, ok := links.idle.Load(server.Key())
 	if !ok {
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -3,12 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
-	"net"
 	"net/http"
-	"strconv"
 	"strings"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -28,8 +24,6 @@
 	// the route's timeouts bound a request.
 	headerTimeout = 15 * clock.Second
 	idleTimeout   = 120 * clock.Second
-	// bodyTimeout is how long a caller may take to send a body.
-	bodyTimeout = 10 * clock.Second
 	// maxHeaderBytes bounds the head of a request. maxBodyBytes bounds its body
 	// unless the configuration sets a limit.
 	maxHeaderBytes = 64 << 10
@@ -38,11 +32,6 @@
 	// node or to a peer, with which a node may answer that a route or key does not
 	// exist: the longest watch of a small deployment, and a second for its response.
 	maxConfigurationAge = platform.MinOtherWatchWait + clock.Second
-	// connectionDescriptorShare is the share of the process's file descriptors for
-	// callers' connections, and bodyMemoryShare the share of its memory for
-	// request bodies.
-	connectionDescriptorShare = 0.6
-	bodyMemoryShare           = 0.25
 	// shortRetryAfter is the Retry-After of a refusal if another node, or this one
 	// after a short time, can probably serve the request.
 	shortRetryAfter = 300 * clock.Millisecond
@@ -50,11 +39,11 @@
 
 // callerServer is the HTTP server for callers and its open connections.
 type callerServer struct {
-	server         *http.Server
-	listener       *callerlink.Listener
-	open           atomic.Int64
-	maxConnections int64
-	// accepted is closed once the listener is, and open includes each connection that it
+	server   *http.Server
+	listener *callerlink.Listener
+	// guard counts the open connections.
+	guard *callerlink.Guard
+	// accepted is closed once the listener is, and the guard counts each connection that it
 	// accepted.
 	accepted chan struct{}
 }
@@ -62,14 +51,13 @@
 func (edge *Edge) newCallerServer() *callerServer {
 	callerServer := &callerServer{
 		listener: callerlink.New(edge.listeners.caller), accepted: make(chan struct{}),
-		maxConnections: int64(connectionDescriptorShare * float64(edge.settings.Load().Descriptors())),
+		guard: callerlink.NewGuard(edge.clock, edge.callerLimits, edge.reportUncontrolled("caller")),
 	}
 	callerServer.server = &http.Server{
 		Handler:           http.HandlerFunc(edge.serve),
 		ReadHeaderTimeout: headerTimeout.Duration(),
 		IdleTimeout:       idleTimeout.Duration(),
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         callerServer.trackConnection,
 	}
 	return callerServer
 }
@@ -77,53 +65,39 @@
 // serve accepts connections until the listener closes.
 func (callerServer *callerServer) serve() error {
 	defer close(callerServer.accepted)
-	return ignoreClosed(callerServer.server.Serve(callerServer.listener))
+	return ignoreClosed(callerServer.guard.Serve(callerServer.server, callerServer.guard.Listener(callerServer.listener)))
 }
 
-// closeListener ends the accepting of connections. After it, open includes each one that
-// was accepted, and can only fall.
+// closeListener ends the accepting of connections. After it, the guard counts each one that
+// was accepted, and the count can only fall.
 func (callerServer *callerServer) closeListener() error {
 	err := callerServer.listener.Drain()
 	<-callerServer.accepted
 	return err
 }
 
-// trackConnection counts the open connections. A connection over the limit is
-// closed at once, so that its caller connects to another node and the open
-// connections keep their file descriptors.
-func (callerServer *callerServer) trackConnection(conn net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		if callerServer.open.Add(1) > callerServer.maxConnections {
-			conn.Close()
-		}
-	case http.StateClosed, http.StateHijacked:
-		callerServer.open.Add(-1)
-	default:
-	}
-}
-
 // requestContext is an HTTP request in progress at this node.
 type requestContext struct {
-	edge          *Edge
-	writer        http.ResponseWriter
-	request       *http.Request
-	call          callers.Call
-	directory     *directory.Directory
-	route         route.Route
-	account       *caller.Account
-	target        string
-	body          []byte
-	arrived       clock.Millis
-	pool          string
-	attemptCount  int
-	status        int
-	reason        string
-	firstEvent    clock.Millis
-	choice        placement.Choice
-	cost          int
-	bufferedBytes int64
-	runCounted    bool
+	edge         *Edge
+	writer       http.ResponseWriter
+	request      *http.Request
+	call         callers.Call
+	directory    *directory.Directory
+	route        route.Route
+	account      *caller.Account
+	target       string
+	body         []byte
+	bodyReceived bool
+	arrived      clock.Millis
+	pool         string
+	attemptCount int
+	status       int
+	reason       string
+	firstEvent   clock.Millis
+	choice       placement.Choice
+	cost         int
+	bodyHold     *bodyHold
+	runCounted   bool
 	// fingerprintHash is 0 until it is needed.
 	fingerprintHash uint64
 }
@@ -136,13 +110,14 @@
 	defer edge.inFlight.Add(-1)
 	requestContext := &requestContext{edge: edge, writer: writer, request: request, arrived: edge.clock.Now()}
 	defer requestContext.record()
-	defer func() { edge.bodyBytes.Add(-requestContext.bufferedBytes) }()
-	if requestContext.decode() && requestContext.admit() {
+	defer requestContext.releaseBody()
+	if requestContext.decode() && requestContext.admit() && requestContext.receiveBody() && requestContext.beginForward() {
+		defer edge.forwarding.Add(-1)
 		requestContext.forward()
 	}
 }
 
-// decode reads the request. It reports false after it has responded with an
+// decode reads the request's head. It reports false after it has responded with an
 // error.
 func (requestContext *requestContext) decode() bool {
 	var err error
@@ -155,95 +130,9 @@
 		requestContext.target = requestContext.request.URL.RequestURI()
 	}
 	requestContext.directory = requestContext.edge.directory.Current()
-	limit := maxBodyBytes
-	if requestContext.directory != nil && requestContext.directory.Limits().BodyBytes() > 0 {
-		limit = requestContext.directory.Limits().BodyBytes()
-	}
-	return requestContext.readBody(limit)
-}
-
-func (requestContext *requestContext) readBody(limit int) bool {
-	switch length := requestContext.request.ContentLength; {
-	case length == 0:
-		return true
-	case length > int64(limit):
-		requestContext.writeProblem(http.StatusRequestEntityTooLarge, "tooLarge", "the body is too large", 0)
-		return false
-	}
-	if !requestContext.reserve(max(0, requestContext.request.ContentLength)) {
-		requestContext.refuse("no memory for the body", shortRetryAfter)
-		return false
-	}
-	control := http.NewResponseController(requestContext.writer)
-	if err := control.SetReadDeadline(deadlineIn(bodyTimeout)); err != nil {
-		requestContext.edge.log.Error().Err(err).Msg("cannot set the read deadline of a request body")
-	}
-	body, err := requestContext.readAll(http.MaxBytesReader(requestContext.writer, requestContext.request.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
-	var noMemory *bodyMemoryError
-	switch {
-	case errors.As(err, &noMemory):
-		requestContext.refuse(noMemory.Error(), shortRetryAfter)
-		return false
-	case errors.As(err, &tooLarge):
-		requestContext.writeProblem(http.StatusRequestEntityTooLarge, "tooLarge", "the body is too large", 0)
-		return false
-	case err != nil:
-		requestContext.writeProblem(http.StatusBadRequest, "badRequest", "the body can't be read", 0)
-		return false
-	}
-	if err := control.SetReadDeadline(noDeadline); err != nil {
-		requestContext.edge.log.Error().Err(err).Msg("cannot clear the read deadline of a request body")
-	}
-	requestContext.body = body
 	return true
 }
 
-// reserve counts bytes of the body and reports whether the node has memory for them.
-func (requestContext *requestContext) reserve(bytes int64) bool {
-	requestContext.bufferedBytes += bytes
-	return requestContext.edge.bodyBytes.Add(bytes) <= int64(bodyMemoryShare*float64(requestContext.edge.settings.Load().MemoryBytes()))
-}
-
-// minBodyBuffer is the first size of the buffer for a body of unknown length.
-const minBodyBuffer = 4 << 10
-
-// readAll reads a body. The memory for one of unknown length is reserved as its buffer
-// grows. Errors: *bodyMemoryError, *http.MaxBytesError, and those of the connection.
-func (requestContext *requestContext) readAll(reader io.Reader) ([]byte, error) {
-	announced := requestContext.request.ContentLength
-	if announced >= 0 {
-		body := make([]byte, announced)
-		_, err := io.ReadFull(reader, body)
-		return body, err
-	}
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			grown := max(minBodyBuffer, 2*cap(body))
-			if !requestContext.reserve(int64(grown - cap(body))) {
-				return nil, &bodyMemoryError{bytes: len(body)}
-			}
-			body = append(make([]byte, 0, grown), body...)
-		}
-		count, err := reader.Read(body[len(body):cap(body)])
-		body = body[:len(body)+count]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
-// bodyMemoryError reports that the node has no memory for the rest of a body.
-type bodyMemoryError struct{ bytes int }
-
-func (err *bodyMemoryError) Error() string {
-	return "no memory for the body after " + strconv.Itoa(err.bytes) + " bytes"
-}
-
 // admit matches route and client account and charges the request to the
 // allotment. It reports false after it has responded with an error.
 func (requestContext *requestContext) admit() bool {
@@ -263,6 +152,7 @@
 			return requestContext.deny(now, http.StatusUnauthorized, "noKey", "the key is not known")
 		}
 	}
+	callerlink.Prove(requestContext.request)
 	if !requestContext.edge.shutdownPolicy.Load().Admits(matched.Streaming(), requestContext.deadline(), now) {
 		requestContext.refuse("this node is stopping", shortRetryAfter)
 		return false
@@ -328,6 +218,7 @@
 func (requestContext *requestContext) writeProblem(status int, kind, reason string, retryAfter clock.Millis) {
 	requestContext.status, requestContext.reason = status, reason
 	requestContext.closeIfStopping()
+	requestContext.endUnreadBody()
 	header := requestContext.writer.Header()
 	header.Set("Content-Type", "application/json")
 	if requestContext.call.ID() != "" {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,7 +48,8 @@
 	stopping       atomic.Bool
 	shutdownPolicy atomic.Pointer[caller.ShutdownPolicy]
 	inFlight       atomic.Int64
-	bodyBytes      atomic.Int64
+	bodyMemory     *bodyMemory
+	forwarding     atomic.Int64
 	responseMemory *responseMemory
 	counters       *counters
 	budgets        *budgets
@@ -78,7 +79,8 @@
 	edge.meters = newMeters(clock.Now(), edge.hasOlderPeer, edge.restartLevel)
 	edge.settings.Store(loaded)
 	edge.responseMemory = newResponseMemory(func() int64 { return int64(responseMemoryShare * float64(edge.settings.Load().MemoryBytes())) })
-	edge.links = backendlink.New(clock, func() { edge.counters.connections.Add(1) }, edge.doubt)
+	edge.bodyMemory = newBodyMemory(edge)
+	edge.links = backendlink.New(clock, func() { edge.counters.connections.Add(1) }, edge.doubt).WithLimit(edge.serverConnections)
 	edge.placement = placement.New(clock, edge.fleet, loaded.DataCentre(), rand.Float64)
 	edge.transport = &http.Transport{
 		DialContext: backendlink.Dialer(storeProbes).DialContext, DisableCompression: true,
@@ -154,11 +156,11 @@
 			return nil
 		})
 	}
-	ready := &http.Server{Handler: edge.readyHandler(), ReadHeaderTimeout: readyTimeout}
-	metrics := &http.Server{Handler: edge.metricsHandler(), ReadHeaderTimeout: readyTimeout}
+	ready, serveReady := edge.sideServer("ready", edge.readyHandler(), edge.listeners.ready)
+	metrics, serveMetrics := edge.sideServer("metrics", edge.metricsHandler(), edge.listeners.metrics)
 	callers := edge.newCallerServer()
-	group.Go(func() error { return ignoreClosed(ready.Serve(edge.listeners.ready)) })
-	group.Go(func() error { return ignoreClosed(metrics.Serve(edge.listeners.metrics)) })
+	group.Go(serveReady)
+	group.Go(serveMetrics)
 	group.Go(callers.serve)
 	select {
 	case <-stop.Done():
--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -15,7 +15,7 @@
 }
 
 // BodyBytes returns the bytes of request bodies that the node holds.
-func (edge *Edge) BodyBytes() int64 { return edge.bodyBytes.Load() }
+func (edge *Edge) BodyBytes() int64 { return edge.bodyMemory.held.Load() }
 
 // Bulletins returns the number of bulletins that the node has sent.
 func (edge *Edge) Bulletins() int64 { return edge.peers.sequence.Load() }
@@ -50,3 +50,33 @@
 		release.NewSightingReport(release.NewPoolID(pool), release.New(pool, version), 0),
 	}, nil), edge.clock.Now())
 }
+
+// BudgetRow is a part of the process's memory or descriptors.
+type BudgetRow struct {
+	Part  string
+	Share float64
+}
+
+// MemoryBudget returns the shares of the process's memory.
+func MemoryBudget() []BudgetRow {
+	return []BudgetRow{
+		{"callers' connections", connectionMemoryShare},
+		{"heads", maxHeadMemoryShare},
+		{"bodies", bodyMemoryShare},
+		{"responses", responseMemoryShare},
+		{"heads at the readiness address", sideMemoryShare},
+		{"heads at the metrics address", sideMemoryShare},
+		{"runtime, state, connections to others", runtimeMemoryShare},
+	}
+}
+
+// DescriptorBudget returns the shares of the process's file descriptors.
+func DescriptorBudget() []BudgetRow {
+	return []BudgetRow{
+		{"callers", callerDescriptorShare},
+		{"backend servers", serverDescriptorShare},
+		{"readiness address", sideDescriptorShare},
+		{"metrics address", sideDescriptorShare},
+		{"store, cloud, peers, listeners, files", ownDescriptorShare},
+	}
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -10,10 +10,6 @@
 	"sapphirehead/internal/clock"
 )
 
-// readyTimeout bounds the reading of a request's head on the readiness and
-// metrics listeners, in nanoseconds.
-const readyTimeout = 5_000_000_000
-
 // counters are the node's metrics since its start.
 type counters struct {
 	values           *expvar.Map
@@ -24,11 +20,12 @@
 	cloudCalls       *expvar.Int
 	responses        *expvar.Map
 	outcomes         *expvar.Map
+	uncontrolled     *expvar.Map
 	latency          *latencies
 }
 
 func newCounters() *counters {
-	counters := &counters{values: new(expvar.Map).Init(), responses: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), latency: newLatencies()}
+	counters := &counters{values: new(expvar.Map).Init(), responses: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), uncontrolled: new(expvar.Map).Init(), latency: newLatencies()}
 	for name, value := range map[string]**expvar.Int{
 		"connectionsOpened": &counters.connections, "storeCalls": &counters.storeCalls, "retriesRefused": &counters.retriesRefused,
 		"bulletinsDropped": &counters.bulletinsDropped, "cloudCalls": &counters.cloudCalls,
@@ -38,6 +35,7 @@
 	}
 	counters.values.Set("answers", counters.responses)
 	counters.values.Set("outcomes", counters.outcomes)
+	counters.values.Set("uncontrolled", counters.uncontrolled)
 	counters.latency.publish(counters.values)
 	return counters
 }
--- a/internal/edge/responsememory.go
+++ b/internal/edge/responsememory.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// responseMemoryShare is the share of the process's memory for the responses of all
-	// requests in progress.
-	responseMemoryShare = 0.2
 	// ownResponseBytes are the bytes that each response may hold without a share in it, so
 	// that short responses arrive while others use it up.
 	ownResponseBytes = 16 << 10
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -43,7 +43,7 @@
 	edge.stopping.Store(true)
 	edge.log.Info().Int64("inFlight", edge.inFlight.Load()).Int64("graceMillis", int64(end-start)).Msg("stopping")
 	edge.awaitNoCallers(kill, callers, start+balancerDelay, end)
-	edge.log.Info().Int64("connections", callers.open.Load()).Int64("inFlight", edge.inFlight.Load()).
+	edge.log.Info().Int64("connections", callers.guard.Open()).Int64("inFlight", edge.inFlight.Load()).
 		Int64("stoppingMillis", int64(edge.clock.Now()-start)).Msg("ending")
 	if err := callers.closeListener(); err != nil {
 		edge.log.Warn().Err(err).Msg("cannot accept the connections that wait at the closing listener")
@@ -59,7 +59,7 @@
 func (edge *Edge) awaitNoCallers(kill context.Context, callers *callerServer, earliest, end clock.Millis) {
 	for {
 		now := edge.clock.Now()
-		quiet := callers.open.Load() == 0 && edge.inFlight.Load() == 0
+		quiet := callers.guard.Open() == 0 && edge.inFlight.Load() == 0
 		if now >= end || (quiet && now >= earliest) || edge.clock.Wait(kill, stopPollInterval) != nil {
 			return
 		}
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -29,6 +29,9 @@
 type edgeLimitsForm struct {
 	MemoryMegabytes float64 `toml:"memoryMegabytes" default:"256" min:"32" max:"1048576" help:"memory at which the process is killed"`
 	Descriptors     int64   `toml:"descriptors" default:"4096" min:"256" max:"1048576" help:"maximum number of file descriptors of the process"`
+	HeadShare       float64 `toml:"headShare" default:"0.1" min:"0.05" max:"0.15" help:"share of the memory for the heads of callers' requests, beyond 64 KiB of each; what exceeds it closes the least useful connections"`
+	SideConnections int64   `toml:"sideConnections" default:"32" min:"4" max:"1024" help:"maximum number of connections to each of the readiness and metrics addresses; a new one displaces the one that waits longest, and at most 2 in 100 of the descriptors are used"`
+	BodyRate        int64   `toml:"bodyRate" default:"16384" min:"0" max:"1073741824" help:"bytes per second that a caller must send of a body while others need its memory"`
 }
 
 type boundsForm struct {
@@ -124,6 +127,9 @@
 	cloud         Server
 	memoryBytes   int64
 	descriptors   int
+	headShare     float64
+	sideConns     int
+	bodyRate      int64
 	bounds        Bounds
 	logLevel      string
 }
@@ -158,6 +164,17 @@
 // Descriptors returns how many file descriptors the process may have.
 func (edge *Edge) Descriptors() int { return edge.descriptors }
 
+// HeadShare returns the share of the memory for the heads of callers' requests.
+func (edge *Edge) HeadShare() float64 { return edge.headShare }
+
+// SideConnections returns the number of connections to each of the readiness and metrics
+// addresses.
+func (edge *Edge) SideConnections() int { return edge.sideConns }
+
+// BodyRate returns the bytes per second that a caller must send of a body while others
+// need its memory.
+func (edge *Edge) BodyRate() int64 { return edge.bodyRate }
+
 // Bounds returns the bounds that the operators guarantee.
 func (edge *Edge) Bounds() Bounds { return edge.bounds }
 
@@ -195,6 +212,9 @@
 		platform:      Server{address: form.Platform.Address, timeout: clock.Millis(form.Platform.TimeoutMillis)},
 		memoryBytes:   int64(form.Limits.MemoryMegabytes * megabyte),
 		descriptors:   int(form.Limits.Descriptors),
+		headShare:     form.Limits.HeadShare,
+		sideConns:     int(form.Limits.SideConnections),
+		bodyRate:      form.Limits.BodyRate,
 		bounds:        form.Bounds.bounds(),
 		logLevel:      form.Log.Level,
 	}
--- a/internal/standin/crowd/crowd_test.go
+++ b/internal/standin/crowd/crowd_test.go
@@ -73,7 +73,7 @@
 
 // call is an ordinary request with its expected status.
 type call struct {
-	address, path, key string
+	address, path, key, body string
 }
 
 // target is a running program, and the ordinary requests that it must answer.
@@ -155,7 +155,7 @@
 	process, err := started.Start("edge-1", "sapphire-edge", "run", "--settings", file)
 	require.NoError(t, err)
 	result := &target{t: t, process: process, harness: started, calls: []call{
-		{address: process.Address("caller"), path: "/look/ordinary", key: "Token " + callerKey},
+		{address: process.Address("caller"), path: "/look/ordinary", key: "Token " + callerKey, body: strings.Repeat("x", 1000)},
 		{address: process.Address("ready"), path: "/"},
 		{address: process.Address("metrics"), path: "/metrics"},
 	}}
@@ -196,7 +196,7 @@
 func (target *target) send(call call) int {
 	ctx, cancel := clock.System().WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+call.address+call.path, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+call.address+call.path, strings.NewReader(call.body))
 	require.NoError(target.t, err)
 	request.Host = "desk.example"
 	request.Header.Set("X-Request-Id", "ordinary")
