Bound uncontrolled clients at the entry host and the steward

An entry host and a steward had no limit on connections, heads, unfinished bodies or unread responses at any listener: 1,152 connections took up to 4,184 MB at the operators' address of an entry host and 1,857 MB at the steward's. Their listeners use callerlink.Guard as the edge does, below TLS where there is TLS, and the entry host's bodies share callerlink.BodyMemory. New settings [limits] name the process's memory and descriptors.

--- a/cmd/sapphire-entry/main.go
+++ b/cmd/sapphire-entry/main.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/alecthomas/kong"
 
@@ -25,6 +26,11 @@
 
 type settingsCommand struct{}
 
+// memoryShare is the soft memory limit of the Go runtime, near which it collects
+// garbage more often, as a share of the memory in the settings. That memory also includes
+// the program itself and the bytes that wait in sockets.
+const memoryShare = 0.6
+
 // Run prints the reference of the settings.
 func (command *settingsCommand) Run() error {
 	fmt.Print(settings.Markdown(settings.EntryReference()))
@@ -46,6 +52,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(loaded.Limits().MemoryBytes())))
 	log := logging.New(os.Stderr, loaded.LogLevel(), "sapphire-entry", loaded.Host(), loaded.DataCentre())
 	host, err := entry.New(loaded, clock.System(), log)
 	if err != nil {
--- a/internal/caller/callerhttp/handler.go
+++ b/internal/caller/callerhttp/handler.go
@@ -11,15 +11,17 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
 	"sapphirehead/internal/caller"
+	"sapphirehead/internal/caller/callerlink"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/request"
 	"sapphirehead/internal/route"
@@ -48,6 +50,21 @@
 	chat     func(ctx context.Context, req *request.Request, deliver func(offset int, tokens []string) error) error
 	call     func(ctx context.Context, req *request.Request, call service.Call) (service.Answer, error)
 	find     func(ctx context.Context, resumption request.Resumption) (req *request.Request, follow Follow, err error)
+	bodies   *callerlink.BodyMemory
+}
+
+const (
+	// bodyTimeout is how long a caller may take to send a body.
+	bodyTimeout = 10 * clock.Second
+	// bodyRetryAfter is the Retry-After of a request whose body there is no memory for.
+	bodyRetryAfter = 1 * clock.Second
+)
+
+// WithBodies makes the handler reserve memory for bodies, which are bounded one by one only
+// without it.
+func (handler *Handler) WithBodies(bodies *callerlink.BodyMemory) *Handler {
+	handler.bodies = bodies
+	return handler
 }
 
 // Follow delivers the tokens of a response from the offset and returns nil once
@@ -71,6 +88,7 @@
 ) *Handler {
 	return &Handler{
 		clock: clock, tables: tables, accounts: accounts, admit: admit, ready: ready, newID: newID, chat: chat, call: call, find: find,
+		bodies: callerlink.NewBodyMemory(clock, func() int64 { return math.MaxInt64 }, func() int64 { return 0 }, func(callerlink.Kind, string) {}),
 	}
 }
 
@@ -121,7 +139,8 @@
 		writeError(writer, id, err)
 		return
 	}
-	body, err := readBody(writer, message)
+	body, releaseBody, err := handler.readBody(writer, message)
+	defer releaseBody()
 	if err != nil {
 		writeError(writer, id, err)
 		return
@@ -171,7 +190,8 @@
 		writeError(writer, id, newCallError(http.StatusNotFound, "routeNotFound", "no route serves the path "+strconv.Quote(message.URL.Path)))
 		return
 	}
-	body, err := readBody(writer, message)
+	body, releaseBody, err := handler.readBody(writer, message)
+	defer releaseBody()
 	if err != nil {
 		writeError(writer, id, err)
 		return
@@ -204,19 +224,50 @@
 	if !ok {
 		return nil, newCallError(http.StatusUnauthorized, "unauthorized", "the key belongs to no client account")
 	}
+	callerlink.Prove(message)
 	return account, nil
 }
 
-func readBody(writer http.ResponseWriter, message *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, message.Body, MaxBodyBytes))
+// readBody returns the body, and the function that gives its memory back.
+func (handler *Handler) readBody(writer http.ResponseWriter, message *http.Request) (body []byte, release func(), err error) {
+	if message.ContentLength == 0 {
+		return nil, func() {}, nil
+	}
+	if message.ContentLength > MaxBodyBytes {
+		return nil, func() {}, newTooLargeError()
+	}
+	control := http.NewResponseController(writer)
+	hold := handler.bodies.Begin(message.RemoteAddr, func() { setReadDeadline(control, clock.RuntimeDeadline(-clock.Second)) })
+	setReadDeadline(control, clock.RuntimeDeadline(bodyTimeout))
+	body, err = hold.ReadAll(http.MaxBytesReader(writer, message.Body, MaxBodyBytes), int(message.ContentLength))
+	complete := hold.End()
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, newCallError(http.StatusRequestEntityTooLarge, "bodyTooLarge", "the body has more than "+strconv.Itoa(MaxBodyBytes)+" bytes")
+	var noMemory *callerlink.BodyMemoryError
+	switch {
+	case !complete:
+		err = request.NewNotRunError("the body arrives too slowly while others need its memory", bodyRetryAfter)
+	case errors.As(err, &noMemory):
+		err = request.NewNotRunError(noMemory.Error(), bodyRetryAfter)
+	case errors.As(err, &tooLarge):
+		err = newTooLargeError()
+	case err != nil:
+		err = newCallError(http.StatusBadRequest, "badRequest", "the body could not be read")
+	default:
+		setReadDeadline(control, time.Time{})
 	}
 	if err != nil {
-		return nil, newCallError(http.StatusBadRequest, "badRequest", "the body could not be read")
+		writer.Header().Set("Connection", "close")
 	}
-	return body, nil
+	return body, hold.Release, err
+}
+
+// setReadDeadline fails only if the connection is closed, or if a test has none.
+func setReadDeadline(control *http.ResponseController, deadline time.Time) {
+	_ = control.SetReadDeadline(deadline)
+}
+
+func newTooLargeError() error {
+	return newCallError(http.StatusRequestEntityTooLarge, "bodyTooLarge", "the body has more than "+strconv.Itoa(MaxBodyBytes)+" bytes")
 }
 
 func writeJSON(writer http.ResponseWriter, status int, form any) {
--- a/internal/caller/callerlink/guard.go
+++ b/internal/caller/callerlink/guard.go
@@ -25,9 +25,12 @@
 	// secretByteCost is the cost of a byte whose lines are not visible, as they are
 	// encrypted: a line has at least seven bytes if the names of the fields differ.
 	secretByteCost = 40
+	// handshakeBytes are the first bytes of a connection with TLS, which are no head. A client
+	// sends about 1.6 KB in its handshake, and its certificate if it has one.
+	handshakeBytes = 2 << 10
 	// ownHeadBytes is the memory that each head may take without a share in the limit, so
 	// that ordinary heads, of about 20 fields, arrive while large ones use it up. With TLS,
-	// it is a handshake of 1.6 KB.
+	// it is a head of 1.6 KB.
 	ownHeadBytes       = 16 << 10
 	ownSecretHeadBytes = 64 << 10
 	// roomShare is the share of the connections that are closed at once, so that a crowd of
@@ -53,6 +56,8 @@
 	KindLeftover   Kind = "unfinishedBodyClosed"
 	KindRefused    Kind = "connectionRefused"
 	KindHeadDenied Kind = "largeHeadRefused"
+	// KindSlowBody is a body that yielded its memory.
+	KindSlowBody Kind = "slowBodyRefused"
 )
 
 // Limits bound what the connections of a listener hold.
@@ -310,7 +315,9 @@
 	writes atomic.Int64
 	// answeredAt is when the handler of the request returned, or 0.
 	answeredAt atomic.Int64
-	forgotten  atomic.Bool
+	// read counts the bytes of a connection with TLS that are parts of heads.
+	read      atomic.Int64
+	forgotten atomic.Bool
 }
 
 func (guarded *guardedConn) use(now clock.Millis) caller.ConnectionUse {
@@ -352,12 +359,7 @@
 	if count == 0 || guarded.phase.Load() != phaseWaiting {
 		return count, err
 	}
-	cost := int64(count * headByteCost)
-	if guarded.guard.secret {
-		cost = int64(count * secretByteCost)
-	} else {
-		cost += int64(bytes.Count(buffer[:count], []byte{'\n'}) * headLineCost)
-	}
+	cost := guarded.costOf(buffer[:count])
 	limit, held := guarded.guard.limits().headBytes, guarded.guard.headBytes.Add(cost)
 	head := guarded.head.Add(cost)
 	if head == cost {
@@ -376,6 +378,16 @@
 	return count, err
 }
 
+// costOf returns the memory of a part of a head.
+func (guarded *guardedConn) costOf(part []byte) int64 {
+	if !guarded.guard.secret {
+		return int64(len(part)*headByteCost + bytes.Count(part, []byte{'\n'})*headLineCost)
+	}
+	read := guarded.read.Add(int64(len(part)))
+	secret := min(int64(len(part)), max(0, read-handshakeBytes))
+	return (int64(len(part))-secret)*headByteCost + secret*secretByteCost
+}
+
 // Write gives the caller a limited time to read.
 func (guarded *guardedConn) Write(data []byte) (int, error) {
 	timeout := guarded.guard.limits().writeTimeout
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -96,7 +96,7 @@
 	firstEvent   clock.Millis
 	choice       placement.Choice
 	cost         int
-	bodyHold     *bodyHold
+	bodyHold     *callerlink.BodyHold
 	runCounted   bool
 	// fingerprintHash is 0 until it is needed.
 	fingerprintHash uint64
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/backend/backendlink"
 	"sapphirehead/internal/caller"
+	"sapphirehead/internal/caller/callerlink"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/directory"
 	"sapphirehead/internal/placement"
@@ -48,7 +49,7 @@
 	stopping       atomic.Bool
 	shutdownPolicy atomic.Pointer[caller.ShutdownPolicy]
 	inFlight       atomic.Int64
-	bodyMemory     *bodyMemory
+	bodyMemory     *callerlink.BodyMemory
 	forwarding     atomic.Int64
 	responseMemory *responseMemory
 	counters       *counters
--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -15,7 +15,7 @@
 }
 
 // BodyBytes returns the bytes of request bodies that the node holds.
-func (edge *Edge) BodyBytes() int64 { return edge.bodyMemory.held.Load() }
+func (edge *Edge) BodyBytes() int64 { return edge.bodyMemory.Held() }
 
 // Bulletins returns the number of bulletins that the node has sent.
 func (edge *Edge) Bulletins() int64 { return edge.peers.sequence.Load() }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"sapphirehead/internal/burn"
 	"sapphirehead/internal/caller"
 	"sapphirehead/internal/caller/callerhttp"
+	"sapphirehead/internal/caller/callerlink"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/cloud/cloudhttp"
 	"sapphirehead/internal/logging"
@@ -83,6 +84,8 @@
 	requestStop   context.CancelFunc
 	responses     *Responses
 	listeners     listeners
+	guards        guards
+	bodies        *callerlink.BodyMemory
 	// hostsRequested is set once the list of hosts was requested for the first time,
 	// and surveyed once the listed runners were asked for their states.
 	hostsRequested atomic.Bool
@@ -125,6 +128,7 @@
 	if err := entry.loadKeys(); err != nil {
 		return nil, err
 	}
+	entry.newGuards()
 	entry.connectPeers()
 	entry.runners = runnerhttp.New(entry.clock, connectTimeout)
 	entry.dispatcher = newDispatcher(entry)
@@ -152,8 +156,8 @@
 		listener, err = net.Listen("tcp", address)
 		return listener
 	}
-	entry.listeners.caller = secureListener(entry.listenerKeys.caller, open(entry.settings.CallerListen()))
-	entry.listeners.operator = secureListener(entry.listenerKeys.operator, open(entry.settings.OperatorListen()))
+	entry.listeners.caller = secureListener(entry.listenerKeys.caller, guarded(entry.guards.caller, open(entry.settings.CallerListen())))
+	entry.listeners.operator = secureListener(entry.listenerKeys.operator, guarded(entry.guards.operator, open(entry.settings.OperatorListen())))
 	entry.listeners.node = secureListener(entry.listenerKeys.node, open(entry.settings.NodeListen()))
 	return errors.Wrap(err, "listen")
 }
@@ -177,10 +181,9 @@
 	loops, cancel := context.WithCancel(kill)
 	defer cancel()
 	group, loops := errgroup.WithContext(loops)
-	callers := &http.Server{Handler: closeWhileStopping(entry.stopping.Load, entry.callerHandler()), ErrorLog: entry.handshakeLogger("caller")}
-	operators := &http.Server{Handler: entry.operatorHandler(), ErrorLog: entry.handshakeLogger("operator")}
-	group.Go(func() error { return ignoreClosed(callers.Serve(entry.listeners.caller)) })
-	group.Go(func() error { return ignoreClosed(operators.Serve(entry.listeners.operator)) })
+	callers, operators := entry.newCallerServer(), entry.newOperatorServer()
+	group.Go(func() error { return ignoreClosed(entry.guards.caller.Serve(callers, entry.listeners.caller)) })
+	group.Go(func() error { return ignoreClosed(entry.guards.operator.Serve(operators, entry.listeners.operator)) })
 	group.Go(func() error { return ignoreClosed(entry.links.Serve(entry.listeners.node)) })
 	for _, loop := range []func(context.Context){entry.followTables, entry.updateServers, entry.surveyRunners, entry.watchNotices, entry.gossip.Run, entry.sendHints, entry.retryClaims, entry.updateAdmission, entry.pollCaches, entry.watchKeys} {
 		group.Go(func() error {
@@ -211,7 +214,7 @@
 func (entry *Entry) callerHandler() http.Handler {
 	handler := callerhttp.New(entry.clock, entry.active.Current, func() *caller.Accounts { return entry.accounts },
 		entry.trackedAdmit, entry.isReady, entry.newID, entry.trackedChat, entry.trackedCall, entry.trackedFind)
-	return handler.Router()
+	return handler.WithBodies(entry.bodies).Router()
 }
 
 func (entry *Entry) isReady() bool {
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -201,7 +201,6 @@
 }
 
 func (form *edgeForm) edge() *Edge {
-	const megabyte = 1 << 20
 	edge := &Edge{
 		host:          form.Host,
 		dataCentre:    form.DataCentre,
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -11,6 +11,9 @@
 	"sapphirehead/internal/clock"
 )
 
+// megabyte is the unit of memory in the settings, in bytes.
+const megabyte = 1 << 20
+
 type callerForm struct {
 	Listen      string   `toml:"listen" required:"true" format:"address" help:"address on which callers are served; port 0 selects a free port"`
 	MaxInFlight int64    `toml:"maxInFlight" default:"4096" min:"1" max:"1000000" help:"maximum number of requests in flight at this node"`
@@ -71,18 +74,27 @@
 	Level string `toml:"level" default:"info" oneOf:"debug info warn error" help:"minimum level of log lines"`
 }
 
+type entryLimitsForm struct {
+	MemoryMegabytes float64 `toml:"memoryMegabytes" default:"1024" min:"32" max:"1048576" help:"memory of the process, of which callers' connections, heads and bodies get shares"`
+	Descriptors     int64   `toml:"descriptors" default:"16384" min:"256" max:"1048576" help:"maximum number of file descriptors of the process, of which callers' connections get 0.6"`
+	HeadShare       float64 `toml:"headShare" default:"0.1" min:"0.05" max:"0.15" help:"share of the memory for the heads of callers' requests; what exceeds it closes the least useful connections"`
+	SideConnections int64   `toml:"sideConnections" default:"32" min:"4" max:"1024" help:"maximum number of connections to the operators' address; a new one displaces the one that waits longest"`
+	BodyRate        int64   `toml:"bodyRate" default:"16384" min:"0" max:"1073741824" help:"bytes per second that a caller must send of a body while others need its memory"`
+}
+
 type entryForm struct {
-	Host           string        `toml:"host" required:"true" example:"entry-1" help:"name of this host, unique"`
-	DataCentre     string        `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
-	Caller         callerForm    `toml:"caller"`
-	Operator       operatorForm  `toml:"operator"`
-	Node           nodeForm      `toml:"node"`
-	Platform       serverForm    `toml:"platform"`
-	Cloud          *serverForm   `toml:"cloud"`
-	Stop           stopForm      `toml:"stop"`
-	Burn           burnForm      `toml:"burn"`
-	Log            logForm       `toml:"log"`
-	ClientAccounts []accountForm `toml:"clientAccounts"`
+	Host           string          `toml:"host" required:"true" example:"entry-1" help:"name of this host, unique"`
+	DataCentre     string          `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
+	Caller         callerForm      `toml:"caller"`
+	Operator       operatorForm    `toml:"operator"`
+	Node           nodeForm        `toml:"node"`
+	Platform       serverForm      `toml:"platform"`
+	Cloud          *serverForm     `toml:"cloud"`
+	Stop           stopForm        `toml:"stop"`
+	Limits         entryLimitsForm `toml:"limits"`
+	Burn           burnForm        `toml:"burn"`
+	Log            logForm         `toml:"log"`
+	ClientAccounts []accountForm   `toml:"clientAccounts"`
 }
 
 // Server is the address of a server and the timeout of a call to it.
@@ -163,6 +175,31 @@
 // string for its IP address.
 func (tls *TLS) PeerName() string { return tls.peerName }
 
+// HostLimits bound what callers and operators may make a process on an entry host hold.
+type HostLimits struct {
+	memoryBytes     int64
+	descriptors     int
+	headShare       float64
+	sideConnections int
+	bodyRate        int64
+}
+
+// MemoryBytes returns the memory of the process.
+func (hostLimits HostLimits) MemoryBytes() int64 { return hostLimits.memoryBytes }
+
+// Descriptors returns how many file descriptors the process may have.
+func (hostLimits HostLimits) Descriptors() int { return hostLimits.descriptors }
+
+// HeadShare returns the share of the memory for the heads of callers' requests.
+func (hostLimits HostLimits) HeadShare() float64 { return hostLimits.headShare }
+
+// SideConnections returns the number of connections to the operators' address.
+func (hostLimits HostLimits) SideConnections() int { return hostLimits.sideConnections }
+
+// BodyRate returns the bytes per second that a caller must send of a body while others
+// need its memory.
+func (hostLimits HostLimits) BodyRate() int64 { return hostLimits.bodyRate }
+
 // Entry is the settings of sapphire-entry.
 type Entry struct {
 	host           string
@@ -183,8 +220,12 @@
 	readyOff       clock.Millis
 	grace          clock.Millis
 	accounts       []Account
+	limits         HostLimits
 }
 
+// Limits returns the limits of the process.
+func (entry *Entry) Limits() HostLimits { return entry.limits }
+
 // Host returns the name of this host.
 func (entry *Entry) Host() string { return entry.host }
 
@@ -384,6 +425,10 @@
 		grace:          clock.Millis(form.Stop.GraceMillis),
 		objective:      form.Burn.ObjectivePercent / percent,
 		logLevel:       form.Log.Level,
+		limits: HostLimits{
+			memoryBytes: int64(form.Limits.MemoryMegabytes * megabyte), descriptors: int(form.Limits.Descriptors),
+			headShare: form.Limits.HeadShare, sideConnections: int(form.Limits.SideConnections), bodyRate: form.Limits.BodyRate,
+		},
 	}
 	for _, account := range form.ClientAccounts {
 		entry.accounts = append(entry.accounts, Account{name: account.Name, keyHashes: account.hashes(), maxInFlight: int(account.MaxInFlight)})
--- a/internal/settings/steward.go
+++ b/internal/settings/steward.go
@@ -26,6 +26,11 @@
 	Tokens []tokenForm `toml:"tokens"`
 }
 
+type stewardLimitsForm struct {
+	MemoryMegabytes float64 `toml:"memoryMegabytes" default:"256" min:"32" max:"1048576" help:"memory of the process, of which heads at the operators' address get a share"`
+	SideConnections int64   `toml:"sideConnections" default:"32" min:"4" max:"1024" help:"maximum number of connections to the operators' address; a new one displaces the one that waits longest"`
+}
+
 type stewardForm struct {
 	Host             string               `toml:"host" required:"true" example:"entry-1" help:"name of this host, unique"`
 	DataCentre       string               `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
@@ -34,6 +39,7 @@
 	WeightStore      serverForm           `toml:"weightStore"`
 	Entry            *entryHostForm       `toml:"entry"`
 	Operator         *stewardOperatorForm `toml:"operator"`
+	Limits           stewardLimitsForm    `toml:"limits"`
 	LeaseMillis      int64                `toml:"leaseMillis" default:"15000" min:"500" max:"120000" help:"duration of a lease, after which another steward may acquire it"`
 	RoundMillis      int64                `toml:"roundMillis" default:"1000" min:"1" max:"60000" help:"time between two control rounds; at most half of leaseMillis"`
 	DrainGraceMillis int64                `toml:"drainGraceMillis" default:"120000" min:"1" max:"3600000" help:"time for a drained host to finish its requests"`
@@ -58,6 +64,7 @@
 	round          clock.Millis
 	drainGrace     clock.Millis
 	stopGrace      clock.Millis
+	limits         HostLimits
 }
 
 // Host returns the name of this host.
@@ -91,6 +98,9 @@
 // steward's own certificate is optional.
 func (steward *Steward) EntryTLS() *TLS { return steward.entryTLS }
 
+// Limits returns the limits of the process, without those for callers.
+func (steward *Steward) Limits() HostLimits { return steward.limits }
+
 // OperatorTokens returns the operators' tokens.
 func (steward *Steward) OperatorTokens() []Token { return steward.operatorTokens }
 
@@ -157,6 +167,9 @@
 		drainGrace:  clock.Millis(form.DrainGraceMillis),
 		stopGrace:   clock.Millis(form.StopGraceMillis),
 		logLevel:    form.Log.Level,
+		limits: HostLimits{
+			memoryBytes: int64(form.Limits.MemoryMegabytes * megabyte), sideConnections: int(form.Limits.SideConnections),
+		},
 	}
 	if form.Operator != nil {
 		steward.operatorListen = form.Operator.Listen
--- a/internal/standin/crowd/crowd_test.go
+++ b/internal/standin/crowd/crowd_test.go
@@ -74,6 +74,7 @@
 // call is an ordinary request with its expected status.
 type call struct {
 	address, path, key, body string
+	secure                   *tls.Config
 }
 
 // target is a running program, and the ordinary requests that it must answer.
@@ -165,25 +166,25 @@
 
 // startEntry starts an entry host without a platform, with certificates if there is an
 // authority.
-func startEntry(t *testing.T, certificates string) *target {
+func startEntry(t *testing.T, certificates string, secure *tls.Config) *target {
 	t.Helper()
 	started := newHarness(t)
-	file, err := started.WriteFile("entry.toml", harness.EntrySettings("entry-1", "lj-a", "127.0.0.1:1", "", nil, 1*clock.Second)+certificates)
+	file, err := started.WriteFile("entry.toml", harness.EntrySettings("entry-1", "lj-a", "127.0.0.1:1", "", nil, 1*clock.Second)+certificates+
+		fmt.Sprintf("[limits]\nmemoryMegabytes = %d\ndescriptors = %d\n", memoryMegabytes, descriptors))
 	require.NoError(t, err)
 	process, err := started.Start("entry-1", "sapphire-entry", "--settings="+file)
 	require.NoError(t, err)
-	calls := []call{{address: process.Address("operator"), path: "/debug/vars", key: "Bearer " + harness.OperatorToken}}
-	if certificates == "" {
-		calls = append(calls, call{address: process.Address("caller"), path: "/v1/models", key: "Bearer " + harness.CallerKey})
-	}
-	return &target{t: t, process: process, harness: started, calls: calls}
+	return &target{t: t, process: process, harness: started, calls: []call{
+		{address: process.Address("operator"), path: "/debug/vars", key: "Bearer " + harness.OperatorToken},
+		{address: process.Address("caller"), path: "/v1/models", key: "Bearer " + harness.CallerKey, secure: secure},
+	}}
 }
 
 func startSteward(t *testing.T) *target {
 	t.Helper()
 	started := newHarness(t)
 	file, err := started.WriteFile("steward.toml", harness.StewardSettings("entry-1", "lj-a", "127.0.0.1:1", "127.0.0.1:1", "127.0.0.1:1", "")+
-		fmt.Sprintf("[operator]\nlisten = \"127.0.0.1:0\"\ntoken = %q\n", harness.OperatorToken))
+		fmt.Sprintf("[operator]\nlisten = \"127.0.0.1:0\"\ntoken = %q\n[limits]\nmemoryMegabytes = %d\n", harness.OperatorToken, memoryMegabytes))
 	require.NoError(t, err)
 	process, err := started.Start("steward-1", "sapphire-steward", "--settings="+file)
 	require.NoError(t, err)
@@ -196,13 +197,17 @@
 func (target *target) send(call call) int {
 	ctx, cancel := clock.System().WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+call.address+call.path, strings.NewReader(call.body))
+	scheme := "http://"
+	if call.secure != nil {
+		scheme = "https://"
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, scheme+call.address+call.path, strings.NewReader(call.body))
 	require.NoError(target.t, err)
 	request.Host = "desk.example"
 	request.Header.Set("X-Request-Id", "ordinary")
 	request.Header.Set("X-Deadline-Ms", "4000")
 	request.Header.Set("Authorization", call.key)
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: call.secure}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return 0
@@ -358,7 +363,7 @@
 
 // TestCrowdAtEntry guards against a crowd at an entry host.
 func TestCrowdAtEntry(t *testing.T) {
-	plain := func(t *testing.T) *target { return startEntry(t, "") }
+	plain := func(t *testing.T) *target { return startEntry(t, "", nil) }
 	bearer := "Bearer " + harness.CallerKey
 	expectBounded(t, plain, crowd.Kinds(), place{name: "chat", address: at("caller"), start: startOf("/v1/chat/completions", bearer)})
 	expectBounded(t, plain, kindsNamed(sideKinds...),
@@ -380,11 +385,11 @@
 	}
 	roots := x509.NewCertPool()
 	roots.AppendCertsFromPEM(authority.Certificate())
+	config := &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots}
 	secure := func(t *testing.T) *target {
-		return startEntry(t, fmt.Sprintf("[caller.tls]\ncertFile = %q\nkeyFile = %q\n", folder+"/cert.pem", folder+"/key.pem"))
+		return startEntry(t, fmt.Sprintf("[caller.tls]\ncertFile = %q\nkeyFile = %q\n", folder+"/cert.pem", folder+"/key.pem"), config)
 	}
 	start := startOf("/v1/chat/completions", "Bearer "+harness.CallerKey)
-	config := &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots}
 	expectBounded(t, secure, kindsNamed(sideKinds...), place{name: "callers", address: at("caller"), start: start, secure: config})
 	expectBounded(t, secure, kindsNamed("silent", "endless head"), place{name: "no handshake", address: at("caller"), start: start})
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -33,6 +33,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
 
+	"sapphirehead/internal/caller/callerlink"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/cloud/cloudhttp"
 	"sapphirehead/internal/keys"
@@ -153,11 +154,12 @@
 func (steward *Steward) Run(stop, kill context.Context) error {
 	ended, end := context.WithCancel(kill)
 	defer end()
-	operators := &http.Server{Handler: operatorhttp.StewardRouter(steward.operatorToken, steward.Leases, steward.refuse)}
+	operators := callerlink.NewOperatorServer(operatorhttp.StewardRouter(steward.operatorToken, steward.Leases, steward.refuse))
+	guard := steward.newGuard()
 	group := &errgroup.Group{}
 	if steward.listener != nil {
 		group.Go(func() error {
-			if err := operators.Serve(steward.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := guard.Serve(operators, guard.Listener(steward.listener)); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
 			return nil
@@ -185,6 +187,19 @@
 	return group.Wait()
 }
 
+// sideMemoryShare is the share of the process's memory for heads at the operators' address.
+const sideMemoryShare = 0.01
+
+// newGuard returns the guard of the operators' listener.
+func (steward *Steward) newGuard() *callerlink.Guard {
+	uncontrolled := new(expvar.Map).Init()
+	steward.counters.Set("uncontrolledClients", uncontrolled)
+	limits := steward.settings.Limits()
+	return callerlink.NewGuard(steward.clock, func() callerlink.Limits {
+		return callerlink.NewLimits(limits.SideConnections(), int64(sideMemoryShare*float64(limits.MemoryBytes())), callerlink.OperatorTimeout)
+	}, callerlink.NewTally(steward.clock, steward.log, "operator", uncontrolled).Record)
+}
+
 // finish waits up to the stop grace for the workers, whose contexts have ended.
 func (steward *Steward) finish(ctx context.Context, workers *sync.WaitGroup) {
 	done := make(chan struct{})
