--- a/internal/canary/plan.go
+++ b/internal/canary/plan.go
@@ -1,6 +1,10 @@
 package canary
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Use says which servers of a pool an attempt may use.
 type Use int
@@ -30,8 +34,6 @@
 	// heldBack are the versions that must not be used.
 	heldBack []string
 	exposure *exposure
-	// session reports whether the request has a cache at a server.
-	session bool
 }
 
 // Use returns which kind of servers the attempt may use.
@@ -61,4 +63,4 @@
 }
 
 // ServerRank orders the servers of a version the same at all nodes.
-func ServerRank(server string) uint64 { return 0 }
+func ServerRank(server string) uint64 { return xxhash.Sum64String(server) }
