--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -110,8 +110,8 @@
 	// against it. A fault that begins 5 s after the servers joined a 12 s order is still
 	// noticed at the canary share then. At latestPromotion little evidence doesn't count.
 	earliestPromotion = 0.5
-	usualPromotion    = 0.78
-	latestPromotion   = 0.86
+	usualPromotion    = 0.82
+	latestPromotion   = 0.88
 	// latestServers is when the version must have servers, and latestCapacity when it must
 	// have enough of them.
 	latestServers  = 0.72
--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -23,13 +23,14 @@
 	// and a new version begins with empty caches. While no others serve, nothing shows
 	// what a disturbance does, so the floors are higher.
 	failedFloor, failedFloorAlone = 0.02, 0.05
-	slowFloor, slowFloorAlone     = 0.05, 0.3
+	slowFloor, slowFloorAlone     = 0.05, 0.5
 	// rateMargin is by how much the rate of the others is overestimated.
 	rateMargin = 1.2
-	// rateWindow is the number of latest answers of the others that show their rate, and
-	// baselineAge how long they do.
-	rateWindow  = 200
-	baselineAge = 2 * clock.Second
+	// The rate of the others is the higher one of those among the latest answers in a long
+	// and in a short window: with the long one alone, a burst that slowed all versions
+	// counted against the new one at its begin. It is current for baselineAge.
+	longWindow, shortWindow = 200, 40
+	baselineAge             = 2 * clock.Second
 	// excessBad is the number of bad answers beyond those to be expected at which a
 	// version is bad, however many answers were good: the page sets 50.
 	excessBad = 40
@@ -68,27 +69,45 @@
 
 func (test *test) isBad() bool { return test.ratio >= alarm && test.bad >= minBad }
 
-// rate is the portion of bad answers among the latest ones.
-type rate struct {
+// window has the latest answers.
+type window struct {
 	answers, failed, slow float64
 }
 
-func (rate *rate) add(count Count) {
-	rate.answers += float64(count.answers)
-	rate.failed += count.failures()
-	rate.slow += float64(count.slow)
-	if rate.answers > rateWindow {
-		scale := rateWindow / rate.answers
-		rate.answers, rate.failed, rate.slow = rateWindow, rate.failed*scale, rate.slow*scale
+func (window *window) add(count Count, size float64) {
+	window.answers += float64(count.answers)
+	window.failed += count.failures()
+	window.slow += float64(count.slow)
+	if window.answers > size {
+		scale := size / window.answers
+		window.answers, window.failed, window.slow = size, window.failed*scale, window.slow*scale
 	}
 }
 
-// upper returns an upper estimate of the portion, at least the floor.
-func (rate *rate) upper(bad, floor float64) float64 {
-	if rate.answers == 0 {
-		return floor
+// upper returns an upper estimate of the portion of bad answers.
+func (window *window) upper(bad float64) float64 {
+	if window.answers == 0 {
+		return 0
 	}
-	return max(floor, rateMargin*(bad+math.Sqrt(bad))/rate.answers)
+	return rateMargin * (bad + math.Sqrt(bad)) / window.answers
+}
+
+// rates are the portions of bad answers of the other versions.
+type rates struct {
+	long, short window
+}
+
+func (rates *rates) add(count Count) {
+	rates.long.add(count, longWindow)
+	rates.short.add(count, shortWindow)
+}
+
+func (rates *rates) failed() float64 {
+	return max(rates.long.upper(rates.long.failed), rates.short.upper(rates.short.failed))
+}
+
+func (rates *rates) slow() float64 {
+	return max(rates.long.upper(rates.long.slow), rates.short.upper(rates.short.slow))
 }
 
 // failures returns the answers that failed and the crashes.
@@ -99,7 +118,7 @@
 // routeEvidence is the merged evidence on a route.
 type routeEvidence struct {
 	candidate, baseline Count
-	usual               rate
+	usual               rates
 	baselineAt          clock.Millis
 	failed, slow        test
 	// excess is the number of bad answers, and expected how many of them the rate of the
@@ -107,8 +126,9 @@
 	excess, expected float64
 }
 
-// add adds the increase of the counts of one node.
-func (route *routeEvidence) add(candidate, baseline Count, now clock.Millis) {
+// add adds the increase of the counts of one node. After the promotion the others only
+// finish what they have, and are no comparison any more.
+func (route *routeEvidence) add(candidate, baseline Count, promoted bool, now clock.Millis) {
 	route.candidate, route.baseline = route.candidate.plus(candidate), route.baseline.plus(baseline)
 	if baseline.answers > 0 {
 		route.usual.add(baseline)
@@ -118,16 +138,17 @@
 	if answers == 0 {
 		return
 	}
-	failedRate, slowRate := route.usual.upper(route.usual.failed, failedFloorAlone), route.usual.upper(route.usual.slow, slowFloorAlone)
-	if route.baselineAt > 0 && now-route.baselineAt <= baselineAge {
-		failedRate, slowRate = route.usual.upper(route.usual.failed, failedFloor), route.usual.upper(route.usual.slow, slowFloor)
+	usualFailed, usualSlow := route.usual.failed(), route.usual.slow()
+	failedRate, slowRate := max(usualFailed, failedFloorAlone), max(usualSlow, slowFloorAlone)
+	if !promoted && route.baselineAt > 0 && now-route.baselineAt <= baselineAge {
+		failedRate, slowRate = max(usualFailed, failedFloor), max(usualSlow, slowFloor)
 		route.excess += float64(candidate.slow)
-		route.expected += answers * route.usual.upper(route.usual.slow, 0)
+		route.expected += answers * usualSlow
 	}
 	route.failed.add(answers, candidate.failures(), failedRate)
 	route.slow.add(answers, float64(candidate.slow), slowRate)
 	route.excess += candidate.failures()
-	route.expected += answers * route.usual.upper(route.usual.failed, 0)
+	route.expected += answers * usualFailed
 }
 
 // isExcessive reports whether there are so many bad answers that their portion doesn't
@@ -176,12 +197,14 @@
 // evidence is the merged evidence of all nodes in one run of an order.
 type evidence struct {
 	byRoute map[string]*routeEvidence
+	// isBad reports that the version was shown to be bad, for good.
+	isBad bool
 }
 
 func newEvidence() *evidence { return &evidence{byRoute: map[string]*routeEvidence{}} }
 
 // add adds the increase of the counts of one node on a route.
-func (evidence *evidence) add(route string, candidate, baseline Count, now clock.Millis) {
+func (evidence *evidence) add(route string, candidate, baseline Count, promoted bool, now clock.Millis) {
 	if candidate.IsZero() && baseline.IsZero() {
 		return
 	}
@@ -191,7 +214,8 @@
 			known = &routeEvidence{}
 			evidence.byRoute[name] = known
 		}
-		known.add(candidate, baseline, now)
+		known.add(candidate, baseline, promoted, now)
+		evidence.isBad = evidence.isBad || !candidate.IsZero() && known.problem() != ""
 	}
 }
 
--- a/internal/canary/medians.go
+++ b/internal/canary/medians.go
@@ -12,8 +12,9 @@
 const (
 	// slowFactor and slowSlack define a slow answer: it took several times the median and
 	// noticeably longer. On hosts shared with other work 15 in 100 answers take 2.5 times
-	// as long, which must not hide a version that takes four times as long.
-	slowFactor = 3
+	// as long, which must not hide a version that takes four times as long; with a factor
+	// of 3 a third of its answers passed.
+	slowFactor = 2.8
 	slowSlack  = 20 * clock.Millisecond
 	// minSamples is the least number of answers that show a median.
 	minSamples = 5
@@ -21,8 +22,8 @@
 	// follow the load but rare routes keep enough samples.
 	generationSamples = 64
 	generationSpan    = 5 * clock.Second
-	// Durations are counted in four classes for each doubling, up to about four minutes.
-	classesPerDoubling = 4
+	// Durations are counted in eight classes for each doubling, up to about four minutes.
+	classesPerDoubling = 8
 	classes            = 18 * classesPerDoubling
 	// maxSeries bounds the combinations of route and prompt length.
 	maxSeries = 1024
@@ -54,9 +55,9 @@
 	}
 }
 
-// median returns the upper bound of the median's class, and false if there are too few
+// median returns the middle of the median's class, and false if there are too few
 // samples.
-func (series *series) median() (clock.Millis, bool) {
+func (series *series) median() (millis float64, ok bool) {
 	samples := series.samples.Load()
 	total := samples.previous.total.Load() + samples.current.total.Load()
 	if total < minSamples {
@@ -66,7 +67,7 @@
 	for class := range classes {
 		seen += int64(samples.previous.byClass[class].Load()) + int64(samples.current.byClass[class].Load())
 		if 2*seen >= total {
-			return clock.Millis(math.Ceil(math.Exp2(float64(class+1)/classesPerDoubling))) - 1, true
+			return math.Exp2((float64(class)+0.5)/classesPerDoubling) - 1, true
 		}
 	}
 	return 0, false
@@ -125,7 +126,8 @@
 	for _, offset := range [...]int{0, 1, -1} {
 		if known, ok := bySeries[seriesKey{pool: pool, route: key.route, length: key.length + offset}]; ok {
 			if median, ok := known.median(); ok {
-				return answer.took > slowFactor*median && answer.took > median+slowSlack
+				took := float64(answer.took)
+				return took > slowFactor*median && took > median+float64(slowSlack)
 			}
 		}
 	}
--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -64,7 +64,7 @@
 	counters *counters
 	evidence *evidence
 	// merged has the latest sums of each process that were merged.
-	merged map[process]map[string]Sum
+	merged map[process][]Sum
 	// outgoing are the versions that served when the order came.
 	outgoing map[string]bool
 	// haltedByPeer reports that a peer stopped using the version by its evidence.
@@ -80,23 +80,24 @@
 func newTrial(order Order) *trial {
 	return &trial{
 		run: order.run(), exposure: &exposure{}, counters: newCounters(), evidence: newEvidence(),
-		merged: map[process]map[string]Sum{}, outgoing: map[string]bool{},
+		merged: map[process][]Sum{}, outgoing: map[string]bool{},
 	}
 }
 
 // merge applies the sums of a process.
-func (trial *trial) merge(from process, sums []Sum, now clock.Millis) {
-	known, ok := trial.merged[from]
-	if !ok {
-		known = map[string]Sum{}
-		trial.merged[from] = known
-	}
+func (trial *trial) merge(from process, sums []Sum, promoted bool, now clock.Millis) {
+	known := trial.merged[from]
 	for _, sum := range sums {
-		earlier := known[sum.route]
+		i := slices.IndexFunc(known, func(earlier Sum) bool { return earlier.route == sum.route })
+		if i < 0 {
+			i, known = len(known), append(known, NewSum(sum.route, Count{}, Count{}))
+		}
+		earlier := known[i]
 		candidate, baseline := sum.candidate.since(earlier.candidate), sum.baseline.since(earlier.baseline)
-		trial.evidence.add(sum.route, candidate, baseline, now)
-		known[sum.route] = NewSum(sum.route, earlier.candidate.plus(candidate), earlier.baseline.plus(baseline))
+		trial.evidence.add(sum.route, candidate, baseline, promoted, now)
+		known[i] = NewSum(sum.route, earlier.candidate.plus(candidate), earlier.baseline.plus(baseline))
 	}
+	trial.merged[from] = known
 }
 
 // knownOrder is an order as this node knows it.
@@ -201,8 +202,8 @@
 func (tracker *Tracker) adopt(order Order, asOf, now clock.Millis) bool {
 	known, ok := tracker.orders[order.pool]
 	if ok && !order.newerThan(known.order) && !order.returns(known, asOf) {
-		if order.revision == known.order.revision && order.withdrawn == known.order.withdrawn {
-			known.asOf = max(known.asOf, asOf)
+		if order.revision == known.order.revision && order.withdrawn == known.order.withdrawn && asOf > known.asOf {
+			known.asOf = asOf
 			tracker.orders[order.pool] = known
 		}
 		return false
@@ -393,10 +394,15 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	for _, known := range tracker.orders {
-		known.trial.merge(process{}, known.trial.counters.sums(), now)
+		known.trial.merge(process{}, known.trial.counters.sums(), known.order.IsPromoted(), now)
+	}
+	// A version that is held back may be used again after some time alone.
+	isHeldBack := slices.ContainsFunc(slices.Collect(maps.Values(tracker.versions)), func(version versionState) bool {
+		return version.halted || version.retired
+	})
+	if tracker.halt() || isHeldBack {
+		tracker.publish(now)
 	}
-	tracker.halt()
-	tracker.publish(now)
 	halted, tracker.halts = tracker.halts, nil
 	return halted
 }
@@ -409,7 +415,7 @@
 		key := poolVersion{pool, known.order.version}
 		version := tracker.versions[key]
 		if version.halted || known.order.state != StateServing || known.order.withdrawn ||
-			!known.trial.haltedByPeer && !known.trial.evidence.verdict().halted {
+			!known.trial.haltedByPeer && !known.trial.evidence.isBad {
 			continue
 		}
 		version.halted, version.haltedAt, version.era = true, known.order.orderedAt, known.order.era()
@@ -459,7 +465,7 @@
 		}
 		known, ok := tracker.orders[reported.order.pool]
 		if ok && reported.order.orderedAt != 0 && known.order.run() == reported.order.run() {
-			known.trial.merge(process{peer, incarnation}, reported.sums, now)
+			known.trial.merge(process{peer, incarnation}, reported.sums, known.order.IsPromoted(), now)
 			known.trial.haltedByPeer = known.trial.haltedByPeer || reported.halted
 		}
 	}
