Compare versions by route, and let rare routes have their part

Change: Plan takes the route, and routes that had their part of the canary requests leave some credit to others. The test over all routes uses the rates of each route. A node needs more evidence than the lease holder. SlowAfter lets attempts be recorded as overdue before they end. Inputs.WithAge lets a successor keep the time of an order that its predecessor has not written.

--- a/internal/canary/answer.go
+++ b/internal/canary/answer.go
@@ -13,6 +13,9 @@
 	OutcomeAnswered Outcome = iota
 	// OutcomeFailed is an answer that reports a failure of the server.
 	OutcomeFailed
+	// OutcomeOverdue is an attempt that has waited for Tracker.SlowAfter without an answer.
+	// What comes of it later isn't recorded.
+	OutcomeOverdue
 	// OutcomeCrashed is an attempt lost as its server crashed.
 	OutcomeCrashed
 )
--- a/internal/canary/controller.go
+++ b/internal/canary/controller.go
@@ -61,6 +61,7 @@
 	verdict    Verdict
 	slots      int
 	load       int
+	age        clock.Millis
 }
 
 // NewInputs returns the inputs for the order: whether its pool exists, the pool's servers
@@ -76,6 +77,13 @@
 	return inputs
 }
 
+// WithAge returns the inputs with the time since this node first saw the order. The
+// deadline counts from there if an earlier holder has not written it.
+func (inputs Inputs) WithAge(age clock.Millis) Inputs {
+	inputs.age = age
+	return inputs
+}
+
 // Decision is the next status of an order.
 type Decision struct {
 	order  Order
@@ -108,19 +116,25 @@
 	// earliestPromotion is when all requests move to a version that was watched for
 	// watchTime, and usualPromotion when they do in any case, unless there is some evidence
 	// against it. A fault that begins 5 s after the servers joined a 12 s order is still
-	// noticed at the canary share then. At latestPromotion little evidence doesn't count.
+	// noticed at the canary share then. Little evidence doesn't count from suspectPromotion
+	// on, and much of it, that doesn't show a bad version, from doubtfulPromotion on.
 	earliestPromotion = 0.5
 	usualPromotion    = 0.82
-	latestPromotion   = 0.88
+	suspectPromotion  = 0.86
+	doubtfulPromotion = 0.88
 	// latestServers is when the version must have servers, and latestCapacity when it must
 	// have enough of them.
 	latestServers  = 0.72
 	latestCapacity = 0.9
 	// soak is how long a promoted version must carry the load before it succeeds.
-	soak = 0.1
-	// latestSuccess is when a promoted version succeeds although requests are in progress
-	// at others, or little evidence speaks against it.
-	latestSuccess = 0.95
+	soak = 0.08
+	// latestSuccess is when a promoted version succeeds although some nodes have not said
+	// that they know the promotion, suspectSuccess when it does although there is some
+	// evidence against it, and lastSuccess when it does although requests are in progress
+	// at others.
+	latestSuccess  = 0.93
+	suspectSuccess = 0.96
+	lastSuccess    = 0.98
 )
 
 const (
@@ -212,7 +226,7 @@
 		return inputs.end(StateRolledBack, CauseDeadline, "no time is left for the promotion")
 	case !isDue:
 		return inputs.keep(CauseWatching, "evidence is gathered")
-	case inputs.verdict.suspect && elapsed < latestPromotion:
+	case inputs.verdict.suspect && elapsed < suspectPromotion, inputs.verdict.doubtful && elapsed < doubtfulPromotion:
 		return inputs.keep(CauseWatching, inputs.verdict.reason)
 	default:
 		return inputs.serve(1, CausePromoted, "nothing speaks against the version")
@@ -225,7 +239,9 @@
 	carried := now - since(controller.promoted, order, now)
 	isCarried := float64(carried) >= soak*float64(order.duration)
 	switch {
-	case elapsed >= latestSuccess:
+	case elapsed >= suspectSuccess && inputs.verdict.grave:
+		return inputs.end(StateRolledBack, CauseEvidence, inputs.verdict.reason)
+	case elapsed >= lastSuccess, elapsed >= latestOf(inputs) && agreement.inProgress == 0:
 		return inputs.end(StateSucceeded, CauseSucceeded, fmt.Sprintf(
 			"the deadline is near; %d of %d nodes know the promotion, %d requests are in progress at other versions",
 			agreement.knowing, agreement.nodes, agreement.inProgress))
@@ -239,6 +255,14 @@
 	}
 }
 
+// latestOf returns when the version succeeds if no request is in progress at others.
+func latestOf(inputs Inputs) float64 {
+	if inputs.verdict.suspect {
+		return suspectSuccess
+	}
+	return latestSuccess
+}
+
 // servers returns the number of the version's servers, and of the pool's others.
 func (inputs Inputs) servers() (ordered, others int) {
 	for _, listed := range inputs.listed {
@@ -269,7 +293,7 @@
 // begin writes the time of the order, which outlives this holder.
 func (inputs Inputs) begin(now clock.Millis, cause Cause, reason string) Decision {
 	decision := inputs.serve(0, cause, reason)
-	decision.order.orderedAt = now
+	decision.order.orderedAt = now - inputs.age
 	return decision
 }
 
--- a/internal/canary/counters.go
+++ b/internal/canary/counters.go
@@ -24,7 +24,7 @@
 		counter.failed.Add(1)
 	case answer.outcome == OutcomeCrashed:
 		counter.crashes.Add(crashUnit / int64(answer.lost))
-	case slow:
+	case slow, answer.outcome == OutcomeOverdue:
 		counter.slow.Add(1)
 	}
 }
@@ -40,6 +40,8 @@
 // routeCounters has the answers of the ordered version and of the others on a route.
 type routeCounters struct {
 	candidate, baseline counter
+	// sent is the number of canary requests.
+	sent atomic.Int64
 }
 
 // counters has the answers of one node in one run of an order. The map is replaced when a
@@ -72,6 +74,12 @@
 	}
 }
 
+// hasItsPart reports whether the route has had more than its part of the canary requests,
+// where all routes have the same: a fault may show on a route with few requests only.
+func (counters *counters) hasItsPart(route *routeCounters, sent int64) bool {
+	return route.sent.Load()*int64(len(*counters.byRoute.Load())) > sent
+}
+
 // sums returns the counts by route.
 func (counters *counters) sums() []Sum {
 	byRoute := *counters.byRoute.Load()
--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -10,20 +11,23 @@
 )
 
 const (
-	// falseAlarm is the probability with which one Wald test takes a version for bad whose
-	// rate of bad answers is that of the others.
-	falseAlarm = 1e-4
+	// failedAlarm and slowAlarm are the probabilities with which one Wald test takes a
+	// version for bad whose rate of bad answers is that of the others. Slow answers are
+	// frequent in a burst, so that test starts often; with 1e-3 a burst after the promotion
+	// was taken for a fault in 3 of 50 plays.
+	failedAlarm = 1e-3
+	slowAlarm   = 1e-4
 	// minBad is the least number of bad answers that show a bad version: a handful on a
 	// route with little traffic shows nothing.
-	minBad = 8
+	minBad = 6
 	// oddsRatio tells a bad version from a good one: its odds of a bad answer are so many
 	// times higher.
 	oddsRatio = 6
 	// The rates of the others count as at least the floors, as they aren't known exactly
 	// and a new version begins with empty caches. While no others serve, nothing shows
-	// what a disturbance does, so the floors are higher.
-	failedFloor, failedFloorAlone = 0.02, 0.05
-	slowFloor, slowFloorAlone     = 0.05, 0.5
+	// whether a burst slows the answers, so the floor of slow ones is higher.
+	failedFloor               = 0.02
+	slowFloor, slowFloorAlone = 0.05, 0.6
 	// rateMargin is by how much the rate of the others is overestimated.
 	rateMargin = 1.2
 	// The rate of the others is the higher one of those among the latest answers in a long
@@ -38,16 +42,19 @@
 	// with the error rate crashAlarm.
 	minCrashes = 3
 	crashAlarm = 1e-5
-	// suspicion is the log-likelihood ratio, about three bad answers in close succession,
-	// from which on a promotion or a success waits.
-	suspicion = 4
+	// suspicion is the log-likelihood ratio, two bad answers in close succession, from
+	// which on a promotion or a success waits.
+	suspicion = 2
+	// doubt is the ratio, three bad answers, from which on they wait longer.
+	doubt = 4
+	// nodeMargin is by how much the log-likelihood ratio must be higher for a node to stop
+	// using the version by itself than for the lease holder to roll it back: as each node
+	// merges in another order, the highest ratio of many nodes is above that of one.
+	nodeMargin = 2
 	// allRoutes has the answers of all routes together.
 	allRoutes = ""
 )
 
-// alarm is the log-likelihood ratio at which a test takes a version for bad.
-var alarm = math.Log(1 / falseAlarm)
-
 // test is a sequential probability ratio test that starts again whenever the evidence
 // favours the version, so that good answers before a fault don't hide it.
 type test struct {
@@ -67,7 +74,14 @@
 	}
 }
 
-func (test *test) isBad() bool { return test.ratio >= alarm && test.bad >= minBad }
+// isBad reports whether the evidence shows a bad version at the error rate, and with the
+// margin beyond it.
+func (test *test) isBad(alarm, margin float64) bool {
+	return test.ratio >= math.Log(1/alarm)+margin && test.bad >= minBad
+}
+
+// isDoubtful reports whether there is much evidence against the version.
+func (test *test) isDoubtful() bool { return test.ratio >= doubt }
 
 // window has the latest answers.
 type window struct {
@@ -86,10 +100,7 @@
 
 // upper returns an upper estimate of the portion of bad answers.
 func (window *window) upper(bad float64) float64 {
-	if window.answers == 0 {
-		return 0
-	}
-	return rateMargin * (bad + math.Sqrt(bad)) / window.answers
+	return rateMargin * (bad + math.Sqrt(bad)) / max(1, window.answers)
 }
 
 // rates are the portions of bad answers of the other versions.
@@ -117,6 +128,7 @@
 
 // routeEvidence is the merged evidence on a route.
 type routeEvidence struct {
+	name                string
 	candidate, baseline Count
 	usual               rates
 	baselineAt          clock.Millis
@@ -126,29 +138,43 @@
 	excess, expected float64
 }
 
-// add adds the increase of the counts of one node. After the promotion the others only
-// finish what they have, and are no comparison any more.
-func (route *routeEvidence) add(candidate, baseline Count, promoted bool, now clock.Millis) {
+// observe adds the increase of the counts of one node. After the promotion the others only
+// finish what they have: these are the slowest ones, and no comparison any more.
+func (route *routeEvidence) observe(candidate, baseline Count, promoted bool, now clock.Millis) {
 	route.candidate, route.baseline = route.candidate.plus(candidate), route.baseline.plus(baseline)
-	if baseline.answers > 0 {
+	if baseline.answers > 0 && !promoted {
 		route.usual.add(baseline)
 		route.baselineAt = now
 	}
-	answers := float64(candidate.answers)
-	if answers == 0 {
-		return
+}
+
+// expectation is the rates of bad answers of a good version on a route.
+type expectation struct {
+	failed, slow float64
+	// isCompared reports whether others show the rate of slow answers at this time.
+	isCompared bool
+}
+
+// expect returns what the others show.
+func (route *routeEvidence) expect(promoted bool, now clock.Millis) expectation {
+	return expectation{
+		failed: route.usual.failed(), slow: route.usual.slow(),
+		isCompared: !promoted && route.baselineAt > 0 && now-route.baselineAt <= baselineAge,
 	}
-	usualFailed, usualSlow := route.usual.failed(), route.usual.slow()
-	failedRate, slowRate := max(usualFailed, failedFloorAlone), max(usualSlow, slowFloorAlone)
-	if !promoted && route.baselineAt > 0 && now-route.baselineAt <= baselineAge {
-		failedRate, slowRate = max(usualFailed, failedFloor), max(usualSlow, slowFloor)
+}
+
+// try adds the answers of one node to the tests.
+func (route *routeEvidence) try(candidate Count, expected expectation) {
+	answers, slowRate := float64(candidate.answers), max(expected.slow, slowFloorAlone)
+	if expected.isCompared {
+		slowRate = max(expected.slow, slowFloor)
 		route.excess += float64(candidate.slow)
-		route.expected += answers * usualSlow
+		route.expected += answers * expected.slow
 	}
-	route.failed.add(answers, candidate.failures(), failedRate)
+	route.failed.add(answers, candidate.failures(), max(expected.failed, failedFloor))
 	route.slow.add(answers, float64(candidate.slow), slowRate)
 	route.excess += candidate.failures()
-	route.expected += answers * usualFailed
+	route.expected += answers * expected.failed
 }
 
 // isExcessive reports whether there are so many bad answers that their portion doesn't
@@ -178,12 +204,12 @@
 	return 1 - below
 }
 
-// problem returns what shows that the version is bad, or "".
-func (route *routeEvidence) problem() string {
+// problem returns what shows that the version is bad with a margin, or "".
+func (route *routeEvidence) problem(margin float64) string {
 	switch {
-	case route.failed.isBad():
+	case route.failed.isBad(failedAlarm, margin):
 		return "failures"
-	case route.slow.isBad():
+	case route.slow.isBad(slowAlarm, margin):
 		return "slowness"
 	case route.isExcessive():
 		return "the number of bad answers"
@@ -197,53 +223,78 @@
 // evidence is the merged evidence of all nodes in one run of an order.
 type evidence struct {
 	byRoute map[string]*routeEvidence
-	// isBad reports that the version was shown to be bad, for good.
-	isBad bool
+	// shown is what showed the version to be bad, for good, and isCertain whether it did
+	// with the margin of nodes.
+	shown     string
+	isCertain bool
 }
 
 func newEvidence() *evidence { return &evidence{byRoute: map[string]*routeEvidence{}} }
 
-// add adds the increase of the counts of one node on a route.
-func (evidence *evidence) add(route string, candidate, baseline Count, promoted bool, now clock.Millis) {
+// add adds the increase of the counts of one node on a route. The test over all routes
+// uses the rates of each route, as the new version gets them in other portions.
+func (evidence *evidence) add(name string, candidate, baseline Count, promoted bool, now clock.Millis) {
 	if candidate.IsZero() && baseline.IsZero() {
 		return
 	}
-	for _, name := range [...]string{route, allRoutes} {
-		known, ok := evidence.byRoute[name]
-		if !ok {
-			known = &routeEvidence{}
-			evidence.byRoute[name] = known
+	route, all := evidence.route(name), evidence.route(allRoutes)
+	route.observe(candidate, baseline, promoted, now)
+	all.observe(candidate, baseline, promoted, now)
+	if candidate.IsZero() {
+		return
+	}
+	expected := route.expect(promoted, now)
+	// A burst shows in the answers of all routes before it does on each.
+	overall := all.expect(promoted, now)
+	overall.failed, overall.slow = max(overall.failed, expected.failed), max(overall.slow, expected.slow)
+	overall.isCompared = overall.isCompared && expected.isCompared
+	route.try(candidate, expected)
+	all.try(candidate, overall)
+	for _, tested := range [...]*routeEvidence{route, all} {
+		if problem := tested.problem(0); problem != "" && evidence.shown == "" {
+			evidence.shown = tested.describe(problem)
 		}
-		known.add(candidate, baseline, promoted, now)
-		evidence.isBad = evidence.isBad || !candidate.IsZero() && known.problem() != ""
+		evidence.isCertain = evidence.isCertain || tested.problem(nodeMargin) != ""
+	}
+}
+
+func (evidence *evidence) route(name string) *routeEvidence {
+	known, ok := evidence.byRoute[name]
+	if !ok {
+		known = &routeEvidence{name: name}
+		evidence.byRoute[name] = known
 	}
+	return known
 }
 
 // verdict returns what the evidence shows.
 func (evidence *evidence) verdict() Verdict {
-	verdict := Verdict{}
+	verdict := Verdict{halted: evidence.shown != "", reason: evidence.shown}
 	for _, name := range slices.Sorted(maps.Keys(evidence.byRoute)) {
 		route := evidence.byRoute[name]
-		where := "route " + name
-		if name == allRoutes {
-			where = "all routes"
-		} else {
+		if name != allRoutes {
 			verdict.routes = append(verdict.routes, NewSum(name, route.candidate, route.baseline))
 		}
-		suspect := route.failed.ratio >= suspicion || route.slow.ratio >= suspicion
-		problem := route.problem()
-		if problem == "" && !suspect || verdict.halted || problem == "" && verdict.suspect {
-			continue
-		}
-		verdict.halted, verdict.suspect = problem != "", true
-		if problem == "" {
-			problem = "few bad answers so far"
+		if route.failed.ratio >= suspicion || route.slow.ratio >= suspicion {
+			verdict.suspect = true
+			verdict.reason = cmp.Or(verdict.reason, route.describe("some bad answers"))
 		}
-		verdict.reason = fmt.Sprintf("%s on %s: %s of the version, %s of others", problem, where, route.candidate.describe(), route.baseline.describe())
+		verdict.doubtful = verdict.doubtful || route.failed.isDoubtful() || route.slow.isDoubtful()
+		// Slow answers may be due to a burst that nothing shows any more.
+		verdict.grave = verdict.grave || route.failed.isDoubtful() && route.failed.bad >= minBad
 	}
 	return verdict
 }
 
+// describe returns the counts of the route as text.
+func (route *routeEvidence) describe(problem string) string {
+	where := "route " + route.name
+	if route.name == allRoutes {
+		where = "all routes"
+	}
+	return fmt.Sprintf("%s on %s: %s of the version, %s of others", problem, where, route.candidate.describe(), route.baseline.describe())
+}
+
 func (count Count) describe() string {
 	return fmt.Sprintf("%d failed, %d slow, %.1f crashes in %d answers", count.failed, count.slow, float64(count.crashes)/crashUnit, count.answers)
 }
--- a/internal/canary/fixture_test.go
+++ b/internal/canary/fixture_test.go
@@ -49,14 +49,14 @@
 	report      canary.Report
 }
 
-// answer is an answer that arrives later.
+// answer is the end of an attempt, or what is recorded of it.
 type answer struct {
 	host        *host
 	incarnation int64
-	tracker     *canary.Tracker
 	version     string
-	answer      canary.Answer
 	isBad       bool
+	recorded    canary.Answer
+	isRecord    bool
 }
 
 // fixture is a deployment in virtual time.
@@ -176,7 +176,8 @@
 func (fixture *fixture) control() {
 	holder := fixture.hosts[0]
 	agreement := holder.tracker.Agreement(fixture.order, holder.inProgress, fixture.names[1:], fixture.now)
-	decision := fixture.holder.Step(fixture.now, canary.NewInputs(fixture.order, true, fixture.listed(), agreement, holder.tracker.Verdict("engines")))
+	inputs := canary.NewInputs(fixture.order, true, fixture.listed(), agreement, holder.tracker.Verdict("engines"))
+	decision := fixture.holder.Step(fixture.now, inputs.WithAge(holder.tracker.Age("engines", fixture.now)))
 	if !decision.MustWrite() {
 		return
 	}
@@ -205,7 +206,10 @@
 		if due.host.incarnation != due.incarnation {
 			continue
 		}
-		due.tracker.Record("engines", due.version, due.answer, fixture.now)
+		if due.isRecord {
+			due.host.tracker.Record("engines", due.version, due.recorded, fixture.now)
+			continue
+		}
 		if due.version == "v1" {
 			due.host.inProgress--
 		}
@@ -228,7 +232,12 @@
 }
 
 func (fixture *fixture) send(host *host) {
-	plan := host.tracker.Plan("engines", fixture.random.Float64() < 0.3, fixture.now)
+	route, draw := 0, fixture.random.Float64()
+	for draw > routes[route].weight && route < len(routes)-1 {
+		draw -= routes[route].weight
+		route++
+	}
+	plan := host.tracker.Plan("engines", fmt.Sprint("r-", route), fixture.random.Float64() < 0.3, fixture.now)
 	version, servers := "v1", fixture.servers
 	switch {
 	case plan.Use() == canary.UseCanary, plan.Use() == canary.UsePromoted:
@@ -251,16 +260,11 @@
 	} else if host.inProgress++; fixture.order.State() == canary.StateSucceeded {
 		fixture.lost++
 	}
-	fixture.answer(host, version, servers)
+	fixture.answer(host, version, route, servers)
 }
 
 // answer draws the answer of a server.
-func (fixture *fixture) answer(host *host, version string, servers int) {
-	route, draw := 0, fixture.random.Float64()
-	for draw > routes[route].weight && route < len(routes)-1 {
-		draw -= routes[route].weight
-		route++
-	}
+func (fixture *fixture) answer(host *host, version string, route, servers int) {
 	failed, factor := 0.003, math.Exp(0.25*fixture.random.NormFloat64())
 	if fixture.random.Float64() < 0.15 {
 		factor *= 2.5
@@ -276,17 +280,23 @@
 	usual := routes[route]
 	tokens := int(float64(usual.tokens) * math.Exp(0.3*fixture.random.NormFloat64()))
 	took := clock.Millis(usual.took * factor)
-	result := canary.NewAnswer(fmt.Sprint("r-", route), tokens, canary.OutcomeAnswered, took)
+	name := fmt.Sprint("r-", route)
+	result, recorded := canary.NewAnswer(name, tokens, canary.OutcomeAnswered, took), took
+	if slowAfter, ok := host.tracker.SlowAfter("engines", name, tokens); ok && slowAfter < took {
+		result, recorded = canary.NewAnswer(name, tokens, canary.OutcomeOverdue, slowAfter), slowAfter
+	}
 	isBad := factor > 3
 	switch {
 	case fixture.random.Float64() < failed:
-		result, isBad = canary.NewAnswer(fmt.Sprint("r-", route), tokens, canary.OutcomeFailed, took/2), true
+		result, isBad, recorded = canary.NewAnswer(name, tokens, canary.OutcomeFailed, took/2), true, took
 	case fixture.random.Float64() < fixture.scenario.crashes/60*float64(took)/float64(second):
 		// All 4 requests in progress at the server are lost, and are drawn like this one.
-		result, isBad = canary.NewAnswer(fmt.Sprint("r-", route), tokens, canary.OutcomeCrashed, took/2).WithLost(4), true
+		result, isBad, recorded = canary.NewAnswer(name, tokens, canary.OutcomeCrashed, took/2).WithLost(4), true, took
 	}
+	due := answer{host: host, incarnation: host.incarnation, version: version, isBad: isBad}
 	at := fixture.now + (took/tick+1)*tick
-	fixture.due[at] = append(fixture.due[at], answer{
-		host: host, incarnation: host.incarnation, tracker: host.tracker, version: version, answer: result, isBad: isBad,
-	})
+	fixture.due[at] = append(fixture.due[at], due)
+	at = fixture.now + (recorded/tick+1)*tick
+	due.recorded, due.isRecord = result, true
+	fixture.due[at] = append(fixture.due[at], due)
 }
--- a/internal/canary/medians.go
+++ b/internal/canary/medians.go
@@ -118,18 +118,17 @@
 	}
 }
 
-// isSlow reports whether the answer took several times as long as usual. Where the usual
-// duration isn't known, that of longer prompts, which is higher, is taken, or else that of
-// shorter ones.
-func (medians *medians) isSlow(pool string, answer Answer) bool {
+// slowAfter returns the time after which an answer counts as slow, and false if the usual
+// duration isn't known. Then that of longer prompts, which is higher, is taken, or else
+// that of shorter ones.
+func (medians *medians) slowAfter(pool string, answer Answer) (clock.Millis, bool) {
 	bySeries, key := *medians.bySeries.Load(), keyOf(pool, answer)
 	for _, offset := range [...]int{0, 1, -1} {
 		if known, ok := bySeries[seriesKey{pool: pool, route: key.route, length: key.length + offset}]; ok {
 			if median, ok := known.median(); ok {
-				took := float64(answer.took)
-				return took > slowFactor*median && took > median+float64(slowSlack)
+				return clock.Millis(max(slowFactor*median, median+float64(slowSlack))), true
 			}
 		}
 	}
-	return false
+	return 0, false
 }
--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -59,7 +59,6 @@
 
 // trial is a run of an order at this node.
 type trial struct {
-	run      run
 	exposure *exposure
 	counters *counters
 	evidence *evidence
@@ -77,9 +76,9 @@
 	incarnation int64
 }
 
-func newTrial(order Order) *trial {
+func newTrial() *trial {
 	return &trial{
-		run: order.run(), exposure: &exposure{}, counters: newCounters(), evidence: newEvidence(),
+		exposure: &exposure{}, counters: newCounters(), evidence: newEvidence(),
 		merged: map[process][]Sum{}, outgoing: map[string]bool{},
 	}
 }
@@ -105,7 +104,9 @@
 	order Order
 	// asOf is when the store had the order, and changedAt when this node learned it.
 	asOf, changedAt clock.Millis
-	trial           *trial
+	// seenAt is when this node first saw the run.
+	seenAt clock.Millis
+	trial  *trial
 }
 
 // peerReport is the latest report of a peer.
@@ -134,8 +135,8 @@
 }
 
 // Tracker is a node's knowledge of the orders and of the evidence about their versions.
-// It is safe for concurrent use. Plan, Retry, Return, Record and Halted are for the
-// request path and take no locks; the other methods exclude each other.
+// It is safe for concurrent use. Plan, Retry, Return, Record, SlowAfter and Halted are for
+// the request path and take no locks; the other methods exclude each other.
 //
 // Times are of the node's monotonic clock, except those within an Order.
 type Tracker struct {
@@ -211,12 +212,11 @@
 	if ok && known.order.version != order.version && known.order.state != StateSucceeded {
 		tracker.retire(known.order)
 	}
-	trial := known.trial
+	next := knownOrder{order: order, asOf: asOf, changedAt: now, seenAt: known.seenAt, trial: known.trial}
 	if !ok || !order.continues(known.order) {
-		trial = newTrial(order)
+		next.seenAt, next.trial = now, newTrial()
 	}
-	trial.run = order.run()
-	tracker.orders[order.pool] = knownOrder{order: order, asOf: asOf, changedAt: now, trial: trial}
+	tracker.orders[order.pool] = next
 	switch {
 	case order.withdrawn && order.state != StateSucceeded:
 		tracker.retire(order)
@@ -328,10 +328,10 @@
 	}
 }
 
-// Plan counts a request that reaches the pool and returns which servers its first attempt
-// may use. A request of a session has a cache at a server, and becomes a canary request
-// only where others don't use the credit up.
-func (tracker *Tracker) Plan(pool string, session bool, now clock.Millis) Plan {
+// Plan counts a request on the route that reaches the pool and returns which servers its
+// first attempt may use. A request of a session has a cache at a server, and becomes a
+// canary request only where others don't use the credit up.
+func (tracker *Tracker) Plan(pool, route string, session bool, now clock.Millis) Plan {
 	state, ok := tracker.state.Load().pools[pool]
 	if !ok {
 		return Plan{}
@@ -339,11 +339,13 @@
 	if state.share == 0 {
 		return state.plan
 	}
-	state.canary.exposure.earn(state.share)
+	exposure, counted := state.canary.exposure, state.counters.route(route)
+	exposure.earn(state.share)
 	// The end of the contact is read at the moment of use, as no message announces it.
-	if int64(now) > tracker.contactUntil.Load() || !state.canary.exposure.spend(session) {
+	if int64(now) > tracker.contactUntil.Load() || !exposure.spend(session || state.counters.hasItsPart(counted, exposure.sent.Load())) {
 		return state.plan
 	}
+	counted.sent.Add(1)
 	return state.canary
 }
 
@@ -367,7 +369,6 @@
 		return
 	}
 	poolState, ok := state.pools[pool]
-	slow := answer.outcome == OutcomeAnswered && tracker.medians.isSlow(pool, answer)
 	isCandidate := ok && version == poolState.version
 	if answer.outcome == OutcomeAnswered && !isCandidate {
 		tracker.medians.add(pool, answer, now)
@@ -375,6 +376,10 @@
 	if !ok || poolState.counters == nil {
 		return
 	}
+	slow := false
+	if slowAfter, known := tracker.medians.slowAfter(pool, answer); known && answer.outcome == OutcomeAnswered {
+		slow = answer.took > slowAfter
+	}
 	route := poolState.counters.route(answer.route)
 	if isCandidate {
 		route.candidate.record(answer, slow)
@@ -383,6 +388,17 @@
 	}
 }
 
+// SlowAfter returns how long an attempt waits until it is to be recorded as overdue, and
+// false if it needn't be. Slowness is noticed earlier by that than by late answers. It must
+// be done for all versions, or a burst would show at the new one first.
+func (tracker *Tracker) SlowAfter(pool, route string, tokens int) (clock.Millis, bool) {
+	if tracker.state.Load().pools[pool].counters == nil {
+		return 0, false
+	}
+	wait, ok := tracker.medians.slowAfter(pool, NewAnswer(route, tokens, OutcomeAnswered, 0))
+	return wait + 1, ok
+}
+
 // Halted reports whether this node stopped using the version by evidence.
 func (tracker *Tracker) Halted(pool, version string) bool {
 	return tracker.state.Load().pools[pool].halted == version && version != ""
@@ -415,7 +431,7 @@
 		key := poolVersion{pool, known.order.version}
 		version := tracker.versions[key]
 		if version.halted || known.order.state != StateServing || known.order.withdrawn ||
-			!known.trial.haltedByPeer && !known.trial.evidence.isBad {
+			!known.trial.haltedByPeer && !known.trial.evidence.isCertain {
 			continue
 		}
 		version.halted, version.haltedAt, version.era = true, known.order.orderedAt, known.order.era()
@@ -489,6 +505,17 @@
 	return orders
 }
 
+// Age returns the time since this node first saw the run of the pool's order.
+func (tracker *Tracker) Age(pool string, now clock.Millis) clock.Millis {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	known, ok := tracker.orders[pool]
+	if !ok {
+		return 0
+	}
+	return now - known.seenAt
+}
+
 // Verdict returns what the merged evidence shows about the version of the pool's order. A
 // version that this node stopped using stays halted.
 func (tracker *Tracker) Verdict(pool string) Verdict {
--- a/internal/canary/verdict.go
+++ b/internal/canary/verdict.go
@@ -2,10 +2,12 @@
 
 // Verdict is what the merged evidence shows about the version of an order.
 type Verdict struct {
-	halted  bool
-	suspect bool
-	reason  string
-	routes  []Sum
+	halted   bool
+	suspect  bool
+	doubtful bool
+	grave    bool
+	reason   string
+	routes   []Sum
 }
 
 // NewVerdict returns a verdict: whether the version is shown to be bad, whether there is
@@ -14,6 +16,13 @@
 	return Verdict{halted: halted, suspect: suspect, reason: reason, routes: routes}
 }
 
+// WithDoubt returns the verdict with much evidence against the version, though not enough
+// to show that it is bad. It is grave if it consists of more than a handful of failures.
+func (verdict Verdict) WithDoubt(grave bool) Verdict {
+	verdict.suspect, verdict.doubtful, verdict.grave = true, true, grave
+	return verdict
+}
+
 // Halted reports whether the version is shown to be bad.
 func (verdict Verdict) Halted() bool { return verdict.halted }
 
