--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -35,13 +35,15 @@
 	// counted against the new one at its begin. It is current for baselineAge.
 	longWindow, shortWindow = 200, 40
 	baselineAge             = 2 * clock.Second
-	// excessBad is the number of bad answers beyond those to be expected at which a
-	// version is bad, however many answers were good: the page sets 50.
-	excessBad = 40
+	// excessBad is the number of bad answers at which a version is bad, however many were
+	// good, if it is excessFactor times what the rate of the others explains. The page sets
+	// 50 answers.
+	excessBad    = 40
+	excessFactor = 3
 	// minCrashes is the least number of crashes that show a bad version, by a Poisson test
 	// with the error rate crashAlarm.
 	minCrashes = 3
-	crashAlarm = 1e-5
+	crashAlarm = 1e-3
 	// suspicion is the log-likelihood ratio, two bad answers in close succession, from
 	// which on a promotion or a success waits.
 	suspicion = 2
@@ -133,9 +135,8 @@
 	usual               rates
 	baselineAt          clock.Millis
 	failed, slow        test
-	// excess is the number of bad answers, and expected how many of them the rate of the
-	// others explains.
-	excess, expected float64
+	// compared is the answers of the version while others served as well.
+	compared Count
 }
 
 // observe adds the increase of the counts of one node. After the promotion the others only
@@ -168,25 +169,26 @@
 	answers, slowRate := float64(candidate.answers), max(expected.slow, slowFloorAlone)
 	if expected.isCompared {
 		slowRate = max(expected.slow, slowFloor)
-		route.excess += float64(candidate.slow)
-		route.expected += answers * expected.slow
+		route.compared = route.compared.plus(candidate)
 	}
 	route.failed.add(answers, candidate.failures(), max(expected.failed, failedFloor))
 	route.slow.add(answers, float64(candidate.slow), slowRate)
-	route.excess += candidate.failures()
-	route.expected += answers * expected.failed
 }
 
 // isExcessive reports whether there are so many bad answers that their portion doesn't
-// matter.
+// matter. Slow ones only count while others serve as well.
 func (route *routeEvidence) isExcessive() bool {
-	return route.excess >= excessBad && route.excess > 2*route.expected+excessBad/4
+	bad := route.candidate.failures() + float64(route.compared.slow)
+	others := float64(route.baseline.answers + 1)
+	expected := float64(route.candidate.answers)*(route.baseline.failures()+1)/others +
+		float64(route.compared.answers)*float64(route.baseline.slow+1)/others
+	return bad >= excessBad && bad > excessFactor*expected
 }
 
 // crashesMore reports whether the version's servers crash more often than the others, by
 // answers.
 func (route *routeEvidence) crashesMore() bool {
-	crashes := route.candidate.crashes / crashUnit
+	crashes := (route.candidate.crashes + crashUnit/2) / crashUnit
 	if crashes < minCrashes {
 		return false
 	}
--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -257,13 +257,14 @@
 	key := poolVersion{order.pool, order.version}
 	version := tracker.versions[key]
 	version.retired = false
-	if version.halted {
-		if order.era() == version.era && version.haltedAt != 0 && order.orderedAt > version.haltedAt {
-			version.halted = false
-		} else {
-			version.era = order.era()
-			version.haltedAt = cmp.Or(order.orderedAt, version.haltedAt)
-		}
+	switch {
+	case !version.halted:
+	case order.era() != version.era:
+		version.era, version.haltedAt = order.era(), order.orderedAt
+	case version.haltedAt == 0:
+		version.haltedAt = order.orderedAt
+	case order.orderedAt > version.haltedAt:
+		version.halted = false
 	}
 	if order.state == StateRolledBack {
 		version.halted, version.haltedAt, version.era = true, order.orderedAt, order.era()
