--- a/internal/canary/fixture_test.go
+++ b/internal/canary/fixture_test.go
@@ -27,7 +27,6 @@
 // answers and the factor of durations for a request that is sent at the time to a server
 // at the load, where 1 is that of an old server.
 type scenario struct {
-	bad bool
 	// fault is of the new version, and disturbance of both.
 	fault       func(at clock.Millis, route int, load float64) (failed, factor float64)
 	disturbance func(at clock.Millis) (failed, factor float64)
