--- a/internal/canary/fixture_test.go
+++ b/internal/canary/fixture_test.go
@@ -142,6 +142,8 @@
 		}
 		fixture.serve()
 	}
+	// Only the result is kept.
+	fixture.hosts, fixture.due = nil, nil
 	return fixture
 }
 
