Hold an ordered version back before its servers are listed

Cause: in a trial with servers listed 6 s after the order, nodes that were cut off from the store had not observed the version and allowed all servers: 306 requests of 304 allowed. A node whose list of servers is newer than what the tracker observed would do the same.

Change: the version of a running order is held back whether it is listed or not.

--- a/internal/canary/publish.go
+++ b/internal/canary/publish.go
@@ -108,6 +108,10 @@
 	case now-tracker.othersAt[pool] > aloneTime:
 		return Plan{}
 	}
+	if _, listed := serving[known.order.version]; ok && !listed && len(serving) > 0 && !known.order.withdrawn && known.order.state != StateSucceeded {
+		// Its servers may be in use before the next list was observed.
+		heldBack = append(heldBack, known.order.version)
+	}
 	if len(heldBack) == 0 {
 		return Plan{}
 	}
--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -272,8 +272,9 @@
 	tracker.versions[key] = version
 }
 
-// ObserveServers applies the list of servers. It reports whether there is a version that
-// stays unused until the rollouts are read again, which should be done at once.
+// ObserveServers applies the list of servers, and must be called before requests can be
+// sent to new ones. It reports whether there is a version that stays unused until the
+// rollouts are read again, which should be done at once.
 func (tracker *Tracker) ObserveServers(listed []Listed, now clock.Millis) (readRollouts bool) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
--- a/internal/canary/tracker_test.go
+++ b/internal/canary/tracker_test.go
@@ -81,6 +81,11 @@
 	t.Run("an ordered version waits for the status", func(t *testing.T) {
 		expectUse(t, knowing(canary.NewOrder("engines", "v2", duration, 1)), second, true, false)
 	})
+	t.Run("an ordered version that is not listed yet", func(t *testing.T) {
+		tracker := knowing(serving(0, 1))
+		lists(tracker, 10, 0, 2*second)
+		expectUse(t, tracker, 2*second, true, false)
+	})
 	t.Run("canary requests go to few servers, and are not repeated there", func(t *testing.T) {
 		tracker := knowing(serving(0.08, 1))
 		expectUse(t, tracker, second, true, true)
