End canary requests at the deadline at each node

Cause: a node that hears of no status, as the store is out or it is cut off with some peers, went on with canary requests after the order's deadline.

Change: a node sends none once the duration has passed since it first saw the order.

--- a/internal/canary/publish.go
+++ b/internal/canary/publish.go
@@ -56,6 +56,7 @@
 		state.plan = Plan{use: UsePromoted, version: order.version}
 	case order.state == StateServing && order.share > 0 && state.plan.use == UseOthers && !tracker.awaits(version):
 		state.share = min(order.share, canaryPart*tracker.exposureShare)
+		state.until = known.seenAt + order.duration
 		state.canary = Plan{use: UseCanary, version: order.version, servers: canaryServers(state.share, serving, order.version), exposure: known.trial.exposure}
 	}
 	return state, true
--- a/internal/canary/tracker.go
+++ b/internal/canary/tracker.go
@@ -119,9 +119,10 @@
 // the counters.
 type poolState struct {
 	plan Plan
-	// canary is the plan of canary requests; share is 0 if there are none.
+	// canary is the plan of canary requests until the time; share is 0 if there are none.
 	canary  Plan
 	share   float64
+	until   clock.Millis
 	version string
 	// halted is the version if evidence showed it to be bad.
 	halted   string
@@ -343,8 +344,9 @@
 	}
 	exposure, counted := state.canary.exposure, state.counters.route(route)
 	exposure.earn(state.share)
-	// The end of the contact is read at the moment of use, as no message announces it.
-	if int64(now) > tracker.contactUntil.Load() || !exposure.spend(session || state.counters.hasItsPart(counted, exposure.sent.Load())) {
+	// The ends of the contact and of the order are checked at the moment of use, as no
+	// message announces them.
+	if int64(now) > tracker.contactUntil.Load() || now > state.until || !exposure.spend(session || state.counters.hasItsPart(counted, exposure.sent.Load())) {
 		return state.plan
 	}
 	counted.sent.Add(1)
--- a/internal/canary/tracker_test.go
+++ b/internal/canary/tracker_test.go
@@ -104,6 +104,12 @@
 		expectUse(t, tracker, 5*second, true, true)
 		expectUse(t, tracker, 5*second+1, true, false)
 	})
+	t.Run("a node that gets no status sends no canary requests after the deadline", func(t *testing.T) {
+		tracker := knowing(serving(0.08, 1))
+		tracker.ObservePeers(1, 1, 13*second)
+		expectUse(t, tracker, 13*second, true, true)
+		expectUse(t, tracker, 13*second+1, true, false)
+	})
 	t.Run("after the promotion only the new version is used", func(t *testing.T) {
 		tracker := knowing(serving(1, 1))
 		expectUse(t, tracker, second, false, true)
