Add the settings of rollouts of software versions

The bounds of a rollout (share, slack, time to roll back) had no settings. bounds.exposureShare, exposureSlack and rollbackMillis are 0 by default, and a share of 0 turns rollouts off.

--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -43,6 +43,9 @@
 	LeaseMillis         int64   `toml:"leaseMillis" default:"3000" min:"500" max:"600000" help:"time within which the leader tasks must not move to another node and back"`
 	UsageWindowSeconds  float64 `toml:"usageWindowSeconds" default:"5" min:"0.1" max:"86400" help:"window of one usage report"`
 	UsageLateSeconds    float64 `toml:"usageLateSeconds" default:"10" min:"0.1" max:"86400" help:"time after a window's end at which its report is due"`
+	ExposureShare       float64 `toml:"exposureShare" default:"0" min:"0" max:"1" help:"share of a pool's requests that a software version being rolled out may get until it is promoted; 0 turns rollouts off"`
+	ExposureSlack       float64 `toml:"exposureSlack" default:"0" min:"0" max:"1000000" help:"requests that a bad software version may get in addition to exposureShare, over all nodes"`
+	RollbackMillis      int64   `toml:"rollbackMillis" default:"0" min:"0" max:"600000" help:"time after its 50th bad answer within which a software version gets no more requests"`
 }
 
 type edgeForm struct {
@@ -72,6 +75,9 @@
 	lease         clock.Millis
 	usageWindow   clock.Millis
 	usageLate     clock.Millis
+	exposureShare float64
+	exposureSlack float64
+	rollback      clock.Millis
 }
 
 // Drain returns the time within which a leaving server gets no more requests.
@@ -112,6 +118,18 @@
 // UsageLate returns the time after a window's end at which its report is due.
 func (bounds Bounds) UsageLate() clock.Millis { return bounds.usageLate }
 
+// ExposureShare returns the share of a pool's requests that a software version being
+// rolled out may get until it is promoted, or 0 if rollouts are off.
+func (bounds Bounds) ExposureShare() float64 { return bounds.exposureShare }
+
+// ExposureSlack returns the number of requests that a bad software version may get in
+// addition to ExposureShare, over all nodes.
+func (bounds Bounds) ExposureSlack() float64 { return bounds.exposureSlack }
+
+// Rollback returns the time after its 50th bad answer within which a software version
+// gets no more requests.
+func (bounds Bounds) Rollback() clock.Millis { return bounds.rollback }
+
 // Edge is the settings of sapphire-edge.
 type Edge struct {
 	host          string
@@ -217,6 +235,9 @@
 		lease:         clock.Millis(form.LeaseMillis),
 		usageWindow:   fromSeconds(form.UsageWindowSeconds),
 		usageLate:     fromSeconds(form.UsageLateSeconds),
+		exposureShare: form.ExposureShare,
+		exposureSlack: form.ExposureSlack,
+		rollback:      clock.Millis(form.RollbackMillis),
 	}
 }
 
