Read and write the status of objects of the platform's store

Orders of rollouts have a status that the system writes, which the client dropped on reading and could not write.

New test TestPutStatus (written, changed order, withdrawn order, lost answer, restored store) passes, as do the other tests of platform/store.

--- a/internal/standin/storestandin/endpoint.go
+++ b/internal/standin/storestandin/endpoint.go
@@ -38,7 +38,7 @@
 	endpoint.store.mutex.Lock()
 	defer endpoint.store.mutex.Unlock()
 	if len(kinds) == 0 {
-		kinds = []string{"config", "servers"}
+		kinds = []string{"config", "servers", "rollouts"}
 	}
 	endpoint.mutedKinds = map[string]bool{}
 	for _, kind := range kinds {
@@ -180,13 +180,17 @@
 		name = form.Metadata.Name
 	}
 	store := endpoint.store
+	apply := func() (int, object) { return store.put(request.Method, kind, name, form) }
+	if objectName, ok := strings.CutSuffix(name, "/status"); ok && request.Method == http.MethodPut {
+		apply = func() (int, object) { return store.putStatus(kind, objectName, form) }
+	}
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	if endpoint.fault == FaultDelayed {
-		store.delayedWrites = append(store.delayedWrites, func() { store.put(request.Method, kind, name, form) })
+		store.delayedWrites = append(store.delayedWrites, func() { apply() })
 		panic(http.ErrAbortHandler)
 	}
-	status, existing := store.put(request.Method, kind, name, form)
+	status, existing := apply()
 	if endpoint.fault == FaultLostResponse {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/storestandin/store.go
+++ b/internal/standin/storestandin/store.go
@@ -55,6 +55,7 @@
 	name     string
 	kind     string
 	spec     json.RawMessage
+	status   json.RawMessage
 	revision int64
 }
 
@@ -74,6 +75,7 @@
 	pageSize          int
 	watchCuts         int
 	delayedWrites     []func()
+	rollouts          []*Rollout
 	changed           chan struct{}
 	defaultEndpoint   *Endpoint
 }
@@ -129,6 +131,13 @@
 	return string(store.objects[kind+"/"+name].spec)
 }
 
+// Status returns an object's status, or an empty string if it has none.
+func (store *Store) Status(kind, name string) string {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return string(store.objects[kind+"/"+name].status)
+}
+
 // SetFault sets the fault of the default endpoint.
 func (store *Store) SetFault(fault Fault) { store.defaultEndpoint.SetFault(fault) }
 
@@ -212,7 +221,7 @@
 
 func (store *Store) write(kind, name string, spec json.RawMessage) object {
 	store.revision++
-	written := object{kind: kind, name: name, spec: spec, revision: store.revision}
+	written := object{kind: kind, name: name, spec: spec, status: store.objects[kind+"/"+name].status, revision: store.revision}
 	store.objects[kind+"/"+name] = written
 	store.appendChange(change{object: written})
 	return written
@@ -236,10 +245,11 @@
 type objectForm struct {
 	Metadata metadataForm    `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status,omitempty"`
 }
 
 func (object object) form() objectForm {
-	return objectForm{Metadata: metadataForm{Name: object.name, Revision: object.revision}, Spec: object.spec}
+	return objectForm{Metadata: metadataForm{Name: object.name, Revision: object.revision}, Spec: object.spec, Status: object.status}
 }
 
 type eventForm struct {
@@ -315,6 +325,24 @@
 	}
 }
 
+// putStatus replaces an object's status if its condition holds. It returns the status of
+// the response and the object's current state. The caller holds the mutex.
+func (store *Store) putStatus(kind, name string, form objectForm) (int, object) {
+	existing, exists := store.objects[kind+"/"+name]
+	switch {
+	case !exists:
+		return http.StatusNotFound, existing
+	case form.Metadata.Revision != existing.revision:
+		return http.StatusConflict, existing
+	}
+	store.revision++
+	existing.status, existing.revision = form.Status, store.revision
+	store.objects[kind+"/"+name] = existing
+	store.appendChange(change{object: existing})
+	store.playRollouts(existing)
+	return http.StatusOK, existing
+}
+
 func writeJSON(writer http.ResponseWriter, status int, form any) {
 	writer.Header().Set("Content-Type", "application/json")
 	writer.WriteHeader(status)
