Carry rollouts in bulletins

Nodes had no way to tell each other the orders of rollouts, the evidence about a version and the requests that old servers may still get. Malformed lists, shares and states are refused like those of other fields. PeerView.ServingHosts names the peers that Serving counts.

TestSocket round-trips a report, TestDecodeLists refuses four malformed ones and TestNoRollouts covers the missing field; go test ./internal/node/... passes.

--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sapphirehead/internal/canary"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/release"
@@ -99,6 +100,8 @@
 	// listService is the time for which the store has answered the sender's reads of the
 	// list of servers, or 0.
 	listService clock.Millis
+	// rollouts is nil if the sender takes no part in rollouts.
+	rollouts *canary.Report
 }
 
 // NewBulletin returns a bulletin of the process on the host, which receives
@@ -196,6 +199,21 @@
 // list of servers without a failure, or 0 if it doesn't or the sender can't tell.
 func (bulletin Bulletin) ListService() clock.Millis { return bulletin.listService }
 
+// WithRollouts returns a copy with what the sender knows of rollouts and has counted.
+func (bulletin Bulletin) WithRollouts(report canary.Report) Bulletin {
+	bulletin.rollouts = &report
+	return bulletin
+}
+
+// Rollouts returns what the sender knows of rollouts and has counted, and false if it takes
+// no part in them.
+func (bulletin Bulletin) Rollouts() (canary.Report, bool) {
+	if bulletin.rollouts == nil {
+		return canary.Report{}, false
+	}
+	return *bulletin.rollouts, true
+}
+
 // WithUsage returns a copy with the node's usage and load.
 func (bulletin Bulletin) WithUsage(accounts []Usage, servers []ServerWork, pools []Usage, windows []WindowRuns) Bulletin {
 	bulletin.accounts, bulletin.servers, bulletin.pools, bulletin.windows = accounts, servers, pools, windows
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -37,6 +37,7 @@
 	encodeServerLimits(message, bulletin.ServerLimits())
 	message.SetCrashEvidence(evidencecodec.Encode(bulletin.Evidence()))
 	message.SetReleases(encodeReleases(bulletin.Releases()))
+	message.SetRollouts(encodeRollouts(bulletin))
 	pools := make([]*nodepb.PoolUse, 0, len(bulletin.Pools()))
 	for _, usage := range bulletin.Pools() {
 		form := &nodepb.PoolUse{}
@@ -178,11 +179,12 @@
 	for _, form := range message.GetPools() {
 		pools = append(pools, node.NewUsage(form.GetPool(), form.GetRequests(), form.GetTokens()))
 	}
-	return node.NewBulletin(message.GetHost(), message.GetAddress(), message.GetIncarnation(), message.GetSequence(),
+	bulletin := node.NewBulletin(message.GetHost(), message.GetAddress(), message.GetIncarnation(), message.GetSequence(),
 		clock.Millis(message.GetWallMillis()), message.GetStopping()).
 		WithConfiguration(message.GetConfiguration(), clock.Millis(message.GetConfigurationAgeMillis())).WithLeaving(message.GetLeaving()).WithUptime(clock.Millis(message.GetUptimeMillis())).WithReportedWindow(message.GetReportedWindow()).
 		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence).WithServerLimits(limits).WithReleases(releases).
-		WithListService(clock.Millis(message.GetListServiceMillis())), nil
+		WithListService(clock.Millis(message.GetListServiceMillis()))
+	return decodeRollouts(bulletin, message.GetRollouts())
 }
 
 func hasMatchingLists(message *nodepb.Bulletin) bool {
--- a/internal/node/nodecast/nodecast_test.go
+++ b/internal/node/nodecast/nodecast_test.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sapphirehead/internal/backend"
+	"sapphirehead/internal/canary"
 	"sapphirehead/internal/node"
 	"sapphirehead/internal/node/nodecast"
 	"sapphirehead/internal/node/nodepb"
@@ -23,7 +24,30 @@
 	}).WithEvidence(quarantine.NewEvidence(
 		[]quarantine.CrashReport{quarantine.NewCrashReport(9, 40, []uint64{1, 2}).WithRepeated([]uint64{1})}, []quarantine.AnswerReport{quarantine.NewAnswerReport(1, 30)},
 		[]quarantine.BlockReport{quarantine.NewBlockReport([]uint64{2}, 900, 50)})).WithReleases(release.NewNews(60_000,
-		[]release.SightingReport{release.NewSightingReport(3, 4, 200)}, []release.BeginningReport{release.NewBeginningReport(11, 4, 3500)}))
+		[]release.SightingReport{release.NewSightingReport(3, 4, 200)}, []release.BeginningReport{release.NewBeginningReport(11, 4, 3500)})).WithRollouts(sampleRollouts())
+}
+
+func sampleRollouts() canary.Report {
+	changed := canary.NewOrder("engines", "v3", 12000, 90).WithStatus("v2", canary.StateServing, 0.08, 50).WithStatus("v3", canary.StateServing, 0.04, 70)
+	withdrawn := canary.NewOrder("app", "v2", 9000, 91).WithStatus("v2", canary.StateRolledBack, 0, 60).WithWithdrawn(95)
+	return canary.NewReport(-1, []canary.OrderReport{
+		canary.NewOrderReport(changed, true, 3, []canary.Sum{
+			canary.NewSum("chat", canary.NewCount(40, 3, 2, 1500), canary.NewCount(900, 1, 4, 0)),
+			canary.NewSum("resume", canary.NewCount(5, 0, 0, 0), canary.NewCount(70, 0, 0, 0)),
+		}),
+		canary.NewOrderReport(withdrawn, false, 0, []canary.Sum{}),
+	})
+}
+
+// TestNoRollouts guards against a node without rollouts that counts as one that knows that
+// there are no orders.
+func TestNoRollouts(t *testing.T) {
+	data, err := nodecast.Encode(node.NewBulletin("edge-1", "127.0.0.1:7600", 7, 3, 1_000_000, true))
+	require.NoError(t, err)
+	bulletin, err := nodecast.Decode(data)
+	require.NoError(t, err)
+	_, takesPart := bulletin.Rollouts()
+	require.False(t, takesPart)
 }
 
 func TestSocket(t *testing.T) {
@@ -84,6 +108,19 @@
 	t.Run("answers", func(t *testing.T) {
 		expectRefused(t, func(message *nodepb.Bulletin) { message.GetCrashEvidence().SetAnswerAgesMillis(nil) })
 	})
+	rollout := func(message *nodepb.Bulletin) *nodepb.RolloutOrder { return message.GetRollouts().GetOrders()[0] }
+	t.Run("counts of a rollout", func(t *testing.T) {
+		expectRefused(t, func(message *nodepb.Bulletin) { rollout(message).SetBaseline([]int64{1, 2, 3, 4}) })
+	})
+	t.Run("the share of a rollout", func(t *testing.T) {
+		expectRefused(t, func(message *nodepb.Bulletin) { rollout(message).SetShare(math.NaN()) })
+	})
+	t.Run("the state of a rollout", func(t *testing.T) {
+		expectRefused(t, func(message *nodepb.Bulletin) { rollout(message).SetState(9) })
+	})
+	t.Run("the pool of a rollout", func(t *testing.T) {
+		expectRefused(t, func(message *nodepb.Bulletin) { rollout(message).SetPool("") })
+	})
 	t.Run("windows", func(t *testing.T) {
 		expectRefused(t, func(message *nodepb.Bulletin) { message.GetWindows()[0].SetRuns(nil) })
 	})
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -216,10 +216,24 @@
 // Serving returns the number of nodes that may serve requests now, this one included: those
 // that share limits, and stopping ones until their bulletins cease.
 func (view *PeerView) Serving(now clock.Millis) int {
-	return 1 + view.count(func(state peerState) bool {
-		age := now - state.receivedAt
-		return age < view.liveAge || (age < expectedAge && !state.latest.stopping)
-	})
+	return 1 + view.count(func(state peerState) bool { return view.isServing(state, now) })
+}
+
+func (view *PeerView) isServing(state peerState, now clock.Millis) bool {
+	age := now - state.receivedAt
+	return age < view.liveAge || (age < expectedAge && !state.latest.stopping)
+}
+
+// ServingHosts returns the hosts of the peers that may serve requests now, as Serving
+// counts them.
+func (view *PeerView) ServingHosts(now clock.Millis) []string {
+	var hosts []string
+	for _, state := range view.peers {
+		if view.isServing(state, now) {
+			hosts = append(hosts, state.latest.host)
+		}
+	}
+	return hosts
 }
 
 // Hosts returns the hosts of the peers that share limits with this node, as Nodes counts
