Carry out rollouts of software versions at the nodes

An order to move a pool to another software version had no effect: all versions of a pool were used alike, and nobody wrote its status.

While bounds.exposureShare is above 0, a node now watches the kind rollouts, reads it again when a version is new to its pool, asks the tracker of internal/canary which versions a request may use, and counts answers as evidence. Responses that shed load, rests of streams, callers that left, crashes that the quarantine explains and answers lost without a crash are not counted. The lease holder decides and writes the status under its lease and the object's revision, and reads the object back after each write. The autoscaler removes no server of a pool during its rollout. The lease is also competed for without a cloud API then. With the default settings nothing of this runs.

A request counts as one that old servers may get from before its plan is made until it ends, so a node that reports a promotion and no such request sends none there any more.

--- a/internal/edge/autoscaling.go
+++ b/internal/edge/autoscaling.go
@@ -132,8 +132,11 @@
 		}
 	}
 	state.serving = serving
-	due := map[fleetcloud.Place]int{}
+	due, keepsServers := map[fleetcloud.Place]int{}, edge.isRollingOut(poolConfig.Name())
 	for place, count := range state.autoscaler.DesiredServers(poolConfig.Rental(), serving, state.orderTracker.Scarce(now)) {
+		if keepsServers && count < serving[place] {
+			continue
+		}
 		// On-demand servers are not scaled until the list of a new deployment is
 		// complete, as running servers that are not listed yet would be drained.
 		if (settled || place.Reclaimable()) && state.orderTracker.Due(place, count, now) {
--- a/internal/edge/bulletins.go
+++ b/internal/edge/bulletins.go
@@ -118,11 +118,12 @@
 		windows = append(windows, node.NewWindowRuns(window, account, runs))
 	})
 	host := edge.settings.Load().Host()
-	return node.NewBulletin(host, peers.socket.Address(), peers.incarnation, peers.sequence.Load(), edge.clock.Wall(), edge.stopping.Load()).
+	bulletin := node.NewBulletin(host, peers.socket.Address(), peers.incarnation, peers.sequence.Load(), edge.clock.Wall(), edge.stopping.Load()).
 		WithUptime(edge.clock.Now()-edge.meters.start).WithReportedWindow(peers.reportedWindow.Load()).
 		WithConfiguration(edge.configurationVersion(), ageOf(&edge.storeResponses.configuration, edge.clock.Now())).WithLeaving(edge.leavingServers()).WithUsage(accounts, servers, pools, windows).
 		WithServerLimits(edge.serverLimits(receivers, edge.clock.Now())).WithEvidence(edge.quarantine.Evidence(edge.clock.Now())).
 		WithReleases(edge.releases.News(edge.clock.Now())).WithListService(edge.provenListService())
+	return edge.addRollouts(bulletin)
 }
 
 // leavingServers returns the hashes of leaving servers if this node is a
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -54,6 +54,7 @@
 	budgets        *budgets
 	quarantine     *quarantine.Quarantine
 	releases       *release.Memory
+	rollouts       *rollouts
 	// serversUnavailable is set while the list of servers can't be read.
 	serversUnavailable atomic.Bool
 	meters             *meters
@@ -77,6 +78,7 @@
 	edge.publishQuarantines()
 	edge.meters = newMeters(clock.Now(), edge.hasOlderPeer, edge.restartLevel)
 	edge.settings.Store(loaded)
+	edge.rollouts = newRollouts(loaded, edge.counters)
 	edge.responseMemory = newResponseMemory(func() int64 { return int64(responseMemoryShare * float64(edge.settings.Load().MemoryBytes())) })
 	edge.links = backendlink.New(clock, func() { edge.counters.connections.Add(1) }, edge.doubt)
 	edge.placement = placement.New(clock, edge.fleet, loaded.DataCentre(), rand.Float64)
@@ -106,8 +108,8 @@
 // counts as reconnected.
 const storeProbes = 1
 
-// maxStoreConnections is the number of idle connections to the store: two for
-// watches and a few for other calls.
+// maxStoreConnections is the number of idle connections to the store: two or three
+// for watches and one or two for other calls.
 const maxStoreConnections = 4
 
 func (edge *Edge) listen(loaded *settings.Edge) error {
@@ -145,7 +147,7 @@
 	defer endLoops()
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
-		edge.followConfiguration, edge.followServers, edge.sweep,
+		edge.followConfiguration, edge.followServers, edge.followRollouts, edge.runRollouts, edge.sweep,
 		edge.discoverPeers, edge.sendBulletins, edge.applyPeerState, edge.receiveBulletins, edge.runLeaderTasks,
 		func(ctx context.Context) { edge.followSettings(ctx, reload, load) },
 	} {
--- a/internal/edge/fixture_test.go
+++ b/internal/edge/fixture_test.go
@@ -222,6 +222,8 @@
 	drainMillis int
 	// memoryMegabytes is the memory of nodes that are started, or 0 for the default.
 	memoryMegabytes int
+	// exposureShare turns rollouts on at nodes that are started.
+	exposureShare float64
 }
 
 const testConfiguration = `{"version":3,"routes":[
@@ -314,9 +316,12 @@
 leaseMillis = 500
 graceSeconds = %g
 drainMillis = %d
+exposureShare = %g
+exposureSlack = 50
+rollbackMillis = 5000
 [limits]
 memoryMegabytes = %d
-`, testNode.host, fixture.serve(testNode.door), fixture.serve(fixture.duty), cmp.Or(fixture.graceSeconds, 8), cmp.Or(fixture.drainMillis, 2000), cmp.Or(fixture.memoryMegabytes, 256))))
+`, testNode.host, fixture.serve(testNode.door), fixture.serve(fixture.duty), cmp.Or(fixture.graceSeconds, 8), cmp.Or(fixture.drainMillis, 2000), fixture.exposureShare, cmp.Or(fixture.memoryMegabytes, 256))))
 	require.NoError(fixture.t, err)
 	return loaded
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -33,10 +33,10 @@
 	// onRead is called with the time at which a successful call was sent, once its
 	// result is in use; nil if nobody needs it.
 	onRead func(began clock.Millis)
-	// wakeUp ends a watch of this kind early, and otherWakeUp one of the other
-	// kind.
-	wakeUp      *wakeUp
-	otherWakeUp *wakeUp
+	// wakeUp ends a watch of this kind early, and otherWakeUps those of the other
+	// kinds.
+	wakeUp       *wakeUp
+	otherWakeUps []*wakeUp
 }
 
 // synced records that the result of a call that was sent at the time has been applied.
@@ -76,9 +76,11 @@
 		case errors.As(err, &gone):
 			edge.log.Info().Str("kind", handler.kind).Str("version", platform.FormatVersion(version)).Msg("history of the watch is gone; listing again")
 			listed = false
-			// The history of the other watch is gone too, but its connection may be
+			// The history of the other watches is gone too, but their connections may be
 			// silent and not deliver the error.
-			handler.otherWakeUp.Trigger()
+			for _, other := range handler.otherWakeUps {
+				other.Trigger()
+			}
 			if edge.clock.Wait(ctx, relists.next()) != nil {
 				return
 			}
@@ -199,7 +201,7 @@
 		},
 		onSynced:   func() { setTime(&edge.storeResponses.configuration, edge.clock.Now()) },
 		batchDelay: edge.configurationDelay,
-		wakeUp:     &edge.wakeUps.configuration, otherWakeUp: &edge.wakeUps.servers,
+		wakeUp:     &edge.wakeUps.configuration, otherWakeUps: []*wakeUp{&edge.wakeUps.servers, &edge.wakeUps.rollouts},
 		watchWait: func() clock.Millis {
 			return platform.WatchWait(edge.settings.Load().Bounds().Configuration(), edge.isDesignatedWatcher(), edge.nodes())
 		},
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -13,6 +13,7 @@
 
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/backend/backendlink"
+	"sapphirehead/internal/canary"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/logging"
 	"sapphirehead/internal/placement"
@@ -58,6 +59,7 @@
 	attempts := &attempts{requestContext: requestContext, retrier: retrier, ctx: ctx, hold: newResponseHold(edge.responseMemory)}
 	defer attempts.hold.release()
 	mayGoOn := !requestContext.takesUp() || attempts.pinRelease()
+	defer attempts.planRollout()()
 	edge.countRequest(requestContext.pool)
 	if !mayGoOn {
 		requestContext.refuse("the software version that began the stream is not known", shortRetryAfter)
@@ -136,6 +138,10 @@
 	repeated bool
 	// beganAt is when the latest response began, or 0 if nothing shows that it did.
 	beganAt clock.Millis
+	// continues tells that the latest attempt was for the rest of a stream.
+	continues bool
+	// plan says which servers the next attempt may use during a rollout.
+	plan canary.Plan
 }
 
 // sendOnce sends the request to one server.
@@ -166,7 +172,8 @@
 	defer markRead()
 	server.Circuit().Begin(edge.clock.Now())
 	attempts.retrier.RecordSend()
-	attempts.sentAt = edge.clock.Now()
+	attempts.sentAt, attempts.continues = edge.clock.Now(), attempts.release != 0
+	attempts.countCanary()
 	response, err := edge.links.Send(attempts.ctx, server, attempts.encode(choice))
 	if err != nil {
 		return attempts.handleSendError(server, err)
@@ -178,6 +185,7 @@
 	outcome = attempts.handleResponse(server, response, markRead)
 	attempts.recordOutcome(server, outcome)
 	attempts.recordAnswer(server, outcome, attempts.beganAt)
+	attempts.recordEvidence(server, response, outcome)
 	return outcome
 }
 
@@ -186,9 +194,12 @@
 func (attempts *attempts) choose(poolConfig pool.Pool) (placement.Choice, request.Outcome) {
 	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
 	rank := requestContext.rank()
+	attempts.planRetry()
 	for {
-		choice, ok := edge.placement.Choose(poolConfig, requestContext.call.Prompt(), rank, attempts.triedServers, attempts.release)
+		choice, ok := edge.placement.ChooseAmong(attempts.usableServers(), poolConfig, requestContext.call.Prompt(), rank, attempts.triedServers, attempts.release)
 		switch {
+		case !ok && attempts.leaveCanary():
+			continue
 		case !ok && choice.LimitWait() > 0:
 			attempts.retryAfter = choice.LimitWait()
 			return choice, request.OutcomeLimited
@@ -196,6 +207,9 @@
 			return choice, request.OutcomeNoServer
 		}
 		if lateness := choice.Lateness(requestContext.route, rank, edge.clock.Now()-requestContext.arrived); lateness > 0 && attempts.retrier.Sends() == 0 {
+			if attempts.leaveCanary() {
+				continue
+			}
 			requestContext.logChoice(choice)
 			attempts.retryAfter = lateness
 			return choice, request.OutcomeTooLate
--- a/internal/edge/leadertasks.go
+++ b/internal/edge/leadertasks.go
@@ -74,13 +74,17 @@
 // as their calls may be slow. On a planned stop the tasks end and the lease is
 // released.
 func (edge *Edge) runLeaderTasks(ctx context.Context) {
-	if edge.settings.Load().Cloud().Address() == "" {
+	tasks := []func(context.Context){edge.runRolloutTask}
+	if edge.settings.Load().Cloud().Address() != "" {
+		tasks = append(tasks, edge.runUsageReports, edge.runAutoscaling)
+	} else if !edge.awaitRollouts(ctx) {
+		// Nothing but rollouts needs the lease.
 		return
 	}
 	working, end := context.WithCancel(ctx)
 	defer end()
 	var group errgroup.Group
-	for _, task := range []func(context.Context){edge.runUsageReports, edge.runAutoscaling} {
+	for _, task := range tasks {
 		group.Go(func() error {
 			task(working)
 			return nil
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -36,6 +36,7 @@
 // ended the connection. A server that leaves as planned isn't taken for crashed.
 func (attempts *attempts) recordCrash(server *backend.Server, err error, events int) {
 	edge := attempts.requestContext.edge
+	attempts.recordLost(server, err)
 	if backendlink.IsClosedByPeer(err) {
 		edge.doubt(server)
 	}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -89,7 +89,7 @@
 			return wait
 		},
 		batchDelay: edge.batchDelay,
-		wakeUp:     &edge.wakeUps.servers, otherWakeUp: &edge.wakeUps.configuration,
+		wakeUp:     &edge.wakeUps.servers, otherWakeUps: []*wakeUp{&edge.wakeUps.configuration, &edge.wakeUps.rollouts},
 		onFailure: func(error) {
 			registry.SetUnavailable()
 			edge.listService.fail(edge.listReads.latest.Load().began)
@@ -145,6 +145,7 @@
 			Msg("backend server leaves")
 	}
 	edge.observeReleases()
+	edge.observeVersions()
 	after := edge.fleet.Current()
 	for _, server := range after.Servers() {
 		if previous := before.Server(server.ID()); previous == nil || previous.Key() != server.Key() || previous.Software() != server.Software() {
--- a/internal/edge/storeresponses.go
+++ b/internal/edge/storeresponses.go
@@ -17,6 +17,7 @@
 type wakeUps struct {
 	configuration wakeUp
 	servers       wakeUp
+	rollouts      wakeUp
 }
 
 func setTime(at *atomic.Int64, now clock.Millis) { at.Store(int64(now)) }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -119,7 +119,12 @@
 // at the limit that they named and, unless only is 0, those of other releases. A server
 // whose circuit is open is chosen only if there is no other.
 func (placement *Placement) Choose(poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID) (Choice, bool) {
-	servers := placement.fleet.Current().Pool(poolConfig.Name())
+	return placement.ChooseAmong(placement.fleet.Current().Pool(poolConfig.Name()), poolConfig, prompt, rank, exclude, only)
+}
+
+// ChooseAmong chooses like Choose among the given servers of the pool. A session's
+// preferred server is one of them.
+func (placement *Placement) ChooseAmong(servers []*backend.Server, poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID) (Choice, bool) {
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
 	var best, fallback Choice
