Show rollouts at the metrics address and in sapphirectl

Operators could not see the state of a rollout, the evidence about its version or why it was decided so.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/gorilla/mux"
 
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/operator/operatorhttp"
 )
 
 // readyTimeout bounds the reading of a request's head on the readiness and
@@ -59,6 +60,7 @@
 		writer.Header().Set("Content-Type", "application/json")
 		writer.Write([]byte(edge.counters.values.String()))
 	}).Methods(http.MethodGet)
+	router.HandleFunc(operatorhttp.RolloutsPath, edge.serveRollouts).Methods(http.MethodGet)
 	return router
 }
 
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -35,6 +35,8 @@
 	// unsettled counts the requests in progress that servers of any version may get.
 	unsettled sync.Map // Pool to *atomic.Int64.
 	lost      chan lostAnswer
+	// latest has the latest decision on each pool while this node holds the lease.
+	latest sync.Map // Pool to canary.Decision.
 	// canaryRequests and the other counters are metrics.
 	canaryRequests *expvar.Int
 	halts          *expvar.Int
@@ -74,6 +76,16 @@
 	return counter.(*atomic.Int64)
 }
 
+// decisions returns the latest decision on each pool, if this node holds the lease.
+func (rollouts *rollouts) decisions() map[string]canary.Decision {
+	decisions := map[string]canary.Decision{}
+	rollouts.latest.Range(func(pool, decision any) bool {
+		decisions[pool.(string)] = decision.(canary.Decision)
+		return true
+	})
+	return decisions
+}
+
 // hasRollouts reports whether the settings turn rollouts on.
 func (edge *Edge) hasRollouts() bool { return edge.settings.Load().Bounds().ExposureShare() > 0 }
 
--- a/internal/edge/rollout_test.go
+++ b/internal/edge/rollout_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/operator/operatorhttp"
 	"sapphirehead/internal/standin/enginestandin"
 	"sapphirehead/internal/standin/storestandin"
 )
@@ -193,4 +194,12 @@
 		require.Equal(t, http.StatusOK, fixture.call(http.MethodGet, "/look/a").status)
 	}
 	require.Equal(t, ran, countRuns(fixture.added), "the version was used after it was rolled back")
+	for _, testNode := range nodes {
+		report, err := operatorhttp.Rollouts(t.Context(), clock.System(), testNode.node.Addresses()["metrics"], clock.Minute)
+		require.NoError(t, err)
+		require.Len(t, report.Rollouts, 1)
+		require.Equal(t, "v2", report.Rollouts[0].Version)
+		require.True(t, report.Rollouts[0].Halted)
+		require.NotEmpty(t, report.Rollouts[0].Evidence)
+	}
 }
--- a/internal/edge/rollouttask.go
+++ b/internal/edge/rollouttask.go
@@ -37,6 +37,8 @@
 	for edge.awaitRollouts(ctx) && edge.clock.Wait(ctx, rolloutInterval) == nil {
 		if holding, holds := edge.leaderHolding(); holds {
 			edge.decideRollouts(ctx, holding)
+		} else {
+			edge.rollouts.latest.Clear()
 		}
 	}
 }
@@ -64,6 +66,7 @@
 		return
 	}
 	decision := task.controller.Step(edge.trueTime(), edge.rolloutInputs(order))
+	edge.rollouts.latest.Store(order.Pool(), decision)
 	edge.logDecision(holding, decision)
 	if !decision.MustWrite() {
 		return
--- a/internal/operator/operatorcli/operatorcli.go
+++ b/internal/operator/operatorcli/operatorcli.go
@@ -58,6 +58,7 @@
 	Status     StatusCommand     `cmd:"" help:"Show nodes, tables in force, leases and backend servers. Example: sapphirectl status"`
 	Drain      DrainCommand      `cmd:"" help:"Stop an entry host gracefully, or mark a backend server as leaving. Example: sapphirectl drain node entry-1"`
 	Burn       BurnCommand       `cmd:"" help:"Show the service-level burn. Example: sapphirectl burn --html burn.html"`
+	Rollouts   RolloutsCommand   `cmd:"" help:"Show the rollouts of software versions that a node of sapphire-edge knows. Example: sapphirectl rollouts --at 10.0.0.7:7101"`
 	Explain    ExplainCommand    `cmd:"" help:"Explain the end of a request from log files. Example: sapphirectl explain 22012ec62216ca9d edge-*.log"`
 	HashKey    HashKeyCommand    `cmd:"" help:"Print the hash of a key or token read from standard input. Example: sapphirectl hash-key < key.txt"`
 	Completion CompletionCommand `cmd:"" help:"Print a completion script. Example: sapphirectl completion bash > /etc/bash_completion.d/sapphirectl"`
