Count attempts that are overdue as evidence in rollouts

A slow answer was counted only once it had come, and one that never comes in time not at all. An attempt whose response has not begun within Tracker.SlowAfter is now recorded as overdue, once, for all versions; the rest of a stream is left out. Plan gets the route, and the lease holder passes the time since it first saw an order, so that a successor keeps it if its predecessor has not written it.

TestGoodRollout, TestBadRollout, TestLostStatusAnswer, TestOddOrders, TestVersionsWithoutOrder and TestMetricsPage pass.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -138,8 +138,8 @@
 	repeated bool
 	// beganAt is when the latest response began, or 0 if nothing shows that it did.
 	beganAt clock.Millis
-	// continues tells that the latest attempt was for the rest of a stream.
-	continues bool
+	// evidence is that of the latest attempt about its server's version.
+	evidence *attemptEvidence
 	// plan says which servers the next attempt may use during a rollout.
 	plan canary.Plan
 }
@@ -167,12 +167,12 @@
 	requestContext.logChoice(choice)
 	requestContext.countDemand(choice)
 	end := server.Begin()
-	markRead := server.Work().Queue(choice.UncachedTokens())
+	markRead := attempts.watchSlowness(server, server.Work().Queue(choice.UncachedTokens()))
 	defer end()
 	defer markRead()
 	server.Circuit().Begin(edge.clock.Now())
 	attempts.retrier.RecordSend()
-	attempts.sentAt, attempts.continues = edge.clock.Now(), attempts.release != 0
+	attempts.sentAt = edge.clock.Now()
 	attempts.countCanary()
 	response, err := edge.links.Send(attempts.ctx, server, attempts.encode(choice))
 	if err != nil {
--- a/internal/edge/rollout_test.go
+++ b/internal/edge/rollout_test.go
@@ -37,6 +37,7 @@
 	// servers are the HTTP servers by id; closing one ends its process.
 	mutex   sync.Mutex
 	servers map[string]*httptest.Server
+	starts  int
 }
 
 // newRolloutFixture starts nodes of a system with rollouts, with two application servers of
@@ -67,8 +68,9 @@
 	rolloutFixture.mutex.Lock()
 	defer rolloutFixture.mutex.Unlock()
 	rolloutFixture.servers[id] = server
+	rolloutFixture.starts++
 	return fmt.Sprintf(`{"service":"app","address":%q,"zone":"lj-a","version":%q,"batchSlots":6,"state":"ready","sequence":1,"born":%d}`,
-		strings.TrimPrefix(server.URL, "http://"), version, len(rolloutFixture.servers))
+		strings.TrimPrefix(server.URL, "http://"), version, rolloutFixture.starts)
 }
 
 // order writes the order to move the application servers to v2 and starts two servers of
@@ -82,6 +84,11 @@
 		rolloutFixture.added = append(rolloutFixture.added, engine)
 		entries[id] = rolloutFixture.entry(engine, id, "v2")
 	}
+	rolloutFixture.orderServers(entries)
+}
+
+// orderServers writes the order and the entries of servers of v2.
+func (rolloutFixture *rolloutFixture) orderServers(entries map[string]string) {
 	order := orderOf("app", "v2", cmp.Or(rolloutFixture.seconds, rolloutSeconds))
 	rolloutFixture.rollout = rolloutFixture.store.Order("app", "v2", order, entries, rolloutFixture.end)
 }
@@ -115,7 +122,7 @@
 		group.Go(func() {
 			for ctx.Err() == nil {
 				count := sent.Add(1)
-				method, path := http.MethodGet, "/look/a"
+				method, path := http.MethodGet, fmt.Sprint("/look/", count)
 				if worker == 0 {
 					method, path = http.MethodPost, "/book/a"
 				}
--- a/internal/edge/rolloutattempts.go
+++ b/internal/edge/rolloutattempts.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/http"
 	"slices"
+	"sync/atomic"
 
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/backend/backendlink"
@@ -30,7 +31,7 @@
 		return func() { unsettled.Add(-1) }
 	}
 	_, session := requestContext.call.Prompt().Session()
-	attempts.plan = edge.rollouts.tracker.Plan(requestContext.pool, session, edge.clock.Now())
+	attempts.plan = edge.rollouts.tracker.Plan(requestContext.pool, requestContext.route.Name(), session, edge.clock.Now())
 	if attempts.plan.Use() == canary.UsePromoted {
 		unsettled.Add(-1)
 		return func() {}
@@ -93,13 +94,48 @@
 	return usable[:min(limit, len(usable))]
 }
 
+// attemptEvidence is what an attempt shows about the version of its server. It is recorded
+// once.
+type attemptEvidence struct {
+	// isNone is set for the rest of a stream.
+	isNone   bool
+	recorded atomic.Bool
+}
+
+// watchSlowness records the attempt as overdue if its response has not begun in the usual
+// time. It returns a function that ends the watch and calls markRead, to be called when the
+// response begins and when the attempt ends.
+func (attempts *attempts) watchSlowness(server *backend.Server, markRead func()) (begun func()) {
+	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
+	evidence := &attemptEvidence{isNone: attempts.release != 0 || !edge.hasRollouts()}
+	attempts.evidence = evidence
+	if evidence.isNone {
+		return markRead
+	}
+	route, tokens := requestContext.route.Name(), requestContext.choice.UncachedTokens()
+	wait, ok := edge.rollouts.tracker.SlowAfter(server.Pool(), route, tokens)
+	if !ok {
+		return markRead
+	}
+	cancel := edge.clock.AfterFunc(wait, func() {
+		if !requestContext.callerLeft() && !evidence.recorded.Swap(true) {
+			overdue := canary.NewAnswer(route, tokens, canary.OutcomeOverdue, wait)
+			edge.rollouts.tracker.Record(server.Pool(), server.Software(), overdue, edge.clock.Now())
+		}
+	})
+	return func() {
+		cancel()
+		markRead()
+	}
+}
+
 // recordEvidence counts the response as evidence about the version of its server. Refusals
 // show nothing about it, nor do responses by which a server sheds load or keeps to its
 // limit, the rest of a stream, and what callers that left didn't wait for. Lost responses
 // are judged by resolveLost.
 func (attempts *attempts) recordEvidence(server *backend.Server, response *backendlink.Response, outcome request.Outcome) {
 	requestContext, edge := attempts.requestContext, attempts.requestContext.edge
-	if !edge.hasRollouts() || attempts.continues {
+	if attempts.evidence.isNone {
 		return
 	}
 	began := attempts.beganAt
@@ -114,7 +150,7 @@
 	default:
 		return
 	}
-	if requestContext.callerLeft() || shedsLoad(response) {
+	if requestContext.callerLeft() || shedsLoad(response) || attempts.evidence.recorded.Swap(true) {
 		return
 	}
 	answer := canary.NewAnswer(requestContext.route.Name(), requestContext.choice.UncachedTokens(), result, began-attempts.sentAt)
--- a/internal/edge/rollouttask.go
+++ b/internal/edge/rollouttask.go
@@ -129,7 +129,8 @@
 	}
 	inProgress := int(edge.rollouts.unsettledIn(order.Pool()).Load())
 	agreement := edge.rollouts.tracker.Agreement(order, inProgress, edge.peers.states.View().ServingHosts(now), now)
-	inputs := canary.NewInputs(order, exists, edge.listedVersions(), agreement, edge.rollouts.tracker.Verdict(order.Pool()))
+	inputs := canary.NewInputs(order, exists, edge.listedVersions(), agreement, edge.rollouts.tracker.Verdict(order.Pool())).
+		WithAge(edge.rollouts.tracker.Age(order.Pool(), now))
 	ordered, others, load := 0, 0, 0
 	for _, server := range edge.fleet.Current().Pool(order.Pool()) {
 		slots := server.Slots()
