--- a/internal/edge/autoscaling.go
+++ b/internal/edge/autoscaling.go
@@ -120,8 +120,12 @@
 	if total == 0 {
 		return
 	}
+	keepsServers := edge.isRollingOut(poolConfig.Name())
 	if edge.leaderTasks.autoscaling.record.pools != nil {
 		state.settling.Settle()
+	} else if keepsServers && !state.settling.Settled() {
+		// The servers of both versions would count as the demand of a new deployment.
+		return
 	} else if !state.settling.Settled() {
 		state.autoscaler.SetInitialServers(total - countReclaimable(serving))
 	}
@@ -132,7 +136,7 @@
 		}
 	}
 	state.serving = serving
-	due, keepsServers := map[fleetcloud.Place]int{}, edge.isRollingOut(poolConfig.Name())
+	due := map[fleetcloud.Place]int{}
 	for place, count := range state.autoscaler.DesiredServers(poolConfig.Rental(), serving, state.orderTracker.Scarce(now)) {
 		if keepsServers && count < serving[place] {
 			continue
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -37,6 +37,10 @@
 	lost      chan lostAnswer
 	// latest has the latest decision on each pool while this node holds the lease.
 	latest sync.Map // Pool to canary.Decision.
+	// readAt is when the latest read of all orders began, and awaitedAt when a version was
+	// listed that might have an order that was not read yet.
+	readAt    atomic.Int64
+	awaitedAt atomic.Int64
 	// canaryRequests and the other counters are metrics.
 	canaryRequests *expvar.Int
 	halts          *expvar.Int
@@ -168,6 +172,7 @@
 	objects.mutex.Lock()
 	defer objects.mutex.Unlock()
 	objects.asOf = max(objects.asOf, began)
+	setTime(&edge.rollouts.readAt, objects.asOf)
 	byPool := map[string]canary.Order{}
 	refuse := func(object store.Object, reason string) {
 		if objects.refused[object.Name()] != object.Version() {
@@ -222,7 +227,9 @@
 // observeVersions applies the versions of the listed servers. A version that is new to its
 // pool is not used until the rollouts have been read again.
 func (edge *Edge) observeVersions() {
-	if edge.hasRollouts() && edge.rollouts.tracker.ObserveServers(edge.listedVersions(), edge.clock.Now()) {
+	now := edge.clock.Now()
+	if edge.hasRollouts() && edge.rollouts.tracker.ObserveServers(edge.listedVersions(), now) {
+		setTime(&edge.rollouts.awaitedAt, now)
 		edge.wakeUps.rollouts.Trigger()
 	}
 }
@@ -280,11 +287,15 @@
 }
 
 // isRollingOut reports whether the pool's servers must not be removed: an order for it is
-// carried out, or servers of several versions are listed while it ends.
+// carried out, servers of several versions are listed while it ends, or there may be an
+// order that this node has not read yet.
 func (edge *Edge) isRollingOut(pool string) bool {
 	if !edge.hasRollouts() {
 		return false
 	}
+	if readAt := edge.rollouts.readAt.Load(); readAt == 0 || readAt < edge.rollouts.awaitedAt.Load() {
+		return true
+	}
 	for _, order := range edge.rollouts.tracker.Orders() {
 		if order.Pool() == pool && !order.Withdrawn() {
 			return !order.State().IsFinal() || hasSeveralVersions(edge.fleet.Current().Pool(pool))
