--- a/internal/edge/autoscaling.go
+++ b/internal/edge/autoscaling.go
@@ -130,8 +130,12 @@
 	if total == 0 {
 		return
 	}
+	keepsServers := edge.isRollingOut(poolConfig.Name())
 	if edge.leaderTasks.autoscaling.record.pools != nil {
 		state.settling.Settle()
+	} else if keepsServers && !state.settling.Settled() {
+		// The servers of both versions would count as the demand of a new deployment.
+		return
 	} else if !state.settling.Settled() {
 		state.autoscaler.SetInitialServers(total - countReclaimable(serving))
 	}
@@ -144,6 +148,9 @@
 	state.serving = serving
 	due := map[fleetcloud.Place]int{}
 	for place, count := range state.autoscaler.DesiredServers(poolConfig.Rental(), serving, state.orderTracker.Scarce(now)) {
+		if keepsServers && count < serving[place] {
+			continue
+		}
 		// On-demand servers are not scaled until the list of a new deployment is
 		// complete, as running servers that are not listed yet would be drained.
 		if (settled || place.Reclaimable()) && state.orderTracker.Due(place, count, now) {
--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -2,6 +2,7 @@
 
 import (
 	"sapphirehead/internal/backend"
+	"sapphirehead/internal/canary"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/release"
@@ -101,6 +102,8 @@
 	// list of servers, or 0.
 	listService clock.Millis
 	speeds      backend.SpeedNews
+	// rollouts is nil if the sender takes no part in rollouts.
+	rollouts *canary.Report
 }
 
 // NewBulletin returns a bulletin of the process on the host, which receives
@@ -207,6 +210,21 @@
 // Speeds returns what the sender has lately learned of the speed of servers.
 func (bulletin Bulletin) Speeds() backend.SpeedNews { return bulletin.speeds }
 
+// WithRollouts returns a copy with what the sender knows of rollouts and has counted.
+func (bulletin Bulletin) WithRollouts(report canary.Report) Bulletin {
+	bulletin.rollouts = &report
+	return bulletin
+}
+
+// Rollouts returns what the sender knows of rollouts and has counted, and false if it takes
+// no part in them.
+func (bulletin Bulletin) Rollouts() (canary.Report, bool) {
+	if bulletin.rollouts == nil {
+		return canary.Report{}, false
+	}
+	return *bulletin.rollouts, true
+}
+
 // WithUsage returns a copy with the node's usage and load.
 func (bulletin Bulletin) WithUsage(accounts []Usage, servers []ServerWork, pools []Usage, windows []WindowRuns) Bulletin {
 	bulletin.accounts, bulletin.servers, bulletin.pools, bulletin.windows = accounts, servers, pools, windows
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -142,10 +142,15 @@
 }
 
 // ChooseWithin is Choose for a request with the time left to its target, or 0 if it has
-// none. Now and then a request with more time than it needs is sent to a server that looked
-// slow, to find out whether it still is.
+// none.
 func (placement *Placement) ChooseWithin(poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID, slack clock.Millis) (Choice, bool) {
-	servers := placement.fleet.Current().Pool(poolConfig.Name())
+	return placement.ChooseAmong(placement.fleet.Current().Pool(poolConfig.Name()), poolConfig, prompt, rank, exclude, only, slack)
+}
+
+// ChooseAmong is ChooseWithin among the given servers of the pool. A session's preferred
+// server is one of them. Now and then a request with more time than it needs is sent to a
+// server that looked slow, to find out whether it still is.
+func (placement *Placement) ChooseAmong(servers []*backend.Server, poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID, slack clock.Millis) (Choice, bool) {
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
 	aged, prefill := newAgedLoad(servers, poolConfig, speed, now), newPrefill(prompt)
