Try slow engines with one in 20 requests, however many look slow

Cause: each engine that looked slow and had not been observed for 5 s drew its own 5 in 100, so with 20 such engines 63 in 100 of the requests with slack went to one of them.

Change: one draw for each decision, for the engine that was observed longest ago.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -177,8 +177,8 @@
 			continue
 		}
 		candidates++
-		if choice.rateFactor > 1 && placement.explores(&choice, slack, now) {
-			explored = choice
+		if choice.rateFactor > 1 && mayExplore(&choice, slack, now) {
+			choice.exploreFirst(&explored)
 		}
 		if choice.savesTokens {
 			affine = choice
@@ -190,7 +190,7 @@
 	if best.server == nil || (affine.server != nil && affine.cost <= best.cost) {
 		best = affine
 	}
-	if explored.server != nil {
+	if explored.server != nil && placement.random() < exploreShare {
 		best = explored
 	}
 	if best.server == nil {
--- a/internal/placement/rates.go
+++ b/internal/placement/rates.go
@@ -90,8 +90,14 @@
 	speed.ObserveResponse(placement.observe(speed, choice, elapsed))
 }
 
-// explores reports whether a request with the slack is to try the server of the choice.
-func (placement *Placement) explores(choice *Choice, slack, now clock.Millis) bool {
-	return choice.rateFactor > 1 && now-choice.server.Rate().ObservedAt() >= exploreAge &&
-		choice.wait < exploreSlackShare*float64(slack) && placement.random() < exploreShare
+// mayExplore reports whether a request with the slack may try the server of the choice.
+func mayExplore(choice *Choice, slack, now clock.Millis) bool {
+	return now-choice.server.Rate().ObservedAt() >= exploreAge && choice.wait < exploreSlackShare*float64(slack)
+}
+
+// exploreFirst replaces the server to try by that of the choice if it was observed earlier.
+func (choice *Choice) exploreFirst(explored *Choice) {
+	if explored.server == nil || choice.server.Rate().ObservedAt() < explored.server.Rate().ObservedAt() {
+		*explored = *choice
+	}
 }
--- a/internal/placement/uneven_test.go
+++ b/internal/placement/uneven_test.go
@@ -418,26 +418,29 @@
 // TestExploration guards against slow servers that are never tried again, and against
 // callers who pay for the trial.
 func TestExploration(t *testing.T) {
-	shareOfSlow := func(slack clock.Millis) float64 {
-		cluster := newCluster(pool.KindRunner, 1, 30, 1, 1)
+	shareOfSlow := func(slack clock.Millis, slowServers int) float64 {
+		cluster := newCluster(pool.KindRunner, 1, 30, repeatSpeeds(1+slowServers, 1)...)
 		node := cluster.nodes[0]
-		for range 40 {
-			node.servers()[1].Rate().Observe(math.Log(2), 0.3, cluster.manual.Now())
+		for _, server := range node.servers()[1:] {
+			for range 40 {
+				server.Rate().Observe(math.Log(2), 0.3, cluster.manual.Now())
+			}
 		}
 		cluster.manual.Advance(6 * clock.Second)
 		slow := 0
 		for range 2000 {
 			choice, ok := node.placement.ChooseWithin(cluster.poolConfig, runner.NewPrompt(nil, 1500), 0, nil, 0, slack)
 			require.True(t, ok)
-			if choice.Server() == node.servers()[1] {
+			if choice.Server() != node.servers()[0] {
 				slow++
 			}
 		}
 		return float64(slow) / 2000
 	}
-	require.InDelta(t, 0.05, shareOfSlow(500), 0.02)
-	require.Zero(t, shareOfSlow(100))
-	require.Zero(t, shareOfSlow(0))
+	require.InDelta(t, 0.05, shareOfSlow(500, 1), 0.02)
+	require.InDelta(t, 0.05, shareOfSlow(500, 20), 0.02)
+	require.Zero(t, shareOfSlow(100, 1))
+	require.Zero(t, shareOfSlow(0, 1))
 }
 
 // BenchmarkChoose measures one decision among 240 servers with four figures and rates.
