Test services at nodes that hear no peers

Cause: no test covered placement by a node's own figures alone.

Change: TestCutOff plays 8 nodes that hear nothing from each other.

--- a/internal/placement/uneven_test.go
+++ b/internal/placement/uneven_test.go
@@ -308,6 +308,17 @@
 	t.Run("and report it", func(t *testing.T) { expectServed(t, 0.2, 0.15, 4, 0.06) })
 }
 
+// TestCutOff guards against a node that hears no peer and so takes one server for the best.
+func TestCutOff(t *testing.T) {
+	const never = clock.Hour
+	cluster := newCluster(pool.KindService, 8, never, 1, 1, 1)
+	cluster.perMilli, cluster.figures, cluster.silent = 0.2, 3, true
+	cluster.play(20 * clock.Second)
+	t.Log(cluster.sent, cluster.late, cluster.rejected)
+	require.Zero(t, cluster.late)
+	require.Zero(t, cluster.rejected)
+}
+
 // TestUnevenEngines guards against queues at engines that all nodes choose at once, and at
 // slow ones. The times are those to the first event at 0.7 of the capacity.
 func TestUnevenEngines(t *testing.T) {
