--- a/internal/canary/publish.go
+++ b/internal/canary/publish.go
@@ -56,6 +56,7 @@
 		state.plan = Plan{use: UsePromoted, version: order.version}
 	case order.state == StateServing && order.share > 0 && state.plan.use == UseOthers && !tracker.awaits(version):
 		state.share = min(order.share, canaryPart*tracker.exposureShare)
+		state.until = known.seenAt + order.duration
 		state.canary = Plan{use: UseCanary, version: order.version, servers: canaryServers(state.share, serving, order.version), exposure: known.trial.exposure}
 	}
 	return state, true
@@ -108,6 +109,10 @@
 	case now-tracker.othersAt[pool] > aloneTime:
 		return Plan{}
 	}
+	if _, listed := serving[known.order.version]; ok && !listed && len(serving) > 0 && !known.order.withdrawn && known.order.state != StateSucceeded {
+		// Its servers may be in use before the next list was observed.
+		heldBack = append(heldBack, known.order.version)
+	}
 	if len(heldBack) == 0 {
 		return Plan{}
 	}
--- a/internal/canary/tracker_test.go
+++ b/internal/canary/tracker_test.go
@@ -81,6 +81,11 @@
 	t.Run("an ordered version waits for the status", func(t *testing.T) {
 		expectUse(t, knowing(canary.NewOrder("engines", "v2", duration, 1)), second, true, false)
 	})
+	t.Run("an ordered version that is not listed yet", func(t *testing.T) {
+		tracker := knowing(serving(0, 1))
+		lists(tracker, 10, 0, 2*second)
+		expectUse(t, tracker, 2*second, true, false)
+	})
 	t.Run("canary requests go to few servers, and are not repeated there", func(t *testing.T) {
 		tracker := knowing(serving(0.08, 1))
 		expectUse(t, tracker, second, true, true)
@@ -99,6 +104,12 @@
 		expectUse(t, tracker, 5*second, true, true)
 		expectUse(t, tracker, 5*second+1, true, false)
 	})
+	t.Run("a node that gets no status sends no canary requests after the deadline", func(t *testing.T) {
+		tracker := knowing(serving(0.08, 1))
+		tracker.ObservePeers(1, 1, 13*second)
+		expectUse(t, tracker, 13*second, true, true)
+		expectUse(t, tracker, 13*second+1, true, false)
+	})
 	t.Run("after the promotion only the new version is used", func(t *testing.T) {
 		tracker := knowing(serving(1, 1))
 		expectUse(t, tracker, second, false, true)
