Hold a new version back before its servers can be used

The list of servers was published to requests before the tracker knew its versions, so a request in between could go to a version whose order was not read yet. The versions are now observed first.

The tests of rollouts in internal/edge pass with the race detector.

--- a/internal/edge/autoscaling.go
+++ b/internal/edge/autoscaling.go
@@ -121,12 +121,14 @@
 		return
 	}
 	keepsServers := edge.isRollingOut(poolConfig.Name())
-	if edge.leaderTasks.autoscaling.record.pools != nil {
+	switch {
+	case edge.leaderTasks.autoscaling.record.pools != nil:
 		state.settling.Settle()
-	} else if keepsServers && !state.settling.Settled() {
+	case state.settling.Settled():
+	case keepsServers:
 		// The servers of both versions would count as the demand of a new deployment.
 		return
-	} else if !state.settling.Settled() {
+	default:
 		state.autoscaler.SetInitialServers(total - countReclaimable(serving))
 	}
 	settled := state.settling.Observe(total-countReclaimable(serving), clock.Millis(edge.storeResponses.servers.Load()), now)
--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -224,11 +224,20 @@
 // orders from their peers.
 const minRolloutBound = 1 * clock.Second
 
-// observeVersions applies the versions of the listed servers. A version that is new to its
+// observeVersions applies the versions in the list of servers. A version that is new to its
 // pool is not used until the rollouts have been read again.
-func (edge *Edge) observeVersions() {
+func (edge *Edge) observeVersions(list []backend.Listing) {
+	if !edge.hasRollouts() {
+		return
+	}
+	var servers []*backend.Server
+	for _, listing := range list {
+		if !listing.Leaving() {
+			servers = append(servers, listing.Server())
+		}
+	}
 	now := edge.clock.Now()
-	if edge.hasRollouts() && edge.rollouts.tracker.ObserveServers(edge.listedVersions(), now) {
+	if edge.rollouts.tracker.ObserveServers(countVersions(servers), now) {
 		setTime(&edge.rollouts.awaitedAt, now)
 		edge.wakeUps.rollouts.Trigger()
 	}
@@ -236,12 +245,14 @@
 
 // listedVersions returns the servers that take requests, by pool and version.
 func (edge *Edge) listedVersions() []canary.Listed {
+	return countVersions(slices.DeleteFunc(slices.Clone(edge.fleet.Current().Servers()), (*backend.Server).Leaving))
+}
+
+func countVersions(servers []*backend.Server) []canary.Listed {
 	type poolVersion struct{ pool, version string }
 	counts := map[poolVersion]int{}
-	for _, server := range edge.fleet.Current().Servers() {
-		if !server.Leaving() {
-			counts[poolVersion{server.Pool(), server.Software()}]++
-		}
+	for _, server := range servers {
+		counts[poolVersion{server.Pool(), server.Software()}]++
 	}
 	listed := make([]canary.Listed, 0, len(counts))
 	for key, count := range counts {
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -135,7 +135,10 @@
 	now := edge.clock.Now()
 	setTime(&edge.storeResponses.servers, now)
 	before := edge.fleet.Current()
-	leaving := edge.fleet.Update(registry.List(now))
+	list := registry.List(now)
+	// A version that is new to its pool is held back before requests can use it.
+	edge.observeVersions(list)
+	leaving := edge.fleet.Update(list)
 	if len(leaving) > 0 && edge.isDesignatedWatcher() {
 		signal(edge.peers.urgent)
 	}
@@ -145,7 +148,6 @@
 			Msg("backend server leaves")
 	}
 	edge.observeReleases()
-	edge.observeVersions()
 	after := edge.fleet.Current()
 	for _, server := range after.Servers() {
 		if previous := before.Server(server.ID()); previous == nil || previous.Key() != server.Key() || previous.Software() != server.Software() {
