--- a/internal/canary/counters.go
+++ b/internal/canary/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync/atomic"
 )
 
@@ -80,11 +81,12 @@
 	return route.sent.Load()*int64(len(*counters.byRoute.Load())) > sent
 }
 
-// sums returns the counts by route.
+// sums returns the counts by route, in the order of routes.
 func (counters *counters) sums() []Sum {
 	byRoute := *counters.byRoute.Load()
 	sums := make([]Sum, 0, len(byRoute))
-	for name, route := range byRoute {
+	for _, name := range slices.Sorted(maps.Keys(byRoute)) {
+		route := byRoute[name]
 		sums = append(sums, NewSum(name, route.candidate.count(), route.baseline.count()))
 	}
 	return sums
