--- a/internal/caller/callerlink/bodies.go
+++ b/internal/caller/callerlink/bodies.go
@@ -67,19 +67,21 @@
 type BodyHold struct {
 	memory     *BodyMemory
 	remote     string
-	reserved   int64
+	reserved   atomic.Int64
 	state      atomic.Int32
-	begun      clock.Millis
+	begun      atomic.Int64
 	received   atomic.Int64
 	progressAt atomic.Int64
+	waiting    atomic.Bool
 	// expire ends the reading of the body.
 	expire func()
 }
 
 // Begin adds a body that is being read. It calls expire to end the reading.
 func (bodyMemory *BodyMemory) Begin(remote string, expire func()) *BodyHold {
-	bodyHold := &BodyHold{memory: bodyMemory, remote: remote, begun: bodyMemory.clock.Now(), expire: expire}
-	bodyHold.progressAt.Store(int64(bodyHold.begun))
+	bodyHold := &BodyHold{memory: bodyMemory, remote: remote, expire: expire}
+	bodyHold.begun.Store(int64(bodyMemory.clock.Now()))
+	bodyHold.progressAt.Store(bodyHold.begun.Load())
 	bodyMemory.reading.Store(bodyHold, nil)
 	return bodyHold
 }
@@ -92,30 +94,35 @@
 
 // Release gives the memory back.
 func (bodyHold *BodyHold) Release() {
-	bodyHold.memory.held.Add(-bodyHold.reserved)
-	bodyHold.reserved = 0
+	bodyHold.memory.held.Add(-bodyHold.reserved.Swap(0))
 }
 
 // grow makes the hold one of so many bytes. If there is no memory, slow bodies yield
 // theirs, for which it waits. Errors: *BodyMemoryError.
 func (bodyHold *BodyHold) grow(bytes int) error {
-	more := int64(bytes) - bodyHold.reserved
+	more := int64(bytes) - bodyHold.reserved.Load()
 	if bodyHold.take(more) {
 		return nil
 	}
-	memory := bodyHold.memory
+	memory, start := bodyHold.memory, bodyHold.memory.clock.Now()
+	bodyHold.waiting.Store(true)
+	defer func() {
+		// The caller can't show progress while its body waits.
+		now := memory.clock.Now()
+		bodyHold.begun.Add(int64(now - start))
+		bodyHold.progressAt.Store(int64(now))
+		bodyHold.waiting.Store(false)
+	}()
 	defer memory.waiters.Add(-1)
 	if memory.waiters.Add(1) > maxBodyWaiters {
 		return &BodyMemoryError{bytes: bytes}
 	}
-	for until := memory.clock.Now() + bodyWait; memory.clock.Now() < until && bodyHold.state.Load() == bodyReading; {
+	for until := start + bodyWait; memory.clock.Now() < until && bodyHold.state.Load() == bodyReading; {
 		memory.makeRoom(more)
 		// A background context: the wait is short, and a caller that leaves ends its read.
 		if memory.clock.Wait(context.Background(), bodyPoll) != nil {
 			break
 		}
-		// The caller can't show progress while its body waits.
-		bodyHold.progressAt.Store(int64(memory.clock.Now()))
 		if bodyHold.take(more) {
 			return nil
 		}
@@ -125,18 +132,18 @@
 
 // take reserves more bytes if there is memory for them, or if the body is a short one.
 func (bodyHold *BodyHold) take(more int64) bool {
-	if bodyHold.memory.held.Add(more) > bodyHold.memory.limit() && bodyHold.reserved+more > ownBodyBytes {
+	if bodyHold.memory.held.Add(more) > bodyHold.memory.limit() && bodyHold.reserved.Load()+more > ownBodyBytes {
 		bodyHold.memory.held.Add(-more)
 		return false
 	}
-	bodyHold.reserved += more
+	bodyHold.reserved.Add(more)
 	return true
 }
 
 // isSlow reports whether the caller sends less than it must while others need its memory.
 func (bodyHold *BodyHold) isSlow(now clock.Millis, rate int64) bool {
-	taken := now - bodyHold.begun
-	if taken < bodyStallTime {
+	taken := now - clock.Millis(bodyHold.begun.Load())
+	if taken < bodyStallTime || bodyHold.waiting.Load() {
 		return false
 	}
 	return now-clock.Millis(bodyHold.progressAt.Load()) >= bodyStallTime || bodyHold.received.Load() < rate*int64(taken)/int64(clock.Second)
@@ -154,7 +161,7 @@
 	bodyMemory.reading.Range(func(key, _ any) bool {
 		bodyHold := key.(*BodyHold)
 		if bodyHold.isSlow(now, rate) && bodyHold.state.CompareAndSwap(bodyReading, bodyYielded) {
-			wanted -= firstBodyBytes
+			wanted -= bodyHold.reserved.Load()
 			bodyHold.expire()
 			bodyMemory.report(KindSlowBody, bodyHold.remote)
 		}
@@ -173,7 +180,7 @@
 	if err := bodyHold.grow(size); err != nil {
 		return nil, err
 	}
-	body := make([]byte, 0, size)
+	body := newBodyBuffer(size)
 	for {
 		if len(body) == most {
 			return body, nil
@@ -184,9 +191,12 @@
 				grown = min(grown, most)
 			}
 			if err := bodyHold.grow(grown); err != nil {
+				reuseBodyBuffer(body)
 				return nil, err
 			}
-			body = append(make([]byte, 0, grown), body...)
+			full := body
+			body = append(newBodyBuffer(grown), full...)
+			reuseBodyBuffer(full)
 		}
 		count, err := reader.Read(body[len(body):cap(body)])
 		body = body[:len(body)+count]
@@ -198,11 +208,41 @@
 			return body, nil
 		}
 		if err != nil {
+			reuseBodyBuffer(body)
 			return nil, err
 		}
 	}
 }
 
+// bodyBuffers holds the buffers of bodies that grew or failed, by their size. A crowd of
+// unfinished bodies would otherwise leave more garbage than the collector frees in time:
+// 66 MB of 64 were measured with 4,608 chunked bodies.
+var bodyBuffers sync.Map // Size in bytes to *sync.Pool.
+
+// isReused reports whether buffers of the size are kept: those that bodies grow to.
+func isReused(size int) bool { return size >= minBodyBuffer && size&(size-1) == 0 }
+
+func newBodyBuffer(size int) []byte {
+	if pool, ok := bodyBuffers.Load(size); ok {
+		if buffer, ok := pool.(*sync.Pool).Get().(*[]byte); ok {
+			return (*buffer)[:0]
+		}
+	}
+	return make([]byte, 0, size)
+}
+
+// reuseBodyBuffer keeps a buffer that nothing refers to.
+func reuseBodyBuffer(buffer []byte) {
+	if !isReused(cap(buffer)) {
+		return
+	}
+	pool, ok := bodyBuffers.Load(cap(buffer))
+	if !ok {
+		pool, _ = bodyBuffers.LoadOrStore(cap(buffer), &sync.Pool{})
+	}
+	pool.(*sync.Pool).Put(&buffer)
+}
+
 // BodyMemoryError reports that the node has no memory for a body.
 type BodyMemoryError struct{ bytes int }
 
