--- a/internal/standin/crowd/crowd_test.go
+++ b/internal/standin/crowd/crowd_test.go
@@ -40,6 +40,7 @@
 	// callTries is how often an ordinary request is sent at most, retryInterval apart.
 	callTries     = 10
 	retryInterval = 100 * clock.Millisecond
+	pollInterval  = 10 * clock.Millisecond
 	callTimeout   = 5 * clock.Second
 	callerKey     = "key-of-garage"
 )
@@ -83,6 +84,9 @@
 	process *harness.Process
 	harness *harness.Harness
 	calls   []call
+	// engine answers the ordinary requests to an edge node, and tells arrived of each.
+	engine  *enginestandin.Engine
+	arrived chan struct{}
 }
 
 // place is where a crowd goes: an address, and the start of its requests.
@@ -127,12 +131,16 @@
 			`{"service":%q,"address":%q,"zone":"lj-a","version":"v1","batchSlots":4000,"state":"ready","coldRemainingMs":0,"sequence":1}`, pool, address))
 	}
 	engine := enginestandin.New("app-0", false)
-	ended := make(chan struct{})
+	ended, arrived := make(chan struct{}), make(chan struct{}, 1)
 	t.Cleanup(func() { close(ended) })
 	go func() {
-		for arrived := engine.Arrived(); ; {
+		for {
 			select {
-			case <-arrived:
+			case <-engine.Arrived():
+				select {
+				case arrived <- struct{}{}:
+				default:
+				}
 			case <-ended:
 				return
 			}
@@ -155,7 +163,7 @@
 	require.NoError(t, err)
 	process, err := started.Start("edge-1", "sapphire-edge", "run", "--settings", file)
 	require.NoError(t, err)
-	result := &target{t: t, process: process, harness: started, calls: []call{
+	result := &target{t: t, process: process, harness: started, engine: engine, arrived: arrived, calls: []call{
 		{address: process.Address("caller"), path: "/look/ordinary", key: "Token " + callerKey, body: strings.Repeat("x", 1000)},
 		{address: process.Address("ready"), path: "/"},
 		{address: process.Address("metrics"), path: "/metrics"},
@@ -237,7 +245,7 @@
 	defer cancel()
 	for _, call := range target.calls {
 		for target.send(call) != http.StatusOK {
-			require.NoError(target.t, clock.System().Wait(ctx, 10*clock.Millisecond), "the process isn't ready:\n"+target.process.Log())
+			require.NoError(target.t, clock.System().Wait(ctx, pollInterval), "the process isn't ready:\n"+target.process.Log())
 		}
 	}
 }
@@ -413,7 +421,19 @@
 	defer cancel()
 	require.True(t, playing.Settle(ctx, func() {}))
 	require.True(t, target.isAnswered(target.calls[0]), "no answer before the stop")
+	release, accepted := target.engine.HoldRequests(), make(chan int, 1)
+	select {
+	case <-target.arrived:
+	default:
+	}
+	go func() { accepted <- target.send(target.calls[0]) }()
+	<-target.arrived
 	require.NoError(t, target.process.Signal(syscall.SIGTERM))
+	for target.send(target.calls[1]) == http.StatusOK {
+		require.NoError(t, clock.System().Wait(ctx, pollInterval), "the node stays ready")
+	}
+	release()
+	require.Equal(t, http.StatusOK, <-accepted, "a request that was accepted before the stop")
 	require.True(t, target.isAnswered(target.calls[0]), "no answer during the stop")
 	peak, err := crowd.PeakMemory(target.process.PID())
 	require.NoError(t, err)
