--- a/internal/caller/callerlink/bodies_test.go
+++ b/internal/caller/callerlink/bodies_test.go
@@ -79,13 +79,19 @@
 			_, err := caller.ReadAll(bytes.NewReader(make([]byte, 64<<10)), 64<<10)
 			received <- err
 		}()
+		// The request polls for memory, and waits for at most 50 polls.
+		advance := func(step clock.Millis) {
+			manual.Advance(step)
+			require.NoError(t, clock.System().Wait(t.Context(), clock.Millisecond))
+		}
 		yielded := <-ended
+		for range 30 {
+			advance(20 * clock.Millisecond)
+		}
 		require.False(t, yielded.End())
 		yielded.Release()
 		for len(received) == 0 {
-			// The request polls for memory, and its wait is 50 polls long.
-			manual.Advance(clock.Millisecond)
-			require.NoError(t, clock.System().Wait(t.Context(), clock.Millisecond))
+			advance(clock.Millisecond)
 		}
 		require.NoError(t, <-received)
 	})
