Set the write deadline of a response once

Since callerlink.Guard sets the deadline for each write to a caller's connection, the edge set it twice for each event. Its own is gone; TestCrowdOfReaders and the tests of internal/edge pass.

--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -346,7 +346,6 @@
 // relay sends a long response to the caller as it arrives.
 func (attempts *attempts) relay(response *backendlink.Response) request.Outcome {
 	attempts.writeHead(response.Status(), response.Header(), response.Length())
-	defer attempts.requestContext.clearWriteDeadline()
 	err := attempts.requestContext.write(attempts.buffered.body)
 	part := make([]byte, relayBytes)
 	for err == nil {
@@ -389,7 +388,6 @@
 		return
 	}
 	attempts.writeHead(attempts.buffered.status, attempts.buffered.header, int64(len(attempts.buffered.body)))
-	defer attempts.requestContext.clearWriteDeadline()
 	if err := attempts.requestContext.write(attempts.buffered.body); err != nil && !attempts.requestContext.callerLeft() {
 		attempts.requestContext.edge.log.Warn().Str("requestId", attempts.requestContext.call.ID()).Err(err).Msg("caller does not read the response")
 	}
@@ -400,7 +398,6 @@
 func (attempts *attempts) stream(response *backendlink.Response, markRead func()) request.Outcome {
 	requestContext := attempts.requestContext
 	reader := bufio.NewReader(response)
-	defer requestContext.clearWriteDeadline()
 	var firstEvent clock.Millis
 	for events := 0; ; events++ {
 		attempts.hold.release()
@@ -469,18 +466,8 @@
 }
 
 // write sends a part of the response to the caller, who may leave it unread for
-// writeTimeout.
+// writeTimeout: callerlink.Guard sets the deadline for each write to the connection.
 func (requestContext *requestContext) write(part []byte) error {
-	if err := http.NewResponseController(requestContext.writer).SetWriteDeadline(deadlineIn(writeTimeout)); err != nil {
-		return errors.Wrap(err, "set the write deadline")
-	}
 	_, err := requestContext.writer.Write(part)
 	return errors.Wrap(err, "write a part of the response")
 }
-
-// clearWriteDeadline removes the deadline before the connection's next response.
-func (requestContext *requestContext) clearWriteDeadline() {
-	if err := http.NewResponseController(requestContext.writer).SetWriteDeadline(noDeadline); err != nil {
-		requestContext.edge.log.Error().Err(err).Msg("cannot clear the write deadline of a response")
-	}
-}
