--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,12 @@
 	SAPPHIRE_BIN=$(CURDIR)/$(BIN) SOAK_SEED=$(SOAK_SEED) SOAK_RUNS=$(SOAK_RUNS) SOAK_SECONDS=$(SOAK_SECONDS) \
 		$(GO) test -race -count=1 -v -timeout 60m ./internal/standin/soak
 
+CROWD_FACTOR := 1
+
+.PHONY: crowd
+crowd: build ## play crowds of clients that are not controlled, CROWD_FACTOR times as large as in the tests
+	SAPPHIRE_BIN=$(CURDIR)/$(BIN) CROWD_FACTOR=$(CROWD_FACTOR) $(GO) test -count=1 -v -timeout 30m ./internal/standin/crowd
+
 .PHONY: mutants
 mutants: ## break the system on purpose and check that a named test notices
 	$(GO) run ./internal/mutant $(foreach package,$(RAPID_PACKAGES),--rapid=$(package)) --flags=-rapid.seed=$(RAPID_SEED),-rapid.nofailfile
