Admit requests by rank and account over all nodes while a pool is overloaded

Cause: a node refused requests by its own estimate of lateness alone, which does not include what the other nodes send at the same moment.

Change: internal/admission estimates a pool's capacity from the sums of all nodes (bulletin field 27) and divides it by weighted max-min shares, within an account by rank. While requests wait for less than half of their targets everything is admitted. The max-min computation of internal/caller is shared.

Result: the tests of edge, node, caller, placement and entry pass.

--- a/internal/caller/fairness.go
+++ b/internal/caller/fairness.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync/atomic"
@@ -51,7 +52,7 @@
 		offered[i], used[i] = float64(account.usage.offered.Load()), float64(account.usage.used.Load())
 		total += used[i]
 	}
-	shares := maxMin(offered, total)
+	shares := MaxMin(offered, nil, total)
 	for i, account := range accounts {
 		target := 1.0
 		if shares[i] > 0 && offered[i] > used[i]*1.02 {
@@ -65,23 +66,35 @@
 	}
 }
 
-// maxMin returns the max-min fair shares of the total: no share exceeds its
-// demand, and none can grow without reducing a smaller or equal one.
-func maxMin(demands []float64, total float64) []float64 {
+// MaxMin returns the weighted max-min fair shares of the total: no share exceeds its
+// demand, and none can grow without reducing one that is smaller or equal for its
+// weight. Without weights all are equal.
+//
+//	total 100, demands 120, 60, 10, weights 2, 1, 1 -> shares 60, 30, 10
+func MaxMin(demands, weights []float64, total float64) []float64 {
+	weight := func(index int) float64 {
+		if weights == nil {
+			return 1
+		}
+		return weights[index]
+	}
 	order := make([]int, len(demands))
+	remaining := 0.0
 	for i := range order {
 		order[i] = i
+		remaining += weight(i)
 	}
 	slices.SortFunc(order, func(a, b int) int {
-		if demands[a] < demands[b] {
-			return -1
-		}
-		return 1
+		return cmp.Compare(demands[a]*weight(b), demands[b]*weight(a))
 	})
 	shares := make([]float64, len(demands))
-	for i, index := range order {
-		shares[index] = min(demands[index], total/float64(len(order)-i))
+	for _, index := range order {
+		if remaining <= 0 {
+			break
+		}
+		shares[index] = max(0, min(demands[index], total*weight(index)/remaining))
 		total -= shares[index]
+		remaining -= weight(index)
 	}
 	return shares
 }
--- a/internal/caller/gate_test.go
+++ b/internal/caller/gate_test.go
@@ -99,6 +99,9 @@
 		require.Greater(t, small, large*1.3)
 	})
 	t.Run("shares are max-min", func(t *testing.T) {
-		require.Equal(t, []float64{45, 45, 10}, maxMin([]float64{120, 60, 10}, 100))
+		require.Equal(t, []float64{45, 45, 10}, MaxMin([]float64{120, 60, 10}, nil, 100))
+	})
+	t.Run("shares follow the weights", func(t *testing.T) {
+		require.Equal(t, []float64{60, 30, 10}, MaxMin([]float64{120, 60, 10}, []float64{2, 1, 1}, 100))
 	})
 }
--- a/internal/edge/bulletins.go
+++ b/internal/edge/bulletins.go
@@ -122,7 +122,7 @@
 		WithUptime(edge.clock.Now()-edge.meters.start).WithReportedWindow(peers.reportedWindow.Load()).
 		WithConfiguration(edge.configurationVersion(), ageOf(&edge.storeResponses.configuration, edge.clock.Now())).WithLeaving(edge.leavingServers()).WithUsage(accounts, servers, pools, windows).
 		WithServerLimits(edge.serverLimits(receivers, edge.clock.Now())).WithEvidence(edge.quarantine.Evidence(edge.clock.Now())).
-		WithReleases(edge.releases.News(edge.clock.Now())).WithListService(edge.provenListService())
+		WithReleases(edge.releases.News(edge.clock.Now())).WithListService(edge.provenListService()).WithAdmission(edge.admissionSums())
 }
 
 // leavingServers returns the hashes of leaving servers if this node is a
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -126,6 +126,7 @@
 	runCounted    bool
 	// fingerprintHash is 0 until it is needed.
 	fingerprintHash uint64
+	ticket          ticket
 }
 
 // serve handles one request. Every request is logged in one line.
@@ -304,6 +305,7 @@
 
 func (requestContext *requestContext) refuseOverLimit(err error) {
 	var notRun *request.NotRunError
+	requestContext.ticket.bound = boundAllotment
 	if errors.As(err, &notRun) {
 		requestContext.writeProblem(http.StatusTooManyRequests, "overLimit", notRun.Error(), notRun.RetryAfter())
 		return
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -54,6 +54,7 @@
 	budgets        *budgets
 	quarantine     *quarantine.Quarantine
 	releases       *release.Memory
+	admissions     *admissions
 	// serversUnavailable is set while the list of servers can't be read.
 	serversUnavailable atomic.Bool
 	meters             *meters
@@ -72,9 +73,10 @@
 func New(loaded *settings.Edge, clock *clock.Clock, log zerolog.Logger) (*Edge, error) {
 	edge := &Edge{
 		clock: clock, log: log, directory: directory.NewActive(), fleet: backend.NewFleet(), counters: newCounters(),
-		budgets: newBudgets(), quarantine: quarantine.New(clock.Now()), releases: release.NewMemory(clock.Now()), listReads: newListReads(), listService: newListService(),
+		budgets: newBudgets(), quarantine: quarantine.New(clock.Now()), releases: release.NewMemory(clock.Now()), listReads: newListReads(), admissions: newAdmissions(), listService: newListService(),
 	}
 	edge.publishQuarantines()
+	edge.publishAdmissions()
 	edge.meters = newMeters(clock.Now(), edge.hasOlderPeer, edge.restartLevel)
 	edge.settings.Store(loaded)
 	edge.responseMemory = newResponseMemory(func() int64 { return int64(responseMemoryShare * float64(edge.settings.Load().MemoryBytes())) })
@@ -146,7 +148,7 @@
 	var group errgroup.Group
 	for _, loop := range []func(context.Context){
 		edge.followConfiguration, edge.followServers, edge.sweep,
-		edge.discoverPeers, edge.sendBulletins, edge.applyPeerState, edge.receiveBulletins, edge.runLeaderTasks,
+		edge.discoverPeers, edge.sendBulletins, edge.applyPeerState, edge.receiveBulletins, edge.runLeaderTasks, edge.updateAdmissions,
 		func(ctx context.Context) { edge.followSettings(ctx, reload, load) },
 	} {
 		group.Go(func() error {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -63,6 +63,10 @@
 		requestContext.refuse("the software version that began the stream is not known", shortRetryAfter)
 		return
 	}
+	if !requestContext.offer() {
+		return
+	}
+	defer requestContext.endTicket()
 	for {
 		outcome := attempts.sendOnce()
 		if requestContext.callerLeft() {
@@ -80,6 +84,7 @@
 		case request.StepDeliver:
 			attempts.deliver()
 		case request.StepRefuse:
+			requestContext.recordBound(outcome)
 			wait := shortRetryAfter
 			switch outcome {
 			case request.OutcomeNoServer:
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -88,6 +88,7 @@
 	if requestContext.status >= http.StatusBadRequest {
 		event = edge.log.Warn()
 	}
+	requestContext.logAdmission(event)
 	event.Str("requestId", requestContext.call.ID()).Str("route", requestContext.route.Name()).Str("account", requestContext.accountName()).
 		Str("pool", requestContext.pool).Int("status", requestContext.status).Str("reason", requestContext.reason).Int("attempts", requestContext.attemptCount).
 		Int64("takenMillis", int64(edge.clock.Now()-requestContext.arrived)).Int64("firstMillis", int64(requestContext.firstEvent)).
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -233,6 +233,7 @@
 	}
 	edge.quarantine.Merge(bulletin.Evidence(), now)
 	edge.releases.Merge(bulletin.Releases(), now)
+	edge.mergeAdmission(bulletin, now)
 	if window := bulletin.ReportedWindow(); usage.IsPlausible(window, edge.trueTime(), edge.settings.Load().Bounds().UsageWindow()) {
 		edge.peers.recordReportedWindow(window)
 	}
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -78,6 +78,7 @@
 // countRun counts the request in the usage report when it begins to run, at most
 // once.
 func (requestContext *requestContext) countRun() {
+	requestContext.beginTicket()
 	if requestContext.runCounted || requestContext.account == nil {
 		return
 	}
--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sapphirehead/internal/admission"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/release"
@@ -99,6 +100,7 @@
 	// listService is the time for which the store has answered the sender's reads of the
 	// list of servers, or 0.
 	listService clock.Millis
+	admission   []admission.Sums
 }
 
 // NewBulletin returns a bulletin of the process on the host, which receives
@@ -196,6 +198,15 @@
 // list of servers without a failure, or 0 if it doesn't or the sender can't tell.
 func (bulletin Bulletin) ListService() clock.Millis { return bulletin.listService }
 
+// WithAdmission returns a copy with the sums by which nodes admit requests alike, by pool.
+func (bulletin Bulletin) WithAdmission(sums []admission.Sums) Bulletin {
+	bulletin.admission = sums
+	return bulletin
+}
+
+// Admission returns the sums by which nodes admit requests alike, by pool.
+func (bulletin Bulletin) Admission() []admission.Sums { return bulletin.admission }
+
 // WithUsage returns a copy with the node's usage and load.
 func (bulletin Bulletin) WithUsage(accounts []Usage, servers []ServerWork, pools []Usage, windows []WindowRuns) Bulletin {
 	bulletin.accounts, bulletin.servers, bulletin.pools, bulletin.windows = accounts, servers, pools, windows
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -37,6 +37,7 @@
 	encodeServerLimits(message, bulletin.ServerLimits())
 	message.SetCrashEvidence(evidencecodec.Encode(bulletin.Evidence()))
 	message.SetReleases(encodeReleases(bulletin.Releases()))
+	message.SetAdmission(encodeAdmission(bulletin.Admission()))
 	pools := make([]*nodepb.PoolUse, 0, len(bulletin.Pools()))
 	for _, usage := range bulletin.Pools() {
 		form := &nodepb.PoolUse{}
@@ -173,6 +174,10 @@
 	if err != nil {
 		return node.Bulletin{}, err
 	}
+	sums, err := decodeAdmission(message.GetAdmission())
+	if err != nil {
+		return node.Bulletin{}, err
+	}
 	accounts, windows := decodeAccounts(message)
 	pools := make([]node.Usage, 0, len(message.GetPools()))
 	for _, form := range message.GetPools() {
@@ -182,7 +187,7 @@
 		clock.Millis(message.GetWallMillis()), message.GetStopping()).
 		WithConfiguration(message.GetConfiguration(), clock.Millis(message.GetConfigurationAgeMillis())).WithLeaving(message.GetLeaving()).WithUptime(clock.Millis(message.GetUptimeMillis())).WithReportedWindow(message.GetReportedWindow()).
 		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence).WithServerLimits(limits).WithReleases(releases).
-		WithListService(clock.Millis(message.GetListServiceMillis())), nil
+		WithListService(clock.Millis(message.GetListServiceMillis())).WithAdmission(sums), nil
 }
 
 func hasMatchingLists(message *nodepb.Bulletin) bool {
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -3,6 +3,7 @@
 import (
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/route"
+	"sapphirehead/internal/runner"
 )
 
 const (
@@ -36,3 +37,7 @@
 	expectedMillis := float64(elapsed) + choice.wait/(1-decodeShare)
 	return max(0, clock.Millis(expectedMillis-admissionDeadline))
 }
+
+// PrefillTokens returns the least number of prompt tokens that an engine would have to
+// prefill: those that it must prefill even where the session's parts are cached.
+func PrefillTokens(prompt runner.Prompt) int { return uncachedTokens(prompt, 1) }
