--- a/internal/admission/control.go
+++ b/internal/admission/control.go
@@ -23,8 +23,11 @@
 	gainUp   = 0.4
 	gainDown = 0.25
 	// maxExcess bounds the excess of the wait, in multiples of the one to which the pool is
-	// regulated.
+	// regulated. From the simple excess on, gainDown grows with it.
 	maxExcess = 2.0
+	// waitedFactor is the multiple of the mean time for which requests have waited so far
+	// that bounds the estimated wait. In a stationary queue the wait is twice that time; with
+	// 2.0 an overload was noticed 0.1 s later.
 	waitedFactor = 4.0
 	// quietMillis is the time without long waits after which gainUp doubles, so that a
 	// refused share that nothing supports any more is gone within a second or two.
@@ -32,7 +35,7 @@
 	quietShare  = 0.5
 	// maxWaitShare and minWaitShare bound the wait to which an overloaded pool is
 	// regulated, as a share of the target. It falls while responses begin late.
-	maxWaitShare = 0.5
+	maxWaitShare = 0.45
 	minWaitShare = 0.25
 	// calmMargin is the least distance of that wait from the usual one.
 	calmMargin = 0.15
@@ -62,8 +65,10 @@
 	// while the pool is not overloaded. The work grows with the number of nodes.
 	calmClassInterval = 500 * clock.Millisecond
 	// usualRankShare is the multiple of the usual cost of rank 0 that is admitted before the
-	// other ranks of all accounts.
-	usualRankShare = 2.0
+	// other ranks of all accounts: that of an account at seven times its usual load. Without
+	// a bound other accounts got 0.85 of what they asked for at 2.5 times the capacity, of
+	// which three greedy accounts sent the excess.
+	usualRankShare = 8.0
 )
 
 // rankControl holds the figures of a rank over all nodes.
@@ -171,7 +176,7 @@
 	control.own.update(admission.allSums(now), true, now)
 	totals, age := admission.totals(now)
 	if control.active || now-control.classesAt >= calmClassInterval {
-		admission.sumClasses(float64(now - control.classesAt))
+		admission.sumClasses(float64(now-control.classesAt), now)
 		control.classesAt = now
 	}
 	control.begun = totals.begun
@@ -187,7 +192,7 @@
 	control.setActive(wait, late, limit, elapsed, totals)
 	admission.overloaded.Store(control.active)
 	if control.active && !wasActive {
-		admission.sumClasses(0)
+		admission.sumClasses(0, now)
 	}
 	if !control.active {
 		admission.plan.Store(nil)
@@ -240,6 +245,9 @@
 			delete(admission.peers, host)
 			continue
 		}
+		if !peer.isRecent(now) {
+			continue
+		}
 		age = max(age, now-peer.receivedAt)
 		totals.add(peer)
 		totals.peers++
@@ -274,7 +282,7 @@
 
 // sumClasses adds up the rates of the classes over all nodes. The elapsed milliseconds
 // count for the usual rates.
-func (admission *Admission) sumClasses(elapsed float64) {
+func (admission *Admission) sumClasses(elapsed float64, now clock.Millis) {
 	control := &admission.control
 	for _, class := range control.classes {
 		class.offered, class.returned = 0, 0
@@ -282,7 +290,9 @@
 	control.offered = 0
 	control.addClasses(control.own)
 	for _, peer := range admission.peers {
-		control.addClasses(peer)
+		if peer.isRecent(now) {
+			control.addClasses(peer)
+		}
 	}
 	if !control.active {
 		control.learnUsual(elapsed)
--- a/internal/admission/rates.go
+++ b/internal/admission/rates.go
@@ -16,6 +16,16 @@
 	rateMillis = 300.0
 )
 
+const (
+	// gapWeight is the weight of one bulletin in the mean time between them, and minGap the
+	// least such time in milliseconds.
+	gapWeight = 0.2
+	minGap    = 100.0
+	// recentGaps is the age, in mean times between bulletins, up to which figures are
+	// recent.
+	recentGaps = 2.5
+)
+
 // rate is a rate per second with exponential decay, of a sum that is read at intervals.
 type rate struct {
 	sum       int64
@@ -68,10 +78,12 @@
 	incarnation int64
 	sequence    int64
 	receivedAt  clock.Millis
-	overloaded  bool
-	begun       rate
-	ranks       [ranks]rankRates
-	classes     map[Class]*classRates
+	// gap is the mean time between two bulletins.
+	gap        float64
+	overloaded bool
+	begun      rate
+	ranks      [ranks]rankRates
+	classes    map[Class]*classRates
 }
 
 func newNodeRates(incarnation int64) *nodeRates {
@@ -87,6 +99,8 @@
 	rates.receivedAt, rates.overloaded = now, sums.overloaded
 	if isFirst {
 		rates.begun.sum = sums.begun
+	} else if rates.gap += gapWeight * (elapsed.millis - rates.gap); rates.gap < minGap {
+		rates.gap = minGap
 	}
 	rates.begun.update(sums.begun, elapsed)
 	for i := range rates.ranks {
@@ -120,6 +134,13 @@
 	}
 }
 
+// isRecent reports whether the figures of a peer are recent enough to be added to those of
+// others. A peer that is silent for longer than one lost bulletin explains may be cut off,
+// and the load of the nodes that are left may have changed.
+func (rates *nodeRates) isRecent(now clock.Millis) bool {
+	return float64(now-rates.receivedAt) <= recentGaps*max(rates.gap, minGap)
+}
+
 // Merge applies the sums that a peer sent with the bulletin of the numbers. The sums of a
 // peer that is new, or was silent for longer than the window, only set what to count from.
 func (admission *Admission) Merge(host string, incarnation, sequence int64, sums Sums, now clock.Millis) {
--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -50,3 +50,6 @@
 		release.NewSightingReport(release.NewPoolID(pool), release.New(pool, version), 0),
 	}, nil), edge.clock.Now())
 }
+
+// BulletinAddress returns the address at which the node receives bulletins.
+func (edge *Edge) BulletinAddress() string { return edge.peers.socket.Address() }
