--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -80,3 +80,6 @@
 		{"store, cloud, peers, listeners, files", ownDescriptorShare},
 	}
 }
+
+// BulletinAddress returns the address at which the node receives bulletins.
+func (edge *Edge) BulletinAddress() string { return edge.peers.socket.Address() }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -236,6 +236,7 @@
 	edge.releases.Merge(bulletin.Releases(), now)
 	edge.placement.Merge(bulletin.Host(), bulletin.Incarnation(), bulletin.Speeds())
 	edge.mergeRollouts(bulletin, now)
+	edge.mergeAdmission(bulletin, now)
 	if window := bulletin.ReportedWindow(); usage.IsPlausible(window, edge.trueTime(), edge.settings.Load().Bounds().UsageWindow()) {
 		edge.peers.recordReportedWindow(window)
 	}
--- a/internal/node/bulletin.go
+++ b/internal/node/bulletin.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sapphirehead/internal/admission"
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/canary"
 	"sapphirehead/internal/clock"
@@ -103,7 +104,8 @@
 	listService clock.Millis
 	speeds      backend.SpeedNews
 	// rollouts is nil if the sender takes no part in rollouts.
-	rollouts *canary.Report
+	rollouts  *canary.Report
+	admission []admission.Sums
 }
 
 // NewBulletin returns a bulletin of the process on the host, which receives
@@ -225,6 +227,15 @@
 	return *bulletin.rollouts, true
 }
 
+// WithAdmission returns a copy with the sums by which nodes admit requests alike, by pool.
+func (bulletin Bulletin) WithAdmission(sums []admission.Sums) Bulletin {
+	bulletin.admission = sums
+	return bulletin
+}
+
+// Admission returns the sums by which nodes admit requests alike, by pool.
+func (bulletin Bulletin) Admission() []admission.Sums { return bulletin.admission }
+
 // WithUsage returns a copy with the node's usage and load.
 func (bulletin Bulletin) WithUsage(accounts []Usage, servers []ServerWork, pools []Usage, windows []WindowRuns) Bulletin {
 	bulletin.accounts, bulletin.servers, bulletin.pools, bulletin.windows = accounts, servers, pools, windows
--- a/internal/node/nodecast/codec.go
+++ b/internal/node/nodecast/codec.go
@@ -39,6 +39,7 @@
 	message.SetReleases(encodeReleases(bulletin.Releases()))
 	message.SetSpeeds(encodeSpeeds(bulletin.Speeds()))
 	message.SetRollouts(encodeRollouts(bulletin))
+	message.SetAdmission(encodeAdmission(bulletin.Admission()))
 	pools := make([]*nodepb.PoolUse, 0, len(bulletin.Pools()))
 	for _, usage := range bulletin.Pools() {
 		form := &nodepb.PoolUse{}
@@ -179,6 +180,10 @@
 	if err != nil {
 		return node.Bulletin{}, err
 	}
+	sums, err := decodeAdmission(message.GetAdmission())
+	if err != nil {
+		return node.Bulletin{}, err
+	}
 	accounts, windows := decodeAccounts(message)
 	pools := make([]node.Usage, 0, len(message.GetPools()))
 	for _, form := range message.GetPools() {
@@ -187,7 +192,7 @@
 	bulletin := node.NewBulletin(message.GetHost(), message.GetAddress(), message.GetIncarnation(), message.GetSequence(),
 		clock.Millis(message.GetWallMillis()), message.GetStopping()).
 		WithConfiguration(message.GetConfiguration(), clock.Millis(message.GetConfigurationAgeMillis())).WithLeaving(message.GetLeaving()).WithUptime(clock.Millis(message.GetUptimeMillis())).WithReportedWindow(message.GetReportedWindow()).
-		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence).WithServerLimits(limits).WithReleases(releases).WithSpeeds(speeds).
+		WithUsage(accounts, decodeServers(message), pools, windows).WithEvidence(evidence).WithServerLimits(limits).WithReleases(releases).WithSpeeds(speeds).WithAdmission(sums).
 		WithListService(clock.Millis(message.GetListServiceMillis()))
 	return decodeRollouts(bulletin, message.GetRollouts())
 }
