Switch admission by account on by a setting

Change: the setting admission.byAccount, off by default; nodes without it send no sums.

Result: the tests of settings and edge's TestOverloadedPool pass.

--- a/internal/edge/admission.go
+++ b/internal/edge/admission.go
@@ -130,7 +130,7 @@
 func (requestContext *requestContext) offer() bool {
 	edge, ticket := requestContext.edge, &requestContext.ticket
 	poolConfig, ok := requestContext.directory.Pool(requestContext.pool)
-	if !ok || requestContext.takesUp() {
+	if !ok || requestContext.takesUp() || !edge.settings.Load().AdmissionByAccount() {
 		return true
 	}
 	ticket.admission = edge.admission(requestContext.pool)
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -34,6 +34,10 @@
 	BodyRate        int64   `toml:"bodyRate" default:"16384" min:"0" max:"1073741824" help:"bytes per second that a caller must send of a body while others need its memory"`
 }
 
+type edgeAdmissionForm struct {
+	ByAccount bool `toml:"byAccount" help:"whether the capacity of an overloaded pool is divided among client accounts, over all nodes; otherwise requests are refused by their expected first event alone"`
+}
+
 type boundsForm struct {
 	DrainMillis         int64   `toml:"drainMillis" default:"2000" min:"100" max:"600000" help:"time within which a leaving backend server gets no more requests"`
 	ConfigurationMillis int64   `toml:"configurationMillis" default:"2000" min:"100" max:"600000" help:"time within which a new configuration is in force on every node"`
@@ -52,16 +56,17 @@
 }
 
 type edgeForm struct {
-	Host       string           `toml:"host" required:"true" example:"edge-1" help:"name of this host, unique"`
-	DataCentre string           `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
-	Caller     edgeCallerForm   `toml:"caller"`
-	Node       edgeNodeForm     `toml:"node"`
-	Metrics    edgeMetricsForm  `toml:"metrics"`
-	Platform   edgePlatformForm `toml:"platform"`
-	Cloud      *serverForm      `toml:"cloud"`
-	Limits     edgeLimitsForm   `toml:"limits"`
-	Bounds     boundsForm       `toml:"bounds"`
-	Log        logForm          `toml:"log"`
+	Host       string            `toml:"host" required:"true" example:"edge-1" help:"name of this host, unique"`
+	DataCentre string            `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
+	Caller     edgeCallerForm    `toml:"caller"`
+	Node       edgeNodeForm      `toml:"node"`
+	Metrics    edgeMetricsForm   `toml:"metrics"`
+	Platform   edgePlatformForm  `toml:"platform"`
+	Cloud      *serverForm       `toml:"cloud"`
+	Limits     edgeLimitsForm    `toml:"limits"`
+	Admission  edgeAdmissionForm `toml:"admission"`
+	Bounds     boundsForm        `toml:"bounds"`
+	Log        logForm           `toml:"log"`
 }
 
 // Bounds are the limits in time and amount that the operators of a deployment
@@ -150,6 +155,9 @@
 	bodyRate      int64
 	bounds        Bounds
 	logLevel      string
+	// admissionByAccount is set if the capacity of an overloaded pool is divided among
+	// client accounts.
+	admissionByAccount bool
 }
 
 // Host returns the name of this host.
@@ -196,6 +204,10 @@
 // Bounds returns the bounds that the operators guarantee.
 func (edge *Edge) Bounds() Bounds { return edge.bounds }
 
+// AdmissionByAccount reports whether the capacity of an overloaded pool is divided among
+// client accounts.
+func (edge *Edge) AdmissionByAccount() bool { return edge.admissionByAccount }
+
 // LogLevel returns the minimum level of log lines.
 func (edge *Edge) LogLevel() string { return edge.logLevel }
 
@@ -234,6 +246,8 @@
 		bodyRate:      form.Limits.BodyRate,
 		bounds:        form.Bounds.bounds(),
 		logLevel:      form.Log.Level,
+
+		admissionByAccount: form.Admission.ByAccount,
 	}
 	if form.Cloud != nil {
 		edge.cloud = form.Cloud.server()
