Count bad answers against the rate of the others at the time

Cause: 5 of 50 good versions with 74 nodes were rolled back in a burst: their 41 bad answers were compared with the rate of the others over the whole run, most of which was before the burst.

Change: the answers explained are the higher of those by the rate over the whole run and by the rates at the times of the version's answers.

--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -135,8 +135,10 @@
 	usual               rates
 	baselineAt          clock.Millis
 	failed, slow        test
-	// compared is the answers of the version while others served as well.
-	compared Count
+	// compared is the answers of the version while others served as well, and explained
+	// the number of bad ones by the rate of the others at the time.
+	compared  Count
+	explained float64
 }
 
 // observe adds the increase of the counts of one node. After the promotion the others only
@@ -170,19 +172,22 @@
 	if expected.isCompared {
 		slowRate = max(expected.slow, slowFloor)
 		route.compared = route.compared.plus(candidate)
+		route.explained += answers * route.usual.long.slow / max(1, route.usual.long.answers)
 	}
+	route.explained += answers * route.usual.long.failed / max(1, route.usual.long.answers)
 	route.failed.add(answers, candidate.failures(), max(expected.failed, failedFloor))
 	route.slow.add(answers, float64(candidate.slow), slowRate)
 }
 
 // isExcessive reports whether there are so many bad answers that their portion doesn't
-// matter. Slow ones only count while others serve as well.
+// matter. Slow ones only count while others serve as well. The rate of the others over the
+// whole run alone is too low for a version that got most of its requests in a burst.
 func (route *routeEvidence) isExcessive() bool {
 	bad := route.candidate.failures() + float64(route.compared.slow)
 	others := float64(route.baseline.answers + 1)
 	expected := float64(route.candidate.answers)*(route.baseline.failures()+1)/others +
 		float64(route.compared.answers)*float64(route.baseline.slow+1)/others
-	return bad >= excessBad && bad > excessFactor*expected
+	return bad >= excessBad && bad > excessFactor*max(expected, route.explained)
 }
 
 // crashesMore reports whether the version's servers crash more often than the others, by
