Show where a request would go now, and why

Cause: operators could see the server of a request only after it was sent, in the log, and neither the servers that were left out nor the bound that refused it.

Change: GET /where at a node's metrics address and sapphirectl where. The walk over the servers fills an explanation that is nil for a request which is sent, so that Choose and the explanation are one function. The allotment's decision, the test for lateness and the wait for a server's limit are split into a function that decides and one that takes; the query calls only the first. A trial of a quarantine is looked up without being taken.

--- a/internal/backend/ratelimit.go
+++ b/internal/backend/ratelimit.go
@@ -231,25 +231,39 @@
 	return max(rateLimit.pauseLeft(now), rateLimit.limitWait(rank, now))
 }
 
-// limitWait returns the time until the limit allows a request of the rank.
+// Left is Wait for a request that isn't sent: it doesn't count as a need for a loan.
+func (rateLimit *RateLimit) Left(rank int, now clock.Millis) clock.Millis {
+	wait, _ := rateLimit.refillWait(rank, now)
+	return max(rateLimit.pauseLeft(now), wait)
+}
+
+// limitWait returns the time until the limit allows a request of the rank, and borrows if
+// only this node's part of it is used up.
 func (rateLimit *RateLimit) limitWait(rank int, now clock.Millis) clock.Millis {
+	wait, short := rateLimit.refillWait(rank, now)
+	if short {
+		rateLimit.shortAt.Store(int64(now))
+	}
+	return wait
+}
+
+// refillWait returns the time until the limit allows a request of the rank, and whether
+// only this node's part of it is used up.
+func (rateLimit *RateLimit) refillWait(rank int, now clock.Millis) (wait clock.Millis, short bool) {
 	state := rateLimit.state.Load()
 	if state == nil || state.perSecond == 0 {
-		return 0
+		return 0, false
 	}
 	share, users := rateLimit.share(), rateLimit.users()
 	missing := state.needed(rank) - state.refilled(share, now)
 	if rateLimit.isExcluded() {
 		missing = max(missing, 1)
 	}
-	wait := refillTime(missing, state.perSecond*share)
+	wait = refillTime(missing, state.perSecond*share)
 	own := *state
 	own.refillAllowance(users, now)
 	allowanceWait := refillTime(1-own.allowance, state.perSecond/float64(users))
-	if wait == 0 && allowanceWait > 0 {
-		rateLimit.shortAt.Store(int64(now))
-	}
-	return max(wait, allowanceWait)
+	return max(wait, allowanceWait), wait == 0 && allowanceWait > 0
 }
 
 // refillTime returns the time in which a bucket gets the missing requests at the rate
--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -168,28 +168,65 @@
 	cost := float64(tokens)
 	for {
 		current := meter.state.Load()
-		next := current.refilled(allotment, share, now)
-		next.demand += cost / demandWindowSeconds
-		// A large request needs no higher level than a small one, or an account near
-		// its limit would never get a large one admitted. It leaves a debt. Nodes that
-		// are cut off from each other each leave one, so there it needs more.
-		needed := allotment.reserve(next.demand, next.peers, nodes, share)
-		needed = max(needed, min((1-share)*cost, share*reservedBurstShare*allotment.burst))
-		admitted := next.level > needed
-		if admitted {
+		next, decision := current.admit(allotment, cost, share, nodes, now)
+		if decision.admitted {
 			next.level -= cost
 			next.used += cost / demandWindowSeconds
 		}
 		if !meter.state.CompareAndSwap(current, next) {
 			continue
 		}
-		if admitted {
+		if decision.admitted {
 			meter.used.Add(int64(tokens))
 			return nil
 		}
-		wait := clock.Millis(math.Ceil((needed - next.level + 1) / (allotment.perSecond * share) * float64(clock.Second)))
-		return request.NewOverLimitError("the client account is over its allotment", wait)
+		return request.NewOverLimitError("the client account is over its allotment", decision.wait)
+	}
+}
+
+// AllotmentDecision is the decision on one request by the level of the bucket.
+type AllotmentDecision struct {
+	admitted bool
+	level    float64
+	needed   float64
+	wait     clock.Millis
+}
+
+// Admitted reports whether the request is admitted.
+func (decision AllotmentDecision) Admitted() bool { return decision.admitted }
+
+// Level returns the tokens in the bucket, below 0 for a debt.
+func (decision AllotmentDecision) Level() float64 { return decision.level }
+
+// Needed returns the level above which the request is admitted.
+func (decision AllotmentDecision) Needed() float64 { return decision.needed }
+
+// Wait returns the time until the level is reached, or 0 if the request is admitted.
+func (decision AllotmentDecision) Wait() clock.Millis { return decision.wait }
+
+// Look returns the decision that Admit would make, and takes nothing.
+func (meter *Meter) Look(allotment Allotment, tokens int, share float64, nodes int, now clock.Millis) AllotmentDecision {
+	if allotment.perSecond == 0 {
+		return AllotmentDecision{admitted: true}
+	}
+	_, decision := meter.state.Load().admit(allotment, float64(tokens), share, nodes, now)
+	return decision
+}
+
+// admit returns the state as of now with the request's demand, and the decision on it.
+func (state *meterState) admit(allotment Allotment, cost, share float64, nodes int, now clock.Millis) (*meterState, AllotmentDecision) {
+	next := state.refilled(allotment, share, now)
+	next.demand += cost / demandWindowSeconds
+	// A large request needs no higher level than a small one, or an account near
+	// its limit would never get a large one admitted. It leaves a debt. Nodes that
+	// are cut off from each other each leave one, so there it needs more.
+	needed := allotment.reserve(next.demand, next.peers, nodes, share)
+	needed = max(needed, min((1-share)*cost, share*reservedBurstShare*allotment.burst))
+	decision := AllotmentDecision{admitted: next.level > needed, level: next.level, needed: needed}
+	if !decision.admitted {
+		decision.wait = clock.Millis(math.Ceil((needed - next.level + 1) / (allotment.perSecond * share) * float64(clock.Second)))
 	}
+	return next, decision
 }
 
 // Charge takes the tokens of a request that was admitted before and runs once more,
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -80,6 +80,18 @@
 	return route.Route{}, false
 }
 
+// RouteNamed returns the route with the name.
+func (directory *Directory) RouteNamed(name string) (route.Route, bool) {
+	for _, routeConfigs := range directory.hosts {
+		for _, routeConfig := range routeConfigs {
+			if routeConfig.Name() == name {
+				return routeConfig, true
+			}
+		}
+	}
+	return route.Route{}, false
+}
+
 // NeedsKey reports whether requests on routes that are not public need a key.
 func (directory *Directory) NeedsKey() bool { return directory.accounts != nil }
 
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -258,7 +258,7 @@
 		return requestContext.deny(now, http.StatusNotFound, "noRoute", "no such route")
 	}
 	requestContext.route = matched
-	if requestContext.directory.NeedsKey() && !matched.Public() {
+	if requestContext.needsAccount() {
 		if requestContext.account, ok = requestContext.directory.Account(requestContext.call.Key()); !ok {
 			return requestContext.deny(now, http.StatusUnauthorized, "noKey", "the key is not known")
 		}
@@ -279,6 +279,11 @@
 	return true
 }
 
+// needsAccount reports whether requests of the route must have a client account's key.
+func (requestContext *requestContext) needsAccount() bool {
+	return requestContext.directory.NeedsKey() && !requestContext.route.Public()
+}
+
 // deny answers that a route or key does not exist. If a newer configuration may
 // define it, deny refuses the request as not run instead.
 func (requestContext *requestContext) deny(now clock.Millis, status int, kind, reason string) bool {
--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/release"
 )
@@ -50,3 +51,6 @@
 		release.NewSightingReport(release.NewPoolID(pool), release.New(pool, version), 0),
 	}, nil), edge.clock.Now())
 }
+
+// Server returns the backend server as the node knows it.
+func (edge *Edge) Server(id string) *backend.Server { return edge.fleet.Current().Server(id) }
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -188,17 +188,16 @@
 	rank := requestContext.rank()
 	for {
 		choice, ok := edge.placement.ChooseWithin(poolConfig, requestContext.call.Prompt(), rank, attempts.triedServers, attempts.release, requestContext.slack())
-		switch {
-		case !ok && choice.LimitWait() > 0:
-			attempts.retryAfter = choice.LimitWait()
-			return choice, request.OutcomeLimited
-		case !ok:
-			return choice, request.OutcomeNoServer
-		}
-		if lateness := choice.Lateness(requestContext.route, rank, edge.clock.Now()-requestContext.arrived); lateness > 0 && attempts.retrier.Sends() == 0 {
-			requestContext.logChoice(choice)
-			attempts.retryAfter = lateness
-			return choice, request.OutcomeTooLate
+		switch outcome, wait := requestContext.judge(choice, ok, attempts.retrier.Sends() == 0); outcome {
+		case 0:
+		case request.OutcomeNoServer:
+			return choice, outcome
+		default:
+			if ok {
+				requestContext.logChoice(choice)
+			}
+			attempts.retryAfter = wait
+			return choice, outcome
 		}
 		if choice.Server().RateLimit().Take(rank, edge.clock.Now()) {
 			requestContext.logLimitedSend(choice.Server())
@@ -208,6 +207,22 @@
 	}
 }
 
+// judge returns the outcome if the request is not to be sent to the server of the choice,
+// of which there is none unless found is set, and the time after which it may be repeated.
+func (requestContext *requestContext) judge(choice placement.Choice, found, isFirst bool) (outcome request.Outcome, wait clock.Millis) {
+	switch {
+	case !found && choice.LimitWait() > 0:
+		return request.OutcomeLimited, choice.LimitWait()
+	case !found:
+		return request.OutcomeNoServer, 0
+	}
+	elapsed := requestContext.edge.clock.Now() - requestContext.arrived
+	if lateness := choice.Lateness(requestContext.route, requestContext.rank(), elapsed); lateness > 0 && isFirst {
+		return request.OutcomeTooLate, lateness
+	}
+	return 0, 0
+}
+
 func (attempts *attempts) encode(choice placement.Choice) backendlink.Request {
 	requestContext := attempts.requestContext
 	metadata := runners.NewMetadata(choice.Server(), requestContext.accountName(), attempts.retrier.Deadline()-requestContext.edge.clock.Now())
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -67,15 +67,23 @@
 }
 
 func (meters *meters) forAccount(account *caller.Account, allotment caller.Allotment, now clock.Millis) *caller.Meter {
+	found, isStored := meters.find(account, allotment, now)
+	if isStored {
+		return found
+	}
+	meter, _ := meters.byAccount.LoadOrStore(account.Name(), found)
+	return meter.(*caller.Meter)
+}
+
+// find returns the account's meter, or a new one that is not stored.
+func (meters *meters) find(account *caller.Account, allotment caller.Allotment, now clock.Millis) (found *caller.Meter, isStored bool) {
 	if meter, ok := meters.byAccount.Load(account.Name()); ok {
-		return meter.(*caller.Meter)
+		return meter.(*caller.Meter), true
 	}
-	created := caller.NewMeterSince(meters.start, meters.initialLevel())
 	if meters.firstOnHost.Load() && !meters.hasOlderPeer() {
-		created = caller.NewMeter(allotment, now)
+		return caller.NewMeter(allotment, now), false
 	}
-	meter, _ := meters.byAccount.LoadOrStore(account.Name(), created)
-	return meter.(*caller.Meter)
+	return caller.NewMeterSince(meters.start, meters.initialLevel()), false
 }
 
 // olderPeerMargin is the minimum difference in uptime at which a peer counts as
@@ -144,6 +152,16 @@
 	return cost, edge.meters.forAccount(account, allotment, now).Admit(allotment, cost, edge.refillShare(), serving, now)
 }
 
+// lookCharge returns the cost of a request in tokens, and the decision that charge would
+// make on it.
+func (edge *Edge) lookCharge(account *caller.Account, tokens int) (cost int, decision caller.AllotmentDecision) {
+	now := edge.clock.Now()
+	allotment := edge.allotment(account)
+	cost = allotment.Cost(tokens)
+	meter, _ := edge.meters.find(account, allotment, now)
+	return cost, meter.Look(allotment, cost, edge.refillShare(), edge.peers.states.View().Serving(now), now)
+}
+
 // chargeRepeat charges the cost of a request to the account once more, as an attempt that
 // is repeated may run again.
 func (edge *Edge) chargeRepeat(account *caller.Account, cost int) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -59,6 +59,7 @@
 		writer.Header().Set("Content-Type", "application/json")
 		writer.Write([]byte(edge.counters.values.String()))
 	}).Methods(http.MethodGet)
+	router.HandleFunc("/where", edge.serveWhere).Methods(http.MethodGet)
 	return router
 }
 
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -26,12 +26,15 @@
 	}
 	now, traits := edge.clock.Now(), attempts.requestContext.traits()
 	attempts.repeated = edge.quarantine.IsSuspect(traits)
-	attempts.retryAfter, blocked = edge.quarantine.Check(traits, now, func() bool {
-		return edge.peers.states.View().LiveCount(now) == 1 || edge.candidacyFor(trialTask, now).Rank() == 0
-	})
+	attempts.retryAfter, blocked = edge.quarantine.Check(traits, now, func() bool { return edge.mayTryQuarantined(now) })
 	return blocked
 }
 
+// mayTryQuarantined reports whether this node is the one that lets requests through on trial.
+func (edge *Edge) mayTryQuarantined(now clock.Millis) bool {
+	return edge.peers.states.View().LiveCount(now) == 1 || edge.candidacyFor(trialTask, now).Rank() == 0
+}
+
 // recordCrash records the loss of a response after the number of events, if the server
 // ended the connection. A server that leaves as planned isn't taken for crashed.
 func (attempts *attempts) recordCrash(server *backend.Server, err error, events int) {
--- a/internal/operator/operatorcli/operatorcli.go
+++ b/internal/operator/operatorcli/operatorcli.go
@@ -59,6 +59,7 @@
 	Drain      DrainCommand      `cmd:"" help:"Stop an entry host gracefully, or mark a backend server as leaving. Example: sapphirectl drain node entry-1"`
 	Burn       BurnCommand       `cmd:"" help:"Show the service-level burn. Example: sapphirectl burn --html burn.html"`
 	Explain    ExplainCommand    `cmd:"" help:"Explain the end of a request from log files. Example: sapphirectl explain 22012ec62216ca9d edge-*.log"`
+	Where      WhereCommand      `cmd:"" help:"Show where a request would go now, without sending it. Example: sapphirectl where --at 10.0.0.7:7002 --route desk --account acme --tokens 1460,80"`
 	HashKey    HashKeyCommand    `cmd:"" help:"Print the hash of a key or token read from standard input. Example: sapphirectl hash-key < key.txt"`
 	Completion CompletionCommand `cmd:"" help:"Print a completion script. Example: sapphirectl completion bash > /etc/bash_completion.d/sapphirectl"`
 	Version    VersionCommand    `cmd:"" help:"Print the version. Example: sapphirectl version"`
--- a/internal/operator/operatorcli/operatorcli_test.go
+++ b/internal/operator/operatorcli/operatorcli_test.go
@@ -386,7 +386,7 @@
 	fixture := newFixture(t)
 	for _, command := range []string{
 		"routes list", "routes get", "routes edit", "routes delete", "routes history", "routes revert", "pools list", "pools get", "pools edit",
-		"get", "apply", "diff", "check", "status", "drain node", "drain server", "burn", "hash-key", "completion", "version",
+		"get", "apply", "diff", "check", "status", "drain node", "drain server", "burn", "where", "hash-key", "completion", "version",
 	} {
 		t.Run(command, func(t *testing.T) {
 			fixture.expectExit(t, operatorcli.ExitOK, "Example:", append(strings.Fields(command), "--help")...)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,7 +17,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,6 +64,8 @@
 	foundQueue   bool
 	onlyLastPart bool
 	limitWait    clock.Millis
+	// cachedShare is the share of the session's parts expected in the engine's cache.
+	cachedShare float64
 	// calibration is the factor by which first events are later than expected.
 	calibration float64
 }
@@ -145,6 +146,11 @@
 // none. Now and then a request with more time than it needs is sent to a server that looked
 // slow, to find out whether it still is.
 func (placement *Placement) ChooseWithin(poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID, slack clock.Millis) (Choice, bool) {
+	return placement.choose(poolConfig, prompt, rank, exclude, only, slack, nil)
+}
+
+// choose is ChooseWithin. It fills the explanation unless that is nil.
+func (placement *Placement) choose(poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID, slack clock.Millis, explanation *Explanation) (Choice, bool) {
 	servers := placement.fleet.Current().Pool(poolConfig.Name())
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
@@ -152,26 +158,30 @@
 	var best, affine, explored, fallback Choice
 	candidates, limitWait := 0, clock.Millis(0)
 	for _, server := range servers {
-		if server.Leaving() || slices.Contains(exclude, server.Key()) || (only != 0 && release.Of(server) != only) {
+		if exclusion := exclusionOf(server, exclude, only); exclusion != ExclusionNone {
+			explanation.leaveOut(Choice{server: server}, exclusion, 0)
 			continue
 		}
-		if wait := server.RateLimit().Wait(rank, now); wait > 0 {
+		if wait := explanation.limitWait(server, rank, now); wait > 0 {
 			if limitWait == 0 || wait < limitWait {
 				limitWait = wait
 			}
+			explanation.leaveOut(Choice{server: server}, ExclusionLimit, wait)
 			continue
 		}
 		choice := Choice{server: server}
 		if poolConfig.Kind() == pool.KindRunner {
-			placement.estimateEngine(&choice, aged, &prefill, cachedShare(server, preferred, alternate), best.least())
+			placement.estimateEngine(&choice, aged, &prefill, cachedShare(server, preferred, alternate), explanation.least(&best))
 		} else {
-			aged.estimateService(&choice, placement.distanceMillis(server), placement.random(), best.least())
+			aged.estimateService(&choice, placement.distanceMillis(server), placement.random(), explanation.least(&best))
 		}
 		if !server.Circuit().Allows(now) {
+			explanation.leaveOut(choice, ExclusionCircuit, 0)
 			fallback.replace(&choice)
 			continue
 		}
 		candidates++
+		explanation.add(choice)
 		if choice.rateFactor > 1 && placement.explores(&choice, slack, now) {
 			explored = choice
 		}
@@ -273,7 +283,7 @@
 		pending = float64(server.Work().Pending())
 	}
 	requestsAhead := max(0, waiting+running-float64(slots)+1)
-	choice.preferred = cachedSessionShare == 1
+	choice.preferred, choice.cachedShare = cachedSessionShare == 1, cachedSessionShare
 	choice.uncachedTokens = prefill.uncachedTokens(cachedSessionShare)
 	choice.savesTokens = choice.preferred && prefill.sessionTokens > 0
 	choice.engine = true
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -106,6 +106,20 @@
 	return 0, false
 }
 
+// Find returns the quarantine by which Check would block a request with the traits, and the
+// time until its next trial. It takes no trial.
+func (quarantine *Quarantine) Find(traits Traits, now clock.Millis, mayTry func() bool) (block Block, wait clock.Millis, blocked bool) {
+	for _, block := range quarantine.state.Load().blocks {
+		if !block.matches(traits.hashes) {
+			continue
+		}
+		if _, _, isDue := block.trialDue(now, mayTry); !isDue {
+			return block, block.nextTrial(now) - now, true
+		}
+	}
+	return Block{}, 0, false
+}
+
 // Size returns the number of quarantines.
 func (quarantine *Quarantine) Size() int { return len(quarantine.state.Load().blocks) }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -323,6 +323,20 @@
 	t.Run("they come at growing intervals", func(t *testing.T) {
 		expectTrials(t, newBlocked(t), 1000, 62, 302, 902)
 	})
+	t.Run("looking for the quarantine takes no trial", func(t *testing.T) {
+		scene := newBlocked(t)
+		scene.at(12)
+		block, wait, blocked := scene.nodes[0].Find(prompt("A D"), scene.now, always)
+		require.True(t, blocked)
+		require.Equal(t, 50*clock.Second, wait)
+		require.Len(t, block.Names(), 2)
+		scene.at(62)
+		for range 5 {
+			_, _, blocked = scene.nodes[0].Find(prompt("A D"), scene.now, always)
+			require.False(t, blocked)
+		}
+		expectTrials(t, scene, 100, 62)
+	})
 	t.Run("the Retry-After of a refusal leads to the next one", func(t *testing.T) {
 		scene := newBlocked(t)
 		scene.at(12)
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -263,9 +263,16 @@
 
 // takeTrial reports whether a trial is due at this node, and takes it.
 func (block Block) takeTrial(now clock.Millis, mayTry func() bool) bool {
-	due, _ := block.schedule(now)
-	taken := block.trials.Load()
-	return taken < due && mayTry() && block.trials.CompareAndSwap(taken, due)
+	due, taken, isDue := block.trialDue(now, mayTry)
+	return isDue && block.trials.CompareAndSwap(taken, due)
+}
+
+// trialDue returns the numbers of trials due and taken so far, and whether a trial is due
+// at this node.
+func (block Block) trialDue(now clock.Millis, mayTry func() bool) (due, taken int64, isDue bool) {
+	due, _ = block.schedule(now)
+	taken = block.trials.Load()
+	return due, taken, taken < due && mayTry()
 }
 
 func (block Block) nextTrial(now clock.Millis) clock.Millis {
