Keep long prompts apart from short ones by placement, off by default

Cause: a short prompt that is queued behind a long one misses its target, and nodes place both kinds alike.

Change: with placement.longPromptShare above 0, prompts whose own prefill takes more than that share of the tightest target of their pool's routes prefer the first engines of a ranking that all nodes compute alike, as many as the learned share of the prefill that is long needs. Short prompts avoid these by the prefill expected there.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -80,13 +80,20 @@
 	return route.Route{}, false
 }
 
+// Routes returns every route, in no particular order.
+func (directory *Directory) Routes() []route.Route {
+	routes := make([]route.Route, 0, directory.routes)
+	for _, routeConfigs := range directory.hosts {
+		routes = append(routes, routeConfigs...)
+	}
+	return routes
+}
+
 // RouteNamed returns the route with the name.
 func (directory *Directory) RouteNamed(name string) (route.Route, bool) {
-	for _, routeConfigs := range directory.hosts {
-		for _, routeConfig := range routeConfigs {
-			if routeConfig.Name() == name {
-				return routeConfig, true
-			}
+	for _, routeConfig := range directory.Routes() {
+		if routeConfig.Name() == name {
+			return routeConfig, true
 		}
 	}
 	return route.Route{}, false
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -182,6 +182,7 @@
 			return
 		}
 		if edge.directory.Offer(offered) {
+			edge.updateLongPrompts()
 			edge.log.Info().Int64("version", offered.Version()).Int("routes", offered.Size()).Msg("configuration active")
 		}
 	}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -105,6 +105,7 @@
 	}
 	if current := edge.settings.Load(); *current != *loaded {
 		edge.settings.Store(loaded)
+		edge.updateLongPrompts()
 		edge.log.Info().Str("platform", loaded.Platform().Address()).Msg("new settings are active")
 	} else if requested {
 		edge.log.Info().Msg("settings reloaded without changes")
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -117,6 +117,8 @@
 	// received from them.
 	log    backend.SpeedLog
 	merged map[string]newsFrom
+	// longWork holds how long prompts are told apart, and what was learned of them.
+	longWork longWork
 }
 
 // New returns a placement for a node in the data centre. Random returns a number
@@ -155,6 +157,10 @@
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
 	aged, prefill := newAgedLoad(servers, poolConfig, speed, now), newPrefill(prompt)
+	var split longSplit
+	if poolConfig.Kind() == pool.KindRunner {
+		split = placement.splitLong(poolConfig.Name(), servers, aged, &prefill, explanation == nil)
+	}
 	var best, affine, explored, fallback Choice
 	candidates, limitWait := 0, clock.Millis(0)
 	for _, server := range servers {
@@ -171,7 +177,7 @@
 		}
 		choice := Choice{server: server}
 		if poolConfig.Kind() == pool.KindRunner {
-			placement.estimateEngine(&choice, aged, &prefill, cachedShare(server, preferred, alternate), explanation.least(&best))
+			placement.estimateEngine(&choice, aged, &prefill, &split, cachedShare(server, preferred, alternate), explanation.least(&best))
 		} else {
 			aged.estimateService(&choice, placement.distanceMillis(server), placement.random(), explanation.least(&best))
 		}
@@ -267,7 +273,7 @@
 
 // estimateEngine adds the estimates for an engine to the choice. Least is the least order
 // so far.
-func (placement *Placement) estimateEngine(choice *Choice, aged *agedLoad, prefill *prefill, cachedSessionShare, least float64) {
+func (placement *Placement) estimateEngine(choice *Choice, aged *agedLoad, prefill *prefill, split *longSplit, cachedSessionShare, least float64) {
 	server := choice.server
 	slots, streamMillis := serverSlots(server, aged.poolSlots), aged.lifeMillis
 	rateFactor, logarithm := server.Rate().Factor(aged.now)
@@ -296,7 +302,8 @@
 	choice.showsRate = choice.onlyLastPart && queue <= maxQueueShare*own
 	choice.base = queue + own
 	choice.queue, choice.wait = factor*queue, factor*choice.base
-	choice.cost = choice.wait + contentionShare*streamMillis*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(aged.now))
+	choice.cost = choice.wait + contentionShare*streamMillis*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(aged.now)) +
+		split.millis(server, choice.queue, choice.preferred, aged.now)
 	choice.order = choice.cost
 	switch {
 	case sharesHost && aged.peersPerSlot > 0:
--- a/internal/placement/uneven_test.go
+++ b/internal/placement/uneven_test.go
@@ -34,6 +34,10 @@
 	silent bool
 
 	sent, late, rejected int
+	// newPrompt returns the parts of the next prompt, and onBegin is called at its first
+	// event. Both may be nil.
+	newPrompt func() []runner.Part
+	onBegin   func(choice placement.Choice, elapsed clock.Millis)
 	// begins holds the times to the first event, in milliseconds.
 	begins []int
 }
@@ -175,6 +179,9 @@
 		session := runner.NewPart(fmt.Sprint("session-", cluster.random.IntN(300)), 1500)
 		parts = []runner.Part{parts[0], session, parts[1]}
 	}
+	if cluster.newPrompt != nil {
+		parts = cluster.newPrompt()
+	}
 	prompt := runner.NewPrompt(parts, 0)
 	var tried []string
 	for range 2 {
@@ -229,6 +236,9 @@
 	cluster.report(first.node, index, now)
 	elapsed := now - first.sentAt
 	cluster.begins = append(cluster.begins, int(elapsed))
+	if cluster.onBegin != nil {
+		cluster.onBegin(first.choice, elapsed)
+	}
 	first.node.placement.ObserveFirstEvent("pool", first.choice, elapsed)
 	first.begin()
 	first.left = streamMillis
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -45,6 +45,10 @@
 	UsageLateSeconds    float64 `toml:"usageLateSeconds" default:"10" min:"0.1" max:"86400" help:"time after a window's end at which its report is due"`
 }
 
+type placementForm struct {
+	LongPromptShare float64 `toml:"longPromptShare" default:"0" min:"0" max:"10" help:"share of the tightest target of a pool's routes from which on the prefill of a prompt counts as long; long prompts are then kept apart from others where possible, 0 for never"`
+}
+
 type edgeForm struct {
 	Host       string           `toml:"host" required:"true" example:"edge-1" help:"name of this host, unique"`
 	DataCentre string           `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
@@ -55,6 +59,7 @@
 	Cloud      *serverForm      `toml:"cloud"`
 	Limits     edgeLimitsForm   `toml:"limits"`
 	Bounds     boundsForm       `toml:"bounds"`
+	Placement  placementForm    `toml:"placement"`
 	Log        logForm          `toml:"log"`
 }
 
@@ -125,7 +130,9 @@
 	memoryBytes   int64
 	descriptors   int
 	bounds        Bounds
-	logLevel      string
+	// longPromptShare is that of the form.
+	longPromptShare float64
+	logLevel        string
 }
 
 // Host returns the name of this host.
@@ -161,6 +168,10 @@
 // Bounds returns the bounds that the operators guarantee.
 func (edge *Edge) Bounds() Bounds { return edge.bounds }
 
+// LongPromptShare returns the share of the tightest target of a pool's routes from which on
+// the prefill of a prompt counts as long, or 0 if long prompts are placed like others.
+func (edge *Edge) LongPromptShare() float64 { return edge.longPromptShare }
+
 // LogLevel returns the minimum level of log lines.
 func (edge *Edge) LogLevel() string { return edge.logLevel }
 
@@ -186,17 +197,18 @@
 func (form *edgeForm) edge() *Edge {
 	const megabyte = 1 << 20
 	edge := &Edge{
-		host:          form.Host,
-		dataCentre:    form.DataCentre,
-		callerListen:  form.Caller.Listen,
-		readyListen:   form.Caller.ReadyListen,
-		nodeListen:    form.Node.Listen,
-		metricsListen: form.Metrics.Listen,
-		platform:      Server{address: form.Platform.Address, timeout: clock.Millis(form.Platform.TimeoutMillis)},
-		memoryBytes:   int64(form.Limits.MemoryMegabytes * megabyte),
-		descriptors:   int(form.Limits.Descriptors),
-		bounds:        form.Bounds.bounds(),
-		logLevel:      form.Log.Level,
+		host:            form.Host,
+		dataCentre:      form.DataCentre,
+		callerListen:    form.Caller.Listen,
+		readyListen:     form.Caller.ReadyListen,
+		nodeListen:      form.Node.Listen,
+		metricsListen:   form.Metrics.Listen,
+		platform:        Server{address: form.Platform.Address, timeout: clock.Millis(form.Platform.TimeoutMillis)},
+		memoryBytes:     int64(form.Limits.MemoryMegabytes * megabyte),
+		descriptors:     int(form.Limits.Descriptors),
+		bounds:          form.Bounds.bounds(),
+		longPromptShare: form.Placement.LongPromptShare,
+		logLevel:        form.Log.Level,
 	}
 	if form.Cloud != nil {
 		edge.cloud = form.Cloud.server()
