--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -80,6 +80,25 @@
 	return route.Route{}, false
 }
 
+// Routes returns every route, in no particular order.
+func (directory *Directory) Routes() []route.Route {
+	routes := make([]route.Route, 0, directory.routes)
+	for _, routeConfigs := range directory.hosts {
+		routes = append(routes, routeConfigs...)
+	}
+	return routes
+}
+
+// RouteNamed returns the route with the name.
+func (directory *Directory) RouteNamed(name string) (route.Route, bool) {
+	for _, routeConfig := range directory.Routes() {
+		if routeConfig.Name() == name {
+			return routeConfig, true
+		}
+	}
+	return route.Route{}, false
+}
+
 // NeedsKey reports whether requests on routes that are not public need a key.
 func (directory *Directory) NeedsKey() bool { return directory.accounts != nil }
 
--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/release"
 )
@@ -83,3 +84,6 @@
 
 // BulletinAddress returns the address at which the node receives bulletins.
 func (edge *Edge) BulletinAddress() string { return edge.peers.socket.Address() }
+
+// Server returns the backend server as the node knows it.
+func (edge *Edge) Server(id string) *backend.Server { return edge.fleet.Current().Server(id) }
--- a/internal/operator/operatorcli/operatorcli.go
+++ b/internal/operator/operatorcli/operatorcli.go
@@ -60,6 +60,7 @@
 	Burn       BurnCommand       `cmd:"" help:"Show the service-level burn. Example: sapphirectl burn --html burn.html"`
 	Rollouts   RolloutsCommand   `cmd:"" help:"Show the rollouts of software versions that a node of sapphire-edge knows. Example: sapphirectl rollouts --at 10.0.0.7:7101"`
 	Explain    ExplainCommand    `cmd:"" help:"Explain the end of a request from log files. Example: sapphirectl explain 22012ec62216ca9d edge-*.log"`
+	Where      WhereCommand      `cmd:"" help:"Show where a request would go now, without sending it. Example: sapphirectl where --at 10.0.0.7:7002 --route desk --account acme --tokens 1460,80"`
 	HashKey    HashKeyCommand    `cmd:"" help:"Print the hash of a key or token read from standard input. Example: sapphirectl hash-key < key.txt"`
 	Completion CompletionCommand `cmd:"" help:"Print a completion script. Example: sapphirectl completion bash > /etc/bash_completion.d/sapphirectl"`
 	Version    VersionCommand    `cmd:"" help:"Print the version. Example: sapphirectl version"`
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,7 +17,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,6 +64,8 @@
 	foundQueue   bool
 	onlyLastPart bool
 	limitWait    clock.Millis
+	// cachedShare is the share of the session's parts expected in the engine's cache.
+	cachedShare float64
 	// calibration is the factor by which first events are later than expected.
 	calibration float64
 }
@@ -116,6 +117,8 @@
 	// received from them.
 	log    backend.SpeedLog
 	merged map[string]newsFrom
+	// longWork holds how long prompts are told apart, and what was learned of them.
+	longWork longWork
 }
 
 // New returns a placement for a node in the data centre. Random returns a number
@@ -151,32 +154,45 @@
 // server is one of them. Now and then a request with more time than it needs is sent to a
 // server that looked slow, to find out whether it still is.
 func (placement *Placement) ChooseAmong(servers []*backend.Server, poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID, slack clock.Millis) (Choice, bool) {
+	return placement.choose(servers, poolConfig, prompt, rank, exclude, only, slack, nil)
+}
+
+// choose is ChooseAmong. It fills the explanation unless that is nil.
+func (placement *Placement) choose(servers []*backend.Server, poolConfig pool.Pool, prompt runner.Prompt, rank int, exclude []string, only release.ID, slack clock.Millis, explanation *Explanation) (Choice, bool) {
 	now, speed := placement.clock.Now(), placement.Speed(poolConfig.Name())
 	preferred, alternate := affinityServers(servers, prompt)
 	aged, prefill := newAgedLoad(servers, poolConfig, speed, now), newPrefill(prompt)
+	var split longSplit
+	if poolConfig.Kind() == pool.KindRunner {
+		split = placement.splitLong(poolConfig.Name(), servers, aged, &prefill, explanation == nil)
+	}
 	var best, affine, explored, fallback Choice
 	candidates, limitWait := 0, clock.Millis(0)
 	for _, server := range servers {
-		if server.Leaving() || slices.Contains(exclude, server.Key()) || (only != 0 && release.Of(server) != only) {
+		if exclusion := exclusionOf(server, exclude, only); exclusion != ExclusionNone {
+			explanation.leaveOut(Choice{server: server}, exclusion, 0)
 			continue
 		}
-		if wait := server.RateLimit().Wait(rank, now); wait > 0 {
+		if wait := explanation.limitWait(server, rank, now); wait > 0 {
 			if limitWait == 0 || wait < limitWait {
 				limitWait = wait
 			}
+			explanation.leaveOut(Choice{server: server}, ExclusionLimit, wait)
 			continue
 		}
 		choice := Choice{server: server}
 		if poolConfig.Kind() == pool.KindRunner {
-			placement.estimateEngine(&choice, aged, &prefill, cachedShare(server, preferred, alternate), best.least())
+			placement.estimateEngine(&choice, aged, &prefill, &split, cachedShare(server, preferred, alternate), explanation.least(&best))
 		} else {
-			aged.estimateService(&choice, placement.distanceMillis(server), placement.random(), best.least())
+			aged.estimateService(&choice, placement.distanceMillis(server), placement.random(), explanation.least(&best))
 		}
 		if !server.Circuit().Allows(now) {
+			explanation.leaveOut(choice, ExclusionCircuit, 0)
 			fallback.replace(&choice)
 			continue
 		}
 		candidates++
+		explanation.add(choice)
 		if choice.rateFactor > 1 && mayExplore(&choice, slack, now) {
 			choice.exploreFirst(&explored)
 		}
@@ -262,7 +278,7 @@
 
 // estimateEngine adds the estimates for an engine to the choice. Least is the least order
 // so far.
-func (placement *Placement) estimateEngine(choice *Choice, aged *agedLoad, prefill *prefill, cachedSessionShare, least float64) {
+func (placement *Placement) estimateEngine(choice *Choice, aged *agedLoad, prefill *prefill, split *longSplit, cachedSessionShare, least float64) {
 	server := choice.server
 	slots, streamMillis := serverSlots(server, aged.poolSlots), aged.lifeMillis
 	rateFactor, logarithm := server.Rate().Factor(aged.now)
@@ -278,7 +294,7 @@
 		pending = float64(server.Work().Pending())
 	}
 	requestsAhead := max(0, waiting+running-float64(slots)+1)
-	choice.preferred = cachedSessionShare == 1
+	choice.preferred, choice.cachedShare = cachedSessionShare == 1, cachedSessionShare
 	choice.uncachedTokens = prefill.uncachedTokens(cachedSessionShare)
 	choice.savesTokens = choice.preferred && prefill.sessionTokens > 0
 	choice.engine = true
@@ -291,7 +307,8 @@
 	choice.showsRate = choice.onlyLastPart && queue <= maxQueueShare*own
 	choice.base = queue + own
 	choice.queue, choice.wait = factor*queue, factor*choice.base
-	choice.cost = choice.wait + contentionShare*streamMillis*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(aged.now))
+	choice.cost = choice.wait + contentionShare*streamMillis*running + placement.distanceMillis(server) + rampPenaltyMillis*(1-server.Circuit().Ramp(aged.now)) +
+		split.millis(server, choice.queue, choice.preferred, aged.now)
 	choice.order = choice.cost
 	switch {
 	case sharesHost && aged.peersPerSlot > 0:
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -55,6 +55,10 @@
 	RollbackMillis      int64   `toml:"rollbackMillis" default:"0" min:"0" max:"600000" help:"time after its 50th bad answer within which a software version gets no more requests"`
 }
 
+type placementForm struct {
+	LongPromptShare float64 `toml:"longPromptShare" default:"0" min:"0" max:"10" help:"share of the tightest target of a pool's routes from which on the prefill of a prompt counts as long; long prompts are then kept apart from others where possible, 0 for never"`
+}
+
 type edgeForm struct {
 	Host       string            `toml:"host" required:"true" example:"edge-1" help:"name of this host, unique"`
 	DataCentre string            `toml:"dataCentre" required:"true" example:"lj-a" help:"data centre of this host"`
@@ -66,6 +70,7 @@
 	Limits     edgeLimitsForm    `toml:"limits"`
 	Admission  edgeAdmissionForm `toml:"admission"`
 	Bounds     boundsForm        `toml:"bounds"`
+	Placement  placementForm     `toml:"placement"`
 	Log        logForm           `toml:"log"`
 }
 
@@ -158,6 +163,8 @@
 	// admissionByAccount is set if the capacity of an overloaded pool is divided among
 	// client accounts.
 	admissionByAccount bool
+	// longPromptShare is that of the form.
+	longPromptShare float64
 }
 
 // Host returns the name of this host.
@@ -208,6 +215,10 @@
 // client accounts.
 func (edge *Edge) AdmissionByAccount() bool { return edge.admissionByAccount }
 
+// LongPromptShare returns the share of the tightest target of a pool's routes from which on
+// the prefill of a prompt counts as long, or 0 if long prompts are placed like others.
+func (edge *Edge) LongPromptShare() float64 { return edge.longPromptShare }
+
 // LogLevel returns the minimum level of log lines.
 func (edge *Edge) LogLevel() string { return edge.logLevel }
 
@@ -248,6 +259,7 @@
 		logLevel:      form.Log.Level,
 
 		admissionByAccount: form.Admission.ByAccount,
+		longPromptShare:    form.Placement.LongPromptShare,
 	}
 	if form.Cloud != nil {
 		edge.cloud = form.Cloud.server()
