--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -11,15 +11,15 @@
 // Allotment limits the tokens that a client account may use over all nodes: the
 // rate and burst of a token bucket.
 type Allotment struct {
-	perSecond   float64
-	burst       float64
+	perSecond float64
+	burst     float64
 	// extraPerSecond and extraBurst are the parts of the rate and the burst by which the
 	// operators' settings permit to exceed the allotment.
 	extraPerSecond float64
 	extraBurst     float64
-	defaultCost int
-	tokens      bool
-	overshoot   float64
+	defaultCost    int
+	tokens         bool
+	overshoot      float64
 	// delay is the time in seconds until peer nodes have received the usage of a node.
 	delay float64
 	// detection is the time until a silent peer no longer counts as live.
