Drop servers that left once the store has been back for long

The nodes had been cut off from 1 s to 13 s, beside a compaction of the store at 7 s. As the peers' service of the store didn't span the whole cut, these nodes kept all entries that were gone for the grace period of 2.7 s after they reached the store again at 14.3 s (traced: 17.0 to 17.1 s; others dropped it at 14.25 s).

Change: entries that lapsed in an outage are back within about two seconds of the store's return. If a peer's reads show that the store had been back for 2.5 s before this node reached it, what is missing has left.

Result: TestListServiceOfPeers fails in its second case without the change.

--- a/internal/edge/serverlist.go
+++ b/internal/edge/serverlist.go
@@ -167,12 +167,17 @@
 	return now - current.since
 }
 
+// lapseReturnTime is the time after an outage of the store within which entries that lapsed
+// in it are back: the platform promises about two seconds.
+const lapseReturnTime = 2500 * clock.Millisecond
+
 // compare records that the store has served a peer since the time. It reports whether this
-// shows, for the first time, that the latest outage was this node's own. During an outage
-// nothing does: the peer may be about to notice it.
+// shows, for the first time, that the latest outage was this node's own, or that the store
+// had been back for so long before this node reached it that no lapsed entry is still
+// missing. During an outage nothing does: the peer may be about to notice it.
 func (listService *listService) compare(peerSince clock.Millis) bool {
 	current := listService.state.Load()
-	if current.since == 0 || current.isOwnOutage || current.servedUntil == 0 || peerSince > current.servedUntil {
+	if current.since == 0 || current.isOwnOutage || current.servedUntil == 0 || peerSince > max(current.servedUntil, current.since-lapseReturnTime) {
 		return false
 	}
 	next := *current
