Drop what was set aside for silent peers after a cut

What a node had set aside for silent peers and they had not used returned to its level, up to a whole burst at each of 26 nodes, though a part of it stems from a time in which the bucket was full.

Change: what is left is dropped. The usage that peers report is still charged to it first.

The bound holds in all cases of TestAllotmentAcrossCut.

--- a/internal/caller/allotment.go
+++ b/internal/caller/allotment.go
@@ -131,10 +131,10 @@
 // of the rate and holds at most its share of the burst, as the other peers may be
 // using the rest. What it forgoes is set aside, from the time on at which they fell
 // silent. The usage that those peers report later is charged to that first, and only
-// the remainder to the level. What is left returns to the level:
+// the remainder to the level:
 //
 //	rate 1,000, contact with 2 of 4 nodes for 3 s -> 1,500 set aside
-//	the others report 1,400 afterwards            -> the level rises by 100
+//	the others report 1,400 afterwards            -> the level stays as it is
 type Meter struct {
 	state atomic.Pointer[meterState]
 	used  atomic.Int64
@@ -316,7 +316,7 @@
 	if share < 1 {
 		next.setAsideForSilent(allotment, state.share, elapsed)
 	} else {
-		next.returnSetAside(allotment, state.share, now)
+		next.dropSetAside(allotment, state.share, now)
 	}
 	next.level = min(next.level, share*allotment.burst)
 	return next
@@ -337,14 +337,15 @@
 	state.setAside = min(state.setAside+forgone, allotment.debtLimit())
 }
 
-// returnSetAside returns what silent peers left, once all peers have been live for so long
-// that their reports have arrived.
-func (state *meterState) returnSetAside(allotment Allotment, shareBefore float64, now clock.Millis) {
+// dropSetAside forgets what silent peers left, once all peers have been live for so long
+// that their reports have arrived. It doesn't return to the level: a part may stem from a
+// time in which the bucket was full, and each of the nodes that were cut off would give it
+// out once more.
+func (state *meterState) dropSetAside(allotment Allotment, shareBefore float64, now clock.Millis) {
 	if shareBefore < 1 {
 		state.wholeSince = now
 	}
-	if state.setAside > 0 && float64(now-state.wholeSince) >= allotment.delay*float64(clock.Second) {
-		state.level += state.setAside
+	if float64(now-state.wholeSince) >= allotment.delay*float64(clock.Second) {
 		state.setAside = 0
 	}
 }
--- a/internal/caller/partition_test.go
+++ b/internal/caller/partition_test.go
@@ -150,6 +150,7 @@
 		}
 		require.Equal(t, wanted, got)
 	}
+	t.Run("26 of 74 nodes, 7 times the allotment shortly before the cut ends", func(t *testing.T) { expectBound(t, newPartition(74, 26, 7, 12*clock.Second)) })
 	for name, surge := range map[string]clock.Millis{"before the cut": 1 * clock.Second, "as the cut begins": cutFrom, "during the cut": 8 * clock.Second, "as the cut ends": cutTo} {
 		t.Run("26 of 74 nodes, 4 times the allotment "+name, func(t *testing.T) { expectBound(t, newPartition(74, 26, 4, surge)) })
 		t.Run("half of 74 nodes, 2 times the allotment "+name, func(t *testing.T) { expectBound(t, newPartition(74, 37, 2, surge)) })
