review: case 7, a stream goes on at a runner that restarted with other software

A machine that the store turns away takes a stream up at a runner that has crashed and started again under its id with newer software, as only the machine whose connection broke knows that it may have.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -27,7 +27,8 @@
 
 // cases holds the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(ctx context.Context, play *play) (broken bool, err error){
-	"prompts": playPrompts,
+	"prompts":  playPrompts,
+	"versions": playVersions,
 }
 
 func main() { os.Exit(run()) }
