review: case 8, a whole failure of more than 256 KiB ends with a closed channel

A machine passes a runner's own 500 on while it arrives if it is longer than 256 KiB, and then closes the caller's channel without the end of the answer, as a failure that has started counts as one that broke off. No disruption is needed.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -27,6 +27,8 @@
 
 // cases holds the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(ctx context.Context, play *play) (broken bool, err error){
+	"failures": playFailures,
+	"breaks":   playBreaks,
 	"prompts":  playPrompts,
 	"versions": playVersions,
 }
