review: case 10, short bodies that stop short of their end keep all others out

2,500 callers whose bodies of ten bytes stop one byte short of their end take all channels of a machine for 10 s at a time. It closes each new channel at once and says that it is ready all the while.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -28,6 +28,7 @@
 // cases holds the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(ctx context.Context, play *play) (broken bool, err error){
 	"failures": playFailures,
+	"bodies":   playBodies,
 	"breaks":   playBreaks,
 	"prompts":  playPrompts,
 	"versions": playVersions,
