review: case 7 needs no disturbance of the store

Runners that crash together and start again under their ids with newer software are taken for the old ones for 150 ms, and streams of the old version go on there. The store and the machines are undisturbed; in the first form of the case the store turned a machine away.

--- a/review/second/versions.go
+++ b/review/second/versions.go
@@ -26,17 +26,25 @@
 	"tenants":[{"name":"garage","apiKeys":["key-of-garage"],"unit":"tokens","plainTokens":200,"ratePerS":125766,"burst":125766}]}`
 	// eventTime is the time between two events of a stream.
 	eventTime = 200 * clock.Millisecond
-	// streamClients is the number of streams that are begun at once.
-	streamClients = 24
-	// awayTime is how long the store has turned the second machine away when the streams
-	// begin, and upTime the time after which the crashed runner is up again.
-	awayTime = 1500 * clock.Millisecond
-	upTime   = 1 * clock.Second
-	// crashAfter is the time from the beginning of the streams to the crash.
+	// versionMachines is the number of machines, and streamClients the number of streams
+	// that are begun at once.
+	versionMachines = 3
+	streamClients   = 1000
+	// allRunners is the number of runners, and rackRunners that of those that crash, a quarter.
+	// They are up again after upTime, one after the other with restartGap between them.
+	allRunners  = 24
+	rackRunners = 6
+	upTime      = 1 * clock.Second
+	restartGap  = 5 * clock.Millisecond
+	// calmTime is the time without any trouble before the streams begin, and crashAfter the
+	// time from then to the crash.
+	calmTime   = 8 * clock.Second
 	crashAfter = 500 * clock.Millisecond
-	// tries is how often a client takes a stream up, and tryPause the time before it does.
-	tries    = 3
-	tryPause = 1500 * clock.Millisecond
+	// tries is how often a client takes a stream up. The clients do so for the first time
+	// within returnTime, and then after tryPause or the Retry-After.
+	tries      = 3
+	returnTime = 2500 * clock.Millisecond
+	tryPause   = 500 * clock.Millisecond
 	// mixedAllowed is the number of streams with events of two versions that the rule allows.
 	mixedAllowed = 2
 )
@@ -88,6 +96,8 @@
 	events   []string
 	lastID   string
 	complete bool
+	// pause is the time after which it takes the stream up for the first time.
+	pause clock.Millis
 }
 
 // read sends the request to the machine, with the name of the attempt, and reads events until
@@ -149,14 +159,17 @@
 	}
 }
 
-// run begins the stream at the first machine and takes it up at the others.
+// run begins the stream at the first machine and takes it up at the others in turn.
 func (client *streamClient) run(ctx context.Context, machines []*machine) {
 	for try := range 1 + tries {
 		attempt := client.id
 		if try > 0 {
 			attempt = fmt.Sprintf("%s-try-%d", client.id, try)
 		}
-		pause := client.read(ctx, machines[min(try, len(machines)-1)], attempt)
+		pause := client.read(ctx, machines[try%len(machines)], attempt)
+		if try == 0 {
+			pause = client.pause
+		}
 		if client.complete || client.play.clock.Wait(ctx, pause) != nil {
 			return
 		}
@@ -173,61 +186,49 @@
 	return versions
 }
 
-// playVersions plays a runner that crashes and starts again under its id with newer software,
-// while the store turns one machine away.
+// playVersions plays runners that crash and start again under their ids with newer software.
 func playVersions(ctx context.Context, play *play) (broken bool, err error) {
 	store := storestandin.New()
-	runners := []*versionedRunner{{play: play, store: store, id: "i-old"}, {play: play, store: store, id: "i-new"}}
-	for number, runner := range runners {
-		if err := runner.start(strconv.Itoa(number + 1)); err != nil {
-			return false, err
-		}
+	runners, err := play.startRunners(store)
+	if err != nil {
+		return false, err
 	}
 	store.Set("config", "main", versionRoutes)
+	address, err := play.serve(store)
+	if err != nil {
+		return false, err
+	}
 	var machines []*machine
-	var endpoints []*storestandin.Endpoint
-	for _, name := range []string{"edge-1", "edge-2"} {
-		endpoint := store.NewEndpoint()
-		address, err := play.serve(endpoint)
+	for number := range versionMachines {
+		machine, err := play.startMachine(fmt.Sprint("edge-", number+1), address)
 		if err != nil {
 			return false, err
 		}
-		machine, err := play.startMachine(name, address)
-		if err != nil {
-			return false, err
-		}
-		machines, endpoints = append(machines, machine), append(endpoints, endpoint)
+		machines = append(machines, machine)
 	}
 	for _, machine := range machines {
 		if err := machine.awaitReady(ctx); err != nil {
 			return false, err
 		}
 	}
-	if err := play.clock.Wait(ctx, 6*clock.Second); err != nil {
-		return false, err
-	}
-	if play.trouble {
-		endpoints[1].SetFault(storestandin.FaultBusy)
-		play.record("the store answers edge-2 with 503, and serves all others")
-	}
-	if err := play.clock.Wait(ctx, awayTime); err != nil {
+	if err := play.clock.Wait(ctx, calmTime); err != nil {
 		return false, err
 	}
 	clients := make([]*streamClient, streamClients)
 	var group sync.WaitGroup
 	for number := range clients {
-		clients[number] = &streamClient{play: play, id: fmt.Sprint("s", number)}
-		group.Go(func() { clients[number].run(ctx, machines) })
+		clients[number] = &streamClient{play: play, id: fmt.Sprint("s", number), pause: clock.Millis(number) * returnTime / streamClients}
+		order := make([]*machine, 0, versionMachines)
+		for i := range versionMachines {
+			order = append(order, machines[(number+i)%versionMachines])
+		}
+		group.Go(func() { clients[number].run(ctx, order) })
 	}
 	if err := play.clock.Wait(ctx, crashAfter); err != nil {
 		return false, err
 	}
 	if play.trouble {
-		runners[0].crash()
-		if err := play.clock.Wait(ctx, upTime); err != nil {
-			return false, err
-		}
-		if err := runners[0].start("2"); err != nil {
+		if err := play.restartRunners(ctx, runners[:rackRunners]); err != nil {
 			return false, err
 		}
 	}
@@ -235,6 +236,44 @@
 	return play.countMixed(clients) > mixedAllowed, nil
 }
 
+// startRunners starts the runners, the first rackRunners with software version 1 and the others
+// with version 2.
+func (play *play) startRunners(store *storestandin.Store) ([]*versionedRunner, error) {
+	var runners []*versionedRunner
+	for number := range allRunners {
+		runner := &versionedRunner{play: play, store: store, id: fmt.Sprint("i-", number)}
+		version := "1"
+		if number >= rackRunners {
+			version = "2"
+		}
+		if err := runner.start(version); err != nil {
+			return nil, err
+		}
+		runners = append(runners, runner)
+	}
+	return runners, nil
+}
+
+// restartRunners crashes the runners at once, and starts them one after the other with
+// version 2.
+func (play *play) restartRunners(ctx context.Context, runners []*versionedRunner) error {
+	for _, runner := range runners {
+		runner.crash()
+	}
+	if err := play.clock.Wait(ctx, upTime); err != nil {
+		return err
+	}
+	for _, runner := range runners {
+		if err := runner.start("2"); err != nil {
+			return err
+		}
+		if err := play.clock.Wait(ctx, restartGap); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // countMixed returns the number of streams that hold events of two software versions.
 func (play *play) countMixed(clients []*streamClient) int {
 	mixed, complete := 0, 0
