review: case 9, no stream is taken up after all processes were killed

After the death of all processes no machine knows where a stream began, nor that one version alone served, for longer than clients wait: take-ups at machines in touch get 503, while new streams begin.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -31,6 +31,7 @@
 	"bodies":   playBodies,
 	"breaks":   playBreaks,
 	"prompts":  playPrompts,
+	"takeups":  playTakeups,
 	"versions": playVersions,
 }
 
