--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # The deploy file's build comes first.
 set -eu
 cd "$(dirname "$0")/.."
-exec go build -o target/review-2 ./review/second
+exec go build -tags review2 -o target/review-2 ./review
--- a/review/second/bodies.go
+++ b/review/second_bodies.go
@@ -1,3 +1,5 @@
+//go:build review2
+
 package main
 
 import (
@@ -7,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,7 +32,10 @@
 	ordinaryPause   = 200 * clock.Millisecond
 	// contactSpan is contactMs.
 	contactSpan = 3 * clock.Second
-	slowPause   = 250 * clock.Millisecond
+	// takenTime is the time after which a channel of a slow caller that is still open counts as
+	// taken; refused ones are closed at once.
+	takenTime = 200 * clock.Millisecond
+	slowPause = 250 * clock.Millisecond
 )
 
 // door records what ordinary callers and the balancer see of a machine.
@@ -37,10 +43,9 @@
 	play    *play
 	machine *machine
 	mutex   sync.Mutex
-	// takenAt is when a channel was last taken, and longest the longest time without one
-	// while the machine said all the while that it is ready.
-	takenAt clock.Millis
-	longest clock.Millis
+	// marks holds when channels were taken, be it of an ordinary or of a slow caller, and when
+	// the machine didn't say that it is ready.
+	marks   []clock.Millis
 	served  int
 	refused int
 	lastErr string
@@ -50,22 +55,33 @@
 func (door *door) see(taken bool, reason string) {
 	door.mutex.Lock()
 	defer door.mutex.Unlock()
-	now := door.play.clock.Now()
 	if taken {
 		door.served++
-		door.longest, door.takenAt = max(door.longest, now-door.takenAt), now
+		door.marks = append(door.marks, door.play.clock.Now())
 		return
 	}
 	door.refused++
 	door.lastErr = reason
 }
 
-// unready records that the machine didn't say that it is ready.
-func (door *door) unready() {
+// mark records a time at which the machine took a channel, or wasn't ready.
+func (door *door) mark(at clock.Millis) {
+	door.mutex.Lock()
+	defer door.mutex.Unlock()
+	door.marks = append(door.marks, at)
+}
+
+// longest returns the longest time without a mark until now.
+func (door *door) longest() clock.Millis {
 	door.mutex.Lock()
 	defer door.mutex.Unlock()
-	now := door.play.clock.Now()
-	door.longest, door.takenAt = max(door.longest, now-door.takenAt), now
+	marks := append(slices.Clone(door.marks), door.play.clock.Now())
+	slices.Sort(marks)
+	longest := clock.Millis(0)
+	for i := 1; i < len(marks); i++ {
+		longest = max(longest, marks[i]-marks[i-1])
+	}
+	return longest
 }
 
 // probe asks as the balancer does, once a second.
@@ -74,14 +90,14 @@
 	for door.play.clock.Wait(ctx, 1*clock.Second) == nil {
 		response, err := client.Get("http://" + door.machine.address("ready") + "/api/readyz")
 		if err != nil {
-			door.unready()
+			door.mark(door.play.clock.Now())
 			door.play.record("the balancer: %v", err)
 			continue
 		}
 		response.Body.Close()
 		door.play.record("the balancer: ready says %d", response.StatusCode)
 		if response.StatusCode != http.StatusOK {
-			door.unready()
+			door.mark(door.play.clock.Now())
 		}
 	}
 }
@@ -112,11 +128,14 @@
 }
 
 // slowCaller sends a request whose body stops one byte short of its end, again and again.
-func slowCaller(ctx context.Context, machine *machine, number int, opened *atomic.Int64) {
+func (door *door) slowCaller(ctx context.Context, number int, opened *atomic.Int64) {
+	machine := door.machine
 	for serial := 0; ctx.Err() == nil; serial++ {
 		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", machine.address("caller"))
 		if err == nil {
 			opened.Add(1)
+			openedAt := machine.play.clock.Now()
+			forget := machine.play.clock.AfterFunc(takenTime, func() { door.mark(openedAt) })
 			stop := context.AfterFunc(ctx, func() { conn.Close() })
 			_, err = fmt.Fprintf(conn, "POST /status/a HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: slow-%d-%d\r\nAuthorization: Token key-of-garage\r\n"+
 				"X-Deadline-Ms: 15000\r\nX-Token-Counts: 1,1\r\nContent-Length: 10\r\n\r\n%s", number, serial, strings.Repeat("x", 9))
@@ -126,6 +145,7 @@
 			}
 			stop()
 			conn.Close()
+			forget()
 		}
 		if machine.play.clock.Wait(ctx, slowPause) != nil {
 			return
@@ -152,6 +172,9 @@
 // playBodies plays callers that stop just short of the end of short bodies and stay, and looks
 // for a time in which the machine says that it is ready and takes no channel.
 func playBodies(ctx context.Context, play *play) (broken bool, err error) {
+	if err := needDescriptors(descriptors); err != nil {
+		return false, err
+	}
 	store := storestandin.New()
 	address, err := play.serve(enginestandin.New("i-1", false))
 	if err != nil {
@@ -175,7 +198,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer end()
-	door := &door{play: play, machine: machine, takenAt: play.clock.Now()}
+	door := &door{play: play, machine: machine, marks: []clock.Millis{play.clock.Now()}}
 	group.Go(func() { door.probe(ctx) })
 	for number := range ordinaryCallers {
 		group.Go(func() { door.call(ctx, number) })
@@ -187,15 +210,15 @@
 	var opened atomic.Int64
 	if play.trouble {
 		for number := range slowCallers {
-			group.Go(func() { slowCaller(ctx, machine, number, &opened) })
+			group.Go(func() { door.slowCaller(ctx, number, &opened) })
 		}
 	}
 	if err := play.clock.Wait(ctx, slowTime); err != nil {
 		return false, errors.Wrap(err, "no time is left")
 	}
-	door.unready()
+	longest := door.longest()
 	play.record("%s holds %d MB and has used %s of processor time", machine.name, residentBytes(machine.pid())>>20, processorTime(machine.pid()))
-	play.record("%d channels of slow callers; %d ordinary requests answered, %d not (%s); longest time without one while ready: %d ms",
-		opened.Load(), door.served, door.refused, door.lastErr, door.longest)
-	return door.longest > contactSpan, nil
+	play.record("%d channels of slow callers; %d ordinary requests answered, %d not (%s); longest time without a channel taken, of whomever, while ready: %d ms",
+		opened.Load(), door.served, door.refused, door.lastErr, longest)
+	return longest > contactSpan, nil
 }
--- a/review/second/main.go
+++ b/review/second_main.go
@@ -1,3 +1,5 @@
+//go:build review2
+
 // Command review-2 plays the cases of the second review that are scripts. Each case starts
 // processes of sapphire-edge on loopback, with stand-ins for the systems around them in this
 // process:
--- a/review/second/play.go
+++ b/review/second_play.go
@@ -1,3 +1,5 @@
+//go:build review2
+
 package main
 
 import (
@@ -65,6 +67,18 @@
 	}
 }
 
+// needDescriptors returns an error if this process may not open so many files.
+func needDescriptors(count uint64) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return errors.Wrap(err, "read the limit on descriptors")
+	}
+	if limit.Cur < count {
+		return errors.Errorf("%d descriptors are needed, %d allowed", count, limit.Cur)
+	}
+	return nil
+}
+
 // serve serves a stand-in on a free port of the loopback address until this process ends.
 func (play *play) serve(handler http.Handler) (address string, err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/review/second/prompts.go
+++ b/review/second_prompts.go
@@ -1,3 +1,5 @@
+//go:build review2
+
 package main
 
 import (
@@ -194,6 +196,9 @@
 
 // playPrompts plays crowds of callers whose prompts have very many short parts.
 func playPrompts(ctx context.Context, play *play) (broken bool, err error) {
+	if err := needDescriptors(descriptors); err != nil {
+		return false, err
+	}
 	store := storestandin.New()
 	address, err := play.serve(enginestandin.New("i-1", false))
 	if err != nil {
--- a/review/second/takeups.go
+++ b/review/second_takeups.go
@@ -1,3 +1,5 @@
+//go:build review2
+
 package main
 
 import (
