Lose responses without a final status

Cause: backendlink took each status below 200 for that of an interim response and read on, which only 100 to 199 are; 101 is final, and no request asks for another protocol. net/http, by which all other clients read, returns a status of 000, 099 or +20 like any other. A bare 000 did not reach callers of an edge node; servicehttp of the entry host returned it as an answer.

Evidence, tests on the readers of: TestBrokenStatus of edge failed in 44 of 144 cases, on all four kinds of route, with a length, chunks and neither. In 36 (000, 099 or 101 with a response behind it) the caller got 200; in 8 (a length and no more bytes) it got 504 after its 3 s in place of 502. The clients took as success: servicehttp each call with 000, 099 and 101; cloudhttp all five calls (101: the call to stop a host); platform/store a write; runnerhttp a cancel. platform/cloud took 000 for a refusal, so a scaling call that may be carried out counted as not run. weightstorehttp and platformhttp reported an error of another type.

Change: response.Conn checks the bytes of each head before net/http parses them, and fails the read at the first that can't be a status. backendlink reads through it, and response.Transport brings it to the clients of net/http, including sapphirectl without TLS. It hands over the bytes before the fault, as http.Transport would otherwise take the connection for one that was closed while idle and repeat the request. Links between nodes are protobuf over yamux and have no status.

Result: all 144 cases of edge pass, with interim responses 100, 102, 103 and 199 served as before; all cases of the seven clients pass; a request with a broken response on a kept connection arrives once (TestTransport).

--- a/internal/backend/backendlink/connection.go
+++ b/internal/backend/backendlink/connection.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sys/unix"
 
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/response"
 )
 
 const (
@@ -67,7 +68,7 @@
 
 // connection is one connection to a backend server.
 type connection struct {
-	conn          net.Conn
+	conn          *response.Conn
 	limitedReader *io.LimitedReader
 	reader        *bufio.Reader
 	usedAt        clock.Millis
@@ -78,7 +79,8 @@
 }
 
 // newConnection returns a connection that calls closed once it is closed.
-func newConnection(conn net.Conn, closed func()) *connection {
+func newConnection(dialled net.Conn, closed func()) *connection {
+	conn := response.NewConn(dialled)
 	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
 	return &connection{conn: conn, closed: closed, limitedReader: limited, reader: bufio.NewReaderSize(limited, readerBytes)}
 }
@@ -104,11 +106,7 @@
 	if connection.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := connection.conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
+	control, err := connection.conn.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/backend/backendlink/exchange.go
+++ b/internal/backend/backendlink/exchange.go
@@ -106,6 +106,7 @@
 	}
 	response := &Response{links: links, server: server, connection: connection}
 	response.stop = context.AfterFunc(ctx, connection.abort)
+	connection.conn.Expect()
 	if err := response.write(request); err != nil {
 		response.abandon()
 		return nil, err
@@ -147,6 +148,9 @@
 	defer connection.unlimitReads()
 	for range maxResponseHeads {
 		head, err := http.ReadResponse(connection.reader, &http.Request{Method: method})
+		if broken := connection.conn.Broken(); broken != nil {
+			return nil, broken
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/cloud/cloudhttp/client.go
+++ b/internal/cloud/cloudhttp/client.go
@@ -14,6 +14,7 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/cloud"
+	"sapphirehead/internal/response"
 )
 
 const (
@@ -35,7 +36,7 @@
 
 // New returns a client for the host and port.
 func New(address string, clock *clock.Clock, timeout clock.Millis) *Client {
-	return &Client{base: "http://" + address, clock: clock, timeout: timeout, http: &http.Client{}}
+	return &Client{base: "http://" + address, clock: clock, timeout: timeout, http: &http.Client{Transport: response.NewDefaultTransport()}}
 }
 
 type offerForm struct {
--- a/internal/edge/fixture_test.go
+++ b/internal/edge/fixture_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -180,6 +181,13 @@
 	return false
 }
 
+// containsLine reports whether there is a line with all texts.
+func (testLog *testLog) containsLine(texts ...string) bool {
+	testLog.mutex.Lock()
+	defer testLog.mutex.Unlock()
+	return slices.ContainsFunc(testLog.all, func(line string) bool { return containsAll(line, texts) })
+}
+
 func containsAll(line string, texts []string) bool {
 	for _, text := range texts {
 		if !strings.Contains(line, text) {
--- a/internal/operator/operatorhttp/client.go
+++ b/internal/operator/operatorhttp/client.go
@@ -16,6 +16,7 @@
 	"sapphirehead/internal/burn"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/operator"
+	"sapphirehead/internal/response"
 	"sapphirehead/internal/table"
 	"sapphirehead/internal/table/tablecodec"
 )
@@ -39,7 +40,7 @@
 	if certificates != nil {
 		scheme = "https://"
 	}
-	transport := &http.Transport{TLSClientConfig: certificates}
+	transport := response.NewTransport(&http.Transport{TLSClientConfig: certificates})
 	return &Client{base: scheme + address + "/admin/v1", token: token, clock: clock, timeout: timeout, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/operator/operatorhttp/rollouts.go
+++ b/internal/operator/operatorhttp/rollouts.go
@@ -10,6 +10,7 @@
 
 	"sapphirehead/internal/canary"
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/response"
 )
 
 // RolloutsPath is the path of the report on rollouts at the metrics address of a node.
@@ -95,7 +96,7 @@
 	if err != nil {
 		return RolloutsForm{}, &UnreachableError{address: address, cause: err}
 	}
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := response.NewTransport(&http.Transport{DisableKeepAlives: true})
 	response, err := transport.RoundTrip(message)
 	if err != nil {
 		return RolloutsForm{}, &UnreachableError{address: address, cause: err}
--- a/internal/operator/operatorhttp/where.go
+++ b/internal/operator/operatorhttp/where.go
@@ -10,6 +10,7 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/placement/placementhttp"
+	"sapphirehead/internal/response"
 )
 
 // millis names the type where a parameter shadows the package clock.
@@ -24,7 +25,7 @@
 	if err != nil {
 		return placementhttp.Answer{}, errors.Wrap(err, "create a request")
 	}
-	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(message)
+	response, err := (&http.Client{Transport: response.NewTransport(&http.Transport{DisableKeepAlives: true})}).Do(message)
 	if err != nil {
 		return placementhttp.Answer{}, &UnreachableError{address: address, cause: err}
 	}
--- a/internal/platform/platformhttp/client.go
+++ b/internal/platform/platformhttp/client.go
@@ -36,6 +36,7 @@
 
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/platform"
+	"sapphirehead/internal/response"
 )
 
 const (
@@ -80,7 +81,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout.Duration(), MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{
 		base: "http://" + address, clock: clock, timeout: timeout,
-		http:    &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+		http:    &http.Client{Transport: response.NewTransport(transport), CheckRedirect: refuseRedirect},
 		breaker: platform.NewBreaker(clock, mathrand.Int64N),
 	}
 }
--- a/internal/runner/runnerhttp/connections.go
+++ b/internal/runner/runnerhttp/connections.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/response"
 )
 
 // Bounds on idle connections.
@@ -34,10 +35,10 @@
 }
 
 func (connections *connections) newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: response.NewTransport(&http.Transport{
 		DialContext: connections.dial, MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout.Duration(),
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	})}
 }
 
 // client returns the client for the server at the address.
--- a/internal/service/servicehttp/client.go
+++ b/internal/service/servicehttp/client.go
@@ -22,6 +22,7 @@
 	"sapphirehead/internal/backend"
 	"sapphirehead/internal/clock"
 	"sapphirehead/internal/request"
+	"sapphirehead/internal/response"
 	"sapphirehead/internal/service"
 )
 
@@ -64,7 +65,7 @@
 // following one would send the call again.
 func newClient(transport *http.Transport) *http.Client {
 	refuse := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: transport, CheckRedirect: refuse}
+	return &http.Client{Transport: response.NewTransport(transport), CheckRedirect: refuse}
 }
 
 // Call sends the call to the server. If err is not nil, the cause shows whether the
--- /dev/null
+++ b/internal/standin/brokenstandin/broken.go
@@ -0,0 +1,165 @@
+// Package brokenstandin is a stand-in for a server in trouble: it sends the bytes of an
+// answer, whatever they are, and ends the connection as the answer says.
+//
+//	NewAnswer("HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok", EndingKeep)
+package brokenstandin
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+)
+
+// Ending is what follows the bytes of an answer.
+type Ending int
+
+// The endings. All but EndingReset and EndingHalfClose read the whole request before they
+// answer.
+const (
+	// EndingKeep: the connection serves further requests.
+	EndingKeep Ending = iota + 1
+	// EndingClose: the connection is closed.
+	EndingClose
+	// EndingReset: the answer follows the head of the request, and the connection is reset
+	// with the rest of the request unread.
+	EndingReset
+	// EndingHalfClose: the answer follows the head of the request, and the stream of the
+	// answer is closed before the rest of the request is read.
+	EndingHalfClose
+)
+
+// idMark is replaced by the ID of the request in the text of an answer.
+const idMark = "$ID"
+
+// Answer is the response to each request.
+type Answer struct {
+	text   string
+	ending Ending
+}
+
+// NewAnswer returns an answer with the bytes of the text, in which $ID stands for the
+// X-Request-Id of the request.
+func NewAnswer(text string, ending Ending) Answer { return Answer{text: text, ending: ending} }
+
+// isEarly reports whether the answer does not wait for the body of the request.
+func (answer Answer) isEarly() bool {
+	return answer.ending == EndingReset || answer.ending == EndingHalfClose
+}
+
+// Server is the stand-in. It serves until Close.
+type Server struct {
+	listener net.Listener
+	answer   atomic.Pointer[Answer]
+	requests atomic.Int64
+	done     sync.WaitGroup
+	mutex    sync.Mutex
+	open     map[net.Conn]bool
+	closed   bool
+}
+
+// New returns a server on loopback that sends the answer.
+func New(answer Answer) (*Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := &Server{listener: listener, open: map[net.Conn]bool{}}
+	server.answer.Store(&answer)
+	server.done.Go(server.accept)
+	return server, nil
+}
+
+// Address returns the server's host and port.
+func (server *Server) Address() string { return server.listener.Addr().String() }
+
+// SetAnswer replaces the answer to later requests.
+func (server *Server) SetAnswer(answer Answer) { server.answer.Store(&answer) }
+
+// Requests returns the number of requests that arrived.
+func (server *Server) Requests() int64 { return server.requests.Load() }
+
+// Close ends all connections.
+func (server *Server) Close() {
+	server.listener.Close()
+	server.mutex.Lock()
+	server.closed = true
+	for conn := range server.open {
+		conn.Close()
+	}
+	server.mutex.Unlock()
+	server.done.Wait()
+}
+
+func (server *Server) accept() {
+	for {
+		conn, err := server.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !server.track(conn) {
+			return
+		}
+		server.done.Go(func() {
+			defer server.untrack(conn)
+			reader := bufio.NewReader(conn)
+			for server.serve(conn.(*net.TCPConn), reader) {
+			}
+		})
+	}
+}
+
+func (server *Server) track(conn net.Conn) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.closed {
+		conn.Close()
+		return false
+	}
+	server.open[conn] = true
+	return true
+}
+
+func (server *Server) untrack(conn net.Conn) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	delete(server.open, conn)
+	conn.Close()
+}
+
+// serve answers one request, and reports whether the connection serves another.
+func (server *Server) serve(conn *net.TCPConn, reader *bufio.Reader) bool {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return false
+	}
+	server.requests.Add(1)
+	answer := *server.answer.Load()
+	if !answer.isEarly() {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return false
+		}
+	}
+	text := strings.ReplaceAll(answer.text, idMark, request.Header.Get("X-Request-Id"))
+	if _, err := io.WriteString(conn, text); err != nil {
+		return false
+	}
+	switch answer.ending {
+	case EndingKeep:
+		return true
+	case EndingReset:
+		// An error means that the connection has ended already.
+		_ = conn.SetLinger(0)
+	case EndingHalfClose:
+		if err := conn.CloseWrite(); err != nil {
+			return false
+		}
+		// It ends when the caller closes the connection.
+		_, _ = io.Copy(io.Discard, conn)
+	case EndingClose:
+	}
+	return false
+}
--- a/internal/weightstore/weightstorehttp/client.go
+++ b/internal/weightstore/weightstorehttp/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/response"
 	"sapphirehead/internal/weightstore"
 )
 
@@ -23,7 +24,7 @@
 
 // New returns a client of the weight store at the host and port.
 func New(address string, clock *clock.Clock, timeout clock.Millis) *Client {
-	return &Client{base: "http://" + address, clock: clock, timeout: timeout, http: &http.Client{}}
+	return &Client{base: "http://" + address, clock: clock, timeout: timeout, http: &http.Client{Transport: response.NewDefaultTransport()}}
 }
 
 // Reserve requests permission for one load of a model's weights. Errors:
