Lose responses in whose head the name of a field is none

Cause: net/http's reader keeps a name with a blank as it is, ignores it where it frames the body, and joins a line that begins with a blank to the one before. It refuses all other bytes that no name may have. Nothing checked the names after it.

A tab in the name, control bytes, DEL, bytes above 127, a missing name and a missing colon were refused already; these cases stay as tests.

Change: the scanner of response.Conn, which all of these read through, also checks each byte of a name. A request whose answer is lost so is sent again only where its route allows it, and the log has the name beside the request's id.

--- a/internal/edge/broken_test.go
+++ b/internal/edge/broken_test.go
@@ -58,39 +58,47 @@
 	{"neither", func(body string) (string, string, brokenstandin.Ending) { return "", body, brokenstandin.EndingClose }},
 }
 
+// answerHeader are the header lines of each answer, without those of its framing.
+const answerHeader = "X-Request-Id: $ID\r\nX-Response-Stamp: s\r\nContent-Type: text/event-stream\r\n"
+
 // expectAnswers sends requests of each kind, each answered with the status line and the
-// additional header lines, in each framing and on new and kept connections. The caller must
-// get the whole answer if isSound is set, and 502 otherwise. No request may be sent more
-// often than its route allows.
+// additional header lines, in each framing. The caller must get the whole answer if isSound
+// is set, and 502 otherwise.
 func expectAnswers(t *testing.T, fixture *fixture, server *brokenstandin.Server, statusLine, lines string, isSound bool) {
 	t.Helper()
 	for _, kind := range routeKinds {
 		for _, framing := range framings {
 			t.Run(kind.name+", "+framing.name, func(t *testing.T) {
 				header, framed, ending := framing.frame(kind.body)
-				header = "X-Request-Id: $ID\r\nX-Response-Stamp: s\r\nContent-Type: text/event-stream\r\n" + header
-				// The first request leaves a connection that the second may use.
-				sound := brokenstandin.NewAnswer("HTTP/1.1 200 OK\r\n"+header+"\r\n"+framed, ending)
-				server.SetAnswer(sound)
+				// The request before leaves a connection that the next one may use.
+				server.SetAnswer(brokenstandin.NewAnswer("HTTP/1.1 200 OK\r\n"+answerHeader+header+"\r\n"+framed, ending))
 				require.Equal(t, http.StatusOK, fixture.call(kind.method, kind.path+"sound").status)
-				server.SetAnswer(brokenstandin.NewAnswer(statusLine+"\r\n"+lines+header+"\r\n"+framed, ending))
-				before := server.Requests()
-				got := fixture.call(kind.method, kind.path+"broken")
-				require.NoError(t, got.err)
-				require.LessOrEqual(t, server.Requests()-before, kind.maxSends)
-				require.Positive(t, server.Requests()-before)
-				if isSound {
-					require.Equal(t, http.StatusOK, got.status)
-					require.Equal(t, kind.body, got.body)
-					return
-				}
-				require.Equal(t, http.StatusBadGateway, got.status, "%v %q", got.header, got.body)
-				require.True(t, fixture.log.containsLine(`"message":"attempt failed"`, `"requestId":"`+got.header.Get("X-Request-Id")+`"`, `"error":"answer lost: `))
+				server.SetAnswer(brokenstandin.NewAnswer(statusLine+"\r\n"+lines+answerHeader+header+"\r\n"+framed, ending))
+				expectAnswer(t, fixture, server, kind, isSound)
 			})
 		}
 	}
 }
 
+// expectAnswer sends a request of the kind. The caller must get the whole answer if isSound
+// is set, and 502 otherwise, with the reason in the log. The request may not be sent more
+// often than its route allows.
+func expectAnswer(t *testing.T, fixture *fixture, server *brokenstandin.Server, kind routeKind, isSound bool) {
+	t.Helper()
+	before := server.Requests()
+	got := fixture.call(kind.method, kind.path+"broken")
+	require.NoError(t, got.err)
+	require.Positive(t, server.Requests()-before)
+	require.LessOrEqual(t, server.Requests()-before, kind.maxSends)
+	if isSound {
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, kind.body, got.body)
+		return
+	}
+	require.Equal(t, http.StatusBadGateway, got.status, "%v %q", got.header, got.body)
+	require.True(t, fixture.log.containsLine(`"message":"attempt failed"`, `"requestId":"`+got.header.Get("X-Request-Id")+`"`, `"error":"answer lost: `))
+}
+
 // TestBrokenStatus guards against a response whose status is no final one and that reaches
 // the caller, or that makes bytes after its head a response.
 func TestBrokenStatus(t *testing.T) {
@@ -111,3 +119,53 @@
 		})
 	}
 }
+
+// TestBrokenFieldName guards against a response in whose head the name of a field is none,
+// and that reaches the caller, or with a body framed in another way than the server's.
+func TestBrokenFieldName(t *testing.T) {
+	fixture, server := withBrokenServer(t)
+	for name, lines := range map[string]string{
+		"a blank in the name":           "X Odd: a\r\n",
+		"a blank before the colon":      "X-Odd : a\r\n",
+		"a tab before the colon":        "X-Odd\t: a\r\n",
+		"a blank before the name":       "X-A: b\r\n X-Odd: a\r\n",
+		"a tab before the name":         "X-A: b\r\n\tX-Odd: a\r\n",
+		"a blank before the first name": " X-Odd: a\r\n",
+		"a tab in the name":             "X\tOdd: a\r\n",
+		"NUL":                           "X\x00Odd: a\r\n",
+		"DEL":                           "X\x7fOdd: a\r\n",
+		"a carriage return":             "X\rOdd: a\r\n",
+		"above 127":                     "X\xe9Odd: a\r\n",
+		"no name":                       ": a\r\n",
+		"no colon":                      "X-Odd\r\n",
+	} {
+		for _, status := range []string{"200 OK", "500 Failed"} {
+			t.Run(name+", "+status, func(t *testing.T) { expectAnswers(t, fixture, server, "HTTP/1.1 "+status, lines, false) })
+		}
+		t.Run(name+", interim", func(t *testing.T) {
+			expectAnswers(t, fixture, server, "HTTP/1.1 103 Early Hints", lines+"\r\nHTTP/1.1 200 OK\r\n", false)
+		})
+	}
+	for name, text := range map[string]string{
+		"chunks":             "Transfer-Encoding : chunked\r\n\r\n5\r\nfound\r\n0\r\n\r\n",
+		"chunks, folded":     "X-A: b\r\n Transfer-Encoding: chunked\r\n\r\n5\r\nfound\r\n0\r\n\r\n",
+		"a length":           "Content-Length : 5\r\n\r\nfoundHTTP/1.1 200 OK",
+		"a length after one": "Content-Length: 7\r\nContent-Length : 5\r\n\r\nfoundno",
+	} {
+		t.Run("a blank in the name that frames the body, "+name, func(t *testing.T) {
+			server.SetAnswer(brokenstandin.NewAnswer("HTTP/1.1 200 OK\r\n"+answerHeader+text, brokenstandin.EndingClose))
+			expectAnswer(t, fixture, server, routeKinds[0], false)
+			expectAnswer(t, fixture, server, routeKinds[1], false)
+		})
+	}
+	for name, lines := range map[string]string{
+		"all characters of a name":   "!#$%&'*+-.^_`|~09azAZ: a\r\n",
+		"blanks around a value":      "X-A:\t a b \t\r\n",
+		"an empty value":             "X-A:\r\n",
+		"colons in a value":          "X-A: b : c\r\n",
+		"bytes above 127 in a value": "X-A: \xe9\r\n",
+		"names in lower case":        "x-a: b\r\nx-a: c\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { expectAnswers(t, fixture, server, "HTTP/1.1 200 OK", lines, true) })
+	}
+}
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -1,6 +1,6 @@
 // Package response reads HTTP/1.1 responses strictly. The reader of net/http accepts some
-// that are none, and a caller of it can't tell them from sound ones: it returns a status of
-// 000, and it takes any status from 100 to 199 for that of an interim response.
+// that are none, and its callers can't tell all of them from sound ones: it returns a status
+// of 000, and it ignores a field that frames the body if its name has a blank.
 //
 // A Conn checks the bytes of each head before net/http parses them, and fails the read
 // instead:
@@ -37,7 +37,7 @@
 // is sent, when the response to the one before has been read.
 func (conn *Conn) Expect() { conn.expected.Store(true) }
 
-// Read reads from the connection, up to the first byte that can't be part of a response. Errors: *StatusError, and those of the connection.
+// Read reads from the connection, up to the first byte that can't be part of a response. Errors: *StatusError, *FieldNameError, and those of the connection.
 func (conn *Conn) Read(into []byte) (int, error) {
 	if broken := conn.Broken(); broken != nil {
 		return 0, broken
--- a/internal/response/conn_test.go
+++ b/internal/response/conn_test.go
@@ -109,6 +109,20 @@
 	}
 }
 
+func TestFieldName(t *testing.T) {
+	for _, line := range []string{"X Odd: a", "X-Odd : a", "X-Odd\t: a", " X-Odd: a", "\tX-Odd: a", " ", "\rX-Odd: a", "X\x00: a", "X\x1f: a", "X\x7f: a", "X\x80: a", "X(: a", ": a", "X-Odd", "\r"} {
+		t.Run(line, func(t *testing.T) {
+			for _, lines := range []string{line + "\r\n", "X-A: b\r\n" + line + "\r\n", line + "\r\nContent-Length: 2\r\n"} {
+				expectBroken[*response.FieldNameError](t, "HTTP/1.1 200 OK\r\n"+lines+"\r\nok")
+				expectBroken[*response.FieldNameError](t, "HTTP/1.1 103 Wait\r\n"+lines+"\r\nHTTP/1.1 200 OK\r\n\r\nok")
+			}
+		})
+	}
+	for _, lines := range []string{"", "X-A: b : c\r\n", "X-A:\t b\t \r\n", "X-A:\r\n", "X-A:\n", "!#$%&'*+-.^_`|~09azAZ: a\r\n", strings.Repeat("X", 2000) + ": a\r\n"} {
+		t.Run(lines, func(t *testing.T) { expectBody(t, "HTTP/1.1 200 OK\r\n"+lines+"\r\nX Odd: a", "X Odd: a") })
+	}
+}
+
 // get sends a GET through the client and returns the status and the body.
 func get(client *http.Client, address string) (string, error) {
 	got, err := client.Get("http://" + address)
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // place is the position of a headScanner within a head.
@@ -16,7 +17,10 @@
 	placeStatus
 	placeReason
 	placeLineStart
-	placeLine
+	// placeHeadEnd: after the carriage return of an empty line.
+	placeHeadEnd
+	placeName
+	placeValue
 )
 
 // maxQuoted bounds the part of a head that an error quotes, in bytes.
@@ -25,15 +29,24 @@
 // headScanner checks the heads of one response: those of interim responses, and the final
 // one.
 type headScanner struct {
-	place place
-	// status is the status code, as far as it was read, and of the whole head after its line.
-	status [maxQuoted]byte
+	place   place
+	interim bool
+	// word is the beginning of the status code or of the current field's name.
+	word   [maxQuoted]byte
 	length int
 }
 
 // start begins a head with the next byte.
 func (scanner *headScanner) start() { scanner.place, scanner.length = placeProtocol, 0 }
 
+// add adds a byte to the word.
+func (scanner *headScanner) add(char byte) {
+	if scanner.length < maxQuoted {
+		scanner.word[scanner.length] = char
+		scanner.length++
+	}
+}
+
 // scan checks the next bytes. If they can't be part of a response, it returns the number of
 // bytes before that, and the error.
 func (scanner *headScanner) scan(data []byte) (sound int, err error) {
@@ -62,12 +75,21 @@
 		case '\n':
 			scanner.end()
 		case '\r':
+			scanner.place = placeHeadEnd
 		default:
-			scanner.place = placeLine
+			return scanner.nextOfName(char)
 		}
+	case placeHeadEnd:
+		if char != '\n' {
+			scanner.add('\r')
+			return scanner.nameError()
+		}
+		scanner.end()
+	case placeName:
+		return scanner.nextOfName(char)
 	default:
 		if char == '\n' {
-			scanner.place = placeLineStart
+			scanner.place, scanner.length = placeLineStart, 0
 		}
 	}
 	return nil
@@ -79,29 +101,57 @@
 		return nil
 	case char != ' ' && char != '\r' && char != '\n':
 		scanner.place = placeStatus
-		if scanner.length < maxQuoted {
-			scanner.status[scanner.length] = char
-			scanner.length++
-		}
+		scanner.add(char)
 		return nil
 	}
-	if !isStatus(scanner.status[:scanner.length]) {
-		return &StatusError{status: string(scanner.status[:scanner.length])}
+	status := scanner.word[:scanner.length]
+	if !isStatus(status) {
+		return &StatusError{status: string(status)}
 	}
+	scanner.interim = status[0] == '1'
 	scanner.place = placeReason
 	if char == '\n' {
-		scanner.place = placeLineStart
+		scanner.place, scanner.length = placeLineStart, 0
+	}
+	return nil
+}
+
+// nextOfName checks a byte of a field's name. A line that begins with a blank has none: RFC
+// 9112, section 5.2, forbids servers to fold lines, and lets a gateway refuse a response
+// with such a line.
+func (scanner *headScanner) nextOfName(char byte) error {
+	if char == ':' && scanner.length > 0 {
+		scanner.place = placeValue
+		return nil
+	}
+	scanner.place = placeName
+	scanner.add(char)
+	if !isNameByte(char) {
+		return scanner.nameError()
 	}
 	return nil
 }
 
+func (scanner *headScanner) nameError() error {
+	return &FieldNameError{name: string(scanner.word[:scanner.length])}
+}
+
 // end ends the head. Another one follows that of an interim response.
 func (scanner *headScanner) end() {
-	if scanner.status[0] == '1' {
+	scanner.place = placeBody
+	if scanner.interim {
 		scanner.start()
-		return
 	}
-	scanner.place = placeBody
+}
+
+// isNameByte reports whether the name of a field may have the byte.
+func isNameByte(char byte) bool {
+	switch {
+	case 'a' <= char && char <= 'z', 'A' <= char && char <= 'Z', '0' <= char && char <= '9':
+		return true
+	default:
+		return strings.IndexByte("!#$%&'*+-.^_`|~", char) >= 0
+	}
 }
 
 // switchingProtocols is a final status, but no request asks for another protocol.
@@ -129,3 +179,14 @@
 func (err *StatusError) Error() string {
 	return "the response has the status " + strconv.Quote(err.status)
 }
+
+// FieldNameError reports a response in whose head the name of a field is missing or has a
+// byte that no name may have, such as a blank.
+type FieldNameError struct{ name string }
+
+// Name returns the beginning of the name, up to the first byte that it may not have.
+func (err *FieldNameError) Name() string { return err.name }
+
+func (err *FieldNameError) Error() string {
+	return "the response has a header field whose name begins with " + strconv.Quote(err.name)
+}
--- a/internal/weightstore/weightstorehttp/broken_test.go
+++ b/internal/weightstore/weightstorehttp/broken_test.go
@@ -30,3 +30,12 @@
 		})
 	}
 }
+
+// TestBrokenFieldName guards against a response in whose head the name of a field is none.
+func TestBrokenFieldName(t *testing.T) {
+	for _, line := range []string{"X Odd: a", "X-Odd : a", "X-A: b\r\n X-Odd: a", "X\tOdd: a", "X\x00Odd: a"} {
+		t.Run(line, func(t *testing.T) {
+			expectBroken[*response.FieldNameError](t, brokenstandin.NewAnswer("HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 2\r\n\r\n{}", brokenstandin.EndingKeep))
+		})
+	}
+}
