Lose responses whose connection was reset during the upload

Cause: a socket reports an error once. The goroutine that writes the upload gets the reset, and the read after it returns no bytes and no error, as after a proper close. backendlink (Response.Read) and net/http take that for the end of a body that ends with its connection.

Change: response.Conn keeps the error of a failed write. At the end of the stream it asks the kernel for the state of the socket: if the server has only closed its direction, the end is one, whatever the write does. If the socket is closed, the read waits for the write, which can't block any more, and fails with ResetError unless nothing failed or the write got EPIPE, which the kernel reports for a reset after a close. The edge node also logs why a response broke off that it reads before it passes it on, which it did for streams only. The error counts as a reset by the server, as before where the read got it.

A server that closes the connection at once, with the rest unread, sends a reset; its response without a length can't be told from a part and is lost now.

--- a/internal/backend/backendlink/exchange.go
+++ b/internal/backend/backendlink/exchange.go
@@ -127,12 +127,12 @@
 	if len(request.head)+len(request.body) > maxInlineBytes {
 		response.written = make(chan error, 1)
 		go func() {
-			_, err := buffers.WriteTo(conn)
+			_, err := conn.WriteBuffers(buffers)
 			response.written <- err
 		}()
 		return nil
 	}
-	count, err := buffers.WriteTo(conn)
+	count, err := conn.WriteBuffers(buffers)
 	switch {
 	case err == nil:
 		return nil
--- a/internal/edge/broken_test.go
+++ b/internal/edge/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -169,3 +170,76 @@
 		t.Run(name, func(t *testing.T) { expectAnswers(t, fixture, server, "HTTP/1.1 200 OK", lines, true) })
 	}
 }
+
+const (
+	// uploadBytes is the size of a request that doesn't fit into the buffers of a connection.
+	uploadBytes = 8 << 20
+	// resetRounds is the number of requests of each kind. Which goroutine of the node gets the
+	// error of a reset differs from one to the next.
+	resetRounds = 15
+	// longBytes is the size of a response that is passed on as it arrives.
+	longBytes = 300 << 10
+	// earlyRounds is the number of requests that get a whole response early, of each kind.
+	earlyRounds = 3
+)
+
+// upload sends a request of the kind with a long body. No two are alike, as one that is
+// repeated after resets is quarantined.
+func (fixture *fixture) upload(kind routeKind) response {
+	fixture.t.Helper()
+	return fixture.call(http.MethodPost, fmt.Sprint(kind.path, "upload/", fixture.requestCount), func(request *http.Request) {
+		request.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", uploadBytes)))
+		request.ContentLength = uploadBytes
+	})
+}
+
+// TestResetDuringUpload guards against a part of a response that reaches the caller as a
+// whole one, as the connection was reset while the request was still being written.
+func TestResetDuringUpload(t *testing.T) {
+	fixture, server := withBrokenServer(t)
+	long := routeKind{name: "long lookup", path: "/look/", body: strings.Repeat("x", longBytes), maxSends: 2}
+	for _, kind := range append([]routeKind{long}, routeKinds...) {
+		for _, status := range []string{"200 OK", "500 Failed"} {
+			t.Run(kind.name+", "+status, func(t *testing.T) {
+				server.SetAnswer(brokenstandin.NewAnswer("HTTP/1.1 "+status+"\r\n"+answerHeader+"\r\n"+kind.body, brokenstandin.EndingReset))
+				whole := 0
+				for range resetRounds {
+					before := server.Requests()
+					got := fixture.upload(kind)
+					require.Positive(t, server.Requests()-before)
+					require.LessOrEqual(t, server.Requests()-before, kind.maxSends)
+					if got.err == nil && strings.HasPrefix(status, fmt.Sprint(got.status)) {
+						whole++
+					}
+				}
+				require.Zero(t, whole, "of %d requests", resetRounds)
+				require.True(t, fixture.log.containsLine(`"level":"warn"`, `"requestId":"r-`+fmt.Sprint(fixture.requestCount)+`"`, `"error":"`), fixture.log.tail())
+			})
+		}
+	}
+}
+
+// TestEarlyResponse checks that a whole response is served that comes before the end of a
+// long upload.
+func TestEarlyResponse(t *testing.T) {
+	fixture, server := withBrokenServer(t)
+	for _, kind := range routeKinds {
+		for _, framing := range framings {
+			for ending, name := range map[brokenstandin.Ending]string{
+				brokenstandin.EndingHalfClose: "the rest is read", brokenstandin.EndingClose: "after all of it",
+				brokenstandin.EndingHalfCloseUnread: "the rest is not read",
+			} {
+				t.Run(kind.name+", "+framing.name+", "+name, func(t *testing.T) {
+					header, framed, _ := framing.frame(kind.body)
+					server.SetAnswer(brokenstandin.NewAnswer("HTTP/1.1 200 OK\r\n"+answerHeader+header+"\r\n"+framed, ending))
+					for range earlyRounds {
+						got := fixture.upload(kind)
+						require.NoError(t, got.err)
+						require.Equal(t, http.StatusOK, got.status, got.body)
+						require.Equal(t, kind.body, got.body)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -365,6 +365,7 @@
 func (attempts *attempts) buffer(response *backendlink.Response) request.Outcome {
 	body, err := attempts.hold.readAll(response, maxBufferedBytes+1)
 	if err != nil {
+		attempts.logBroken(err, "response broke off")
 		attempts.recordCrash(attempts.requestContext.choice.Server(), err, 0)
 		return request.OutcomeLost
 	}
@@ -388,12 +389,23 @@
 		}
 	}
 	if !errors.Is(err, io.EOF) {
+		attempts.logBroken(err, "response broke off")
 		return request.OutcomeCut
 	}
 	attempts.delivered = true
 	return request.OutcomeAnswered
 }
 
+// logBroken logs why a response ended before its end, unless its caller left.
+func (attempts *attempts) logBroken(err error, message string) {
+	requestContext := attempts.requestContext
+	if requestContext.callerLeft() {
+		return
+	}
+	requestContext.edge.log.Warn().Str("requestId", requestContext.call.ID()).Str("backendServer", requestContext.choice.Server().ID()).Err(err).
+		Strs("parts", requestContext.sharedParts()).Str(logging.FieldRequestHash, requestContext.requestHash()).Str("lastEvent", attempts.lastEvent).Msg(message)
+}
+
 // writeHead sends the head of a response to the caller.
 func (attempts *attempts) writeHead(status int, header http.Header, length int64) {
 	attempts.retrier.StartResponse()
@@ -476,11 +488,7 @@
 
 // handleStreamError handles a stream that broke off.
 func (attempts *attempts) handleStreamError(err error) request.Outcome {
-	requestContext := attempts.requestContext
-	if !requestContext.callerLeft() {
-		requestContext.edge.log.Warn().Str("requestId", requestContext.call.ID()).Str("backendServer", requestContext.choice.Server().ID()).Err(err).
-			Strs("parts", requestContext.sharedParts()).Str(logging.FieldRequestHash, requestContext.requestHash()).Str("lastEvent", attempts.lastEvent).Msg("stream broke off")
-	}
+	attempts.logBroken(err, "stream broke off")
 	if !attempts.retrier.ResponseStarted() {
 		return request.OutcomeLost
 	}
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -1,9 +1,10 @@
 // Package response reads HTTP/1.1 responses strictly. The reader of net/http accepts some
 // that are none, and its callers can't tell all of them from sound ones: it returns a status
-// of 000, and it ignores a field that frames the body if its name has a blank.
+// of 000, it ignores a field that frames the body if its name has a blank, and a connection
+// that is reset while a request is still being written may seem to end like a closed one.
 //
-// A Conn checks the bytes of each head before net/http parses them, and fails the read
-// instead:
+// A Conn checks the bytes of each head before net/http parses them, and the end of the
+// connection, and fails the read instead:
 //
 //	conn := response.NewConn(dialled)
 //	conn.Expect()
@@ -15,9 +16,12 @@
 package response
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/pkg/errors"
 )
 
 // Conn is a connection to a server that sends HTTP/1.1 responses.
@@ -28,6 +32,8 @@
 	// head belongs to the goroutine that reads.
 	head   headScanner
 	broken atomic.Pointer[error]
+	// lastWrite is the write that began last, or nil.
+	lastWrite atomic.Pointer[write]
 }
 
 // NewConn returns a connection whose bytes are not checked until Expect.
@@ -37,12 +43,17 @@
 // is sent, when the response to the one before has been read.
 func (conn *Conn) Expect() { conn.expected.Store(true) }
 
-// Read reads from the connection, up to the first byte that can't be part of a response. Errors: *StatusError, *FieldNameError, and those of the connection.
+// Read reads from the connection, up to the first byte that can't be part of a response. Errors: *StatusError, *FieldNameError, *ResetError, and those of the connection.
 func (conn *Conn) Read(into []byte) (int, error) {
 	if broken := conn.Broken(); broken != nil {
 		return 0, broken
 	}
 	count, err := conn.Conn.Read(into)
+	if errors.Is(err, io.EOF) {
+		if lost := conn.lostError(); lost != nil {
+			return count, lost
+		}
+	}
 	if count == 0 {
 		return 0, err
 	}
--- a/internal/response/conn_test.go
+++ b/internal/response/conn_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"sapphirehead/internal/response"
--- a/internal/standin/brokenstandin/broken.go
+++ b/internal/standin/brokenstandin/broken.go
@@ -17,21 +17,25 @@
 // Ending is what follows the bytes of an answer.
 type Ending int
 
-// The endings. All but EndingReset and EndingHalfClose read the whole request before they
-// answer.
+// The endings. With EndingKeep and EndingClose, the answer follows the whole request, and
+// with the others its head.
 const (
 	// EndingKeep: the connection serves further requests.
 	EndingKeep Ending = iota + 1
 	// EndingClose: the connection is closed.
 	EndingClose
-	// EndingReset: the answer follows the head of the request, and the connection is reset
-	// with the rest of the request unread.
+	// EndingReset: the connection is reset within the body of a long request.
 	EndingReset
-	// EndingHalfClose: the answer follows the head of the request, and the stream of the
-	// answer is closed before the rest of the request is read.
+	// EndingHalfClose: the server's direction is closed, and the rest of the request read.
 	EndingHalfClose
+	// EndingHalfCloseUnread: the server's direction is closed, and then the connection, with
+	// the rest of the request unread.
+	EndingHalfCloseUnread
 )
 
+// readBeforeReset is the number of bytes that are read between the answer and a reset.
+const readBeforeReset = 1 << 20
+
 // idMark is replaced by the ID of the request in the text of an answer.
 const idMark = "$ID"
 
@@ -47,7 +51,7 @@
 
 // isEarly reports whether the answer does not wait for the body of the request.
 func (answer Answer) isEarly() bool {
-	return answer.ending == EndingReset || answer.ending == EndingHalfClose
+	return answer.ending != EndingKeep && answer.ending != EndingClose
 }
 
 // Server is the stand-in. It serves until Close.
@@ -152,13 +156,16 @@
 		return true
 	case EndingReset:
 		// An error means that the connection has ended already.
+		_, _ = io.CopyN(io.Discard, reader, readBeforeReset)
 		_ = conn.SetLinger(0)
 	case EndingHalfClose:
-		if err := conn.CloseWrite(); err != nil {
-			return false
+		if conn.CloseWrite() == nil {
+			// It ends when the caller closes the connection.
+			_, _ = io.Copy(io.Discard, conn)
 		}
-		// It ends when the caller closes the connection.
-		_, _ = io.Copy(io.Discard, conn)
+	case EndingHalfCloseUnread:
+		// An error means that the connection has ended already.
+		_ = conn.CloseWrite()
 	case EndingClose:
 	}
 	return false
