--- a/internal/edge/broken_test.go
+++ b/internal/edge/broken_test.go
@@ -71,7 +71,6 @@
 		for _, framing := range framings {
 			t.Run(kind.name+", "+framing.name, func(t *testing.T) {
 				header, framed, ending := framing.frame(kind.body)
-				// The request before leaves a connection that the next one may use.
 				server.SetAnswer(brokenstandin.NewAnswer("HTTP/1.1 200 OK\r\n"+answerHeader+header+"\r\n"+framed, ending))
 				require.Equal(t, http.StatusOK, fixture.call(kind.method, kind.path+"sound").status)
 				server.SetAnswer(brokenstandin.NewAnswer(statusLine+"\r\n"+lines+answerHeader+header+"\r\n"+framed, ending))
