entry: log why an attempt has no response

An operator of an entry host saw `attempt failed` with the cause `cut` only, be it for a connection that was closed or for bytes that are no response: the client's error was dropped in the driver.

TestBrokenAnswer goes through a whole entry host. TestBrokenAnswerLogged failed for want of the line.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,6 +35,8 @@
 	"sapphirehead/internal/platform/platformhttp"
 	"sapphirehead/internal/quarantine"
 	"sapphirehead/internal/request"
+	"sapphirehead/internal/response"
+	"sapphirehead/internal/runner"
 	"sapphirehead/internal/runner/runnerhttp"
 	"sapphirehead/internal/service"
 	"sapphirehead/internal/service/servicehttp"
@@ -141,8 +143,18 @@
 func (entry *Entry) newDriver() *Driver {
 	runners := entry.runners
 	services := servicehttp.New(connectTimeout)
+	open := func(ctx context.Context, req *request.Request, attempt request.Attempt) (*runner.Stream, error) {
+		stream, err := runners.Open(ctx, req, attempt)
+		entry.logBroken(req, attempt.Server(), err)
+		return stream, err
+	}
+	call := func(ctx context.Context, server *backend.Server, req *request.Request, call service.Call) (service.Answer, request.Cause, error) {
+		answer, cause, err := services.Call(ctx, server, req, call)
+		entry.logBroken(req, server, err)
+		return answer, cause, err
+	}
 	return NewDriver(entry.clock, entry.dispatcher.choose, entry.dispatcher.retry, entry.trackedClaim, entry.record,
-		runners.Open, runners.Cancel, services.Call, entry.recordLeaving, entry.countAttempt,
+		open, runners.Cancel, call, entry.recordLeaving, entry.countAttempt,
 		runners.CloseIdle, entry.handleSourceChange)
 }
 
@@ -228,6 +240,13 @@
 	return request.NewID(entry.tag(), random)
 }
 
+// logBroken logs why the response of the server is none, if that is the error.
+func (entry *Entry) logBroken(req *request.Request, server *backend.Server, err error) {
+	if response.IsBroken(err) {
+		entry.log.Warn().Str(logging.FieldRequestID, req.ID()).Str(logging.FieldServer, server.ID()).Err(err).Msg("response is broken")
+	}
+}
+
 func (entry *Entry) countAttempt(req *request.Request, server *backend.Server, cause request.Cause, tokens int) {
 	entry.dispatcher.recordAttempt(req, server, cause)
 	entry.recordEvidence(req, server, cause, tokens)
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -79,6 +79,15 @@
 	return nil
 }
 
+// IsBroken reports whether the error is one by which a Conn refuses a response: *StatusError,
+// *FieldNameError or *ResetError.
+func IsBroken(err error) bool {
+	var status *StatusError
+	var name *FieldNameError
+	var reset *ResetError
+	return errors.As(err, &status) || errors.As(err, &name) || errors.As(err, &reset)
+}
+
 // SyscallConn returns the connection's descriptor. Errors: syscall.EINVAL if it has none.
 func (conn *Conn) SyscallConn() (syscall.RawConn, error) {
 	if raw, ok := conn.Conn.(syscall.Conn); ok {
