response: record writes without closures, and say what the scanner's steps check

Read through as a newcomer: the two ways to write shared a function that took a closure with named results. A write now begins and ends in the open.

--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -43,7 +43,8 @@
 // is sent, when the response to the one before has been read.
 func (conn *Conn) Expect() { conn.expected.Store(true) }
 
-// Read reads from the connection, up to the first byte that can't be part of a response. Errors: *StatusError, *FieldNameError, *ResetError, and those of the connection.
+// Read reads from the connection, up to the first byte that can't be part of a response.
+// Errors: *StatusError, *FieldNameError, *ResetError, and those of the connection.
 func (conn *Conn) Read(into []byte) (int, error) {
 	if broken := conn.Broken(); broken != nil {
 		return 0, broken
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -6,11 +6,11 @@
 	"strings"
 )
 
-// place is the position of a headScanner within a head.
+// place is where the next byte stands in a response.
 type place int
 
 const (
-	// placeBody: nothing is checked.
+	// placeBody: behind the final head, where nothing is checked.
 	placeBody place = iota
 	placeProtocol
 	placeBeforeStatus
@@ -61,6 +61,7 @@
 	return len(data), nil
 }
 
+// next checks the next byte of a head.
 func (scanner *headScanner) next(char byte) error {
 	switch scanner.place {
 	case placeProtocol:
@@ -95,6 +96,8 @@
 	return nil
 }
 
+// nextOfStatus checks a byte of the status code, of the blanks before it, or the one behind
+// it.
 func (scanner *headScanner) nextOfStatus(char byte) error {
 	switch {
 	case char == ' ' && scanner.place == placeBeforeStatus:
@@ -132,6 +135,7 @@
 	return nil
 }
 
+// nameError returns the error of the current name.
 func (scanner *headScanner) nameError() error {
 	return &FieldNameError{name: string(scanner.word[:scanner.length])}
 }
@@ -170,7 +174,8 @@
 	return true
 }
 
-// StatusError reports a response whose status is no number from 100, or 101.
+// StatusError reports a response whose status is not a number of three digits from 100 on,
+// or is 101.
 type StatusError struct{ status string }
 
 // Status returns the beginning of the status, as received.
--- a/internal/response/reset.go
+++ b/internal/response/reset.go
@@ -23,41 +23,45 @@
 // write is one write to a Conn.
 type write struct {
 	ended chan struct{}
-	// err is the error of this write or of one before. It is set when the write has ended.
+	// err is the first error of this write and those before it. It is set once the write has
+	// ended.
 	err error
 }
 
+// end records the result of the write.
+func (write *write) end(err error) {
+	if write.err == nil {
+		write.err = err
+	}
+	close(write.ended)
+}
+
+// beginWrite records that a write begins, when the one before has ended.
+func (conn *Conn) beginWrite() *write {
+	current := &write{ended: make(chan struct{})}
+	if before := conn.lastWrite.Swap(current); before != nil {
+		current.err = before.err
+	}
+	return current
+}
+
 // Write writes to the connection. Only one goroutine may write at a time.
-func (conn *Conn) Write(data []byte) (count int, err error) {
-	err = conn.recordWrite(func() (err error) {
-		count, err = conn.Conn.Write(data)
-		return err
-	})
+func (conn *Conn) Write(data []byte) (int, error) {
+	current := conn.beginWrite()
+	count, err := conn.Conn.Write(data)
+	current.end(err)
 	return count, err
 }
 
 // WriteBuffers writes the buffers, at once if the system can. Only one goroutine may write
 // at a time.
-func (conn *Conn) WriteBuffers(buffers net.Buffers) (count int64, err error) {
-	err = conn.recordWrite(func() (err error) {
-		count, err = buffers.WriteTo(conn.Conn)
-		return err
-	})
+func (conn *Conn) WriteBuffers(buffers net.Buffers) (int64, error) {
+	current := conn.beginWrite()
+	count, err := buffers.WriteTo(conn.Conn)
+	current.end(err)
 	return count, err
 }
 
-func (conn *Conn) recordWrite(send func() error) error {
-	current := &write{ended: make(chan struct{})}
-	before := conn.lastWrite.Swap(current)
-	err := send()
-	current.err = err
-	if before != nil && before.err != nil {
-		current.err = before.err
-	}
-	close(current.ended)
-	return err
-}
-
 // lostError returns the error by which the connection ended if a write got it in place of a
 // read, or nil if the server has closed its direction.
 func (conn *Conn) lostError() error {
