standins: share what the tests of broken responses repeat

Two stand-ins accepted and tracked connections with the same 50 lines, now standinhttp.RawServer, and seven packages listed the same broken heads, now brokenstandin.BrokenStatuses and BrokenNames; what is checked stays. A reset no longer waits for more than the request has, so backendlink plays it with bodies of 1 byte, 4 KiB of request, one byte more, 200 KiB and 8 MiB.

--- a/internal/backend/backendlink/broken_test.go
+++ b/internal/backend/backendlink/broken_test.go
@@ -1,6 +1,7 @@
 package backendlink_test
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -54,6 +55,9 @@
 	expectSound(2)
 }
 
+// inlineBytes is the longest body of a POST that is written before its response is read.
+const inlineBytes = 4<<10 - len("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4047\r\n\r\n")
+
 // TestBrokenResponse guards against a response that is broken and counts as the answer of a
 // server, on new and kept connections.
 func TestBrokenResponse(t *testing.T) {
@@ -68,8 +72,10 @@
 		t.Run(name+", name of a field", func(t *testing.T) {
 			expectBroken[*response.FieldNameError](t, brokenstandin.NewAnswer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX Odd: a\r\n\r\nok", brokenstandin.EndingKeep), "x", isKept)
 		})
-		t.Run(name+", reset", func(t *testing.T) {
-			expectBroken[error](t, brokenstandin.NewAnswer(unframedHead+"ok", brokenstandin.EndingReset), strings.Repeat("x", 8<<20), isKept)
-		})
+		for _, bodyBytes := range []int{1, inlineBytes, inlineBytes + 1, 200 << 10, 8 << 20} {
+			t.Run(fmt.Sprint(name, ", reset during a request with a body of ", bodyBytes), func(t *testing.T) {
+				expectBroken[error](t, brokenstandin.NewAnswer(unframedHead+"ok", brokenstandin.EndingReset), strings.Repeat("x", bodyBytes), isKept)
+			})
+		}
 	}
 }
--- a/internal/service/servicehttp/broken_test.go
+++ b/internal/service/servicehttp/broken_test.go
@@ -67,18 +67,14 @@
 // TestBrokenStatus guards against a response without a final status that is recorded as the
 // answer of a call.
 func TestBrokenStatus(t *testing.T) {
-	for _, status := range []string{"000", "099", "101"} {
-		t.Run(status, func(t *testing.T) {
-			expectBroken[*response.StatusError](t, brokenstandin.NewAnswer("HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\nok", brokenstandin.EndingKeep))
-		})
+	for name, answer := range brokenstandin.BrokenStatuses("", "ok") {
+		t.Run(name, func(t *testing.T) { expectBroken[*response.StatusError](t, answer) })
 	}
 }
 
 // TestBrokenFieldName guards against a response in whose head the name of a field is none.
 func TestBrokenFieldName(t *testing.T) {
-	for _, line := range []string{"X Odd: a", "X-Odd : a", "X-A: b\r\n X-Odd: a", "X\tOdd: a", "X\x00Odd: a"} {
-		t.Run(line, func(t *testing.T) {
-			expectBroken[*response.FieldNameError](t, brokenstandin.NewAnswer("HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 2\r\n\r\nok", brokenstandin.EndingKeep))
-		})
+	for name, answer := range brokenstandin.BrokenNames("", "ok") {
+		t.Run(name, func(t *testing.T) { expectBroken[*response.FieldNameError](t, answer) })
 	}
 }
--- a/internal/standin/brokenstandin/broken.go
+++ b/internal/standin/brokenstandin/broken.go
@@ -10,8 +10,9 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
+
+	"sapphirehead/internal/standin/standinhttp"
 )
 
 // Ending is what follows the bytes of an answer.
@@ -24,7 +25,7 @@
 	EndingKeep Ending = iota + 1
 	// EndingClose: the connection is closed.
 	EndingClose
-	// EndingReset: the connection is reset within the body of a long request.
+	// EndingReset: the connection is reset, within the body of a long request.
 	EndingReset
 	// EndingHalfClose: the server's direction is closed, and the rest of the request read.
 	EndingHalfClose
@@ -56,84 +57,30 @@
 
 // Server is the stand-in. It serves until Close.
 type Server struct {
-	listener net.Listener
+	*standinhttp.RawServer
 	answer   atomic.Pointer[Answer]
 	requests atomic.Int64
-	done     sync.WaitGroup
-	mutex    sync.Mutex
-	open     map[net.Conn]bool
-	closed   bool
 }
 
 // New returns a server on loopback that sends the answer.
 func New(answer Answer) (*Server, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	server := &Server{listener: listener, open: map[net.Conn]bool{}}
-	server.answer.Store(&answer)
-	server.done.Go(server.accept)
-	return server, nil
+	server := &Server{}
+	server.SetAnswer(answer)
+	var err error
+	server.RawServer, err = standinhttp.NewRawServer(func(conn *net.TCPConn) {
+		reader := bufio.NewReader(conn)
+		for server.serve(conn, reader) {
+		}
+	})
+	return server, err
 }
 
-// Address returns the server's host and port.
-func (server *Server) Address() string { return server.listener.Addr().String() }
-
 // SetAnswer replaces the answer to later requests.
 func (server *Server) SetAnswer(answer Answer) { server.answer.Store(&answer) }
 
 // Requests returns the number of requests that arrived.
 func (server *Server) Requests() int64 { return server.requests.Load() }
 
-// Close ends all connections.
-func (server *Server) Close() {
-	server.listener.Close()
-	server.mutex.Lock()
-	server.closed = true
-	for conn := range server.open {
-		conn.Close()
-	}
-	server.mutex.Unlock()
-	server.done.Wait()
-}
-
-func (server *Server) accept() {
-	for {
-		conn, err := server.listener.Accept()
-		if err != nil {
-			return
-		}
-		if !server.track(conn) {
-			return
-		}
-		server.done.Go(func() {
-			defer server.untrack(conn)
-			reader := bufio.NewReader(conn)
-			for server.serve(conn.(*net.TCPConn), reader) {
-			}
-		})
-	}
-}
-
-func (server *Server) track(conn net.Conn) bool {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	if server.closed {
-		conn.Close()
-		return false
-	}
-	server.open[conn] = true
-	return true
-}
-
-func (server *Server) untrack(conn net.Conn) {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	delete(server.open, conn)
-	conn.Close()
-}
-
 // serve answers one request, and reports whether the connection serves another.
 func (server *Server) serve(conn *net.TCPConn, reader *bufio.Reader) bool {
 	request, err := http.ReadRequest(reader)
@@ -156,7 +103,7 @@
 		return true
 	case EndingReset:
 		// An error means that the connection has ended already.
-		_, _ = io.CopyN(io.Discard, reader, readBeforeReset)
+		_, _ = io.CopyN(io.Discard, request.Body, readBeforeReset)
 		_ = conn.SetLinger(0)
 	case EndingHalfClose:
 		if conn.CloseWrite() == nil {
--- a/internal/standin/endlessstandin/endless.go
+++ b/internal/standin/endlessstandin/endless.go
@@ -11,10 +11,10 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 
 	"sapphirehead/internal/clock"
+	"sapphirehead/internal/standin/standinhttp"
 )
 
 // burstBytes is the least size of one write of a server without a pause.
@@ -22,19 +22,15 @@
 
 // Server is the stand-in. It serves until Close.
 type Server struct {
-	listener net.Listener
-	prefix   func(request *http.Request) string
-	pattern  []byte
+	*standinhttp.RawServer
+	prefix  func(request *http.Request) string
+	pattern []byte
 	// burst is one write of a server without a pause.
 	burst    []byte
 	pause    clock.Millis
 	stall    atomic.Int64
 	sent     atomic.Int64
 	abandons chan struct{}
-	done     sync.WaitGroup
-	mutex    sync.Mutex
-	open     map[net.Conn]bool
-	closed   bool
 }
 
 // abandonsQueueLength is the number of closed connections that may be left unread.
@@ -44,22 +40,16 @@
 // pause, the server sends one byte of the pattern after each pause; without one, it
 // sends as fast as its caller reads.
 func New(prefix func(request *http.Request) string, pattern string, pause clock.Millis) (*Server, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
 	server := &Server{
-		listener: listener, prefix: prefix, pattern: []byte(pattern), pause: pause,
+		prefix: prefix, pattern: []byte(pattern), pause: pause,
 		burst:    bytes.Repeat([]byte(pattern), burstBytes/len(pattern)+1),
-		abandons: make(chan struct{}, abandonsQueueLength), open: map[net.Conn]bool{},
+		abandons: make(chan struct{}, abandonsQueueLength),
 	}
-	server.done.Go(server.accept)
-	return server, nil
+	var err error
+	server.RawServer, err = standinhttp.NewRawServer(server.serve)
+	return server, err
 }
 
-// Address returns the server's host and port.
-func (server *Server) Address() string { return server.listener.Addr().String() }
-
 // SetStall makes the server send nothing more on a connection after the number of bytes
 // of the pattern, rounded up to a whole write, and keep the connection open.
 func (server *Server) SetStall(bytes int64) { server.stall.Store(bytes) }
@@ -71,53 +61,7 @@
 // caller has closed after a response had begun.
 func (server *Server) Abandoned() <-chan struct{} { return server.abandons }
 
-// Close ends all connections.
-func (server *Server) Close() {
-	server.listener.Close()
-	server.mutex.Lock()
-	server.closed = true
-	for conn := range server.open {
-		conn.Close()
-	}
-	server.mutex.Unlock()
-	server.done.Wait()
-}
-
-func (server *Server) accept() {
-	for {
-		conn, err := server.listener.Accept()
-		if err != nil {
-			return
-		}
-		if !server.track(conn) {
-			return
-		}
-		server.done.Go(func() {
-			defer server.untrack(conn)
-			server.serve(conn)
-		})
-	}
-}
-
-func (server *Server) track(conn net.Conn) bool {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	if server.closed {
-		conn.Close()
-		return false
-	}
-	server.open[conn] = true
-	return true
-}
-
-func (server *Server) untrack(conn net.Conn) {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	delete(server.open, conn)
-	conn.Close()
-}
-
-func (server *Server) serve(conn net.Conn) {
+func (server *Server) serve(conn *net.TCPConn) {
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
