--- a/review/standin-3/deadly.go
+++ b/review/standin-3/deadly.go
@@ -80,4 +80,4 @@
 	return ""
 }
 
-func init() { cases["deadly"] = deadly }
+func init() { cases["14"] = deadly }
--- a/review/standin-3/forged.go
+++ b/review/standin-3/forged.go
@@ -83,4 +83,4 @@
 	return ""
 }
 
-func init() { cases["15"] = forged }
+func init() { cases["13"] = forged }
--- a/review/standin-3/holders.go
+++ b/review/standin-3/holders.go
@@ -15,17 +15,17 @@
 const (
 	// leaseTTL is leaseTtlMs of the small deployments.
 	leaseTTL = 3000 * time.Millisecond
-	// roundTime is the time from a start of all processes to the next kill, restartDelay that
-	// from the kill to the start, and lastKill when they are killed no more. Where two machines
-	// were holders in a round, it is watched for longerTime.
-	roundTime    = 4 * time.Second
-	longerTime   = 34 * time.Second
-	restartDelay = 300 * time.Millisecond
-	lastKill     = 70 * time.Second
-	// machines is the number of machines.
-	machines = 3
-	// startPause keeps the first starts apart, all within the 0.3 s of DEPLOY.md.
+	// contact is contactMs.
+	contact = 3000 * time.Millisecond
+	// machines is the number of machines, and startPause keeps their starts apart where they
+	// don't start at the same moment, all within the 0.3 s of DEPLOY.md.
+	machines   = 3
 	startPause = 100 * time.Millisecond
+	// watchTime is how long a deployment is watched. Where two machines were holders in this
+	// time, it is watched for longerTime. No deployment begins later than lastStart.
+	watchTime  = 7 * time.Second
+	longerTime = 36 * time.Second
+	lastStart  = 66 * time.Second
 )
 
 // dutyCall is a call that the platform accepted.
@@ -71,19 +71,31 @@
 	return nil
 }
 
-// holders kills all processes at the same moment, some times, and looks for duties that move
-// to another machine and back.
+// holders starts deployments, one after the other, and looks for duties that move to another
+// machine and back.
 func holders(world *world) string {
+	for number := 1; time.Since(world.start) < lastStart; number++ {
+		world.line("deployment %d", number)
+		if found := watchDeployment(world); found != "" {
+			return found
+		}
+		if !world.trouble && number == 3 {
+			break
+		}
+	}
+	return ""
+}
+
+// watchDeployment starts the machines of a deployment whose store is empty, at the same moment
+// or a little apart, and watches the calls that its platform accepts.
+func watchDeployment(parent *world) string {
+	world := newWorld(parent.record, parent.folder, parent.trouble)
+	parent.edges = nil
 	world.configure(1, `{"name":"gen","host":"d.example","pathPrefix":"/gen/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":800,"targetGapMs":300,"service":"pool","maxAttempts":1}`,
 		`{"name":"pool","engine":{"batchSlots":64,"kvCapacity":323717},"scaling":{"minCount":1,"maxCount":12,"startupS":4.0,"spotPrice":0.18,"zonePrices":{"lhr-a":1.0}}}`)
 	for i := range 6 {
 		world.addRunner("pool", fmt.Sprint("i-pool-", i), func(_ *runner, writer http.ResponseWriter, _ *http.Request) {
-			writer.Header().Set("Content-Type", "text/event-stream")
-			for event := range 10 {
-				time.Sleep(20 * time.Millisecond)
-				_, _ = io.WriteString(writer, fmt.Sprintf("id: %d\ndata: x\n\n", event+1))
-				writer.(http.Flusher).Flush()
-			}
+			_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
 		})
 	}
 	calls := &dutyCalls{}
@@ -93,35 +105,30 @@
 			Zone    string `json:"zone"`
 		}
 		_ = json.Unmarshal([]byte(body), &form)
-		calls.add(dutyCall{at: time.Now(), holder: holder, subject: strings.Join([]string{path, form.Service, form.Zone}, " "), fence: fence})
+		calls.add(dutyCall{at: time.Now(), holder: holder, subject: strings.TrimSpace(strings.Join([]string{path, form.Service, form.Zone}, " ")), fence: fence})
+	}
+	if !world.trouble {
+		world.startPause = startPause
 	}
-	world.startPause = startPause
-	world.addEdges(machines)
-	world.awaitReady()
 	started := time.Now()
+	world.addEdges(machines)
+	parent.edges = world.edges
+	defer world.close()
 	stop := make(chan struct{})
 	defer close(stop)
 	go recordLease(world, stop)
-	for {
-		time.Sleep(time.Until(started.Add(roundTime)))
-		found := calls.backAndForth(started.Add(contact))
-		for found == nil && calls.holdersSince(started) > 1 && time.Since(started) < longerTime {
-			time.Sleep(500 * time.Millisecond)
-			found = calls.backAndForth(started.Add(contact))
-		}
-		if found != nil {
-			return fmt.Sprintf("%v, %v, %v within %.2f s on %q, the first of them %.1f s after the latest start", found[0], found[1], found[2],
-				found[2].at.Sub(found[0].at).Seconds(), found[0].subject, found[0].at.Sub(started).Seconds())
-		}
-		if time.Since(world.start) > lastKill {
-			return ""
-		}
-		if world.trouble {
-			started = world.restartAll()
-		} else {
-			started = time.Now()
-		}
+	inTouch := time.Now().Add(contact)
+	time.Sleep(watchTime)
+	found := calls.backAndForth(inTouch)
+	for found == nil && calls.holdersSince(started) > 1 && time.Since(started) < longerTime {
+		time.Sleep(500 * time.Millisecond)
+		found = calls.backAndForth(inTouch)
+	}
+	if found == nil {
+		return ""
 	}
+	return fmt.Sprintf("%v, %v, %v within %.2f s on %q, the first of them %.1f s after the start", found[0], found[1], found[2],
+		found[2].at.Sub(found[0].at).Seconds(), found[0].subject, found[0].at.Sub(started).Seconds())
 }
 
 // holdersSince returns the number of machines whose calls the platform has accepted since the
@@ -160,32 +167,4 @@
 	}
 }
 
-// restartAll kills the processes of all machines at the same moment, and starts them again at
-// the same moment, as the platform does. It returns when it started them.
-func (world *world) restartAll() time.Time {
-	world.line("all processes are killed")
-	world.each(func(edge *edge) { edge.kill() })
-	starts := make([]func(), 0, len(world.edges))
-	for _, edge := range world.edges {
-		starts = append(starts, edge.prepare())
-	}
-	time.Sleep(restartDelay)
-	started := time.Now()
-	world.line("all processes are started")
-	for _, start := range starts {
-		start()
-	}
-	world.awaitReady()
-	return started
-}
-
-// each calls the function for all machines at once.
-func (world *world) each(do func(edge *edge)) {
-	var group sync.WaitGroup
-	for _, edge := range world.edges {
-		group.Go(func() { do(edge) })
-	}
-	group.Wait()
-}
-
 func init() { cases["11"] = holders }
--- a/review/standin-3/lib.go
+++ b/review/standin-3/lib.go
@@ -176,14 +176,10 @@
 }
 
 // start starts the process with the command of deploy/system.toml.
-func (edge *edge) start() { edge.prepare()() }
-
-// prepare makes everything ready for a start and returns the function that starts the process:
-// a shell waits, and becomes the process.
-func (edge *edge) prepare() (start func()) {
+func (edge *edge) start() {
 	edge.mutex.Lock()
 	defer edge.mutex.Unlock()
-	command := exec.Command("/bin/sh", "-c", `read -r _; exec "$0" "$@"`, "target/sapphire-edge", "run")
+	command := exec.Command("target/sapphire-edge", "run")
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SAPPHIREHEAD_CONFIG=" + edge.settings}
 	log, err := os.OpenFile(filepath.Join(edge.world.folder, edge.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -191,10 +187,6 @@
 	}
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	waiting, err := command.StdinPipe()
-	if err != nil {
-		unable("open a pipe: %v", err)
-	}
 	if err := command.Start(); err != nil {
 		unable("start %s: %v", edge.name, err)
 	}
@@ -209,7 +201,6 @@
 		}
 		close(ended)
 	}()
-	return func() { _ = waiting.Close() }
 }
 
 func (edge *edge) signal(signal syscall.Signal) {
